--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# VENV may point to a ready environment (helpers and CI caches share one).
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed-dev
+STAMP_RUN := $(VENV)/.installed-run
+JOBS ?= 6
+SOURCES := jackdawsail bench test
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: test lint format types check demo slow install clean size
+
+test: lint types check
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	touch $(STAMP) $(STAMP_RUN)
+
+$(STAMP_RUN): requirements.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements.txt
+	touch $(STAMP_RUN)
+
+install: $(STAMP)
+	$(PY) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+
+format: $(STAMP)
+	$(PY) -m ruff format $(SOURCES)
+	$(PY) -m ruff check --fix $(SOURCES)
+
+lint: $(STAMP)
+	$(PY) -m ruff format --check $(SOURCES)
+	$(PY) -m ruff check $(SOURCES)
+	$(PY) -m flake8 $(SOURCES)
+
+types: $(STAMP)
+	$(PY) -m mypy
+
+check: $(STAMP)
+	$(PY) -m pytest -n $(JOBS) --dist worksteal -m "not slow"
+
+slow: $(STAMP)
+	$(PY) -m pytest -n $(JOBS) -m slow
+
+demo: $(STAMP_RUN)
+	@$(PY) -m bench demo $(if $(JSON),--json)
+
+size: $(STAMP)
+	$(PY) -m bench size
+
+clean:
+	rm -rf .venv build *.egg-info .mypy_cache .ruff_cache
--- /dev/null
+++ b/jackdawsail/events.py
@@ -0,0 +1,77 @@
+"""Numbered log events: the catalogue, and the one function that writes them.
+
+Numbers are never used again. 1xx: process and links; 2xx: control and
+consensus; 3xx: membership and leases; 4xx: requests; 5xx: weights; 6xx:
+administration. ``docs/events.md`` is made from this module.
+"""
+
+import logging
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+SECRET_WORDS = ('token', 'secret', 'password', 'authorization')
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log line: its number, level and meaning."""
+
+    number: int
+    level: str
+    text: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def define(number: int, level: str, text: str) -> Event:
+    """Adds an event to the catalogue; a number used twice is a broken invariant."""
+    if number in CATALOGUE:
+        raise AssertionError(f'event {number} is defined twice')
+    event = Event(number, level, text)
+    CATALOGUE[number] = event
+    return event
+
+
+PROCESS_READY = define(100, 'info', 'process is ready')
+PROCESS_STOPPING = define(101, 'info', 'process begins a graceful stop')
+PROCESS_STOPPED = define(102, 'info', 'process has stopped')
+LINK_OPENED = define(110, 'info', 'link opened')
+LINK_CLOSED = define(111, 'info', 'link closed')
+
+
+def configure_logging(program: str, name: str, level: str = 'info') -> None:
+    """Sets structlog up: human form on a terminal, one JSON object a line otherwise."""
+    terminal = sys.stderr.isatty()
+    renderer: Any = (
+        structlog.dev.ConsoleRenderer() if terminal else structlog.processors.JSONRenderer()
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            _hide_secrets,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(program=program, host=name)
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Writes one numbered event with its fields (customer, release, request id ...)."""
+    writer = getattr(structlog.get_logger(), event.level)
+    writer(event.text, number=event.number, **fields)
+
+
+def _hide_secrets(_logger: Any, _method: str, fields: Any) -> Any:
+    for key in fields:
+        if any(word in key.lower() for word in SECRET_WORDS):
+            fields[key] = '(hidden)'
+    return fields
--- /dev/null
+++ b/jackdawsail/process.py
@@ -0,0 +1,112 @@
+"""What every long-running program shares: settings, logging, signals and the reactor.
+
+A program module builds its parts and calls ``run_process``; SIGTERM or SIGINT
+starts the graceful stop, a second one ends it at once.
+"""
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+from twisted.internet.defer import Deferred
+
+from jackdawsail import events
+from jackdawsail.errors import UserError
+from jackdawsail.settings.loader import load_settings
+from jackdawsail.settings.models import HostSettings, Settings
+from jackdawsail.wire.identity import Identity, Role
+
+SettingsPaths = Annotated[
+    list[Path],
+    Parameter(name='--settings', help='Base settings file, then overlays, in order.'),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessContext:
+    """What a program is built from."""
+
+    reactor: Any
+    settings: Settings
+    identity: Identity
+    secret: bytes
+
+
+StopFunction = Callable[[], Deferred[None]]
+BuildFunction = Callable[[ProcessContext], StopFunction]
+
+
+def make_identity(role: Role, host: HostSettings, incarnation: int) -> Identity:
+    """Makes the identity of this run of a process."""
+    return Identity(role, host.name, host.zone, host.region, incarnation)
+
+
+def read_secret(settings: Settings) -> bytes:
+    """Returns the site secret; refuses to run open anywhere but on loopback."""
+    security = settings.security
+    secret = security.site_secret
+    if security.site_secret_file:
+        secret = Path(security.site_secret_file).read_text('utf8').strip()
+    host = settings.host
+    if not secret and host is not None and not host.address.startswith('127.'):
+        raise UserError('security.site_secret is required on any address but loopback')
+    return secret.encode()
+
+
+def run_process(role: Role, paths: list[Path], build: BuildFunction) -> int:
+    """Runs one program until it is told to stop; returns its exit code."""
+    from secrets import randbits
+
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    settings = load_settings(paths)
+    if settings.host is None:
+        raise UserError('settings have no host section')
+    events.configure_logging(f'jackdawsail-{role}', settings.host.name, settings.log_level)
+    identity = make_identity(role, settings.host, randbits(52))
+    context = ProcessContext(reactor, settings, identity, read_secret(settings))
+    stopper = _Stopper(reactor)
+    reactor.callWhenRunning(_start, context, build, stopper)
+    reactor.run(installSignalHandlers=False)
+    events.log(events.PROCESS_STOPPED, exit_code=stopper.exit_code)
+    return stopper.exit_code
+
+
+def _start(context: ProcessContext, build: BuildFunction, stopper: '_Stopper') -> None:
+    try:
+        stopper.stop = build(context)
+    except Exception:
+        stopper.exit_code = 1
+        context.reactor.stop()
+        raise
+    signal.signal(signal.SIGTERM, stopper.on_signal)
+    signal.signal(signal.SIGINT, stopper.on_signal)
+
+
+class _Stopper:
+    """Turns the first signal into a graceful stop and the second into a fast one."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.exit_code = 0
+        self.stop: StopFunction | None = None
+        self._reactor = reactor
+        self._stopping = False
+
+    def on_signal(self, _number: int, _frame: Any) -> None:
+        self._reactor.callFromThread(self._begin)
+
+    def _begin(self) -> None:
+        if self._stopping or self.stop is None:
+            self._reactor.stop()
+            return
+        self._stopping = True
+        events.log(events.PROCESS_STOPPING)
+        self.stop().addBoth(self._finish)
+
+    def _finish(self, _outcome: Any) -> None:
+        if self._reactor.running:
+            self._reactor.stop()
--- /dev/null
+++ b/jackdawsail/settings/models.py
@@ -0,0 +1,135 @@
+"""Validated settings of every program: what a base file and its overlays may say.
+
+Every field carries its unit as a suffix. Unknown keys are errors.
+"""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
+Address = Annotated[str, Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+PositiveSeconds = Annotated[float, Field(gt=0, le=86400)]
+Share = Annotated[float, Field(gt=0, le=1)]
+
+
+class Section(BaseModel):
+    """A part of the settings in which unknown keys are errors."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class HostSettings(Section):
+    """Which host this process runs on."""
+
+    name: Name
+    zone: Name
+    region: Name
+    address: Annotated[str, Field(pattern=r'^[0-9.]+$')] = '127.0.0.1'
+
+
+class SecuritySettings(Section):
+    """How processes prove themselves; an empty secret is allowed on loopback only."""
+
+    site_secret: str = ''
+    site_secret_file: str = ''
+
+
+class VoterSettings(Section):
+    """One control host that votes."""
+
+    name: Name
+    address: Address
+
+
+class ControlSettings(Section):
+    """The control program."""
+
+    link_port: int = 0
+    admin_port: int = 0
+    data_folder: str
+    voters: list[VoterSettings]
+    learners: list[VoterSettings] = []
+    election_timeout_seconds: PositiveSeconds = 1.0
+    raft_heartbeat_seconds: PositiveSeconds = 0.2
+    snapshot_every_entries: int = Field(default=20000, ge=10)
+    zone_lease_seconds: PositiveSeconds = 2.5
+    bootstrap_token: str = ''
+
+
+class EntrySettings(Section):
+    """The entry program."""
+
+    caller_port: int = 0
+    link_port: int = 0
+    control: list[Address]
+    address_valid_seconds: PositiveSeconds = 5.0
+    max_body_bytes: int = Field(default=1_000_000, ge=1)
+    max_connections: int = Field(default=2000, ge=1)
+    drain_deadline_seconds: PositiveSeconds = 30.0
+
+
+class AgentSettings(Section):
+    """The agent program."""
+
+    backend: Name
+    upstream_kind: Literal['engine', 'service'] = 'engine'
+    upstream_url: str
+    chunk_port: int = 0
+    chunk_folder: str
+    chunk_space_bytes: int = Field(default=200_000_000_000, ge=1)
+    entries: list[Address]
+    checks_fence: bool = True
+    capacity: int = Field(default=8, ge=1)
+    cold_limit: int = Field(default=1, ge=1)
+    drain_deadline_seconds: PositiveSeconds = 30.0
+
+
+class BackendSettings(Section):
+    """One back end: a kind of upstream that customers call by name."""
+
+    kind: Literal['engine', 'service']
+    max_switching_share: Share = 0.5
+    idempotent_methods: list[str] = []
+
+
+class CustomerSettings(Section):
+    """One customer: its share and its limits."""
+
+    weight: float = Field(default=1.0, gt=0, le=1000)
+    requests_per_second: float = Field(default=100.0, gt=0)
+    max_concurrent: int = Field(default=64, ge=1)
+    token_digest: str = ''
+
+
+class ZoneSettings(Section):
+    """One data centre."""
+
+    region: Name
+
+
+class WeightSettings(Section):
+    """Weight distribution."""
+
+    origin_url: str = ''
+    origin_bits_per_second: float = Field(default=40_000_000, gt=0)
+    inter_region_bits_per_second: float = Field(default=10_000_000, gt=0)
+    machine_bits_per_second: float = Field(default=1_000_000_000, gt=0)
+    chunk_bytes: int = Field(default=262_144, ge=1024)
+    origin_copies: int = Field(default=3, ge=1, le=4)
+
+
+class Settings(Section):
+    """Everything one merged settings document may hold."""
+
+    deployment: Name
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+    host: HostSettings | None = None
+    security: SecuritySettings = SecuritySettings()
+    control: ControlSettings | None = None
+    entry: EntrySettings | None = None
+    agent: AgentSettings | None = None
+    zones: dict[Name, ZoneSettings] = {}
+    backends: dict[Name, BackendSettings] = {}
+    customers: dict[Name, CustomerSettings] = {}
+    weights: WeightSettings = WeightSettings()
--- /dev/null
+++ b/jackdawsail/wire/dialer.py
@@ -0,0 +1,97 @@
+"""Keeps one link open to an address: connects, and reconnects with jittered backoff."""
+
+import random
+from typing import Any
+
+from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.error import ConnectError
+
+from jackdawsail.wire.link import Link, LinkClientFactory, LinkOwner, LinkSettings
+
+CONNECT_TIMEOUT_SECONDS = 2
+BACKOFF_FIRST_SECONDS = 0.1
+BACKOFF_MAX_SECONDS = 2.0
+
+
+class Dialer:
+    """Owns the connection attempts to one ``host:port`` address.
+
+    The owner hears of opened and closed links through the ``LinkOwner``
+    methods; the dialer reconnects until ``stop`` is called.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        settings: LinkSettings,
+        owner: LinkOwner,
+        rng: random.Random,
+    ) -> None:
+        self.address = address
+        self.link: Link | None = None
+        self._reactor = reactor
+        self._owner = owner
+        self._rng = rng
+        self._factory: Any = LinkClientFactory(settings, self, reactor)
+        self._backoff_seconds = BACKOFF_FIRST_SECONDS
+        self._retry: Any = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begins to connect."""
+        host, port = split_address(self.address)
+        endpoint = HostnameEndpoint(self._reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+        attempt: Any = endpoint.connect(self._factory)
+        attempt.addCallbacks(self._connected, self._failed)
+
+    def stop(self) -> None:
+        """Ends the link and every further attempt."""
+        self._stopped = True
+        if self._retry is not None and self._retry.active():
+            self._retry.cancel()
+        if self.link is not None:
+            self.link.close('stopping')
+
+    def link_opened(self, link: Link) -> None:
+        """Passes the opened link on and resets the backoff."""
+        self.link = link
+        self._backoff_seconds = BACKOFF_FIRST_SECONDS
+        self._owner.link_opened(link)
+
+    def link_received(self, link: Link, received: Any) -> None:
+        """Passes a message on."""
+        self._owner.link_received(link, received)
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        """Passes the end of the link on."""
+        self.link = None
+        self._owner.link_closed(link, reason)
+
+    def _connected(self, link: Link) -> None:
+        lost = link.connectionLost
+
+        def lost_and_retry(reason: Any = None) -> None:
+            lost(reason)
+            self._retry_later()
+
+        link.connectionLost = lost_and_retry  # type: ignore[method-assign]
+        if self._stopped:
+            link.abort('stopping')
+
+    def _failed(self, failure: Any) -> None:
+        failure.trap(ConnectError, Exception)
+        self._retry_later()
+
+    def _retry_later(self) -> None:
+        if self._stopped:
+            return
+        delay_seconds = self._rng.uniform(0.5, 1) * self._backoff_seconds
+        self._backoff_seconds = min(BACKOFF_MAX_SECONDS, self._backoff_seconds * 2)
+        self._retry = self._reactor.callLater(delay_seconds, self.start)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits ``host:port``; the settings have checked the form already."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
