--- /dev/null
+++ b/jackdawsail/agent/entry_links.py
@@ -0,0 +1,128 @@
+"""An agent's links to its entries: announcement, heartbeats, leases, state."""
+
+import random
+from collections.abc import Callable
+
+from twisted.internet.task import LoopingCall
+
+from jackdawsail.agent.status import AgentStatus
+from jackdawsail.membership.leases import Lease
+from jackdawsail.process import ProcessContext
+from jackdawsail.settings.models import AgentSettings
+from jackdawsail.state.replica import StateReplica, TakeOutcome
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.dialer import Dialer
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.link import Link, LinkSettings
+from jackdawsail.wire.membership_messages import (
+    Announce,
+    Heartbeat,
+    HeartbeatAck,
+    Leaving,
+    StateDelta,
+    StateSnapshot,
+    UpstreamKind,
+    UpstreamLoad,
+)
+
+HEARTBEAT_SECONDS = 1.0
+
+
+class EntryLinks:
+    """Keeps every entry told of the agent, and the agent's lease alive."""
+
+    def __init__(
+        self,
+        context: ProcessContext,
+        switchboard: Switchboard,
+        replica: StateReplica,
+        lease: Lease,
+        status: AgentStatus,
+        load: Callable[[], UpstreamLoad],
+    ) -> None:
+        self._reactor = context.reactor
+        self._switchboard = switchboard
+        self._replica = replica
+        self._lease = lease
+        self._status = status
+        self._load = load
+        self._announce: Announce | None = None
+        self._links: dict[str, Link] = {}
+        self._dialers = _make_dialers(context, switchboard)
+        self._loop = LoopingCall(self.beat)
+        self._loop.clock = context.reactor
+        switchboard.watch(self._opened, self._closed)
+        switchboard.on(HeartbeatAck, self._acknowledged)
+        switchboard.on(StateSnapshot, self._state)
+        switchboard.on(StateDelta, self._state)
+
+    def start(self, announce: Announce) -> None:
+        """Dials the entries and begins to send heartbeats."""
+        self._announce = announce
+        for dialer in self._dialers:
+            dialer.start()
+        self._loop.start(HEARTBEAT_SECONDS)
+
+    def stop(self) -> None:
+        """Ends the heartbeats and the links."""
+        if self._loop.running:
+            self._loop.stop()
+        for dialer in self._dialers:
+            dialer.stop()
+
+    def leave(self) -> None:
+        """Tells every entry that the agent begins a graceful stop."""
+        for link in self._links.values():
+            link.send(Leaving('agent is stopping'))
+
+    def beat(self) -> None:
+        """Sends one heartbeat to every entry."""
+        load = self._load()
+        sequence = self._lease.ask(self._reactor.seconds())
+        for link in self._links.values():
+            link.send(Heartbeat(sequence, load, self._replica.revision))
+
+    def _opened(self, link: Link) -> None:
+        if link.peer is None or link.peer.role is not Role.entry or self._announce is None:
+            return
+        self._links[link.peer.name] = link
+        link.send(self._announce)
+        link.send(self._replica.subscription())
+        sequence = self._lease.ask(self._reactor.seconds())
+        link.send(Heartbeat(sequence, self._load(), self._replica.revision))
+
+    def _closed(self, link: Link) -> None:
+        if link.peer and self._links.get(link.peer.name) is link:
+            del self._links[link.peer.name]
+
+    def _acknowledged(self, link: Link, ack: HeartbeatAck) -> None:
+        self._lease.answered(ack.sequence, ack.lease_seconds, ack.lease_number)
+        self._status.fence_number = self._lease.number
+        self._status.lease_until_seconds = self._lease.until_seconds
+        if ack.is_tracker and link.peer:
+            self._status.tracker_name = link.peer.name
+
+    def _state(self, link: Link, received: StateSnapshot | StateDelta) -> None:
+        if self._replica.take(received) is TakeOutcome.gap:
+            link.send(self._replica.subscription())
+
+
+def make_announce(settings: AgentSettings, chunk_address: str) -> Announce:
+    """Makes the announcement of this agent."""
+    return Announce(
+        UpstreamKind(settings.upstream_kind),
+        settings.backend,
+        chunk_address,
+        settings.capacity,
+        settings.checks_fence,
+    )
+
+
+def _make_dialers(context: ProcessContext, switchboard: Switchboard) -> list[Dialer]:
+    settings = context.settings.agent
+    addresses = settings.entries if settings else []
+    link_settings = LinkSettings(context.identity, context.secret)
+    rng = random.Random(context.identity.incarnation)
+    return [
+        Dialer(context.reactor, address, link_settings, switchboard, rng) for address in addresses
+    ]
--- /dev/null
+++ b/jackdawsail/agent/program.py
@@ -0,0 +1,113 @@
+"""The parts of an agent, built and connected; the graceful stop."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from jackdawsail import events
+from jackdawsail.agent.engine_watch import EngineWatch
+from jackdawsail.agent.entry_links import EntryLinks, make_announce
+from jackdawsail.agent.lease import GateState, ServicePermit
+from jackdawsail.agent.status import AgentStatus
+from jackdawsail.agent.upstream import UpstreamClient
+from jackdawsail.agent.weights_stub import make_weights_part
+from jackdawsail.agent.work_part import WorkPart, WorkTools
+from jackdawsail.membership.leases import Lease
+from jackdawsail.process import ProcessContext
+from jackdawsail.routing.agent_desk import AgentDesk
+from jackdawsail.routing.window import StartupWindow, WindowSettings
+from jackdawsail.settings.models import AgentSettings
+from jackdawsail.state.replica import StateReplica
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.membership_messages import UpstreamKind
+
+LEAVE_GRACE_SECONDS = 0.3
+
+
+class AgentProgram:
+    """Builds the parts of an agent and connects them."""
+
+    def __init__(self, context: ProcessContext, settings: AgentSettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._reactor = context.reactor
+        self.replica = StateReplica()
+        self.lease = Lease()
+        self.status = AgentStatus()
+        self.permit = ServicePermit(context.identity, self.lease, self.replica, GateState())
+        self.switchboard = Switchboard()
+        self.work = self._make_work()
+        self.links = EntryLinks(
+            context, self.switchboard, self.replica, self.lease, self.status, self.work.load
+        )
+        self.weights: Any = None
+
+    def start(self) -> None:
+        """Starts every part; a plain service is served at once."""
+        self.work.start()
+        chunk_address = ''
+        if self._settings.upstream_kind == 'engine':
+            self.weights = make_weights_part(
+                self._context, self.switchboard, self.replica, self.status, self.work
+            )
+            self.weights.start()
+            chunk_address = getattr(self.weights, 'chunk_address', '')
+            self._watch.start()
+        else:
+            self.work.open('')
+        self.links.start(make_announce(self._settings, chunk_address))
+        _, _, chunk_port = chunk_address.rpartition(':')
+        events.log(events.PROCESS_READY, role='agent', chunk_port=int(chunk_port or 0))
+
+    def stop(self) -> 'Deferred[None]':
+        """Leaves: no new work, running work ends, bounded by the drain deadline."""
+        self.permit.leaving = True
+        self.links.leave()
+        self.work.tick()
+        drained = self.work.when_drained()
+        drained.addTimeout(self._settings.drain_deadline_seconds, self._reactor)
+        drained.addErrback(_ignore_failure)
+        drained.addCallback(self._flush)
+        drained.addBoth(self._close)
+        return drained
+
+    def _flush(self, _nothing: Any) -> 'Deferred[None]':
+        flushed: Deferred[None] = Deferred()
+        self._reactor.callLater(LEAVE_GRACE_SECONDS, flushed.callback, None)
+        return flushed
+
+    def _close(self, _nothing: Any) -> None:
+        self.links.stop()
+        self.work.stop()
+        self._watch.stop()
+        if self.weights is not None:
+            self.weights.stop()
+
+    def _make_work(self) -> WorkPart:
+        settings = self._settings
+        window = StartupWindow(WindowSettings(settings.cold_limit, settings.capacity))
+        desk = AgentDesk(
+            self._context.identity.incarnation,
+            window,
+            self._weight_of,
+            self.permit.blocked,
+            self._release,
+        )
+        client = UpstreamClient(self._reactor, settings.upstream_url)
+        self._watch = EngineWatch(self._reactor, client, window, self.status)
+        kind = UpstreamKind(settings.upstream_kind)
+        tools = WorkTools(
+            self._reactor, self.switchboard, desk, window, self.permit, self.status, client, kind
+        )
+        return WorkPart(tools)
+
+    def _weight_of(self, customer: str) -> float:
+        record = self.replica.get('customer', customer) or {}
+        return float(record.get('weight', 1.0))
+
+    def _release(self) -> str:
+        return self.permit.gate.release
+
+
+def _ignore_failure(_failure: Any) -> None:
+    """The drain deadline has passed; what still runs is ended."""
--- /dev/null
+++ b/jackdawsail/agent/sse.py
@@ -0,0 +1,86 @@
+"""Incremental parser of an engine's server-sent events.
+
+Example::
+
+    events = SseParser()
+    events.feed(b'data: ...')
+"""
+
+import json
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+MAX_EVENT_BYTES = 1_000_000
+_SEPARATOR = b'\n\n'
+_DATA = b'data:'
+
+
+@dataclass(frozen=True, slots=True)
+class TextEvent:
+    """A piece of text; ``tokens`` is how many tokens it stands for."""
+
+    text: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class DoneEvent:
+    """The engine's own word that its answer is whole."""
+
+    tokens: int
+    release: str
+
+
+StreamEvent = TextEvent | DoneEvent
+
+
+class SseParser:
+    """Turns received bytes into events; anything malformed is a failure."""
+
+    def __init__(self) -> None:
+        self._buffer = b''
+
+    def feed(self, received: bytes) -> Result[list[StreamEvent], str]:
+        """Takes more bytes and returns the events that are now whole."""
+        self._buffer += received.replace(b'\r\n', b'\n')
+        blocks = self._buffer.split(_SEPARATOR)
+        self._buffer = blocks.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return Failure('event is too long')
+        return _parse_blocks(blocks)
+
+
+def _parse_blocks(blocks: list[bytes]) -> Result[list[StreamEvent], str]:
+    events: list[StreamEvent] = []
+    for block in blocks:
+        lines = [line for line in block.split(b'\n') if line.startswith(_DATA)]
+        if not lines:
+            continue
+        parsed = _parse_event(b''.join(line[len(_DATA) :] for line in lines))
+        if parsed is None:
+            return Failure('event is malformed')
+        events.append(parsed)
+    return Success(events)
+
+
+def _parse_event(body: bytes) -> StreamEvent | None:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(document, dict):
+        return None
+    if document.get('done') is True:
+        return _done_event(document)
+    text, tokens = document.get('text'), document.get('tokens', 1)
+    if not isinstance(text, str) or not isinstance(tokens, int):
+        return None
+    return TextEvent(text, tokens)
+
+
+def _done_event(document: dict[str, object]) -> DoneEvent | None:
+    tokens, release = document.get('tokens'), document.get('release', '')
+    if not isinstance(tokens, int) or not isinstance(release, str):
+        return None
+    return DoneEvent(tokens, release)
--- /dev/null
+++ b/jackdawsail/agent/upstream.py
@@ -0,0 +1,285 @@
+"""HTTP client of the upstream on this host: engine streams and plain calls.
+
+The runner tells its sink what becomes of one job. ``not-run`` is said only if
+no byte of the request can have reached the upstream, or the upstream itself
+refused it before doing anything.
+"""
+
+import json
+from dataclasses import dataclass
+from io import BytesIO
+from typing import Any, Protocol
+
+from returns.result import Success
+from twisted.internet import error
+from twisted.internet.defer import CancelledError
+from twisted.internet.protocol import Protocol as BodyProtocol
+from twisted.web.client import Agent, FileBodyProducer, ResponseDone
+from twisted.web.http_headers import Headers
+
+from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent, TextEvent
+from jackdawsail.wire.work_messages import Outcome, Reserve, Work
+
+CONNECT_SECONDS = 2.0
+STALL_SECONDS = 20.0
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+_NEVER_SENT = (error.ConnectError, error.DNSLookupError, error.ConnectingCancelledError)
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One hand-over: the work, its reservation and the release to run it on."""
+
+    work: Work
+    reserve: Reserve
+    release: str
+
+
+class Sink(Protocol):
+    """Hears what becomes of a job; exactly one of ``whole`` and ``failed`` ends it."""
+
+    def head(self, status: int, content_type: str) -> None:
+        """The upstream has begun to answer."""
+
+    def part(self, body: bytes, tokens: int) -> None:
+        """A piece of the answer."""
+
+    def whole(self) -> None:
+        """The answer is complete."""
+
+    def failed(self, outcome: Outcome, reason: str) -> None:
+        """The job ended without a whole answer."""
+
+
+class UpstreamRun:
+    """One running job: owns its connection and its stall timer."""
+
+    def __init__(self, reactor: Any, sink: Sink) -> None:
+        self._reactor = reactor
+        self._sink = sink
+        self._request: Any = None
+        self._body: Any = None
+        self._ended = False
+        self._cancelled = False
+        self._timer = reactor.callLater(STALL_SECONDS, self._stalled)
+
+    def begin(self, request: Any, body: 'AnswerBody') -> None:
+        """Waits for the response of a request that was just made."""
+        self._request = request
+        self._body = body
+        request.addCallbacks(self._responded, self._request_failed)
+
+    def cancel(self) -> None:
+        """Closes the connection, which cancels the stream at the upstream."""
+        self._cancelled = True
+        if self._body is not None and self._body.transport is not None:
+            self._body.transport.loseConnection()
+        elif self._request is not None:
+            self._request.cancel()
+
+    def alive(self) -> None:
+        """Notes that the upstream has sent something."""
+        if not self._ended:
+            self._timer.reset(STALL_SECONDS)
+
+    def head(self, status: int, content_type: str) -> None:
+        """Passes the head on."""
+        if not self._ended:
+            self._sink.head(status, content_type)
+
+    def part(self, body: bytes, tokens: int) -> None:
+        """Passes a piece on."""
+        if not self._ended:
+            self._sink.part(body, tokens)
+
+    def whole(self) -> None:
+        """Ends the job with a whole answer."""
+        if self._end():
+            self._sink.whole()
+
+    def failed(self, outcome: Outcome, reason: str) -> None:
+        """Ends the job without a whole answer."""
+        if self._end():
+            self._sink.failed(outcome, reason)
+            self.cancel()
+
+    def _end(self) -> bool:
+        if self._ended:
+            return False
+        self._ended = True
+        if self._timer.active():
+            self._timer.cancel()
+        return True
+
+    def _stalled(self) -> None:
+        self.failed(Outcome.unknown, 'upstream-stalled')
+
+    def _responded(self, response: Any) -> None:
+        self.alive()
+        content_type = _content_type(response)
+        self._body.begin(self, response.code, content_type)
+        response.deliverBody(self._body)
+        if self._cancelled:
+            self.cancel()
+
+    def _request_failed(self, failure: Any) -> None:
+        if failure.check(*_NEVER_SENT):
+            self.failed(Outcome.not_run, 'upstream-unreachable')
+        elif failure.check(CancelledError):
+            self.failed(Outcome.unknown, 'cancelled')
+        else:
+            self.failed(Outcome.unknown, 'upstream-broke-off')
+
+
+class AnswerBody(BodyProtocol):
+    """Receives the body of a response for a run."""
+
+    run: UpstreamRun
+
+    def begin(self, run: UpstreamRun, status: int, content_type: str) -> None:
+        """Takes the head of the response."""
+        self.run = run
+        run.head(status, content_type)
+
+
+class ServiceBody(AnswerBody):
+    """The answer of a plain service: whatever its status, it is the answer."""
+
+    _received_bytes = 0
+
+    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+        """Passes the body on as it comes, up to the largest answer."""
+        self.run.alive()
+        self._received_bytes += len(received)
+        if self._received_bytes > MAX_ANSWER_BYTES:
+            self.run.failed(Outcome.unknown, 'answer-too-large')
+            return
+        self.run.part(received, 0)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Tells a complete body from one that was cut off."""
+        if reason is not None and reason.check(ResponseDone):
+            self.run.whole()
+        else:
+            self.run.failed(Outcome.unknown, 'answer-cut-off')
+
+
+class EngineBody(AnswerBody):
+    """The event stream of an engine; whole only with the engine's own last event."""
+
+    def __init__(self, release: str) -> None:
+        self._release = release
+        self._parser = SseParser()
+        self._status = 0
+        self._tokens = 0
+
+    def resume_from(self, position: int) -> None:
+        """Counts tokens from a position on."""
+        self._tokens = position
+
+    def begin(self, run: UpstreamRun, status: int, content_type: str) -> None:
+        """Refusals by status end the run before any of it was done."""
+        self.run = run
+        self._status = status
+        if status == HTTP_OK:
+            run.head(status, content_type)
+        elif status in {HTTP_CONFLICT, HTTP_UNAVAILABLE}:
+            run.failed(Outcome.not_run, f'engine-refused-{status}')
+        else:
+            run.head(status, content_type)
+
+    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+        """Parses the stream; a body of another status is passed on as it is."""
+        self.run.alive()
+        if self._status != HTTP_OK:
+            self.run.part(received, 0)
+            return
+        outcome = self._parser.feed(received)
+        if not isinstance(outcome, Success):
+            self.run.failed(Outcome.unknown, outcome.failure())
+            return
+        for event in outcome.unwrap():
+            self._handle(event)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """A stream that ends without its last event is cut off."""
+        if self._status != HTTP_OK and reason is not None and reason.check(ResponseDone):
+            self.run.whole()
+        else:
+            self.run.failed(Outcome.unknown, 'stream-cut-off')
+
+    def _handle(self, event: StreamEvent) -> None:
+        if isinstance(event, TextEvent):
+            self._tokens += event.tokens
+            self.run.part(event.text.encode(), event.tokens)
+        elif isinstance(event, DoneEvent):
+            self._finish(event)
+
+    def _finish(self, event: DoneEvent) -> None:
+        if event.release != self._release:
+            self.run.failed(Outcome.unknown, 'other-release')
+        elif event.tokens != self._tokens:
+            self.run.failed(Outcome.unknown, 'tokens-missing')
+        else:
+            self.run.whole()
+
+
+class UpstreamClient:
+    """Starts jobs at one upstream."""
+
+    def __init__(self, reactor: Any, base_url: str) -> None:
+        self._reactor = reactor
+        self._base_url = base_url.rstrip('/')
+        self._agent = Agent(reactor, connectTimeout=CONNECT_SECONDS)
+
+    def generate(self, job: Job, sink: Sink) -> UpstreamRun:
+        """Runs a generation on the engine."""
+        work = job.work
+        document = json.loads(work.body)
+        document['release'] = job.release
+        document['priority'] = str(job.reserve.priority)
+        document['request_id'] = job.reserve.request_id
+        document['resume_from'] = work.resume_from
+        body = EngineBody(job.release)
+        body.resume_from(work.resume_from)
+        headers = Headers({'Content-Type': ['application/json']})
+        return self._run(
+            'POST', '/v1/generate', headers, json.dumps(document).encode(), body, sink
+        )
+
+    def call(self, job: Job, sink: Sink) -> UpstreamRun:
+        """Runs a call to the plain service."""
+        work = job.work
+        headers = Headers({'X-Request-Id': [job.reserve.request_id]})
+        if work.content_type:
+            headers.addRawHeader('Content-Type', work.content_type)
+        if work.idempotency_key:
+            headers.addRawHeader('Idempotency-Key', work.idempotency_key)
+        return self._run(work.method, work.path, headers, work.body, ServiceBody(), sink)
+
+    def get_state(self) -> Any:
+        """Asks an engine for its state; fires with the response."""
+        return self._agent.request(b'GET', f'{self._base_url}/admin/state'.encode())
+
+    def _run(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        answer: AnswerBody,
+        sink: Sink,
+    ) -> UpstreamRun:
+        run = UpstreamRun(self._reactor, sink)
+        producer = FileBodyProducer(BytesIO(body)) if body else None
+        url = f'{self._base_url}{path}'.encode()
+        run.begin(self._agent.request(method.encode(), url, headers, producer), answer)
+        return run
+
+
+def _content_type(response: Any) -> str:
+    values = response.headers.getRawHeaders('Content-Type', ['application/octet-stream'])
+    return str(values[0])
--- /dev/null
+++ b/jackdawsail/membership/leases.py
@@ -0,0 +1,58 @@
+"""In-service leases, counted on the holder's own clock from when it asked.
+
+The asker notes when it sent each request. An answer gives seconds from that
+moment, so the holder's lease never outlives the giver's, however late the
+answer arrives.
+"""
+
+from collections import OrderedDict
+
+REMEMBERED_REQUESTS = 64
+
+
+class Lease:
+    """One in-service lease and its fence number."""
+
+    def __init__(self) -> None:
+        self.number = 0
+        self._until_seconds: float = 0
+        self._sequence = 0
+        self._sent: OrderedDict[int, float] = OrderedDict()
+
+    def ask(self, now_seconds: float) -> int:
+        """Notes that a request is sent now and returns its sequence."""
+        self._sequence += 1
+        self._sent[self._sequence] = now_seconds
+        if len(self._sent) > REMEMBERED_REQUESTS:
+            self._sent.popitem(last=False)
+        return self._sequence
+
+    def answered(self, sequence: int, lease_seconds: float, number: int) -> None:
+        """Takes an answer.
+
+        A newer number without time ends the lease at once: the data centre has
+        been taken out. An older answer without time only means that its sender
+        holds no lease, and changes nothing.
+        """
+        sent_seconds = self._sent.get(sequence)
+        if sent_seconds is None or number < self.number:
+            return
+        if lease_seconds > 0:
+            self.number = number
+            self._until_seconds = max(self._until_seconds, sent_seconds + lease_seconds)
+        elif number > self.number:
+            self.number = number
+            self._until_seconds = sent_seconds
+
+    def left_seconds(self, now_seconds: float) -> float:
+        """Returns how long the lease still holds, zero once it has lapsed."""
+        return max(0, self._until_seconds - now_seconds)
+
+    def is_live(self, now_seconds: float) -> bool:
+        """Tells whether the lease holds now."""
+        return now_seconds < self._until_seconds
+
+    @property
+    def until_seconds(self) -> float:
+        """Returns when the lease ends, by the holder's clock."""
+        return self._until_seconds
--- /dev/null
+++ b/jackdawsail/routing/orders.py
@@ -0,0 +1,117 @@
+"""What a request asks for, and the effects that its desk decides on."""
+
+from dataclasses import dataclass
+
+from jackdawsail.wire.work_messages import (
+    AnswerHead,
+    CancelReserve,
+    CancelWork,
+    Granted,
+    Outcome,
+    Priority,
+    Reserve,
+    Work,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What is to be run, as far as the desk needs to know it.
+
+    ``repeatable`` calls may be run again from their beginning, ``resumable``
+    ones from the position that was reached, on the same release.
+    """
+
+    request_id: str
+    customer: str
+    backend: str
+    tokens_estimate: int
+    priority: Priority
+    deadline_seconds: float
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    repeatable: bool
+    resumable: bool
+    claim_number: int = 0
+    prefix_digest: str = ''
+    release: str = ''
+    resume_from: int = 0
+    idempotency_key: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send a message to a candidate."""
+
+    candidate: str
+    message: Reserve | CancelReserve | Work | CancelWork
+
+
+@dataclass(frozen=True, slots=True)
+class NeedCandidates:
+    """Choose other candidates than these and offer them; none left ends the request."""
+
+    avoid: frozenset[str]
+    is_retry: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """The answer begins."""
+
+    head: AnswerHead
+
+
+@dataclass(frozen=True, slots=True)
+class Pass:
+    """A piece of the answer, in order."""
+
+    body: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The request has ended; the outcome ``done`` means that the answer is whole."""
+
+    outcome: Outcome
+    reason: str = ''
+    retry_after_seconds: float = 0
+    tokens: int = 0
+
+
+Effect = SendTo | NeedCandidates | Begin | Pass | Finish
+Effects = list[Effect]
+
+
+def make_reserve(order: Order, attempt_id: str, now_seconds: float) -> Reserve:
+    """Makes the small message that asks one candidate for capacity."""
+    return Reserve(
+        attempt_id=attempt_id,
+        request_id=order.request_id,
+        customer=order.customer,
+        backend=order.backend,
+        release=order.release,
+        tokens_estimate=order.tokens_estimate,
+        priority=order.priority,
+        wait_seconds=max(0, order.deadline_seconds - now_seconds),
+        prefix_digest=order.prefix_digest,
+    )
+
+
+def make_work(order: Order, grant: Granted, passed_tokens: int) -> Work:
+    """Makes the hand-over of the request to the candidate that granted it."""
+    return Work(
+        attempt_id=grant.attempt_id,
+        grant_number=grant.grant_number,
+        incarnation=grant.incarnation,
+        method=order.method,
+        path=order.path,
+        content_type=order.content_type,
+        body=order.body,
+        claim_number=order.claim_number,
+        resume_from=order.resume_from + passed_tokens,
+        idempotency_key=order.idempotency_key,
+    )
--- a/jackdawsail/wire/work_messages.py
+++ b/jackdawsail/wire/work_messages.py
@@ -85,6 +85,7 @@
     body: bytes
     claim_number: int
     resume_from: int = 0
+    idempotency_key: str = ''
 
 
 @message('work-refused')
