Mutual TLS on links where a deployment has certificates

Change: three PEM files in the settings make every link TLS in both directions; the common name must be the host that the peer claims.

--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -18,6 +18,8 @@
 from jackdawsail.settings.loader import load_settings
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.link import LinkSettings
+from jackdawsail.wire.tls import TlsFiles, make_context
 
 SettingsPaths = Annotated[
     list[Path],
@@ -33,6 +35,11 @@
     settings: Settings
     identity: Identity
     secret: bytes
+    tls: Any = None
+
+    def link_settings(self) -> LinkSettings:
+        """Returns what every link of this process shares."""
+        return LinkSettings(self.identity, self.secret, self.tls)
 
 
 StopFunction = Callable[[], Deferred[None]]
@@ -56,6 +63,20 @@
     return secret.encode()
 
 
+def read_tls(settings: Settings) -> Any:
+    """Returns the TLS context of the links, or None without certificates."""
+    security = settings.security
+    if not security.certificate_file:
+        return None
+    files = TlsFiles(
+        Path(security.certificate_file), Path(security.key_file), Path(security.authority_file)
+    )
+    try:
+        return make_context(files)
+    except Exception as error:  # noqa: BLE001 - the library raises its own kinds
+        raise UserError(f'security certificates cannot be used: {error}') from None
+
+
 def run_process(role: Role, paths: list[Path], build: BuildFunction) -> int:
     """Runs one program until it is told to stop; returns its exit code."""
     from secrets import randbits
@@ -68,7 +89,8 @@
         raise UserError('settings have no host section')
     events.configure_logging(f'jackdawsail-{role}', settings.host.name, settings.log_level)
     identity = make_identity(role, settings.host, randbits(52))
-    context = ProcessContext(reactor, settings, identity, read_secret(settings))
+    secret = read_secret(settings)
+    context = ProcessContext(reactor, settings, identity, secret, read_tls(settings))
     stopper = _Stopper(reactor)
     reactor.callWhenRunning(_start, context, build, stopper)
     reactor.run(installSignalHandlers=False)
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -3,9 +3,9 @@
 Every field carries its unit as a suffix. Unknown keys are errors.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 Address = Annotated[str, Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
@@ -29,10 +29,24 @@
 
 
 class SecuritySettings(Section):
-    """How processes prove themselves; an empty secret is allowed on loopback only."""
+    """How processes prove themselves; an empty secret is allowed on loopback only.
+
+    With the three PEM files links also run over mutual TLS, and the common name
+    of a certificate must be its host's name.
+    """
 
     site_secret: str = ''
     site_secret_file: str = ''
+    certificate_file: str = ''
+    key_file: str = ''
+    authority_file: str = ''
+
+    @model_validator(mode='after')
+    def _certificates_are_complete(self) -> Self:
+        files = (self.certificate_file, self.key_file, self.authority_file)
+        if any(files) and not all(files):
+            raise ValueError('certificate_file, key_file and authority_file go together')
+        return self
 
 
 class VoterSettings(Section):
--- a/jackdawsail/wire/dialer.py
+++ b/jackdawsail/wire/dialer.py
@@ -3,10 +3,10 @@
 import random
 from typing import Any
 
-from twisted.internet.endpoints import HostnameEndpoint
 from twisted.internet.error import ConnectError
 
 from jackdawsail.wire.link import Link, LinkClientFactory, LinkOwner, LinkSettings
+from jackdawsail.wire.tls import make_client_endpoint
 
 CONNECT_TIMEOUT_SECONDS = 2
 BACKOFF_FIRST_SECONDS = 0.1
@@ -31,6 +31,7 @@
         self.address = address
         self.link: Link | None = None
         self._reactor = reactor
+        self._tls = settings.tls
         self._owner = owner
         self._rng = rng
         self._factory: Any = LinkClientFactory(settings, self, reactor)
@@ -41,7 +42,9 @@
     def start(self) -> None:
         """Begins to connect."""
         host, port = split_address(self.address)
-        endpoint = HostnameEndpoint(self._reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+        endpoint = make_client_endpoint(
+            self._reactor, host, port, CONNECT_TIMEOUT_SECONDS, self._tls
+        )
         attempt: Any = endpoint.connect(self._factory)
         attempt.addCallbacks(self._connected, self._failed)
 
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -23,6 +23,7 @@
 from jackdawsail.wire.codec import decode, encode
 from jackdawsail.wire.handshake import Handshake
 from jackdawsail.wire.identity import Identity
+from jackdawsail.wire.tls import peer_common_name
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_QUEUE_BYTES = 32 * 1024 * 1024
@@ -46,10 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """What every link of a process shares: its identity and the site secret."""
+    """What every link of a process shares: identity, site secret and TLS context, if any."""
 
     identity: Identity
     secret: bytes
+    tls: Any = None
 
 
 @dataclass(slots=True)
@@ -78,6 +80,7 @@
         self.peer: Identity | None = None
         self.counters = LinkCounters()
         self._core = core
+        self._tls = settings.tls
         self._owner = owner
         self._clock = clock
         self._handshake = Handshake(settings.identity, settings.secret)
@@ -186,8 +189,12 @@
         step = outcome.unwrap()
         if step.reply is not None:
             self._send_frame(encode(step.reply))
-        if step.peer is not None:
-            self._open(step.peer)
+        if step.peer is None:
+            return
+        if self._tls is not None and peer_common_name(self.transport) != step.peer.name:
+            self.close('certificate is of another host')
+            return
+        self._open(step.peer)
 
     def _open(self, peer: Identity) -> None:
         self.peer = peer
--- /dev/null
+++ b/jackdawsail/wire/tls.py
@@ -0,0 +1,61 @@
+"""Mutual TLS between processes, from certificates that operators issue.
+
+Both sides show a certificate of the operators' own authority, and the common
+name must be the host name that the peer claims in the handshake. Without
+certificates the HMAC of the site secret alone proves the peer.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cryptography.x509 import NameOID
+from twisted.internet import ssl
+from twisted.internet.endpoints import HostnameEndpoint, SSL4ClientEndpoint
+
+
+@dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Paths of PEM files: own certificate, own key, the authority's certificate."""
+
+    certificate_file: Path
+    key_file: Path
+    authority_file: Path
+
+
+def make_context(files: TlsFiles) -> ssl.CertificateOptions:
+    """Loads the files; both directions demand a certificate of the authority."""
+    pair = files.certificate_file.read_bytes() + b'\n' + files.key_file.read_bytes()
+    own = ssl.PrivateCertificate.loadPEM(pair)
+    authority = ssl.Certificate.loadPEM(files.authority_file.read_bytes())
+    return ssl.CertificateOptions(
+        privateKey=own.privateKey.original,
+        certificate=own.original,
+        trustRoot=ssl.trustRootFromCertificates([authority]),
+    )
+
+
+def peer_common_name(transport: Any) -> str:
+    """Returns the common name of the peer's certificate, empty without one."""
+    certificate = transport.getPeerCertificate()
+    if certificate is None:
+        return ''
+    subject = certificate.to_cryptography().subject
+    names = subject.get_attributes_for_oid(NameOID.COMMON_NAME)
+    return str(names[0].value) if names else ''
+
+
+def make_client_endpoint(
+    reactor: Any, host: str, port: int, timeout_seconds: float, tls: Any
+) -> Any:
+    """Makes the endpoint a dialer connects through; ``tls`` None means plain TCP."""
+    if tls is None:
+        return HostnameEndpoint(reactor, host, port, timeout=timeout_seconds)
+    return SSL4ClientEndpoint(reactor, host, port, tls, timeout=timeout_seconds)
+
+
+def listen(reactor: Any, port: int, interface: str, factory: Any, tls: Any) -> Any:
+    """Listens for links; returns the listening port."""
+    if tls is None:
+        return reactor.listenTCP(port, factory, interface=interface)
+    return reactor.listenSSL(port, factory, tls, interface=interface)
