Dial from the host address and advertise an address of its own

Hosts behind address translation are reached at another address than the one they listen on, and a fault-injecting proxy needs to tell who dials whom. ProcessContext gains host, link_settings and make_http_agent (use them instead of building LinkSettings or twisted Agents by hand); HostSettings.reached_at gives the host:port to announce to others.

--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -12,12 +12,16 @@
 
 from cyclopts import Parameter
 from twisted.internet.defer import Deferred
+from twisted.web.client import Agent
 
 from jackdawsail import events
 from jackdawsail.errors import UserError
 from jackdawsail.settings.loader import load_settings
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.link import LinkSettings
+
+HTTP_CONNECT_SECONDS = 2.0
 
 SettingsPaths = Annotated[
     list[Path],
@@ -34,6 +38,25 @@
     identity: Identity
     secret: bytes
 
+    @property
+    def host(self) -> HostSettings:
+        """The host section, which every program has."""
+        host = self.settings.host
+        if host is None:
+            raise AssertionError('run_process refuses settings without a host section')
+        return host
+
+    @property
+    def link_settings(self) -> LinkSettings:
+        """What every link of this process is made with."""
+        return LinkSettings(self.identity, self.secret, self.host.address)
+
+    def make_http_agent(self, pool: Any = None) -> Agent:
+        """Makes an HTTP client that connects from this host's own address."""
+        bind_address = (self.host.address, 0)
+        timeout = HTTP_CONNECT_SECONDS
+        return Agent(self.reactor, connectTimeout=timeout, bindAddress=bind_address, pool=pool)
+
 
 StopFunction = Callable[[], Deferred[None]]
 BuildFunction = Callable[[ProcessContext], StopFunction]
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -20,12 +20,21 @@
 
 
 class HostSettings(Section):
-    """Which host this process runs on."""
+    """Which host this process runs on.
+
+    The process listens on ``address`` and connects from it; others reach it at
+    ``advertised_address`` where that differs (address translation).
+    """
 
     name: Name
     zone: Name
     region: Name
     address: Annotated[str, Field(pattern=r'^[0-9.]+$')] = '127.0.0.1'
+    advertised_address: Annotated[str, Field(pattern=r'^[0-9.]*$')] = ''
+
+    def reached_at(self, port: int) -> str:
+        """Returns the ``host:port`` at which others reach a port of this process."""
+        return f'{self.advertised_address or self.address}:{port}'
 
 
 class SecuritySettings(Section):
--- a/jackdawsail/wire/dialer.py
+++ b/jackdawsail/wire/dialer.py
@@ -33,6 +33,7 @@
         self._reactor = reactor
         self._owner = owner
         self._rng = rng
+        self._bind = (settings.bind_address, 0) if settings.bind_address else None
         self._factory: Any = LinkClientFactory(settings, self, reactor)
         self._backoff_seconds = BACKOFF_FIRST_SECONDS
         self._retry: Any = None
@@ -41,7 +42,13 @@
     def start(self) -> None:
         """Begins to connect."""
         host, port = split_address(self.address)
-        endpoint = HostnameEndpoint(self._reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS)
+        endpoint = HostnameEndpoint(
+            self._reactor,
+            host,
+            port,
+            timeout=CONNECT_TIMEOUT_SECONDS,
+            bindAddress=self._bind,
+        )
         attempt: Any = endpoint.connect(self._factory)
         attempt.addCallbacks(self._connected, self._failed)
 
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -46,10 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """What every link of a process shares: its identity and the site secret."""
+    """What every link of a process shares: its identity and the site secret.
+
+    Links are dialled from ``bind_address``; empty lets the kernel choose.
+    """
 
     identity: Identity
     secret: bytes
+    bind_address: str = ''
 
 
 @dataclass(slots=True)
