--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -12,6 +12,7 @@
 
 from cyclopts import Parameter
 from twisted.internet.defer import Deferred
+from twisted.web.client import Agent
 
 from jackdawsail import events
 from jackdawsail.errors import UserError
@@ -21,6 +22,8 @@
 from jackdawsail.wire.link import LinkSettings
 from jackdawsail.wire.tls import TlsFiles, make_context
 
+HTTP_CONNECT_SECONDS = 2.0
+
 SettingsPaths = Annotated[
     list[Path],
     Parameter(name='--settings', help='Base settings file, then overlays, in order.'),
@@ -37,9 +40,24 @@
     secret: bytes
     tls: Any = None
 
+    @property
+    def host(self) -> HostSettings:
+        """The host section, which every program has."""
+        host = self.settings.host
+        if host is None:
+            raise AssertionError('run_process refuses settings without a host section')
+        return host
+
+    @property
     def link_settings(self) -> LinkSettings:
-        """Returns what every link of this process shares."""
-        return LinkSettings(self.identity, self.secret, self.tls)
+        """What every link of this process is made with."""
+        return LinkSettings(self.identity, self.secret, self.host.address, self.tls)
+
+    def make_http_agent(self, pool: Any = None) -> Agent:
+        """Makes an HTTP client that connects from this host's own address."""
+        bind_address = (self.host.address, 0)
+        timeout = HTTP_CONNECT_SECONDS
+        return Agent(self.reactor, connectTimeout=timeout, bindAddress=bind_address, pool=pool)
 
 
 StopFunction = Callable[[], Deferred[None]]
--- a/jackdawsail/wire/dialer.py
+++ b/jackdawsail/wire/dialer.py
@@ -34,6 +34,7 @@
         self._tls = settings.tls
         self._owner = owner
         self._rng = rng
+        self._bind = (settings.bind_address, 0) if settings.bind_address else None
         self._factory: Any = LinkClientFactory(settings, self, reactor)
         self._backoff_seconds = BACKOFF_FIRST_SECONDS
         self._retry: Any = None
@@ -43,7 +44,7 @@
         """Begins to connect."""
         host, port = split_address(self.address)
         endpoint = make_client_endpoint(
-            self._reactor, host, port, CONNECT_TIMEOUT_SECONDS, self._tls
+            self._reactor, (host, port), CONNECT_TIMEOUT_SECONDS, self._bind, self._tls
         )
         attempt: Any = endpoint.connect(self._factory)
         attempt.addCallbacks(self._connected, self._failed)
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -47,10 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """What every link of a process shares: identity, site secret and TLS context, if any."""
+    """What every link of a process shares: its identity, the site secret, the TLS context.
+
+    Links are dialled from ``bind_address``; empty lets the kernel choose. ``tls``
+    is None without certificates.
+    """
 
     identity: Identity
     secret: bytes
+    bind_address: str = ''
     tls: Any = None
 
 
--- a/jackdawsail/wire/tls.py
+++ b/jackdawsail/wire/tls.py
@@ -46,12 +46,17 @@
 
 
 def make_client_endpoint(
-    reactor: Any, host: str, port: int, timeout_seconds: float, tls: Any
+    reactor: Any,
+    address: tuple[str, int],
+    timeout_seconds: float,
+    bind: tuple[str, int] | None,
+    tls: Any,
 ) -> Any:
-    """Makes the endpoint a dialer connects through; ``tls`` None means plain TCP."""
+    """Makes the endpoint that a dialer connects through; ``tls`` None means plain TCP."""
+    host, port = address
     if tls is None:
-        return HostnameEndpoint(reactor, host, port, timeout=timeout_seconds)
-    return SSL4ClientEndpoint(reactor, host, port, tls, timeout=timeout_seconds)
+        return HostnameEndpoint(reactor, host, port, timeout=timeout_seconds, bindAddress=bind)
+    return SSL4ClientEndpoint(reactor, host, port, tls, timeout=timeout_seconds, bindAddress=bind)
 
 
 def listen(reactor: Any, port: int, interface: str, factory: Any, tls: Any) -> Any:
--- a/test/wire/test_tls.py
+++ b/test/wire/test_tls.py
@@ -72,7 +72,7 @@
         server_tls,
         isClient=False,
         wrappedFactory=LinkServerFactory(
-            LinkSettings(server_identity, b's', server_tls), entry, clock
+            LinkSettings(server_identity, b's', tls=server_tls), entry, clock
         ),
         clock=clock,
     ).buildProtocol(None)
@@ -80,7 +80,7 @@
         client_tls,
         isClient=True,
         wrappedFactory=LinkClientFactory(
-            LinkSettings(client_identity, b's', client_tls), agent, clock
+            LinkSettings(client_identity, b's', tls=client_tls), agent, clock
         ),
         clock=clock,
     ).buildProtocol(None)
