--- /dev/null
+++ b/jackdawsail/state/machine.py
@@ -0,0 +1,175 @@
+"""The replicated state machine: the same commands in the same order give the same state.
+
+Nothing here reads a clock, a random source or a socket. A command either takes
+effect as a whole, with its audit record, or changes nothing.
+"""
+
+import hashlib
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any, get_args
+
+from returns.result import Result, Success
+
+from jackdawsail.state.audit import AuditRecord
+from jackdawsail.state.commands import (
+    CommandEnvelope,
+    LedgerBatch,
+    LedgerEntryLost,
+    OperatorPut,
+    ReleaseCommand,
+)
+from jackdawsail.state.draft import Draft, differences
+from jackdawsail.state.releases import Outcome, run_release
+from jackdawsail.state.replica import Record, apply_changes
+from jackdawsail.state.replies import Accepted, Conflict, LedgerReplies, Rejected, Reply
+from jackdawsail.state.tables import (
+    FirstAnswer,
+    Operator,
+    Tables,
+    decode_tables,
+    encode_tables,
+)
+from jackdawsail.state.topology import run_topology
+from jackdawsail.wire.codec import decode, encode, tag_of
+
+MAX_DIFFERENCES_SHOWN = 50
+
+Changes = dict[str, Record | None]
+ChangeListener = Callable[[int, Changes], None]
+ResetListener = Callable[[], None]
+
+
+class ControlState:
+    """Implements ``consensus.interfaces.StateMachine`` over the tables."""
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self._listeners: list[ChangeListener] = []
+        self._reset_listeners: list[ResetListener] = []
+
+    def listen(self, changed: ChangeListener, was_reset: ResetListener) -> None:
+        """Calls back after each accepted command, and after a restored snapshot."""
+        self._listeners.append(changed)
+        self._reset_listeners.append(was_reset)
+
+    def apply(self, index: int, command: bytes) -> Reply:
+        """Applies one committed command and returns its reply."""
+        decoded = decode(command)
+        if not isinstance(decoded, Success) or not isinstance(decoded.unwrap(), CommandEnvelope):
+            return Rejected('undecodable', f'log entry {index} holds no command')
+        return self._apply_envelope(decoded.unwrap())
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state in its versioned encoding."""
+        return encode_tables(self.tables)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replaces the state by a snapshot."""
+        self.tables = decode_tables(snapshot)
+        for was_reset in self._reset_listeners:
+            was_reset()
+
+    def first_answer(self, envelope: CommandEnvelope) -> Reply | None:
+        """Returns the stored answer to a resent command, or None for a new one."""
+        stored = self.tables.answers.get(_answer_key(envelope))
+        if stored is None:
+            return None
+        if stored.command_digest != _digest(envelope):
+            return Rejected('request-id-reused', 'the request id was used for another command')
+        reply: Reply = decode(stored.reply).unwrap()
+        return reply
+
+    def _apply_envelope(self, envelope: CommandEnvelope) -> Reply:
+        decoded = decode(envelope.body)
+        if not isinstance(decoded, Success):
+            return Rejected('undecodable', decoded.failure().reason)
+        body = decoded.unwrap()
+        if isinstance(body, (LedgerBatch, LedgerEntryLost)):
+            return self._apply_ledger(body)
+        earlier = self.first_answer(envelope)
+        if earlier is not None:
+            return earlier
+        reply = self._apply_administration(envelope, body)
+        answer = FirstAnswer(_digest(envelope), encode(reply))
+        self.tables.remember(_answer_key(envelope), answer)
+        return reply
+
+    def _apply_administration(self, envelope: CommandEnvelope, body: object) -> Reply:
+        tables = self.tables
+        expected = envelope.expected_revision
+        if expected is not None and expected != tables.revision:
+            since = tables.audit.after(expected, MAX_DIFFERENCES_SHOWN)
+            return Conflict(tables.revision, expected, since)
+        draft = Draft(tables.records, dict(tables.ordinals))
+        outcome = self._run(body, draft)
+        if not isinstance(outcome, Success):
+            return outcome.failure()
+        self._commit(envelope, body, draft)
+        return Accepted(tables.revision, outcome.unwrap())
+
+    def _commit(self, envelope: CommandEnvelope, body: object, draft: Draft) -> None:
+        tables = self.tables
+        record = AuditRecord(
+            request_id=envelope.request_id,
+            actor=envelope.actor,
+            stamp_seconds=envelope.stamp_seconds,
+            kind=tag_of(type(body)),
+            from_revision=tables.revision,
+            to_revision=tables.revision + 1,
+            changes=differences(tables.records, draft.changes) or describe_operator(body),
+        )
+        tables.revision += 1
+        tables.ordinals = draft.ordinals
+        apply_changes(tables.records, draft.changes)
+        tables.audit.add(record)
+        for changed in self._listeners:
+            changed(tables.revision, draft.changes)
+
+    def _run(self, body: Any, draft: Draft) -> Outcome:
+        if isinstance(body, get_args(ReleaseCommand)):
+            return run_release(body, draft)
+        if isinstance(body, OperatorPut):
+            return self._put_operator(body)
+        return run_topology(body, draft)
+
+    def _put_operator(self, command: OperatorPut) -> Result[dict[str, Any], Rejected]:
+        if command.token_digest:
+            self.tables.operators[command.name] = Operator(command.role, command.token_digest)
+        else:
+            self.tables.operators.pop(command.name, None)
+        return Success({'role': command.role})
+
+    @singledispatchmethod
+    def _apply_ledger(self, body: Any) -> Reply:
+        raise AssertionError(f'no ledger command: {body!r}')
+
+    @_apply_ledger.register
+    def _(self, body: LedgerBatch) -> Reply:
+        ledger = self.tables.ledger
+        settles = [ledger.settle(request) for request in body.settles]
+        return LedgerReplies([ledger.claim(request) for request in body.claims], settles)
+
+    @_apply_ledger.register
+    def _(self, body: LedgerEntryLost) -> Reply:
+        lost = self.tables.ledger.lose_entry(body.entry, body.incarnation)
+        return Accepted(self.tables.revision, {'unknown_calls': lost})
+
+
+def describe_operator(body: object) -> list[dict[str, Any]]:
+    """Describes a change of an operator, which is no fanned-out record."""
+    if not isinstance(body, OperatorPut):
+        return []
+    shown = body.role if body.token_digest else None
+    return [{'key': f'operator/{body.name}', 'field': 'role', 'before': None, 'after': shown}]
+
+
+def _answer_key(envelope: CommandEnvelope) -> str:
+    return f'{envelope.actor}/{envelope.request_id}'
+
+
+def _digest(envelope: CommandEnvelope) -> bytes:
+    # The expected revision belongs to the command: the same change against another
+    # revision is another request.
+    expected = str(envelope.expected_revision).encode()
+    return hashlib.sha256(expected + b'|' + envelope.body).digest()[:16]
