--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -12,12 +12,17 @@
 
 from cyclopts import Parameter
 from twisted.internet.defer import Deferred
+from twisted.web.client import Agent
 
 from jackdawsail import events
 from jackdawsail.errors import UserError
 from jackdawsail.settings.loader import load_settings
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.link import LinkSettings
+from jackdawsail.wire.tls import TlsFiles, make_context
+
+HTTP_CONNECT_SECONDS = 2.0
 
 SettingsPaths = Annotated[
     list[Path],
@@ -33,6 +38,26 @@
     settings: Settings
     identity: Identity
     secret: bytes
+    tls: Any = None
+
+    @property
+    def host(self) -> HostSettings:
+        """The host section, which every program has."""
+        host = self.settings.host
+        if host is None:
+            raise AssertionError('run_process refuses settings without a host section')
+        return host
+
+    @property
+    def link_settings(self) -> LinkSettings:
+        """What every link of this process is made with."""
+        return LinkSettings(self.identity, self.secret, self.host.address, self.tls)
+
+    def make_http_agent(self, pool: Any = None) -> Agent:
+        """Makes an HTTP client that connects from this host's own address."""
+        bind_address = (self.host.address, 0)
+        timeout = HTTP_CONNECT_SECONDS
+        return Agent(self.reactor, connectTimeout=timeout, bindAddress=bind_address, pool=pool)
 
 
 StopFunction = Callable[[], Deferred[None]]
@@ -56,6 +81,20 @@
     return secret.encode()
 
 
+def read_tls(settings: Settings) -> Any:
+    """Returns the TLS context of the links, or None without certificates."""
+    security = settings.security
+    if not security.certificate_file:
+        return None
+    files = TlsFiles(
+        Path(security.certificate_file), Path(security.key_file), Path(security.authority_file)
+    )
+    try:
+        return make_context(files)
+    except Exception as error:  # noqa: BLE001 - the library raises its own kinds
+        raise UserError(f'security certificates cannot be used: {error}') from None
+
+
 def run_process(role: Role, paths: list[Path], build: BuildFunction) -> int:
     """Runs one program until it is told to stop; returns its exit code."""
     from secrets import randbits
@@ -68,7 +107,8 @@
         raise UserError('settings have no host section')
     events.configure_logging(f'jackdawsail-{role}', settings.host.name, settings.log_level)
     identity = make_identity(role, settings.host, randbits(52))
-    context = ProcessContext(reactor, settings, identity, read_secret(settings))
+    secret = read_secret(settings)
+    context = ProcessContext(reactor, settings, identity, secret, read_tls(settings))
     stopper = _Stopper(reactor)
     reactor.callWhenRunning(_start, context, build, stopper)
     reactor.run(installSignalHandlers=False)
