--- /dev/null
+++ b/bench/harness/fleet.py
@@ -0,0 +1,251 @@
+"""A running deployment: every process of it, and the ways to disturb and to ask them.
+
+Example::
+
+    with running(Deployment(engines_per_zone=2)) as fleet:
+        fleet.kill('agent-zone-a-1')
+        fleet.restart('agent-zone-a-1')
+"""
+
+import hashlib
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bench.harness.child import REPOSITORY, Child
+from bench.harness.http import Reply, call, get, post
+from bench.harness.layout import Kind, Layout, Place, make_layout
+from bench.harness.plan import MEBIBYTE, Deployment
+from bench.harness.proxy_control import ProxyControl, make_proxy
+from bench.harness.settings_files import BOOTSTRAP_TOKEN, SettingsFolder, customer_token
+from bench.harness.waiting import wait_until
+
+MODULES = {
+    Kind.control: 'jackdawsail.control.main',
+    Kind.entry: 'jackdawsail.entry.main',
+    Kind.agent: 'jackdawsail.agent.main',
+    Kind.engine: 'bench.fakes.engine',
+    Kind.service: 'bench.fakes.service',
+    Kind.origin: 'bench.fakes.origin',
+}
+KEEP_LOGS_VARIABLE = 'JACKDAWSAIL_KEEP_LOGS'
+LEADER_SECONDS = 15.0
+MISDIRECTED = 421
+
+
+@dataclass(frozen=True)
+class Published:
+    """A model file at the origin."""
+
+    path: str
+    file: Path
+    size_bytes: int
+    digest: str
+
+
+class Fleet:
+    """Owns the processes of a deployment; made by ``running``."""
+
+    def __init__(self, deployment: Deployment, folder: Path) -> None:
+        self.deployment = deployment
+        self.folder = folder
+        self.layout: Layout = make_layout(deployment)
+        self.files = SettingsFolder(folder, deployment, self.layout)
+        self.children: dict[str, Child] = {}
+        self.proxy: ProxyControl | None = None
+        self.digests: dict[str, str] = {}
+        (folder / 'origin').mkdir()
+
+    def start(self) -> None:
+        """Starts everything and waits until each process is ready."""
+        if self.deployment.shaping is not None:
+            self._start_proxy()
+        for place in self.layout.places.values():
+            self.launch(place).start()
+        for child in self.children.values():
+            child.wait_ready()
+
+    def launch(self, place: Place) -> Child:
+        """Makes the child of a place without starting it."""
+        return self.add_child(place.name, MODULES[place.kind], self.files.arguments(place))
+
+    def add_child(self, name: str, module: str, arguments: list[str]) -> Child:
+        """Makes any further child that is stopped with the fleet."""
+        child = Child(name, module, arguments, self.folder / f'{name}.log')
+        self.children[name] = child
+        return child
+
+    def names(self, kind: Kind, zone: str = '') -> list[str]:
+        """Returns the names of the processes of a kind, in one zone or in all."""
+        return [place.name for place in self.layout.of_kind(kind, zone)]
+
+    def entry_addresses(self, zone: str = '') -> list[str]:
+        """Returns the callers' addresses of the entries."""
+        return [place.reached_at(0) for place in self.layout.of_kind(Kind.entry, zone)]
+
+    def admin_addresses(self) -> list[str]:
+        """Returns the administration addresses of the control hosts."""
+        return [place.reached_at(1) for place in self.layout.of_kind(Kind.control)]
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once, as a crash does."""
+        self.children[name].kill()
+
+    def freeze(self, name: str) -> None:
+        """Stops the processor for a process; its connections stay open."""
+        self.children[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        self.children[name].send(signal.SIGCONT)
+
+    def stop(self, name: str) -> int | None:
+        """Stops a process gracefully and returns its exit code."""
+        return self.children[name].stop()
+
+    def restart(self, name: str) -> None:
+        """Starts a process again, after killing it if it runs, and waits for it."""
+        child = self.children[name]
+        child.kill()
+        child.start()
+        child.wait_ready()
+
+    def ask_fake(self, name: str, path: str) -> Any:
+        """Gets JSON from a fake, past the proxy."""
+        return get(self.layout.places[name].listens_at(0), path)
+
+    def tell_fake(self, name: str, path: str, content: Any) -> Any:
+        """Posts JSON to a fake, past the proxy."""
+        return post(self.layout.places[name].listens_at(0), path, content)
+
+    def records(self, name: str, kind: str = 'run') -> list[dict[str, Any]]:
+        """Returns what a fake has recorded, over its restarts."""
+        path = self.files.record_path(name)
+        if not path.exists():
+            return []
+        found = [json.loads(line) for line in path.read_text('utf8').splitlines()]
+        return [line for line in found if line['kind'] == kind]
+
+    def all_records(self, names: Iterable[str], kind: str = 'run') -> list[dict[str, Any]]:
+        """Returns the records of several fakes, each with its ``upstream``."""
+        return [{'upstream': name, **line} for name in names for line in self.records(name, kind)]
+
+    def publish(self, release: str, size_bytes: int = MEBIBYTE, seed: int = 0) -> Published:
+        """Puts a model file of seeded random bytes into the origin's folder."""
+        content = random.Random(f'{release}/{seed}').randbytes(size_bytes)
+        file = self.folder / 'origin' / f'{release}.bin'
+        file.write_bytes(content)
+        digest = hashlib.sha256(content).hexdigest()
+        self.digests[release] = digest
+        self.digests_path.write_text(json.dumps(self.digests), 'utf8')
+        return Published(f'/{release}.bin', file, size_bytes, digest)
+
+    @property
+    def digests_path(self) -> Path:
+        """The JSON file that maps each published release to its digest."""
+        return self.folder / 'digests.json'
+
+    def admin(
+        self, method: str, path: str, content: Any = None, token: str = BOOTSTRAP_TOKEN
+    ) -> Reply:
+        """Calls the administration API, trying the control hosts until the leader answers."""
+        headers = {'Authorization': f'Bearer {token}'}
+        reply = Reply(0, b'no control host')
+        for address in self.admin_addresses():
+            reply = call(method, address, path, content, headers)
+            if reply.status not in {0, MISDIRECTED} and reply.status < 500:
+                return reply
+        return reply
+
+    def command(self, kind: str, **fields: Any) -> Reply:
+        """Sends one administration command."""
+        request_id = f'bench-{kind}-{time.time_ns()}'
+        content = {'request_id': request_id, 'expected_revision': None, 'kind': kind, **fields}
+        return self.admin('POST', '/v1/commands', content)
+
+    def wait_leader(self) -> Any:
+        """Waits until the administration API answers, and returns its status."""
+        return wait_until(self._leader_status, LEADER_SECONDS, 'a control leader')
+
+    def cli(
+        self, *arguments: str, timeout_seconds: float = 60
+    ) -> subprocess.CompletedProcess[str]:
+        """Runs the command line against this deployment."""
+        environment = {
+            **os.environ,
+            'PYTHONPATH': str(REPOSITORY),
+            'JACKDAWSAIL_CONTROL': ','.join(self.admin_addresses()),
+            'JACKDAWSAIL_TOKEN': BOOTSTRAP_TOKEN,
+        }
+        return subprocess.run(
+            [sys.executable, '-m', 'jackdawsail.ui.main', *arguments],
+            capture_output=True,
+            text=True,
+            env=environment,
+            timeout=timeout_seconds,
+            check=False,
+        )
+
+    def call_entry(
+        self,
+        address: str,
+        customer: str,
+        method: str,
+        path: str,
+        content: Any = None,
+        timeout_seconds: float = 10,
+        **headers: str,
+    ) -> Reply:
+        """Calls an entry as a customer; header names are given with underscores."""
+        sent = {name.replace('_', '-'): text for name, text in headers.items()}
+        sent['Authorization'] = f'Bearer {customer_token(customer)}'
+        return call(method, address, path, content, sent, timeout_seconds)
+
+    def close(self) -> None:
+        """Kills everything that still runs."""
+        for child in self.children.values():
+            child.send(signal.SIGCONT)
+            child.send(signal.SIGKILL)
+        for child in self.children.values():
+            child.kill()
+
+    def _leader_status(self) -> Any:
+        reply = self.admin('GET', '/v1/status')
+        return reply.content if reply.status == 200 else None
+
+    def _start_proxy(self) -> None:
+        proxy = make_proxy(self)
+        self.proxy = proxy.control
+        proxy.child.start()
+        proxy.child.wait_ready()
+
+
+@contextmanager
+def running(deployment: Deployment, start: bool = True) -> Iterator[Fleet]:
+    """Runs a deployment; stops all of it at the end and keeps the logs of a failure."""
+    folder = Path(tempfile.mkdtemp(prefix='jackdawsail-bench-'))
+    fleet = Fleet(deployment, folder)
+    keep = bool(os.environ.get(KEEP_LOGS_VARIABLE))
+    try:
+        if start:
+            fleet.start()
+        yield fleet
+    except BaseException:
+        keep = True
+        print(f'logs are kept in {folder}', file=sys.stderr)
+        raise
+    finally:
+        fleet.close()
+        if not keep:
+            shutil.rmtree(folder, ignore_errors=True)
--- /dev/null
+++ b/bench/harness/settings_files.py
@@ -0,0 +1,150 @@
+"""Writes the base settings file and the overlay of each process of a layout."""
+
+import dataclasses
+import hashlib
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from bench.harness.layout import Kind, Layout, Place
+from bench.harness.plan import Deployment
+from jackdawsail.settings.loader import merge
+
+SITE_SECRET = 'bench-site-secret'
+BOOTSTRAP_TOKEN = 'bench-operator'
+ENTRIES_PER_AGENT = 3
+
+
+def customer_token(name: str) -> str:
+    """Returns the bearer token of a customer of the bench."""
+    return f'bench-{name}'
+
+
+def make_base(deployment: Deployment, layout: Layout) -> dict[str, Any]:
+    """Returns the base document that all processes share."""
+    origin = layout.places['origin']
+    base = {
+        'deployment': 'bench',
+        'log_level': deployment.log_level,
+        'security': {'site_secret': SITE_SECRET},
+        'zones': {name: {'region': region} for name, region in deployment.zones.items()},
+        'backends': _backends(deployment),
+        'customers': _customers(deployment),
+        'weights': {
+            'origin_url': f'http://{origin.reached_at(0)}',
+            'chunk_bytes': deployment.chunk_bytes,
+            **deployment.weights,
+        },
+    }
+    return merge(base, dict(deployment.overrides))  # type: ignore[no-any-return]
+
+
+def _backends(deployment: Deployment) -> dict[str, Any]:
+    share = deployment.max_switching_share
+    return {
+        deployment.engine_backend: {'kind': 'engine', 'max_switching_share': share},
+        deployment.service_backend: {'kind': 'service', 'idempotent_methods': ['GET']},
+    }
+
+
+def _customers(deployment: Deployment) -> dict[str, Any]:
+    described = {}
+    for name, customer in deployment.customers.items():
+        digest = hashlib.sha256(customer_token(name).encode()).hexdigest()
+        described[name] = {**dataclasses.asdict(customer), 'token_digest': digest}
+    return described
+
+
+class SettingsFolder:
+    """Writes settings files into a folder and returns the arguments that name them."""
+
+    def __init__(self, folder: Path, deployment: Deployment, layout: Layout) -> None:
+        self.base_path = folder / 'base.yaml'
+        self._folder = folder
+        self._deployment = deployment
+        self._layout = layout
+        self._makers = {
+            Kind.control: self._control,
+            Kind.entry: self._entry,
+            Kind.agent: self._agent,
+        }
+        _write(self.base_path, make_base(deployment, layout))
+
+    def arguments(self, place: Place) -> list[str]:
+        """Writes the files of one process and returns its arguments."""
+        path = self._folder / f'{place.name}.yaml'
+        maker = self._makers.get(place.kind)
+        if maker is None:
+            _write(path, self._fake(place))
+            return ['--settings', str(path)]
+        _write(path, {'host': self._host(place), **maker(place)})
+        return ['--settings', str(self.base_path), '--settings', str(path)]
+
+    def data_folder(self, place: Place) -> Path:
+        """Returns the folder of a process that survives its restarts."""
+        return self._folder / 'data' / place.name
+
+    def record_path(self, name: str) -> Path:
+        """Returns the file in which a fake records what it ran."""
+        return self._folder / f'{name}.record.jsonl'
+
+    def _host(self, place: Place) -> dict[str, Any]:
+        return {
+            'name': place.name,
+            'zone': place.zone,
+            'region': place.region,
+            'address': place.address,
+            'advertised_address': place.advertised,
+        }
+
+    def _control(self, place: Place) -> dict[str, Any]:
+        voters = self._layout.of_kind(Kind.control)
+        control = {
+            'link_port': place.ports[0],
+            'admin_port': place.ports[1],
+            'data_folder': str(self.data_folder(place)),
+            'voters': [{'name': each.name, 'address': each.reached_at(0)} for each in voters],
+            'bootstrap_token': BOOTSTRAP_TOKEN,
+        }
+        return {'control': control}
+
+    def _entry(self, place: Place) -> dict[str, Any]:
+        voters = self._layout.of_kind(Kind.control)
+        entry = {
+            'caller_port': place.ports[0],
+            'link_port': place.ports[1],
+            'control': [each.reached_at(0) for each in voters],
+        }
+        return {'entry': entry}
+
+    def _agent(self, place: Place) -> dict[str, Any]:
+        upstream = self._layout.places[place.upstream]
+        entries = self._layout.of_kind(Kind.entry, place.zone)[:ENTRIES_PER_AGENT]
+        agent = {
+            'backend': place.backend,
+            'upstream_kind': upstream.kind.value,
+            'upstream_url': f'http://{upstream.listens_at(0)}',
+            'chunk_port': place.ports[0],
+            'chunk_folder': str(self.data_folder(place)),
+            'entries': [entry.reached_at(1) for entry in entries],
+            'checks_fence': self._deployment.engine.checks_fence,
+            'capacity': self._deployment.engine.capacity,
+            'cold_limit': self._deployment.agent_cold_limit,
+        }
+        return {'agent': agent}
+
+    def _fake(self, place: Place) -> dict[str, Any]:
+        common = {'name': place.name, 'address': place.address, 'port': place.ports[0]}
+        if place.kind is Kind.origin:
+            rate = self._deployment.origin_bits_per_second
+            return {**common, 'folder': str(self._folder / 'origin'), 'bits_per_second': rate}
+        deployment = self._deployment
+        options = deployment.engine if place.kind is Kind.engine else deployment.service
+        record_path = str(self.record_path(place.name))
+        return {**dataclasses.asdict(options), **common, 'record_path': record_path}
+
+
+def _write(path: Path, document: dict[str, Any]) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(yaml.safe_dump(document, sort_keys=False), 'utf8')
