--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -20,6 +20,7 @@
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
 from jackdawsail.wire.link import LinkSettings
+from jackdawsail.wire.tls import TlsFiles, make_context
 
 HTTP_CONNECT_SECONDS = 2.0
 
@@ -37,6 +38,7 @@
     settings: Settings
     identity: Identity
     secret: bytes
+    tls: Any = None
 
     @property
     def host(self) -> HostSettings:
@@ -49,7 +51,7 @@
     @property
     def link_settings(self) -> LinkSettings:
         """What every link of this process is made with."""
-        return LinkSettings(self.identity, self.secret, self.host.address)
+        return LinkSettings(self.identity, self.secret, self.host.address, self.tls)
 
     def make_http_agent(self, pool: Any = None) -> Agent:
         """Makes an HTTP client that connects from this host's own address."""
@@ -79,6 +81,20 @@
     return secret.encode()
 
 
+def read_tls(settings: Settings) -> Any:
+    """Returns the TLS context of the links, or None without certificates."""
+    security = settings.security
+    if not security.certificate_file:
+        return None
+    files = TlsFiles(
+        Path(security.certificate_file), Path(security.key_file), Path(security.authority_file)
+    )
+    try:
+        return make_context(files)
+    except Exception as error:  # noqa: BLE001 - the library raises its own kinds
+        raise UserError(f'security certificates cannot be used: {error}') from None
+
+
 def run_process(role: Role, paths: list[Path], build: BuildFunction) -> int:
     """Runs one program until it is told to stop; returns its exit code."""
     from secrets import randbits
@@ -91,7 +107,8 @@
         raise UserError('settings have no host section')
     events.configure_logging(f'jackdawsail-{role}', settings.host.name, settings.log_level)
     identity = make_identity(role, settings.host, randbits(52))
-    context = ProcessContext(reactor, settings, identity, read_secret(settings))
+    secret = read_secret(settings)
+    context = ProcessContext(reactor, settings, identity, secret, read_tls(settings))
     stopper = _Stopper(reactor)
     reactor.callWhenRunning(_start, context, build, stopper)
     reactor.run(installSignalHandlers=False)
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -23,6 +23,7 @@
 from jackdawsail.wire.codec import decode, encode
 from jackdawsail.wire.handshake import Handshake
 from jackdawsail.wire.identity import Identity
+from jackdawsail.wire.tls import peer_common_name
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_QUEUE_BYTES = 32 * 1024 * 1024
@@ -46,14 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """What every link of a process shares: its identity and the site secret.
+    """What every link of a process shares: its identity, the site secret, the TLS context.
 
-    Links are dialled from ``bind_address``; empty lets the kernel choose.
+    Links are dialled from ``bind_address``; empty lets the kernel choose. ``tls``
+    is None without certificates.
     """
 
     identity: Identity
     secret: bytes
     bind_address: str = ''
+    tls: Any = None
 
 
 @dataclass(slots=True)
@@ -82,6 +85,7 @@
         self.peer: Identity | None = None
         self.counters = LinkCounters()
         self._core = core
+        self._tls = settings.tls
         self._owner = owner
         self._clock = clock
         self._handshake = Handshake(settings.identity, settings.secret)
@@ -190,8 +194,12 @@
         step = outcome.unwrap()
         if step.reply is not None:
             self._send_frame(encode(step.reply))
-        if step.peer is not None:
-            self._open(step.peer)
+        if step.peer is None:
+            return
+        if self._tls is not None and peer_common_name(self.transport) != step.peer.name:
+            self.close('certificate is of another host')
+            return
+        self._open(step.peer)
 
     def _open(self, peer: Identity) -> None:
         self.peer = peer
