Count link traffic by message; bound the send queue without the transport's private fields

Change: prometheus counters by direction and message tag; a producer counts unsent bytes. Measured: a link whose peer does not read is dropped at the bound in a test; it was not over TLS.

--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -6,7 +6,7 @@
 is bounded in bytes, and an idle link is probed and closed when it stays silent.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from returns.result import Success
@@ -20,10 +20,12 @@
 from websockets.uri import parse_uri
 
 from jackdawsail.clocks import Clock
+from jackdawsail.wire.backlog import Backlog
 from jackdawsail.wire.codec import decode, encode
 from jackdawsail.wire.handshake import Handshake
 from jackdawsail.wire.identity import Identity
 from jackdawsail.wire.tls import peer_common_name
+from jackdawsail.wire.traffic import count_received, count_sent
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_QUEUE_BYTES = 32 * 1024 * 1024
@@ -59,17 +61,6 @@
     tls: Any = None
 
 
-@dataclass(slots=True)
-class LinkCounters:
-    """Bytes and messages that passed a link, for metrics and the slopes bench."""
-
-    sent_bytes: int = 0
-    received_bytes: int = 0
-    sent_messages: int = 0
-    received_messages: int = 0
-    by_tag: dict[str, int] = field(default_factory=dict)
-
-
 class Link(protocol.Protocol):
     """One authenticated connection; ``peer`` is set before ``link_opened``."""
 
@@ -83,7 +74,7 @@
         clock: Clock,
     ) -> None:
         self.peer: Identity | None = None
-        self.counters = LinkCounters()
+        self.backlog = Backlog()
         self._core = core
         self._tls = settings.tls
         self._owner = owner
@@ -104,7 +95,9 @@
         """Queues a message; returns False when the link is closed or overfull."""
         if not self.is_open:
             return False
-        return self._send_frame(encode(sent))
+        frame = encode(sent)
+        count_sent(type(sent), len(frame))
+        return self._send_frame(frame)
 
     def close(self, reason: str) -> None:
         """Closes the link; the owner is told the reason."""
@@ -124,6 +117,7 @@
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Starts the websocket handshake."""
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self.backlog, True)
         self._silent_since_seconds = self._clock.seconds()
         self._deadline = self._clock.callLater(HANDSHAKE_SECONDS, self._handshake_late)
         if isinstance(self._core, ClientProtocol):
@@ -133,7 +127,6 @@
     def dataReceived(self, received: bytes) -> None:  # noqa: N802
         """Feeds the websocket core and handles what it understood."""
         self._silent_since_seconds = self._clock.seconds()
-        self.counters.received_bytes += len(received)
         self._core.receive_data(received)
         for event in self._core.events_received():
             self._handle_event(event)
@@ -179,8 +172,8 @@
         if not isinstance(outcome, Success):
             self.close(outcome.failure().reason)
             return
-        self.counters.received_messages += 1
         received = outcome.unwrap()
+        count_received(type(received), len(whole))
         if self.peer is None:
             self._shake_hands(received)
         else:
@@ -223,22 +216,17 @@
     def _send_frame(self, body: bytes) -> bool:
         if self._core.state is not State.OPEN:
             return False
-        if self._queued_bytes() > MAX_QUEUE_BYTES:
+        if self.backlog.unsent_bytes > MAX_QUEUE_BYTES:
             self.abort('outbound queue is full')
             return False
-        self.counters.sent_messages += 1
         self._core.send_binary(body)
         self._flush()
         return True
 
-    def _queued_bytes(self) -> int:
-        pending = getattr(self.transport, '_tempDataLen', 0)
-        return int(pending) + len(getattr(self.transport, 'dataBuffer', b''))
-
     def _flush(self) -> None:
         for chunk in self._core.data_to_send():
             if chunk:
-                self.counters.sent_bytes += len(chunk)
+                self.backlog.count(len(chunk))
                 self.transport.write(chunk)
             else:
                 self.transport.loseConnection()
--- /dev/null
+++ b/jackdawsail/wire/traffic.py
@@ -0,0 +1,47 @@
+"""Counts the messages and bytes that pass the links of a process, by message tag.
+
+The tags are a fixed set, so the label stays bounded.
+"""
+
+from functools import cache
+from typing import Any
+
+from prometheus_client import Counter
+
+from jackdawsail.metrics import REGISTRY
+from jackdawsail.wire.codec import tag_of
+
+_BYTES = Counter(
+    'jackdawsail_link_bytes',
+    'Bytes of message frames over links, by direction and message.',
+    ('direction', 'message'),
+    registry=REGISTRY,
+)
+_MESSAGES = Counter(
+    'jackdawsail_link_messages',
+    'Message frames over links, by direction and message.',
+    ('direction', 'message'),
+    registry=REGISTRY,
+)
+
+
+def count_sent(message_type: type, size_bytes: int) -> None:
+    """Counts one frame that is sent."""
+    _count('sent', message_type, size_bytes)
+
+
+def count_received(message_type: type, size_bytes: int) -> None:
+    """Counts one frame that has been received and understood."""
+    _count('received', message_type, size_bytes)
+
+
+def _count(direction: str, message_type: type, size_bytes: int) -> None:
+    byte_counter, message_counter = _counters(direction, message_type)
+    byte_counter.inc(size_bytes)
+    message_counter.inc()
+
+
+@cache
+def _counters(direction: str, message_type: type) -> tuple[Any, Any]:
+    tag = tag_of(message_type)
+    return _BYTES.labels(direction, tag), _MESSAGES.labels(direction, tag)
--- a/test/wire/test_link.py
+++ b/test/wire/test_link.py
@@ -82,6 +82,24 @@
     assert not b.messages
 
 
+def test_full_queue_drops_the_link(monkeypatch):
+    monkeypatch.setattr('jackdawsail.wire.link.MAX_QUEUE_BYTES', 100)
+    _clock, _server, client, _a, _b = make_pair()
+    client.backlog.pauseProducing()
+    sent = [client.send(Subscribe(revision=7)) for _ in range(60)]
+    assert not sent[-1]
+    assert client.transport.aborted
+
+
+def test_sent_queue_is_forgotten(monkeypatch):
+    monkeypatch.setattr('jackdawsail.wire.link.MAX_QUEUE_BYTES', 100)
+    _clock, _server, client, _a, _b = make_pair()
+    for _ in range(60):
+        client.backlog.pauseProducing()
+        assert client.send(Subscribe(revision=7))
+        client.backlog.resumeProducing()
+
+
 def test_wrong_secret_is_refused():
     _clock, server, client, a, b = make_pair(secret_b=b'other')
     assert not a.opened
