--- a/jackdawsail/agent/entry_links.py
+++ b/jackdawsail/agent/entry_links.py
@@ -13,7 +13,7 @@
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.wire.dialer import Dialer
 from jackdawsail.wire.identity import Role
-from jackdawsail.wire.link import Link, LinkSettings
+from jackdawsail.wire.link import Link
 from jackdawsail.wire.membership_messages import (
     Announce,
     Heartbeat,
@@ -121,8 +121,8 @@
 def _make_dialers(context: ProcessContext, switchboard: Switchboard) -> list[Dialer]:
     settings = context.settings.agent
     addresses = settings.entries if settings else []
-    link_settings = LinkSettings(context.identity, context.secret)
     rng = random.Random(context.identity.incarnation)
     return [
-        Dialer(context.reactor, address, link_settings, switchboard, rng) for address in addresses
+        Dialer(context.reactor, address, context.link_settings, switchboard, rng)
+        for address in addresses
     ]
--- a/jackdawsail/agent/program.py
+++ b/jackdawsail/agent/program.py
@@ -93,7 +93,9 @@
             self.permit.blocked,
             self._release,
         )
-        client = UpstreamClient(self._reactor, settings.upstream_url)
+        client = UpstreamClient(
+            self._reactor, self._context.make_http_agent(), settings.upstream_url
+        )
         self._watch = EngineWatch(self._reactor, client, window, self.status)
         kind = UpstreamKind(settings.upstream_kind)
         tools = WorkTools(
--- a/jackdawsail/agent/sse.py
+++ b/jackdawsail/agent/sse.py
@@ -18,10 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TextEvent:
-    """A piece of text; ``tokens`` is how many tokens it stands for."""
+    """A piece of text; ``position`` counts the tokens generated up to its end."""
 
     text: str
-    tokens: int
+    position: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,10 +73,10 @@
         return None
     if document.get('done') is True:
         return _done_event(document)
-    text, tokens = document.get('text'), document.get('tokens', 1)
-    if not isinstance(text, str) or not isinstance(tokens, int):
+    text, position = document.get('text'), document.get('position')
+    if not isinstance(text, str) or not isinstance(position, int):
         return None
-    return TextEvent(text, tokens)
+    return TextEvent(text, position)
 
 
 def _done_event(document: dict[str, object]) -> DoneEvent | None:
--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -17,10 +17,9 @@
 from twisted.web.client import Agent, FileBodyProducer, ResponseDone
 from twisted.web.http_headers import Headers
 
-from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent, TextEvent
+from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent
 from jackdawsail.wire.work_messages import Outcome, Reserve, Work
 
-CONNECT_SECONDS = 2.0
 STALL_SECONDS = 20.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 HTTP_OK = 200
@@ -212,11 +211,15 @@
             self.run.failed(Outcome.unknown, 'stream-cut-off')
 
     def _handle(self, event: StreamEvent) -> None:
-        if isinstance(event, TextEvent):
-            self._tokens += event.tokens
-            self.run.part(event.text.encode(), event.tokens)
-        elif isinstance(event, DoneEvent):
+        if isinstance(event, DoneEvent):
             self._finish(event)
+            return
+        tokens = event.position - self._tokens
+        if tokens <= 0:
+            self.run.failed(Outcome.unknown, 'position-goes-back')
+            return
+        self._tokens = event.position
+        self.run.part(event.text.encode(), tokens)
 
     def _finish(self, event: DoneEvent) -> None:
         if event.release != self._release:
@@ -230,10 +233,10 @@
 class UpstreamClient:
     """Starts jobs at one upstream."""
 
-    def __init__(self, reactor: Any, base_url: str) -> None:
+    def __init__(self, reactor: Any, agent: Agent, base_url: str) -> None:
         self._reactor = reactor
         self._base_url = base_url.rstrip('/')
-        self._agent = Agent(reactor, connectTimeout=CONNECT_SECONDS)
+        self._agent = agent
 
     def generate(self, job: Job, sink: Sink) -> UpstreamRun:
         """Runs a generation on the engine."""
@@ -274,7 +277,7 @@
         sink: Sink,
     ) -> UpstreamRun:
         run = UpstreamRun(self._reactor, sink)
-        producer = FileBodyProducer(BytesIO(body)) if body else None
+        producer: Any = FileBodyProducer(BytesIO(body)) if body else None
         url = f'{self._base_url}{path}'.encode()
         run.begin(self._agent.request(method.encode(), url, headers, producer), answer)
         return run
--- a/jackdawsail/agent/weights_stub.py
+++ b/jackdawsail/agent/weights_stub.py
@@ -1,5 +1,6 @@
 """Finds the weights part, or serves whatever release the engine already has."""
 
+from importlib import import_module
 from typing import Any
 
 from twisted.internet.task import LoopingCall
@@ -50,7 +51,7 @@
 ) -> Any:
     """Makes the weights part of the agent, or the stand-in until there is one."""
     try:
-        from jackdawsail.agent import weights_part
+        weights_part: Any = import_module('jackdawsail.agent.weights_part')
     except ImportError:
         return LoadedRelease(context.reactor, status, gate)
     return weights_part.make_weights_part(context, switchboard, replica, status, gate)
--- /dev/null
+++ b/jackdawsail/entry/agent_links.py
@@ -0,0 +1,90 @@
+"""The agents of the zone at this entry: announcements, heartbeats, leases passed on."""
+
+from collections.abc import Callable
+from typing import Any
+
+from jackdawsail import events
+from jackdawsail.entry.control_links import ControlLinks
+from jackdawsail.membership.zone_table import ZoneTable
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.link import Link
+from jackdawsail.wire.membership_messages import Announce, Heartbeat, HeartbeatAck, Leaving
+
+AGENT_ANNOUNCED = events.define(310, 'info', 'upstream announced itself')
+AGENT_LEAVING = events.define(311, 'info', 'upstream is leaving')
+AGENT_LOST = events.define(312, 'info', 'upstream is gone')
+
+LostWatcher = Callable[[str], None]
+
+
+class AgentLinks:
+    """Keeps the zone table true and finds an agent's link by its name."""
+
+    def __init__(
+        self, reactor: Any, switchboard: Switchboard, table: ZoneTable, control: ControlLinks
+    ) -> None:
+        self._reactor = reactor
+        self._table = table
+        self._control = control
+        self._links: dict[str, Link] = {}
+        self._watchers: list[LostWatcher] = []
+        switchboard.on(Announce, self._announced)
+        switchboard.on(Heartbeat, self._heartbeat)
+        switchboard.on(Leaving, self._leaving)
+        switchboard.watch(_ignore, self._closed)
+
+    def watch_lost(self, watcher: LostWatcher) -> None:
+        """Registers a part that must hear of each lost agent."""
+        self._watchers.append(watcher)
+
+    def link(self, name: str) -> Link | None:
+        """Returns the link of an agent."""
+        return self._links.get(name)
+
+    def _announced(self, link: Link, announce: Announce) -> None:
+        peer = link.peer
+        if peer is None or peer.role is not Role.agent:
+            return
+        former = self._links.get(peer.name)
+        if former is not None and former is not link:
+            former.abort('agent has connected again')
+            self._tell_lost(peer.name)
+        self._links[peer.name] = link
+        self._table.announced(peer, announce, self._reactor.seconds())
+        events.log(AGENT_ANNOUNCED, agent=peer.name, backend=announce.backend)
+
+    def _heartbeat(self, link: Link, beat: Heartbeat) -> None:
+        now_seconds = self._reactor.seconds()
+        if link.peer is None or not self._table.heartbeat(link.peer, beat, now_seconds):
+            return
+        lease = self._control.lease
+        ack = HeartbeatAck(
+            beat.sequence,
+            lease.left_seconds(now_seconds),
+            lease.number,
+            self._control.is_tracker,
+        )
+        link.send(ack)
+
+    def _leaving(self, link: Link, _message: Leaving) -> None:
+        if link.peer is not None:
+            self._table.leaving(link.peer)
+            events.log(AGENT_LEAVING, agent=link.peer.name)
+
+    def _closed(self, link: Link) -> None:
+        peer = link.peer
+        if peer is None or self._links.get(peer.name) is not link:
+            return
+        del self._links[peer.name]
+        self._table.lost(peer, self._reactor.seconds())
+        events.log(AGENT_LOST, agent=peer.name)
+        self._tell_lost(peer.name)
+
+    def _tell_lost(self, name: str) -> None:
+        for watcher in self._watchers:
+            watcher(name)
+
+
+def _ignore(_link: Link) -> None:
+    """An agent counts from its announcement on."""
--- /dev/null
+++ b/jackdawsail/entry/ledger_client.py
@@ -0,0 +1,174 @@
+"""Claims and settlements at the control leader, kept up across changes of leader.
+
+A claim that was not answered may have been committed. If its call is given up,
+the client goes on in the background: it asks again under the same request id
+and settles the claim as not run, so that the key is free again.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from jackdawsail import events
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.claim_messages import (
+    CallQuery,
+    CallState,
+    ClaimReply,
+    ClaimRequest,
+    ClaimVerdict,
+    SettleReply,
+    SettleRequest,
+    StoredAnswer,
+)
+from jackdawsail.wire.link import Link
+from jackdawsail.wire.work_messages import Outcome
+
+RESEND_SECONDS = 0.5
+TICK_SECONDS = 0.1
+CLAIM_WAIT_SECONDS = 5.0
+MAX_PENDING = 10_000
+
+CLAIM_ABANDONED = events.define(410, 'warning', 'claim was not answered in time; clearing it')
+SETTLE_REFUSED = events.define(411, 'warning', 'ledger refused a settlement')
+
+LeaderLink = Callable[[], Link | None]
+
+
+@dataclass(slots=True)
+class _Claim:
+    request: ClaimRequest
+    replied: 'Deferred[ClaimReply] | None'
+    give_up_seconds: float
+    sent_seconds: float = 0
+
+
+@dataclass(slots=True)
+class _Settlement:
+    request: SettleRequest
+    sent_seconds: float = 0
+
+
+class LedgerClient:
+    """Resends claims and settlements until the leader of the time has answered them."""
+
+    def __init__(self, reactor: Any, switchboard: Switchboard, leader: LeaderLink) -> None:
+        self._reactor = reactor
+        self._leader = leader
+        self._claims: dict[str, _Claim] = {}
+        self._settlements: dict[str, _Settlement] = {}
+        self._queries: dict[str, Deferred[CallState]] = {}
+        self._loop = LoopingCall(self.tick)
+        self._loop.clock = reactor
+        switchboard.on(ClaimReply, self._claim_replied)
+        switchboard.on(SettleReply, self._settle_replied)
+        switchboard.on(CallState, self._query_replied)
+
+    def start(self) -> None:
+        """Begins to resend."""
+        self._loop.start(TICK_SECONDS)
+
+    def stop(self) -> None:
+        """Ends resending."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def claim(self, request: ClaimRequest, deadline_seconds: float) -> 'Deferred[ClaimReply]':
+        """Fires with the ledger's verdict, or ``unavailable`` when there was none in time."""
+        replied: Deferred[ClaimReply] = Deferred()
+        now_seconds = self._reactor.seconds()
+        give_up_seconds = min(deadline_seconds, now_seconds + CLAIM_WAIT_SECONDS)
+        if len(self._claims) >= MAX_PENDING:
+            replied.callback(_unavailable(request))
+            return replied
+        held = _Claim(request, replied, give_up_seconds)
+        self._claims[request.request_id] = held
+        self._send_claim(held)
+        return replied
+
+    def settle(
+        self, claim: ClaimRequest, number: int, outcome: Outcome, answer: StoredAnswer | None
+    ) -> None:
+        """Settles a granted claim; goes on until the ledger has it."""
+        request = SettleRequest(
+            claim.request_id, claim.customer, claim.key, number, str(outcome), answer
+        )
+        held = _Settlement(request)
+        self._settlements[claim.request_id] = held
+        self._send_settlement(held)
+
+    def query(self, asked: CallQuery) -> 'Deferred[CallState]':
+        """Fires with how an earlier call stands, as the leader knows it."""
+        replied: Deferred[CallState] = Deferred()
+        link = self._leader()
+        if link is None or not link.send(asked):
+            replied.callback(_no_state(asked))
+            return replied
+        self._queries[asked.request_id] = replied
+        self._reactor.callLater(CLAIM_WAIT_SECONDS, self._query_replied, link, _no_state(asked))
+        return replied
+
+    @property
+    def busy(self) -> bool:
+        """Tells whether a claim or a settlement is still to be answered."""
+        return bool(self._claims or self._settlements)
+
+    def tick(self) -> None:
+        """Resends what is unanswered and gives late claims up."""
+        now_seconds = self._reactor.seconds()
+        for claim in list(self._claims.values()):
+            if claim.replied is not None and now_seconds >= claim.give_up_seconds:
+                self._abandon(claim)
+            if now_seconds - claim.sent_seconds >= RESEND_SECONDS:
+                self._send_claim(claim)
+        for settlement in list(self._settlements.values()):
+            if now_seconds - settlement.sent_seconds >= RESEND_SECONDS:
+                self._send_settlement(settlement)
+
+    def _abandon(self, claim: _Claim) -> None:
+        events.log(CLAIM_ABANDONED, request=claim.request.request_id)
+        replied = claim.replied
+        claim.replied = None
+        if replied is not None:
+            replied.callback(_unavailable(claim.request))
+
+    def _send_claim(self, claim: _Claim) -> None:
+        link = self._leader()
+        if link is not None and link.send(claim.request):
+            claim.sent_seconds = self._reactor.seconds()
+
+    def _send_settlement(self, settlement: _Settlement) -> None:
+        link = self._leader()
+        if link is not None and link.send(settlement.request):
+            settlement.sent_seconds = self._reactor.seconds()
+
+    def _claim_replied(self, _link: Link, reply: ClaimReply) -> None:
+        claim = self._claims.get(reply.request_id)
+        if claim is None or reply.verdict is ClaimVerdict.unavailable:
+            return
+        del self._claims[reply.request_id]
+        if claim.replied is not None:
+            claim.replied.callback(reply)
+        elif reply.verdict is ClaimVerdict.granted:
+            self.settle(claim.request, reply.claim_number, Outcome.not_run, None)
+
+    def _settle_replied(self, _link: Link, reply: SettleReply) -> None:
+        held = self._settlements.pop(reply.request_id, None)
+        if held is not None and not reply.accepted:
+            events.log(SETTLE_REFUSED, request=reply.request_id)
+
+    def _query_replied(self, _link: Link, state: CallState) -> None:
+        replied = self._queries.pop(state.request_id, None)
+        if replied is not None:
+            replied.callback(state)
+
+
+def _unavailable(request: ClaimRequest) -> ClaimReply:
+    return ClaimReply(request.request_id, ClaimVerdict.unavailable, 0)
+
+
+def _no_state(asked: CallQuery) -> CallState:
+    return CallState(asked.request_id, found=False, verdict=ClaimVerdict.unavailable)
--- /dev/null
+++ b/jackdawsail/entry/pipeline.py
@@ -0,0 +1,122 @@
+"""The stages of a request, joined: parse, authenticate, validate, admit, claim, dispatch, settle."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Result, Success
+
+from jackdawsail.entry.call import Call, Problem, WholeAnswer
+from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.entry.stages.admit import Admission
+from jackdawsail.entry.stages.authenticate import Authenticator
+from jackdawsail.entry.stages.claim import Claimer, ClaimOutcome
+from jackdawsail.entry.stages.dispatch import Dispatcher
+from jackdawsail.entry.stages.parse import RawRequest, parse_request
+from jackdawsail.entry.stages.relay import StreamRelay, WholeRelay
+from jackdawsail.entry.stages.settle import Settler
+from jackdawsail.entry.stages.validate import Validator
+from jackdawsail.routing.orders import Order
+from jackdawsail.wire.work_messages import Outcome
+
+DEADLINE_GRACE_SECONDS = 0.1
+DEADLINE_PROBLEM = Problem(
+    504, 'deadline', Outcome.unknown, 'the call goes on; ask for it by its key', 1
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Stages:
+    """One object for each stage that keeps something."""
+
+    reactor: Any
+    authenticate: Authenticator
+    validate: Validator
+    admission: Admission
+    claimer: Claimer
+    dispatcher: Dispatcher
+    settler: Settler
+
+
+class Pipeline:
+    """Takes each request through the stages."""
+
+    def __init__(self, stages: Stages) -> None:
+        self._stages = stages
+
+    def run(self, raw: RawRequest, http: HttpAnswer) -> None:
+        """Starts a request; its answer goes to ``http``."""
+        checked = self._check(raw)
+        if not isinstance(checked, Success):
+            http.send_problem(checked.failure())
+            return
+        call = checked.unwrap()
+        claimed: Any = self._stages.claimer.claim(call)
+        claimed.addCallback(self._claimed, call, http)
+
+    def caller_left(self, request_id: str) -> None:
+        """Cancels what runs for a caller that has left; claimed calls run to their end."""
+        self._stages.dispatcher.leave(request_id, 'caller-left', spare_claimed=True)
+
+    def _check(self, raw: RawRequest) -> Result[Call, Problem]:
+        stages = self._stages
+        now_seconds = stages.reactor.seconds()
+        parsed = parse_request(raw, now_seconds)
+        checked = parsed.bind(stages.authenticate).bind(stages.validate)
+        return checked.bind(lambda call: stages.admission.admit(call, now_seconds))
+
+    def _claimed(self, outcome: ClaimOutcome, call: Call, http: HttpAnswer) -> None:
+        if not isinstance(outcome, Success):
+            self._stages.admission.release(call)
+            http.send_problem(outcome.failure())
+            return
+        granted = outcome.unwrap()
+        if isinstance(granted, WholeAnswer):
+            self._stages.admission.release(call)
+            http.send_whole(granted)
+            return
+        self._dispatch(granted, http)
+
+    def _dispatch(self, call: Call, http: HttpAnswer) -> None:
+        settle = self._stages.settler.settle
+        dispatcher = self._stages.dispatcher
+        if http.gone:
+            settle(call, Outcome.not_run, None)
+            return
+        if call.stream and not call.key:
+            relay: Any = StreamRelay(call, http, settle, dispatcher.leave)
+        else:
+            relay = WholeRelay(call, http, settle)
+            self._answer_in_time(call, http)
+        dispatcher.submit(make_order(call), relay)
+
+    def _answer_in_time(self, call: Call, http: HttpAnswer) -> None:
+        """A caller hears at its deadline, also while its claimed call goes on."""
+        if not call.claim_number:
+            return
+        reactor = self._stages.reactor
+        wait_seconds = call.deadline_seconds - reactor.seconds() + DEADLINE_GRACE_SECONDS
+        late = reactor.callLater(max(0, wait_seconds), http.send_problem, DEADLINE_PROBLEM)
+        http.when_ended(late)
+
+
+def make_order(call: Call) -> Order:
+    """Makes what the desk needs of a call."""
+    return Order(
+        request_id=call.request_id,
+        customer=call.customer,
+        backend=call.backend,
+        tokens_estimate=call.tokens_estimate,
+        priority=call.priority,
+        deadline_seconds=call.deadline_seconds,
+        method=call.method,
+        path=call.path,
+        content_type=call.content_type,
+        body=call.body,
+        repeatable=call.repeatable,
+        resumable=call.repeatable and call.kind == 'generate',
+        claim_number=call.claim_number,
+        prefix_digest=call.prefix_digest,
+        release=call.release,
+        resume_from=call.resume_from,
+        idempotency_key=call.key,
+    )
--- /dev/null
+++ b/jackdawsail/entry/program.py
@@ -0,0 +1,124 @@
+"""The entry program: its links, its listening ports, and the graceful stop."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from jackdawsail import events
+from jackdawsail.entry.bounded_http import BoundedSite
+from jackdawsail.entry.link_parts import make_entry_links
+from jackdawsail.entry.request_parts import make_request_parts
+from jackdawsail.entry.tracking import make_tracker
+from jackdawsail.entry.web import CallersResource, Handlers
+from jackdawsail.process import ProcessContext
+from jackdawsail.settings.models import EntrySettings
+from jackdawsail.wire.link import LinkServerFactory
+from jackdawsail.wire.tls import listen
+
+FOLLOW_SECONDS = 0.25
+POLL_SECONDS = 0.05
+DIRECTORY_SPREAD_SECONDS = 1.5
+
+
+class EntryProgram:
+    """Builds the parts of an entry and connects them."""
+
+    def __init__(self, context: ProcessContext, settings: EntrySettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._reactor = context.reactor
+        self.links = make_entry_links(context)
+        self.requests = make_request_parts(context, self.links)
+        self.tracker = make_tracker(
+            context, self.links.switchboard, self.links.known.replica, self.links.table
+        )
+        self._ports: list[Any] = []
+        self._follow = LoopingCall(self._follow_control)
+        self._follow.clock = context.reactor
+
+    def start(self) -> None:
+        """Listens, dials the control hosts and reports ready."""
+        host = self._context.host
+        link_port = self._listen_links(host.address)
+        caller_port = self._listen_callers(host.address)
+        self.requests.start()
+        self.tracker.start()
+        self.links.control.start(host.reached_at(caller_port), host.reached_at(link_port))
+        self._follow.start(FOLLOW_SECONDS)
+        events.log(
+            events.PROCESS_READY, role='entry', caller_port=caller_port, link_port=link_port
+        )
+
+    def stop(self) -> 'Deferred[None]':
+        """Leaves the directory, serves until no caller can still hold the address."""
+        control = self.links.control
+        control.leaving = True
+        control.renew()
+        stopped: Deferred[None] = Deferred()
+        grace_seconds = self._settings.address_valid_seconds + DIRECTORY_SPREAD_SECONDS
+        self._reactor.callLater(grace_seconds, self._stop_listening, stopped)
+        return stopped
+
+    def _stop_listening(self, stopped: 'Deferred[None]') -> None:
+        self._ports[-1].stopListening()
+        deadline_seconds = self._reactor.seconds() + self._settings.drain_deadline_seconds
+        idle: Any = self._when(self._is_idle, deadline_seconds)
+        idle.addBoth(self._close)
+        idle.chainDeferred(stopped)
+
+    def _is_idle(self) -> bool:
+        requests = self.requests
+        return not (requests.dispatcher.running or requests.relay.running or requests.ledger.busy)
+
+    def _close(self, _outcome: Any) -> None:
+        if self._follow.running:
+            self._follow.stop()
+        self.requests.stop()
+        self.tracker.stop()
+        self.links.peers.stop()
+        self.links.control.stop()
+
+    def _when(self, condition: Callable[[], bool], deadline_seconds: float) -> 'Deferred[None]':
+        held: Deferred[None] = Deferred()
+
+        def look() -> None:
+            if condition() or self._reactor.seconds() >= deadline_seconds:
+                held.callback(None)
+            else:
+                self._reactor.callLater(POLL_SECONDS, look)
+
+        look()
+        return held
+
+    def _follow_control(self) -> None:
+        self.tracker.set_tracker(self.links.control.is_tracker)
+        self.links.peers.follow(self.links.control.directory)
+
+    def _listen_links(self, address: str) -> int:
+        context = self._context
+        factory = LinkServerFactory(context.link_settings, self.links.switchboard, context.reactor)
+        port = listen(self._reactor, self._settings.link_port, address, factory, context.tls)
+        self._ports.append(port)
+        return int(port.getHost().port)
+
+    def _listen_callers(self, address: str) -> int:
+        requests = self.requests
+        handlers = Handlers(
+            run=requests.pipeline.run,
+            left=requests.pipeline.caller_left,
+            entries=requests.handlers.entries,
+            health=requests.handlers.health,
+            show_call=requests.handlers.show_call,
+            cancel_call=requests.handlers.cancel_call,
+        )
+        site = BoundedSite(
+            CallersResource(handlers),
+            self._reactor,
+            self._settings.max_connections,
+            self._settings.max_body_bytes,
+        )
+        port = self._reactor.listenTCP(self._settings.caller_port, site, interface=address)
+        self._ports.append(port)
+        return int(port.getHost().port)
--- /dev/null
+++ b/jackdawsail/entry/stages/admit.py
@@ -0,0 +1,46 @@
+"""Fourth stage: the limits of the customer; what is over them is refused at once."""
+
+from returns.result import Failure, Result, Success
+
+from jackdawsail.entry.call import Call, Problem
+from jackdawsail.routing.limits import Allowance, CustomerLimits
+from jackdawsail.state.replica import StateReplica
+
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+DEFAULT_RATE = 100.0
+DEFAULT_CONCURRENT = 64
+LEAVING_RETRY_SECONDS = 0.1
+
+
+class Admission:
+    """Counts each customer's requests at this entry."""
+
+    def __init__(self, replica: StateReplica) -> None:
+        self.limits = CustomerLimits()
+        self._replica = replica
+
+    def admit(self, call: Call, now_seconds: float) -> Result[Call, Problem]:
+        """Lets the call in, or refuses it with the time to come again."""
+        record = self._replica.get('customer', call.customer) or {}
+        allowance = Allowance(
+            float(record.get('requests_per_second', DEFAULT_RATE)),
+            int(record.get('max_concurrent', DEFAULT_CONCURRENT)),
+        )
+        verdict = self.limits.admit(call.customer, allowance, now_seconds)
+        if not verdict.admitted:
+            refusal = Problem(
+                TOO_MANY_REQUESTS,
+                verdict.reason,
+                detail='the limit of the customer is reached',
+                retry_after_seconds=verdict.retry_after_seconds,
+            )
+            return Failure(refusal)
+        call.admitted = True
+        return Success(call)
+
+    def release(self, call: Call) -> None:
+        """Counts the end of an admitted call, once."""
+        if call.admitted:
+            call.admitted = False
+            self.limits.release(call.customer)
--- /dev/null
+++ b/jackdawsail/entry/stages/authenticate.py
@@ -0,0 +1,43 @@
+"""Second stage: which customer's token is it?"""
+
+import hashlib
+
+from returns.result import Failure, Result, Success
+
+from jackdawsail.entry.call import Call, Problem
+from jackdawsail.state.replica import StateReplica
+
+UNAUTHORIZED = 401
+CUSTOMER_PREFIX = 'customer/'
+
+
+class Authenticator:
+    """Looks tokens up by their digest; the index follows the replica."""
+
+    def __init__(self, replica: StateReplica) -> None:
+        self._replica = replica
+        self._names: dict[str, str] = {}
+        replica.watch(self._changed)
+        self._index()
+
+    def customer_of(self, token: str) -> str:
+        """Returns the customer of a token, empty for an unknown one."""
+        digest = hashlib.sha256(token.encode('utf8', 'replace')).hexdigest()
+        return self._names.get(digest, '')
+
+    def __call__(self, call: Call) -> Result[Call, Problem]:
+        """Sets the call's customer."""
+        call.customer = self.customer_of(call.token) if call.token else ''
+        if not call.customer:
+            return Failure(Problem(UNAUTHORIZED, 'unknown-token', detail='token is not known'))
+        return Success(call)
+
+    def _changed(self, keys: set[str]) -> None:
+        if any(key.startswith(CUSTOMER_PREFIX) for key in keys):
+            self._index()
+
+    def _index(self) -> None:
+        customers = self._replica.all('customer')
+        digests = {str(record.get('token_digest', '')): name for name, record in customers.items()}
+        digests.pop('', None)
+        self._names = digests
--- /dev/null
+++ b/jackdawsail/entry/stages/choose.py
@@ -0,0 +1,66 @@
+"""Sixth stage: which agents, or which entries of other zones, may take the request?"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from jackdawsail.membership.leases import Lease
+from jackdawsail.membership.zone_table import ZoneTable
+from jackdawsail.routing.choice import Candidate, choose
+from jackdawsail.routing.orders import NeedCandidates, Order
+from jackdawsail.state.replica import StateReplica
+from jackdawsail.wire.identity import Identity
+from jackdawsail.wire.work_messages import Reserve
+
+OUT = 'out'
+
+PeerNames = Callable[[str], list[Candidate]]
+
+
+class Chooser:
+    """Applies the zone table, the lease and the operators' orders to each choice."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        replica: StateReplica,
+        table: ZoneTable,
+        lease: Lease,
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._replica = replica
+        self._table = table
+        self._lease = lease
+        self._rng = rng
+        self.peers: PeerNames = _no_peers
+
+    def choose(self, order: Order, need: NeedCandidates, now_seconds: float) -> list[str]:
+        """Returns the names to reserve at, none when nothing is left to try."""
+        local = self._local(order, now_seconds)
+        names = choose(local, need.avoid, '', self._rng)
+        if names:
+            return names
+        return choose(self.peers(order.backend), need.avoid, '', self._rng)
+
+    def choose_local(self, asked: Reserve, now_seconds: float) -> str:
+        """Returns the agent of this zone for a peer entry's request, empty for none."""
+        names = choose(self._local(asked, now_seconds), frozenset(), '', self._rng)
+        return names[0] if names else ''
+
+    def _local(self, order: Order | Reserve, now_seconds: float) -> list[Candidate]:
+        if not self._lease.is_live(now_seconds) or self._is_out('zone', self._identity.zone):
+            return []
+        return [
+            Candidate(record.name, record.busy_share, record.load.release)
+            for record in self._table.serving(order.backend, now_seconds)
+            if order.release in {'', record.load.release} and not self._is_out('host', record.name)
+        ]
+
+    def _is_out(self, kind: str, name: str) -> bool:
+        record: Any = self._replica.get(kind, name)
+        return record is not None and record.get('mode') == OUT
+
+
+def _no_peers(_backend: str) -> list[Candidate]:
+    return []
--- /dev/null
+++ b/jackdawsail/entry/stages/relay.py
@@ -0,0 +1,117 @@
+"""Ninth stage: the answer goes to the caller, streamed or whole, never cut off silently.
+
+A whole answer is sent only after its check. A streamed one ends with an event
+``done``, or with an event ``error`` and a dropped connection. A caller that reads
+too slowly is dropped once its buffer is full, and its stream is cancelled.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from jackdawsail.entry.call import AnswerBuffer, Call, CallKind, Problem, WholeAnswer
+from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.routing.orders import Begin, Finish, Pass
+from jackdawsail.wire.work_messages import Outcome
+
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+TOO_MANY_REQUESTS = 429
+MAX_UNREAD_BYTES = 256 * 1024
+MIN_RETRY_SECONDS = 0.2
+_OVERLOAD = frozenset(('customer-queue-full',))
+
+Ended = Callable[[Call, Outcome, WholeAnswer | None], None]
+
+
+def problem_of(finish: Finish) -> Problem:
+    """Says why a request has no answer, and when to come again."""
+    if finish.outcome is Outcome.unknown:
+        detail = 'the request may have run; it has no whole answer'
+        return Problem(BAD_GATEWAY, finish.reason, Outcome.unknown, detail)
+    status = TOO_MANY_REQUESTS if finish.reason in _OVERLOAD else UNAVAILABLE
+    retry_seconds = max(MIN_RETRY_SECONDS, finish.retry_after_seconds)
+    detail = 'the request was not run'
+    return Problem(status, finish.reason, Outcome.not_run, detail, retry_seconds)
+
+
+class WholeRelay:
+    """Collects the answer and sends it once it is known to be whole."""
+
+    def __init__(self, call: Call, http: HttpAnswer, ended: Ended) -> None:
+        self._call = call
+        self._http = http
+        self._ended = ended
+        self._buffer = AnswerBuffer()
+        self._status = 0
+        self._content_type = ''
+        self._release = ''
+
+    def begin(self, begun: Begin) -> None:
+        """Keeps the head."""
+        self._status = begun.head.status
+        self._content_type = begun.head.content_type
+        self._release = begun.head.release
+
+    def pass_on(self, piece: Pass) -> None:
+        """Keeps the piece."""
+        self._buffer.add(piece.body)
+
+    def finish(self, finish: Finish) -> None:
+        """Sends the answer or the problem."""
+        if finish.outcome is not Outcome.done:
+            self._ended(self._call, finish.outcome, None)
+            self._http.send_problem(problem_of(finish))
+            return
+        answer = self._whole_answer(finish)
+        self._ended(self._call, Outcome.done, answer)
+        self._http.send_whole(answer)
+
+    def _whole_answer(self, finish: Finish) -> WholeAnswer:
+        body = self._buffer.joined()
+        content_type = self._content_type
+        if self._call.kind is CallKind.generate and content_type == 'text/event-stream':
+            content_type = 'application/json'
+            text = body.decode('utf8', 'replace')
+            document = {'text': text, 'tokens': finish.tokens, 'release': self._release}
+            body = json.dumps(document).encode()
+        return WholeAnswer(self._status, content_type, body, self._release, finish.tokens)
+
+
+class StreamRelay:
+    """Sends server-sent events as the tokens come."""
+
+    def __init__(self, call: Call, http: HttpAnswer, ended: Ended, leave: Any) -> None:
+        self._call = call
+        self._http = http
+        self._ended = ended
+        self._leave = leave
+        self._position = call.resume_from
+        self._release = ''
+        self._status = 0
+
+    def begin(self, begun: Begin) -> None:
+        """Sends the headers."""
+        self._release = begun.head.release
+        self._status = begun.head.status
+        self._http.begin_stream(begun.head.content_type, begun.head.status, self._release)
+
+    def pass_on(self, piece: Pass) -> None:
+        """Sends one event; drops a caller that does not read."""
+        self._position += piece.tokens
+        if not piece.tokens:
+            self._http.write(piece.body)
+            return
+        document = {'text': piece.body.decode('utf8', 'replace'), 'position': self._position}
+        self._http.write(b'data: ' + json.dumps(document).encode() + b'\n\n')
+        if self._http.unread_bytes > MAX_UNREAD_BYTES:
+            self._leave(self._call.request_id, 'reader-too-slow')
+
+    def finish(self, finish: Finish) -> None:
+        """Sends the last event, or ends the stream as an error."""
+        self._ended(self._call, finish.outcome, None)
+        if finish.outcome is Outcome.done:
+            document = {'done': True, 'tokens': self._position, 'release': self._release}
+            self._http.end_stream(b'data: ' + json.dumps(document).encode() + b'\n\n')
+            return
+        self._http.break_stream(problem_of(finish))
--- /dev/null
+++ b/jackdawsail/entry/web.py
@@ -0,0 +1,104 @@
+"""Callers' HTTP interface of an entry: routes each request to its handler."""
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from jackdawsail.entry.call import CallKind, Problem
+from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.entry.stages.parse import RawRequest
+from jackdawsail.metrics import MetricsResource
+
+NOT_FOUND = 404
+REQUEST_ID_BYTES = 12
+ROUTE_PARTS = 3
+
+Handler = Callable[[Request, HttpAnswer, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Handlers:
+    """What the routes lead to; the text is the path's last part."""
+
+    run: Callable[[RawRequest, HttpAnswer], None]
+    left: Callable[[str], None]
+    entries: Handler
+    health: Handler
+    show_call: Handler
+    cancel_call: Handler
+
+
+class CallersResource(Resource):
+    """The root of the callers' port."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, handlers: Handlers) -> None:
+        super().__init__()
+        self._handlers = handlers
+        self._metrics = MetricsResource()
+
+    def render(self, request: Request) -> Any:
+        """Routes by path; everything is answered later."""
+        path = request.uri.decode('latin1')
+        if path.partition('?')[0] == '/metrics':
+            return self._metrics.render_GET(request)
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        handlers = self._handlers
+        answer = HttpAnswer(request, request_id, lambda: handlers.left(request_id))
+        self._route(request, answer, request_id, path)
+        return NOT_DONE_YET
+
+    def _route(self, request: Request, answer: HttpAnswer, request_id: str, path: str) -> None:
+        raw = to_raw(request, request_id, path)
+        if raw is not None:
+            self._handlers.run(raw, answer)
+            return
+        handler, argument = self._find(request.method, path.partition('?')[0])
+        if handler is None:
+            answer.send_problem(Problem(NOT_FOUND, 'no-such-path'))
+        else:
+            handler(request, answer, argument)
+
+    def _find(self, method: bytes, path: str) -> tuple[Handler | None, str]:
+        handlers = self._handlers
+        if path.startswith('/v1/calls/'):
+            argument = unquote(path.removeprefix('/v1/calls/'))
+            return (handlers.cancel_call if method == b'DELETE' else handlers.show_call), argument
+        return {'/v1/entries': handlers.entries, '/health': handlers.health}.get(path), ''
+
+
+def to_raw(request: Request, request_id: str, path: str) -> RawRequest | None:
+    """Takes what the pipeline needs of a call; None when the path is another's."""
+    parts = path.removeprefix('/v1/').split('/', 2)
+    if not path.startswith('/v1/backends/') or len(parts) < ROUTE_PARTS:
+        return None
+    _, backend, rest = parts
+    name, _, tail = rest.partition('/')
+    if name not in set(CallKind):
+        return None
+    kind = CallKind(name)
+    if kind is CallKind.generate and (tail or request.method != b'POST'):
+        return None
+    upstream_path = '/v1/generate' if kind is CallKind.generate else f'/{tail}'
+    return RawRequest(
+        request_id=request_id,
+        kind=kind,
+        backend=backend,
+        method=request.method.decode('latin1'),
+        path=upstream_path,
+        headers=_headers(request),
+        body=request.content.read(),
+    )
+
+
+def _headers(request: Request) -> dict[str, str]:
+    return {
+        name.decode('latin1').lower(): values[-1].decode('latin1')
+        for name, values in request.requestHeaders.getAllRawHeaders()
+    }
--- a/jackdawsail/routing/desk.py
+++ b/jackdawsail/routing/desk.py
@@ -168,9 +168,14 @@
         return self._give_up()
 
     def tick(self, now_seconds: float) -> Effects:
-        """Gives the request up when its deadline has passed before its answer began."""
+        """Gives the request up when its deadline has passed before its answer began.
+
+        A claimed call that was handed over goes on, so that its true end is settled.
+        """
         if now_seconds < self.order.deadline_seconds or self._began:
             return []
+        if self.order.claim_number and self._bound is not None:
+            return []
         return self.leave('deadline')
 
     def leave(self, reason: str) -> Effects:
--- a/jackdawsail/wire/claim_messages.py
+++ b/jackdawsail/wire/claim_messages.py
@@ -70,3 +70,27 @@
 
     request_id: str
     accepted: bool
+
+
+@message('call-query')
+class CallQuery:
+    """Entry to the control leader: how does an earlier call of this key stand?"""
+
+    request_id: str
+    customer: str
+    key: str
+
+
+@message('call-state')
+class CallState:
+    """Control leader to entry.
+
+    ``verdict`` is ``running``, ``settled`` (with the answer), ``unknown``, or
+    ``unavailable`` when the ledger cannot be read; ``found`` is False when no call
+    of the key is kept.
+    """
+
+    request_id: str
+    found: bool
+    verdict: ClaimVerdict
+    answer: StoredAnswer | None = None
