Add the control program: leases, fan-out, claims, rollout, administration API

A thin program over a one-voter replicator. The leader waits out the previous leader's leases before it declares a lapse or names a tracker; entries that have subscribed at a cut-off host are brought up to date with their lease requests. Settings gain the sites section.

--- /dev/null
+++ b/jackdawsail/control/admin_resource.py
@@ -0,0 +1,201 @@
+"""The administration API's resource: routes, authentication, and the leader check."""
+
+from http import HTTPStatus
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from jackdawsail import events
+from jackdawsail.control.admin_auth import Caller, authenticate, require
+from jackdawsail.control.admin_commands import ParsedCommand, answer_of, parse_command
+from jackdawsail.control.admin_http import Problem, make_problem, write_json, write_problem
+from jackdawsail.control.admin_queries import MAX_PAGE_SIZE, PAGE_SIZE, Page, Queries
+from jackdawsail.control.admin_watch import Watchers
+from jackdawsail.control.proposer import Proposer
+from jackdawsail.state.commands import ZoneOut
+
+COMMAND_ANSWERED = events.define(600, 'info', 'administration command answered')
+
+_LIST_KINDS = {
+    'releases': 'release',
+    'customers': 'customer',
+    'zones': 'zone',
+    'sites': 'site',
+    'hosts': 'host',
+    'backends': 'backend',
+}
+
+
+class AdminResource(Resource):
+    """Every path below ``/v1``; only the leader answers."""
+
+    isLeaf = True  # noqa: N815 - Twisted's name
+
+    def __init__(
+        self, queries: Queries, proposer: Proposer, watchers: Watchers, bootstrap_token: str
+    ) -> None:
+        super().__init__()
+        self._queries = queries
+        self._proposer = proposer
+        self._watchers = watchers
+        self._bootstrap_token = bootstrap_token
+
+    def render(self, request: Request) -> int:
+        """Answers one request, now or later."""
+        checked = self._check(request)
+        if not isinstance(checked, Success):
+            write_problem(request, checked.failure())
+            return NOT_DONE_YET
+        if request.method == b'POST':
+            self._post(request, checked.unwrap())
+        else:
+            self._get(request)
+        return NOT_DONE_YET
+
+    def _check(self, request: Request) -> Result[Caller, Problem]:
+        state = self._queries.duties.desk.state
+        caller = authenticate(request, state, self._bootstrap_token)
+        if isinstance(caller, Success) and not self._queries.duties.desk.leads():
+            return Failure(self._misdirected())
+        return caller.bind(lambda found: require(found, 'read'))
+
+    def _get(self, request: Request) -> None:
+        path, page = _path(request), _page(request)
+        if page is None:
+            detail = 'after, limit or revision is invalid'
+            write_problem(request, make_problem(HTTPStatus.BAD_REQUEST, 'invalid', detail))
+        elif path == ['watch']:
+            self._watchers.add(request, int(_argument(request, 'revision', '0')))
+        else:
+            found = self._look_up(path, page)
+            if found is None:
+                write_problem(request, _not_found('/'.join(path)))
+            else:
+                write_json(request, found)
+
+    def _look_up(self, path: list[str], page: Page) -> dict[str, Any] | None:
+        """Returns the document at a path, or None."""
+        found: dict[str, Any] | None = None
+        match path:
+            case ['status']:
+                found = self._queries.status()
+            case ['audit']:
+                found = self._queries.audit(page)
+            case ['calls', customer, key]:
+                found = self._queries.call(customer, key)
+            case [plural] if plural in _LIST_KINDS:
+                found = self._queries.listing(_LIST_KINDS[plural], page)
+            case [plural, name] if plural in _LIST_KINDS:
+                found = self._queries.describe(_LIST_KINDS[plural], name)
+        return found
+
+    def _post(self, request: Request, caller: Caller) -> None:
+        if _path(request) != ['commands']:
+            write_problem(request, _not_found('/'.join(_path(request))))
+            return
+        raw = request.content.read() if request.content else b''
+        parsed = parse_command(raw).bind(lambda found: self._allow(found, caller))
+        if isinstance(parsed, Success):
+            self._propose(request, caller, parsed.unwrap())
+        else:
+            write_problem(request, parsed.failure())
+
+    def _propose(self, request: Request, caller: Caller, command: ParsedCommand) -> None:
+        proposed = self._proposer.submit(
+            caller.name, command.request_id, command.expected_revision, command.body
+        )
+        closed: list[Any] = []
+        request.notifyFinish().addErrback(closed.append)
+        proposed.addCallback(self._answer, request, closed)
+
+    def _answer(self, outcome: Any, request: Request, closed: list[Any]) -> None:
+        if closed:
+            return
+        if not isinstance(outcome, Success):
+            write_problem(request, _not_committed(outcome.failure()))
+            return
+        answer = answer_of(outcome.unwrap())
+        if isinstance(answer, Problem):
+            events.log(COMMAND_ANSWERED, code=answer.code)
+            write_problem(request, answer)
+        else:
+            document, status = answer
+            events.log(COMMAND_ANSWERED, code='accepted', revision=document['revision'])
+            write_json(request, document, status)
+
+    def _allow(self, command: ParsedCommand, caller: Caller) -> Result[ParsedCommand, Problem]:
+        allowed = require(caller, command.role)
+        body = command.body
+        if not isinstance(allowed, Success):
+            return Failure(allowed.failure())
+        is_resend = self._is_known(caller, command)
+        if not isinstance(body, ZoneOut) or body.force or is_resend:
+            return Success(command)
+        return self._allow_zone_out(command, body)
+
+    def _is_known(self, caller: Caller, command: ParsedCommand) -> bool:
+        return self._queries.tables.has_answer(caller.name, command.request_id)
+
+    def _allow_zone_out(
+        self, command: ParsedCommand, body: ZoneOut
+    ) -> Result[ParsedCommand, Problem]:
+        duties = self._queries.duties
+        now_seconds = duties.desk.reactor.seconds()
+        if not duties.desk.leases.is_settled(now_seconds):
+            detail = 'the leader is new and has not heard every data centre yet'
+            return Failure(make_problem(HTTPStatus.SERVICE_UNAVAILABLE, 'not-settled', detail))
+        healthy = [
+            view.name
+            for view in duties.live_zones(now_seconds)
+            if any(summary.serving for summary in view.backends.values())
+        ]
+        if set(healthy) - {body.name}:
+            return Success(command)
+        detail = f'no other data centre than {body.name} has a serving upstream; force it if meant'
+        return Failure(make_problem(HTTPStatus.CONFLICT, 'last-zone', detail))
+
+    def _misdirected(self) -> Problem:
+        leader = self._proposer.replicator.leader_name()
+        return make_problem(
+            HTTPStatus.MISDIRECTED_REQUEST,
+            'not-leader',
+            f'the leader is {leader or "not known"}',
+            leader=leader,
+        )
+
+
+def _path(request: Request) -> list[str]:
+    parts = request.path.decode('utf8', 'replace').strip('/').split('/')
+    return parts[1:] if parts[0] == 'v1' else []
+
+
+def _argument(request: Request, name: str, default: str) -> str:
+    found = request.args.get(name.encode(), [default.encode()])[0]
+    return found.decode('utf8', 'replace')
+
+
+def _page(request: Request) -> Page | None:
+    """Reads the paging arguments; revisions and limits must be short numbers."""
+    after = _argument(request, 'after', '')
+    limit = _argument(request, 'limit', str(PAGE_SIZE))
+    revision = _argument(request, 'revision', '0')
+    numbers = [limit, revision]
+    if _path(request) == ['audit']:
+        numbers.append(after or '0')
+    if not all(number.isascii() and number.isdigit() for number in numbers):
+        return None
+    if max(len(number) for number in numbers) > len(str(2**63)):
+        return None
+    return Page(after, max(1, min(int(limit), MAX_PAGE_SIZE)))
+
+
+def _not_found(what: str) -> Problem:
+    return make_problem(HTTPStatus.NOT_FOUND, 'not-found', f'{what} does not exist')
+
+
+def _not_committed(error: Any) -> Problem:
+    code = 'maybe-applied' if error.maybe_applied else 'not-applied'
+    detail = f'{error.reason}; send it again under the same request id'
+    return make_problem(HTTPStatus.SERVICE_UNAVAILABLE, code, detail, leader=error.leader)
--- /dev/null
+++ b/jackdawsail/control/lease_desk.py
@@ -0,0 +1,105 @@
+"""Answers lease and directory requests of entries, and tells them who leads."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from jackdawsail import events
+from jackdawsail.consensus.interfaces import Replicator
+from jackdawsail.control.fanout import FanOut
+from jackdawsail.control.zone_leases import ZoneLeases, ZoneRule
+from jackdawsail.state.machine import ControlState
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.link import Link
+from jackdawsail.wire.membership_messages import (
+    Directory,
+    DirectoryRequest,
+    LeaderNotice,
+    LeaseRequest,
+    Leaving,
+)
+
+LEADERSHIP_BEGUN = events.define(250, 'info', 'this control host leads')
+LEADERSHIP_ENDED = events.define(251, 'info', 'this control host no longer leads')
+
+
+@dataclass(slots=True)
+class LeaseDesk:
+    """Grants only while this host's leader lease holds; silence is a refusal."""
+
+    reactor: Any
+    switchboard: Switchboard
+    replicator: Replicator
+    state: ControlState
+    leases: ZoneLeases
+    fan_out: FanOut
+    led_term: int = 0
+
+    def leads(self) -> bool:
+        """Tells whether this host leads now; notes the beginning and end of a term."""
+        leads = self.replicator.is_leader()
+        term = self.replicator.term() if leads else 0
+        if term != self.led_term:
+            self._change_term(term)
+        return leads
+
+    def request_lease(self, link: Link, request: LeaseRequest) -> None:
+        """Grants the lease of an entry's zone, or a lease of zero seconds."""
+        entry = link.peer
+        if entry is None or not self.leads() or request.zone != entry.zone:
+            return
+        rule = self._rule(entry)
+        now_seconds = self.reactor.seconds()
+        link.send(self.leases.grant(request, entry, rule, now_seconds))
+        self.fan_out.catch_up(link, request.in_force_revision)
+
+    def request_directory(self, link: Link, request: DirectoryRequest) -> None:
+        """Sends the directory of entries."""
+        if self.leads() and request.revision != self.leases.directory_revision:
+            link.send(Directory(self.leases.directory_revision, self.leases.directory()))
+
+    def link_opened(self, link: Link) -> None:
+        """Tells a new subscriber who leads."""
+        if link.peer is not None and link.peer.role in {Role.entry, Role.relay}:
+            link.send(self._notice())
+
+    def leadership_changed(self) -> None:
+        """Tells every entry and relay who leads."""
+        self.leads()
+        for link in list(self.switchboard.links):
+            self.link_opened(link)
+
+    def _change_term(self, term: int) -> None:
+        self.led_term = term
+        if not term:
+            events.log(LEADERSHIP_ENDED)
+            return
+        events.log(LEADERSHIP_BEGUN, term=term)
+        self.leases.become_leader(term, self.reactor.seconds())
+
+    def _rule(self, entry: Identity) -> ZoneRule:
+        records = self.state.tables.records
+        zone = records.get(f'zone/{entry.zone}')
+        # A data centre that no configuration names is out of service.
+        in_service = zone is not None and zone['mode'] == 'in'
+        return ZoneRule(in_service, f'host/{entry.name}' in records)
+
+    def _notice(self) -> LeaderNotice:
+        return LeaderNotice(
+            self.replicator.leader_name(), self.replicator.term(), self.replicator.is_leader()
+        )
+
+
+def make_lease_desk(desk: LeaseDesk) -> LeaseDesk:
+    """Connects a desk to the links of its switchboard."""
+    switchboard = desk.switchboard
+    switchboard.on(LeaseRequest, desk.request_lease)
+    switchboard.on(DirectoryRequest, desk.request_directory)
+    # A graceful stop shows in the lease requests; the notice itself changes nothing here.
+    switchboard.on(Leaving, _ignore)
+    switchboard.watch(desk.link_opened, _ignore)
+    return desk
+
+
+def _ignore(_link: Link, _message: Any = None) -> None:
+    """Takes a call that needs no answer."""
--- /dev/null
+++ b/jackdawsail/control/parts.py
@@ -0,0 +1,81 @@
+"""Makes the parts of a control host and connects them to one another."""
+
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from jackdawsail.control.admin_queries import Queries
+from jackdawsail.control.admin_resource import AdminResource
+from jackdawsail.control.admin_watch import Watchers, make_watchers
+from jackdawsail.control.claims import make_claim_desk
+from jackdawsail.control.duties import LeaderDuties, start_duties
+from jackdawsail.control.fanout import make_fan_out
+from jackdawsail.control.lease_desk import LeaseDesk, make_lease_desk
+from jackdawsail.control.proposer import Proposer
+from jackdawsail.control.single import SingleReplicator
+from jackdawsail.control.zone_leases import ZoneLeases
+from jackdawsail.errors import UserError
+from jackdawsail.process import ProcessContext
+from jackdawsail.settings.models import ControlSettings
+from jackdawsail.state.documents import SHARED_SECTIONS
+from jackdawsail.state.machine import ControlState
+from jackdawsail.switchboard import Switchboard
+
+
+@dataclass(frozen=True, slots=True)
+class ControlParts:
+    """The parts of a running control host that its program starts and stops."""
+
+    switchboard: Switchboard
+    replicator: Any
+    desk: LeaseDesk
+    duties_loop: LoopingCall
+    watchers: Watchers
+    resource: AdminResource
+
+
+def read_control_settings(context: ProcessContext) -> ControlSettings:
+    """Returns the control section, which this program needs."""
+    settings = context.settings.control
+    if settings is None:
+        raise UserError('settings have no control section')
+    return settings
+
+
+def make_parts(context: ProcessContext) -> ControlParts:
+    """Makes every part; the replicator is not started yet."""
+    settings = read_control_settings(context)
+    switchboard = Switchboard()
+    state = ControlState()
+    replicator = SingleReplicator(context.host.name, state)
+    proposer = Proposer(replicator, context.host.name, context.identity.incarnation, time.time)
+    make_claim_desk(switchboard, proposer)
+    desk = _make_desk(context, switchboard, state, replicator)
+    duties = LeaderDuties(desk, proposer, _seed_document(context))
+    watchers = make_watchers(context.reactor, state)
+    queries = Queries(duties, replicator.status)
+    return ControlParts(
+        switchboard=switchboard,
+        replicator=replicator,
+        desk=desk,
+        duties_loop=start_duties(duties, switchboard),
+        watchers=watchers,
+        resource=AdminResource(queries, proposer, watchers, settings.bootstrap_token),
+    )
+
+
+def _make_desk(
+    context: ProcessContext, switchboard: Switchboard, state: ControlState, replicator: Any
+) -> LeaseDesk:
+    leases = ZoneLeases(read_control_settings(context).zone_lease_seconds)
+    fan_out = make_fan_out(context.reactor, switchboard, state)
+    desk = LeaseDesk(context.reactor, switchboard, replicator, state, leases, fan_out)
+    replicator.watch_leadership(desk.leadership_changed)
+    return make_lease_desk(desk)
+
+
+def _seed_document(context: ProcessContext) -> dict[str, Any]:
+    document = context.settings.model_dump(exclude_unset=True)
+    return {name: document[name] for name in SHARED_SECTIONS if name in document}
--- /dev/null
+++ b/jackdawsail/control/zone_leases.py
@@ -0,0 +1,214 @@
+"""Decides which data centres hold an in-service lease, and what the leader knows of them.
+
+All of it is soft state of the leader, counted by the leader's monotonic clock.
+A new leader cannot know what the last one granted: until one lease length has
+passed it takes no lease for lapsed and names no other tracker.
+"""
+
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+from jackdawsail.wire.identity import Identity
+from jackdawsail.wire.membership_messages import (
+    BackendSummary,
+    DirectoryEntry,
+    LeaseGrant,
+    LeaseRequest,
+)
+
+FENCE_TERM_SHIFT = 32
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRule:
+    """What the replicated state says of a request's data centre and host."""
+
+    in_service: bool
+    host_out: bool
+
+
+@dataclass(slots=True)
+class EntryView:
+    """What the leader knows of one live entry."""
+
+    identity: Identity
+    last_request: LeaseRequest
+    seen_at_seconds: float
+    leaving: bool
+
+    def directory_entry(self) -> DirectoryEntry:
+        """Describes the entry for callers and peers."""
+        request = self.last_request
+        return DirectoryEntry(
+            self.identity.name,
+            self.identity.zone,
+            self.identity.region,
+            request.caller_address,
+            request.link_address,
+            self.leaving,
+        )
+
+
+@dataclass(slots=True)
+class _ZoneState:
+    lapse_at_seconds: float
+    tracker: str = ''
+    tracker_until_seconds: float = 0
+    backends: dict[str, BackendSummary] = field(default_factory=dict)
+    summary_at_seconds: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneView:
+    """One data centre as the leader sees it now; ages and times to come in seconds.
+
+    ``lapses_in_seconds`` is zero or less when no agent there can hold a live lease.
+    ``summary_age_seconds`` is None when no tracker has reported to this leader.
+    """
+
+    name: str
+    lapses_in_seconds: float
+    tracker: str
+    entries: list[EntryView]
+    backends: dict[str, BackendSummary]
+    summary_age_seconds: float | None
+
+
+class ZoneLeases:
+    """The leader's leases; ``become_leader`` starts a new term with nothing known."""
+
+    def __init__(self, lease_seconds: float) -> None:
+        self.lease_seconds = lease_seconds
+        self.entries: dict[str, EntryView] = {}
+        self.directory_revision = 0
+        self._zones: dict[str, _ZoneState] = {}
+        self._number = 0
+        self._settled_at_seconds: float = 0
+
+    def become_leader(self, term: int, now_seconds: float) -> None:
+        """Forgets everything and waits out what an earlier leader may have granted."""
+        self.entries.clear()
+        self._zones.clear()
+        self._number = term << FENCE_TERM_SHIFT
+        self.directory_revision = self._number + 1
+        self._settled_at_seconds = now_seconds + self.lease_seconds
+
+    def grant(
+        self, request: LeaseRequest, entry: Identity, rule: ZoneRule, now_seconds: float
+    ) -> LeaseGrant:
+        """Answers one lease request; zero seconds when the zone is out of service."""
+        self._see(request, entry, rule, now_seconds)
+        zone = self._zone(entry.zone)
+        is_tracker = self._choose_tracker(entry, zone, now_seconds)
+        if is_tracker:
+            zone.backends = request.backends
+            zone.summary_at_seconds = now_seconds
+        lease_seconds: float = 0
+        if rule.in_service:
+            lease_seconds = self.lease_seconds
+            zone.lapse_at_seconds = now_seconds + self.lease_seconds
+        self._number += 1
+        return LeaseGrant(
+            zone=entry.zone,
+            sequence=request.sequence,
+            lease_seconds=lease_seconds,
+            number=self._number,
+            is_tracker=is_tracker,
+            directory_revision=self.directory_revision,
+        )
+
+    def tick(self, now_seconds: float) -> None:
+        """Drops the entries that have been silent for a lease length."""
+        silent = [
+            name
+            for name, view in self.entries.items()
+            if now_seconds - view.seen_at_seconds > self.lease_seconds
+        ]
+        for name in silent:
+            self.entries.pop(name)
+            self.directory_revision += 1
+
+    def directory(self) -> list[DirectoryEntry]:
+        """Lists every live entry."""
+        return [self.entries[name].directory_entry() for name in sorted(self.entries)]
+
+    def is_settled(self, now_seconds: float) -> bool:
+        """Tells whether an earlier leader's grants have all lapsed."""
+        return now_seconds >= self._settled_at_seconds
+
+    def is_live(self, entry: str, incarnation: int) -> bool:
+        """Tells whether this very entry process has asked lately."""
+        view = self.entries.get(entry)
+        return view is not None and view.identity.incarnation == incarnation
+
+    def view(self, zone_name: str, now_seconds: float) -> ZoneView:
+        """Describes one data centre."""
+        zone = self._zone(zone_name)
+        lapse_at_seconds = max(zone.lapse_at_seconds, self._settled_at_seconds)
+        summary_at_seconds = zone.summary_at_seconds
+        return ZoneView(
+            name=zone_name,
+            lapses_in_seconds=lapse_at_seconds - now_seconds,
+            tracker=zone.tracker if zone.tracker_until_seconds > now_seconds else '',
+            entries=[
+                self.entries[name]
+                for name in sorted(self.entries)
+                if self.entries[name].identity.zone == zone_name
+            ],
+            backends=zone.backends,
+            summary_age_seconds=(
+                None if summary_at_seconds is None else now_seconds - summary_at_seconds
+            ),
+        )
+
+    def _see(
+        self, request: LeaseRequest, entry: Identity, rule: ZoneRule, now_seconds: float
+    ) -> None:
+        leaving = request.leaving or rule.host_out or not rule.in_service
+        view = EntryView(entry, request, now_seconds, leaving)
+        held = self.entries.get(entry.name)
+        self.entries[entry.name] = view
+        if held is None or held.directory_entry() != view.directory_entry():
+            self.directory_revision += 1
+
+    def _choose_tracker(self, entry: Identity, zone: _ZoneState, now_seconds: float) -> bool:
+        # A tracker stays while it asks, and another one is named only after its
+        # last grant has lapsed, so that no two entries ever track one zone.
+        if now_seconds < self._settled_at_seconds:
+            return False
+        gone = self.entries[entry.name].leaving and self._any_stays(entry.zone)
+        process = process_name(entry)
+        if zone.tracker == process and not gone:
+            zone.tracker_until_seconds = now_seconds + self.lease_seconds
+            return True
+        if zone.tracker_until_seconds > now_seconds or self._best(entry.zone) != process:
+            return False
+        zone.tracker = process
+        zone.tracker_until_seconds = now_seconds + self.lease_seconds
+        return True
+
+    def _any_stays(self, zone_name: str) -> bool:
+        in_zone = [view for view in self.entries.values() if view.identity.zone == zone_name]
+        return not all(view.leaving for view in in_zone)
+
+    def _best(self, zone_name: str) -> str:
+        # Entries that stay go before those that leave.
+        ranked = [
+            (view.leaving, rendezvous_rank(zone_name, view.identity.name), view.identity)
+            for view in self.entries.values()
+            if view.identity.zone == zone_name
+        ]
+        return process_name(min(ranked, key=lambda rank: rank[:2])[2])
+
+    def _zone(self, name: str) -> _ZoneState:
+        return self._zones.setdefault(name, _ZoneState(self._settled_at_seconds))
+
+
+def process_name(entry: Identity) -> str:
+    """Names one run of an entry."""
+    return f'{entry.name}#{entry.incarnation}'
+
+
+def rendezvous_rank(zone_name: str, entry_name: str) -> bytes:
+    """Ranks an entry for a zone; the lowest rank is the best."""
+    return sha256(f'{zone_name}/{entry_name}'.encode()).digest()
--- /dev/null
+++ b/jackdawsail/state/documents.py
@@ -0,0 +1,77 @@
+"""Turns the shared part of a settings document into the records that ``apply`` puts."""
+
+from typing import Any
+
+from pydantic import Field, ValidationError
+from returns.result import Failure, Result, Success
+
+from jackdawsail.settings.models import (
+    BackendSettings,
+    CustomerSettings,
+    Name,
+    Section,
+    SiteSettings,
+    WeightSettings,
+    ZoneSettings,
+)
+from jackdawsail.state.draft import Draft, differences
+from jackdawsail.state.replica import Record
+from jackdawsail.state.topology import merge_declared
+
+SHARED_SECTIONS = ('backends', 'customers', 'zones', 'sites', 'weights')
+MAX_FAULTS_SHOWN = 50
+
+
+class SharedDocument(Section):
+    """The sections of a settings document that all sites share."""
+
+    backends: dict[Name, BackendSettings] = Field(default={}, max_length=1000)
+    customers: dict[Name, CustomerSettings] = Field(default={}, max_length=100_000)
+    zones: dict[Name, ZoneSettings] = Field(default={}, max_length=1000)
+    sites: dict[Name, SiteSettings] = Field(default={}, max_length=10_000)
+    weights: WeightSettings | None = None
+
+
+def records_of(document: dict[str, Any]) -> Result[dict[str, Record], list[str]]:
+    """Validates the shared sections and makes their records, or lists every fault."""
+    try:
+        shared = SharedDocument.model_validate(document)
+    except ValidationError as error:
+        return Failure([_fault(found) for found in error.errors()[:MAX_FAULTS_SHOWN]])
+    records: dict[str, Record] = {}
+    for kind in ('backend', 'customer', 'zone', 'site'):
+        section: dict[str, Section] = getattr(shared, f'{kind}s')
+        records.update({f'{kind}/{name}': section[name].model_dump() for name in section})
+    if shared.weights is not None:
+        records['weights/origin'] = _origin_record(shared.weights)
+    faults = _dangling_sites(shared)
+    return Failure(faults) if faults else Success(records)
+
+
+def preview(records: dict[str, Record], declared: dict[str, Record]) -> list[dict[str, Any]]:
+    """Lists what applying the declared records would change."""
+    draft = Draft(records, {})
+    for key in declared:
+        draft.put(key, merge_declared(key, draft.get(key), declared[key]))
+    return differences(records, draft.changes)
+
+
+def _origin_record(weights: WeightSettings) -> Record:
+    record: Record = weights.model_dump()
+    record['url'] = record.pop('origin_url')
+    return record
+
+
+def _dangling_sites(shared: SharedDocument) -> list[str]:
+    faults = []
+    for name, site in shared.sites.items():
+        if site.zone not in shared.zones:
+            faults.append(f'sites.{name}.zone: data centre {site.zone} is not declared')
+        unknown = [backend for backend in site.backends if backend not in shared.backends]
+        faults.extend(f'sites.{name}.backends: {backend} is not declared' for backend in unknown)
+    return faults
+
+
+def _fault(found: Any) -> str:
+    place = '.'.join(str(part) for part in found['loc'])
+    return f'{place}: {found["msg"]}'
--- a/jackdawsail/state/ledger.py
+++ b/jackdawsail/state/ledger.py
@@ -5,6 +5,7 @@
 may run again and no customer can push out the calls of another.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from jackdawsail.wire.claim_messages import (
@@ -34,6 +35,11 @@
     status: str = 'running'
     answer: StoredAnswer | None = None
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """The entry process that holds the claim."""
+        return self.entry, self.entry_incarnation
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -43,6 +49,7 @@
     calls: dict[CallKey, LedgerCall] = field(default_factory=dict)
     settled: dict[str, dict[str, int]] = field(default_factory=dict)
     settled_bytes: dict[str, int] = field(default_factory=dict)
+    running: Counter[tuple[str, int]] = field(default_factory=Counter)
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
         """Grants a call once; every other claim of its key hears how it stands."""
@@ -57,7 +64,7 @@
         """Records how a claimed call ended; a repeated settlement is accepted again."""
         key = (request.customer, request.key)
         call = self.calls.get(key)
-        if call is None or call.number != request.claim_number:
+        if call is None or not _settles(request, call):
             was_cleared = request.outcome == 'not-run'
             return SettleReply(request.request_id, was_cleared)
         if call.status == 'done':
@@ -70,26 +77,18 @@
         lost = [
             (key, call)
             for key, call in self.calls.items()
-            if call.status == 'running'
-            and (call.entry, call.entry_incarnation) == (entry, incarnation)
+            if call.status == 'running' and call.process == (entry, incarnation)
         ]
         for key, call in lost:
             self.store(key, replace(call, status='unknown'))
         return len(lost)
 
-    def running_entries(self) -> set[tuple[str, int]]:
-        """Returns the entry processes that have running calls."""
-        return {
-            (call.entry, call.entry_incarnation)
-            for call in self.calls.values()
-            if call.status == 'running'
-        }
-
     def store(self, key: CallKey, call: LedgerCall) -> None:
         """Sets a call and keeps the retention count of its customer."""
         self._forget(key)
         self.calls[key] = call
         if call.status == 'running':
+            self.running[call.process] += 1
             return
         customer, name = key
         size_bytes = len(call.answer.body) if call.answer else 0
@@ -118,7 +117,10 @@
         self.store(key, replace(call, status=status, answer=request.answer))
 
     def _forget(self, key: CallKey) -> None:
-        self.calls.pop(key, None)
+        call = self.calls.pop(key, None)
+        if call is not None and call.status == 'running':
+            self.running[call.process] -= 1
+            self.running += Counter()  # drops the processes that have none left
         customer, name = key
         size_bytes = self.settled.get(customer, {}).pop(name, None)
         if size_bytes is not None:
@@ -133,6 +135,14 @@
             self._forget((customer, next(iter(names))))
 
 
+def _settles(request: SettleRequest, call: LedgerCall) -> bool:
+    # An entry that never heard its claim number may still give its own claim up.
+    if request.claim_number == 0:
+        gives_up = request.outcome == 'not-run' and call.status == 'running'
+        return gives_up and call.request_id == request.request_id
+    return call.number == request.claim_number
+
+
 def _verdict(call: LedgerCall, request: ClaimRequest) -> ClaimVerdict:
     if call.body_digest != request.body_digest:
         return ClaimVerdict.mismatch
@@ -140,10 +150,7 @@
         return ClaimVerdict.settled
     if call.status == 'unknown':
         return ClaimVerdict.unknown
-    same_process = (call.entry, call.entry_incarnation) == (
-        request.entry,
-        request.entry_incarnation,
-    )
+    same_process = call.process == (request.entry, request.entry_incarnation)
     if same_process and call.request_id == request.request_id:
         return ClaimVerdict.granted
     return ClaimVerdict.running
--- a/jackdawsail/state/machine.py
+++ b/jackdawsail/state/machine.py
@@ -27,6 +27,7 @@
     FirstAnswer,
     Operator,
     Tables,
+    answer_key,
     decode_tables,
     encode_tables,
 )
@@ -72,7 +73,7 @@
 
     def first_answer(self, envelope: CommandEnvelope) -> Reply | None:
         """Returns the stored answer to a resent command, or None for a new one."""
-        stored = self.tables.answers.get(_answer_key(envelope))
+        stored = self.tables.answers.get(answer_key(envelope.actor, envelope.request_id))
         if stored is None:
             return None
         if stored.command_digest != _digest(envelope):
@@ -92,7 +93,7 @@
             return earlier
         reply = self._apply_administration(envelope, body)
         answer = FirstAnswer(_digest(envelope), encode(reply))
-        self.tables.remember(_answer_key(envelope), answer)
+        self.tables.remember(answer_key(envelope.actor, envelope.request_id), answer)
         return reply
 
     def _apply_administration(self, envelope: CommandEnvelope, body: object) -> Reply:
@@ -164,10 +165,6 @@
     return [{'key': f'operator/{body.name}', 'field': 'role', 'before': None, 'after': shown}]
 
 
-def _answer_key(envelope: CommandEnvelope) -> str:
-    return f'{envelope.actor}/{envelope.request_id}'
-
-
 def _digest(envelope: CommandEnvelope) -> bytes:
     # The expected revision belongs to the command: the same change against another
     # revision is another request.
--- a/jackdawsail/state/releases.py
+++ b/jackdawsail/state/releases.py
@@ -25,7 +25,9 @@
 Outcome = Result[dict[str, Any], Rejected]
 
 _UNDER_WAY = frozenset(('running', 'paused'))
-_STARTABLE = frozenset(('created', 'done', 'aborted', 'failed'))
+_ENDED = frozenset(('done', 'aborted', 'failed'))
+_STARTABLE = _ENDED | {'created'}
+ENDED_KEPT_PER_BACKEND = 4
 
 
 @singledispatch
@@ -56,6 +58,7 @@
         'queue_position': 0,
     }
     draft.put(f'release/{command.name}', record)
+    _retire_old(draft, command.backend)
     return Success({'status': 'created', 'ordinal': record['ordinal']})
 
 
@@ -182,6 +185,21 @@
         _make_target(draft, min(waiting)[1])
 
 
+def _retire_old(draft: Draft, backend_name: str) -> None:
+    # The chunk digests are the bulk of the state. The name stays taken, because hosts
+    # may still hold chunks under it.
+    backend = draft.get(f'backend/{backend_name}') or {}
+    current = {backend.get('release'), backend.get('previous')}
+    ended = [
+        (release['ordinal'], name)
+        for name, release in draft.named('release').items()
+        if release['backend'] == backend_name and release['status'] in _ENDED
+    ]
+    for _, old_name in sorted(ended)[:-ENDED_KEPT_PER_BACKEND]:
+        if old_name not in current:
+            draft.update(f'release/{old_name}', status='retired', chunk_digests=[])
+
+
 def _next_ordinal(draft: Draft, counter: str) -> int:
     number = draft.ordinals.get(counter, 0) + 1
     draft.ordinals[counter] = number
--- a/jackdawsail/state/tables.py
+++ b/jackdawsail/state/tables.py
@@ -50,6 +50,10 @@
     audit: AuditTrail = field(default_factory=AuditTrail)
     ledger: Ledger = field(default_factory=Ledger)
 
+    def has_answer(self, actor: str, request_id: str) -> bool:
+        """Tells whether a request of an operator has its first answer."""
+        return answer_key(actor, request_id) in self.answers
+
     def remember(self, request_id: str, answer: FirstAnswer) -> None:
         """Stores the first answer to a request id; the oldest goes when it is full."""
         self.answers[request_id] = answer
@@ -57,6 +61,11 @@
             self.answers.pop(next(iter(self.answers)))
 
 
+def answer_key(actor: str, request_id: str) -> str:
+    """Names a request id; no operator can use another's."""
+    return f'{actor}/{request_id}'
+
+
 def encode_tables(tables: Tables) -> bytes:
     """Encodes the whole state in the newest version."""
     ledger = tables.ledger
