--- a/jackdawsail/entry/bounded_http.py
+++ b/jackdawsail/entry/bounded_http.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -22,6 +23,7 @@
 class BoundedRequest(Request):
     """A request whose body may not pass the site's limit."""
 
+    channel: Any
     _received_bytes = 0
     _refused = False
 
@@ -60,6 +62,7 @@
 class BoundedChannel(HTTPChannel):
     """A connection that must bring its first whole request within a time."""
 
+    site: Any = None
     _late: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -72,7 +75,7 @@
         if self._late is not None and self._late.active():
             self._late.cancel()
 
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+    def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Counts the connection out."""
         self.request_complete()
         self.site.connections -= 1
@@ -88,15 +91,17 @@
         self.connections = 0
         self.max_body_bytes = max_body_bytes
         self._max_connections = max_connections
-        self.protocol = BoundedChannel
         self.noisy = False
 
+    def log(self, request: Any) -> None:
+        """Writes no access log; outcomes are counted in the metrics."""
+
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Makes the channel of a new connection, or none when there are too many."""
         if self.connections >= self._max_connections:
             return None
         self.connections += 1
-        channel = BoundedChannel()
+        channel: Any = BoundedChannel()
         channel.factory = self
         channel.site = self
         channel.requestFactory = BoundedRequest
--- a/jackdawsail/entry/web.py
+++ b/jackdawsail/entry/web.py
@@ -93,7 +93,7 @@
         method=request.method.decode('latin1'),
         path=upstream_path,
         headers=_headers(request),
-        body=request.content.read(),
+        body=request.content.read() if request.content else b'',
     )
 
 
