Settings name every fault at once and remember the source of each value

The shipped defaults lie under every base; unknown keys get the nearest name; config check prints the merged result with the file of each value.

--- a/jackdawsail/settings/loader.py
+++ b/jackdawsail/settings/loader.py
@@ -1,45 +1,63 @@
 """Reads a base settings file and its overlays, merges them and validates the result.
 
-Mappings merge key by key, lists and scalars replace, and ``null`` deletes a key
-of the base.
+The shipped defaults lie under every base. Mappings merge key by key, lists and
+scalars replace, and ``null`` deletes a key of the file below.
 """
 
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-import yaml
 from pydantic import ValidationError
+from returns.result import Failure, Result, Success
 
 from jackdawsail.errors import UserError
+from jackdawsail.settings.faults import cross_faults, describe_faults
+from jackdawsail.settings.merge import merge, merge_documents
 from jackdawsail.settings.models import Settings
+from jackdawsail.settings.sources import Document, Fault, read_document
 
+__all__ = ('Loaded', 'check_settings', 'load_settings', 'merge')
 
-def merge(base: Any, overlay: Any) -> Any:
-    """Lays one plain document over another."""
-    if not isinstance(base, dict) or not isinstance(overlay, dict):
-        return overlay
-    merged = dict(base)
-    for key, laid in overlay.items():
-        if laid is None:
-            merged.pop(key, None)
+DEFAULT_FILE = Path(__file__).with_name('config_default.yaml')
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """Valid settings, and the merged document that they were made of."""
+
+    settings: Settings
+    document: Document
+
+
+def check_settings(paths: list[Path]) -> Result[Loaded, list[Fault]]:
+    """Loads the base file and the overlays in order; a failure holds every fault."""
+    faults: list[Fault] = []
+    document = Document()
+    for path in (DEFAULT_FILE, *paths):
+        outcome = read_document(path)
+        if isinstance(outcome, Success):
+            document = merge_documents(document, outcome.unwrap())
         else:
-            merged[key] = merge(merged.get(key), laid)
-    return merged
+            faults.extend(outcome.failure())
+    if faults:
+        return Failure(faults)
+    return _validate(document)
 
 
 def load_settings(paths: list[Path]) -> Settings:
-    """Loads the base file and the overlays in order; raises UserError with every fault."""
-    document: Any = {}
-    for path in paths:
-        document = merge(document, _read(path))
-    try:
-        return Settings.model_validate(document)
-    except ValidationError as error:
-        raise UserError(str(error)) from None
+    """Loads settings for a program; raises UserError with every fault."""
+    outcome = check_settings(paths)
+    if isinstance(outcome, Success):
+        return outcome.unwrap().settings
+    raise UserError('\n'.join(str(fault) for fault in outcome.failure()))
 
 
-def _read(path: Path) -> Any:
+def _validate(document: Document) -> Result[Loaded, list[Fault]]:
+    faults = cross_faults(document)
     try:
-        return yaml.safe_load(path.read_text('utf8')) or {}
-    except (OSError, yaml.YAMLError) as error:
-        raise UserError(f'{path}: {error}') from None
+        settings = Settings.model_validate(document.content)
+    except ValidationError as error:
+        return Failure([*describe_faults(error, document), *faults])
+    if faults:
+        return Failure(faults)
+    return Success(Loaded(settings, document))
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -131,6 +131,13 @@
     region: Name
 
 
+class SiteSettings(Section):
+    """One site deployment: the back ends that a data centre runs for it."""
+
+    zone: Name
+    backends: list[Name]
+
+
 class WeightSettings(Section):
     """Weight distribution."""
 
@@ -155,4 +162,5 @@
     zones: dict[Name, ZoneSettings] = {}
     backends: dict[Name, BackendSettings] = {}
     customers: dict[Name, CustomerSettings] = {}
+    sites: dict[Name, SiteSettings] = {}
     weights: WeightSettings = WeightSettings()
--- /dev/null
+++ b/jackdawsail/settings/sources.py
@@ -0,0 +1,118 @@
+"""Reads a YAML file into plain values and remembers where each value stands.
+
+A path is a tuple of mapping keys and list positions, as pydantic reports it:
+``('control', 'voters', 0, 'address')``.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+from returns.result import Failure, Result, Success
+
+ValuePath = tuple[str | int, ...]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Source:
+    """Where a value was written: the file, and the line counted from one."""
+
+    file: str
+    line: int
+
+    def __str__(self) -> str:
+        """Returns ``file:line``."""
+        return f'{self.file}:{self.line}'
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong in a settings file."""
+
+    source: Source
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Returns one line for a person."""
+        return f'{self.source}: {self.path}: {self.reason}'
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Plain settings, and the source of every value and key in them."""
+
+    content: dict[str, Any] = field(default_factory=dict)
+    sources: dict[ValuePath, Source] = field(default_factory=dict)
+
+
+def show_path(path: ValuePath) -> str:
+    """Returns a path as ``control.voters[0].address``."""
+    shown = ''
+    for part in path:
+        shown += f'[{part}]' if isinstance(part, int) else f'.{part}'
+    return shown.removeprefix('.') or '(whole file)'
+
+
+def read_document(file: Path) -> Result[Document, list[Fault]]:
+    """Reads one YAML file; every fault of its form is returned."""
+    try:
+        root = yaml.compose(file.read_text('utf8'), Loader=yaml.SafeLoader)
+    except OSError as error:
+        return Failure([Fault(Source(str(file), 0), '(file)', error.strerror or str(error))])
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        return Failure([_syntax_fault(file, error)])
+    reader = _Reader(str(file))
+    if root is None:
+        return Success(Document())
+    if not isinstance(root, yaml.MappingNode):
+        return Failure([Fault(reader.source(root), '(whole file)', 'is not a mapping')])
+    content = reader.read(root, ())
+    if reader.faults:
+        return Failure(reader.faults)
+    return Success(Document(content, reader.sources))
+
+
+def _syntax_fault(file: Path, error: Exception) -> Fault:
+    mark = getattr(error, 'problem_mark', None)
+    line = mark.line + 1 if mark else 0
+    reason = getattr(error, 'problem', None) or str(error)
+    return Fault(Source(str(file), line), '(syntax)', reason)
+
+
+class _Reader:
+    """Turns the nodes of one file into plain values."""
+
+    def __init__(self, file: str) -> None:
+        self.sources: dict[ValuePath, Source] = {}
+        self.faults: list[Fault] = []
+        self._file = file
+        self._scalars = yaml.SafeLoader('')
+
+    def source(self, node: yaml.Node) -> Source:
+        """Returns where a node begins."""
+        return Source(self._file, node.start_mark.line + 1)
+
+    def read(self, node: yaml.Node, path: ValuePath) -> Any:
+        """Returns the plain value of a node and notes its sources."""
+        self.sources.setdefault(path, self.source(node))
+        if isinstance(node, yaml.MappingNode):
+            return self._read_mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            items = enumerate(node.value)
+            return [self.read(each, (*path, position)) for position, each in items]
+        return self._scalars.construct_object(node)
+
+    def _read_mapping(self, node: yaml.MappingNode, path: ValuePath) -> dict[str, Any]:
+        content: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            below = (*path, key)
+            if key in content:
+                reason = f'is written twice, first at line {self.sources[below].line}'
+                self.faults.append(Fault(self.source(key_node), show_path(below), reason))
+                continue
+            self.sources[below] = self.source(key_node)
+            content[key] = self.read(value_node, below)
+        return content
--- /dev/null
+++ b/test/settings/test_loader.py
@@ -0,0 +1,137 @@
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jackdawsail.errors import UserError
+from jackdawsail.settings.faults import source_of
+from jackdawsail.settings.loader import check_settings, load_settings
+from jackdawsail.settings.merge import merge
+from jackdawsail.settings.report import list_values, show_document
+
+EXAMPLES = Path(__file__).parents[2] / 'examples'
+SITES = sorted(
+    (folder.name, overlay.name)
+    for folder in EXAMPLES.iterdir()
+    for overlay in folder.glob('*.yaml')
+    if overlay.name != 'base.yaml'
+)
+FIVE_FAULTS = """\
+deployment: bench
+host:
+  name: entry-1
+  zone: crete-b
+  region: crete
+zones:
+  crete-a:
+    region: crete
+customers:
+  label-one:
+    weigth: 2
+    max_concurrent: 0
+entry:
+  caller_port: many
+control:
+  data_folder: /var/lib/x
+"""
+
+
+def write(folder: Path, name: str, text: str) -> Path:
+    path = folder / name
+    path.write_text(text, 'utf8')
+    return path
+
+
+def test_five_faults_are_named_at_once_with_their_lines(tmp_path: Path) -> None:
+    path = write(tmp_path, 'base.yaml', FIVE_FAULTS)
+    faults = check_settings([path]).failure()
+    found = {fault.path: fault for fault in faults}
+    assert {name: fault.source.line for name, fault in found.items()} == {
+        'host.zone': 4,
+        'customers.label-one.weigth': 11,
+        'customers.label-one.max_concurrent': 12,
+        'entry.control': 13,
+        'entry.caller_port': 14,
+        'control.voters': 15,
+    }
+    assert "did you mean 'weight'" in found['customers.label-one.weigth'].reason
+    assert "did you mean 'crete-a'" in found['host.zone'].reason
+    assert found['control.voters'].reason == 'is required'
+    assert {fault.source.file for fault in faults} == {str(path)}
+
+
+@pytest.mark.parametrize(
+    ('text', 'path', 'line'),
+    [
+        ('deployment: a\nzones: [\n', '(syntax)', 3),
+        ('deployment: a\nhost: {}\ndeployment: b\n', 'deployment', 3),
+        ('- a\n', '(whole file)', 1),
+    ],
+)
+def test_a_file_of_bad_form_is_refused_with_its_line(
+    tmp_path: Path, text: str, path: str, line: int
+) -> None:
+    [fault] = check_settings([write(tmp_path, 'base.yaml', text)]).failure()
+    assert (fault.path, fault.source.line) == (path, line)
+
+
+def test_a_program_is_refused_settings_with_every_fault(tmp_path: Path) -> None:
+    with pytest.raises(UserError, match=r'(?s)weigth.*max_concurrent'):
+        load_settings([write(tmp_path, 'base.yaml', FIVE_FAULTS)])
+    with pytest.raises(UserError, match='No such file'):
+        load_settings([tmp_path / 'absent.yaml'])
+
+
+def test_an_overlay_merges_replaces_and_deletes(tmp_path: Path) -> None:
+    base = 'deployment: a\nentry:\n  control: [1.1.1.1:1, 1.1.1.2:1]\n  caller_port: 80\nzones:\n  z:\n    region: r\n'
+    over = 'entry:\n  control: [2.2.2.2:2]\n  caller_port: null\nweights: {origin_copies: 2}\n'
+    paths = [write(tmp_path, 'base.yaml', base), write(tmp_path, 'site.yaml', over)]
+    loaded = check_settings(paths).unwrap()
+    assert loaded.settings.entry is not None
+    assert loaded.settings.entry.control == ['2.2.2.2:2']
+    assert loaded.settings.entry.caller_port == 0
+    assert loaded.settings.weights.chunk_bytes == 262144
+    sources = {each['path']: Path(each['file']).name for each in list_values(loaded.document)}
+    assert sources['entry.control[0]'] == 'site.yaml'
+    assert sources['zones.z.region'] == 'base.yaml'
+    assert sources['weights.chunk_bytes'] == 'config_default.yaml'
+    assert source_of(loaded.document, ('weights', 'origin_copies')).line == 4
+
+
+def test_the_merged_result_hides_secrets(tmp_path: Path) -> None:
+    text = 'deployment: a\nsecurity: {site_secret: moonshine, site_secret_file: /etc/s}\n'
+    document = check_settings([write(tmp_path, 'base.yaml', text)]).unwrap().document
+    shown = show_document(document)
+    assert 'moonshine' not in shown
+    assert '/etc/s' in shown
+
+
+@pytest.mark.parametrize(('deployment', 'site'), SITES)
+def test_the_examples_load(deployment: str, site: str) -> None:
+    folder = EXAMPLES / deployment
+    loaded = check_settings([folder / 'base.yaml', folder / site]).unwrap().settings
+    assert loaded.host is not None
+    assert loaded.host.zone == site.removesuffix('.yaml')
+    assert len(loaded.customers) == 10
+    hosts = [path for path in (folder / 'hosts').iterdir() if loaded.host.zone in path.read_text()]
+    for host in hosts:
+        upstream = check_settings([folder / 'base.yaml', folder / site, host]).unwrap().settings
+        assert upstream.agent is not None
+        assert upstream.control is None
+
+
+plain = st.recursive(
+    st.none() | st.integers() | st.text(max_size=3),
+    lambda below: (
+        st.lists(below, max_size=3) | st.dictionaries(st.sampled_from('abc'), below, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(base=st.dictionaries(st.sampled_from('abc'), plain), overlay=plain.filter(bool))
+def test_merging_the_same_overlay_twice_changes_nothing(base: object, overlay: object) -> None:
+    once = merge(base, overlay)
+    assert merge(once, overlay) == once
