--- /dev/null
+++ b/jackdawsail/control/call_queries.py
@@ -0,0 +1,34 @@
+"""Answers how an earlier call stands, from the ledger of the leader."""
+
+from jackdawsail.consensus.interfaces import Replicator
+from jackdawsail.state.machine import ControlState
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.claim_messages import CallQuery, CallState, ClaimVerdict
+from jackdawsail.wire.link import Link
+
+_VERDICTS = {
+    'running': ClaimVerdict.running,
+    'done': ClaimVerdict.settled,
+    'unknown': ClaimVerdict.unknown,
+}
+
+
+def show_call(query: CallQuery, state: ControlState, leads: bool) -> CallState:
+    """Looks one call up; a host that does not lead cannot tell."""
+    if not leads:
+        return CallState(query.request_id, found=False, verdict=ClaimVerdict.unavailable)
+    call = state.tables.ledger.calls.get((query.customer, query.key))
+    if call is None:
+        return CallState(query.request_id, found=False, verdict=ClaimVerdict.unknown)
+    return CallState(query.request_id, True, _VERDICTS[call.status], call.answer)
+
+
+def answer_call_queries(
+    switchboard: Switchboard, state: ControlState, replicator: Replicator
+) -> None:
+    """Registers the answers on the links of entries."""
+
+    def receive(link: Link, query: CallQuery) -> None:
+        link.send(show_call(query, state, replicator.is_leader()))
+
+    switchboard.on(CallQuery, receive)
--- a/jackdawsail/control/lease_desk.py
+++ b/jackdawsail/control/lease_desk.py
@@ -5,6 +5,7 @@
 
 from jackdawsail import events
 from jackdawsail.consensus.interfaces import Replicator
+from jackdawsail.control.call_queries import answer_call_queries
 from jackdawsail.control.fanout import FanOut
 from jackdawsail.control.zone_leases import ZoneLeases, ZoneRule
 from jackdawsail.state.machine import ControlState
@@ -98,6 +99,7 @@
     # A graceful stop shows in the lease requests; the notice itself changes nothing here.
     switchboard.on(Leaving, _ignore)
     switchboard.watch(desk.link_opened, _ignore)
+    answer_call_queries(switchboard, desk.state, desk.replicator)
     return desk
 
 
--- a/jackdawsail/entry/control_links.py
+++ b/jackdawsail/entry/control_links.py
@@ -121,7 +121,7 @@
         self.is_tracker = grant.is_tracker
         is_live = self.lease.is_live(now_seconds)
         if is_live is not was_live:
-            events.log(LEASE_HELD if is_live else LEASE_LOST, number=grant.number)
+            events.log(LEASE_HELD if is_live else LEASE_LOST, lease_number=grant.number)
         if grant.directory_revision != self._directory_revision:
             link.send(DirectoryRequest(self._directory_revision))
 
