--- a/bench/harness/child.py
+++ b/bench/harness/child.py
@@ -1,5 +1,6 @@
 """One process of a fleet: started, watched, frozen, killed and stopped by its pid."""
 
+import ctypes
 import json
 import os
 import signal
@@ -18,6 +19,8 @@
 KILL_SECONDS = 5.0
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
 LOG_TAIL_LINES = 30
+PARENT_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of prctl(2)
+LIBC = ctypes.CDLL(None)
 REPOSITORY = Path(__file__).resolve().parents[2]
 
 
@@ -29,6 +32,10 @@
     resident_bytes: int
 
 
+def _end_with_parent() -> None:
+    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 class Child:
     """A process whose log goes to a file and which logs when it is ready."""
 
@@ -60,6 +67,7 @@
                 stderr=log,
                 env=environment,
                 start_new_session=True,
+                preexec_fn=_end_with_parent,
             )
 
     def wait_ready(self) -> dict[str, Any]:
--- /dev/null
+++ b/bench/harness/releases.py
@@ -0,0 +1,88 @@
+"""Creates releases on a fleet and counts the engines that serve them."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+from bench.harness.fleet import Fleet, Published
+from bench.harness.layout import Kind
+from bench.harness.plan import MEBIBYTE
+from bench.harness.waiting import wait_until
+
+
+class CommandRefusedError(Exception):
+    """An administration command was not accepted; the message holds the answer."""
+
+
+@dataclass(frozen=True)
+class ReleaseFiles:
+    """A release and its model file at the origin."""
+
+    name: str
+    published: Published
+
+
+def must(reply: Any) -> Any:
+    """Returns the content of an accepted command."""
+    if reply.status not in {200, 201, 202}:
+        raise CommandRefusedError(f'{reply.status}: {reply.body.decode(errors="replace")}')
+    return reply.content
+
+
+def create_release(
+    fleet: Fleet, name: str, size_bytes: int = MEBIBYTE, seed: int = 0
+) -> ReleaseFiles:
+    """Puts a model file at the origin and creates the release of it."""
+    published = fleet.publish(name, size_bytes, seed)
+    chunk_bytes = fleet.deployment.chunk_bytes
+    content = published.file.read_bytes()
+    begins = range(0, size_bytes, chunk_bytes)
+    pieces = [content[begin : begin + chunk_bytes] for begin in begins]
+    digests = [hashlib.sha256(piece).hexdigest() for piece in pieces]
+    created = fleet.command(
+        'release-create',
+        name=name,
+        backend=fleet.deployment.engine_backend,
+        origin_path=published.path,
+        size_bytes=size_bytes,
+        chunk_bytes=chunk_bytes,
+        digest=published.digest,
+        chunk_digests=digests,
+    )
+    must(created)
+    return ReleaseFiles(name, published)
+
+
+def start_release(fleet: Fleet, name: str) -> None:
+    """Starts the rollout of a release."""
+    must(fleet.command('release-start', name=name))
+
+
+def replicas(fleet: Fleet, release: str) -> list[str]:
+    """Returns the engines that have the release loaded."""
+    return [name for name in fleet.names(Kind.engine) if _serves(fleet, name, release)]
+
+
+def wait_replicas(fleet: Fleet, release: str, count: int = 0, timeout_seconds: float = 30) -> None:
+    """Waits until that many engines (or all) have the release loaded."""
+    wanted = count or len(fleet.names(Kind.engine))
+    wait_until(
+        lambda: len(replicas(fleet, release)) >= wanted,
+        timeout_seconds,
+        f'{wanted} replicas of {release}',
+    )
+
+
+def roll_out(fleet: Fleet, name: str, size_bytes: int = MEBIBYTE, seed: int = 0) -> ReleaseFiles:
+    """Creates a release, starts it and waits until every engine has it."""
+    files = create_release(fleet, name, size_bytes, seed)
+    start_release(fleet, name)
+    wait_replicas(fleet, name)
+    return files
+
+
+def _serves(fleet: Fleet, engine: str, release: str) -> bool:
+    if not fleet.children[engine].is_running():
+        return False
+    state = fleet.ask_fake(engine, '/admin/state')
+    return bool(state.get('loaded')) and state.get('release') == release
