Raft, its storage and the replicator over links

The control state needs a log that survives crashes, partitions and lost disks.

process.py sets the reactor's clock to the monotonic one: Twisted's default is time.time, so a jump of the wall clock would have stretched every lease and timer of every program.

--- a/jackdawsail/consensus/interfaces.py
+++ b/jackdawsail/consensus/interfaces.py
@@ -1,5 +1,6 @@
 """What the consensus module and the replicated state machine ask of each other."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -43,3 +44,20 @@
 
     def propose(self, command: bytes) -> 'Deferred[Result[Any, ProposeError]]':
         """Fires with the state machine's reply once the command is committed and applied."""
+
+    def watch_leadership(self, callback: Callable[[], None]) -> None:
+        """Calls back when ``leader_name``, ``term`` or ``is_leader`` has changed."""
+
+    def status(self) -> dict[str, Any]:
+        """Returns role, term, indexes, voters and learners for the administration API."""
+
+    def change_voters(
+        self, remove_host: str = '', target_voters: int = 0
+    ) -> 'Deferred[Result[Any, ProposeError]]':
+        """Removes a host from the group or sets the number of voters (0: as it is)."""
+
+    def start(self) -> None:
+        """Connects to the other control hosts and takes part in the group."""
+
+    def stop(self) -> 'Deferred[None]':
+        """Hands leadership over and ends every connection and timer."""
--- /dev/null
+++ b/jackdawsail/control/consensus_host.py
@@ -0,0 +1,187 @@
+"""Runs a consensus node: steps it, makes its effects durable, then carries them out.
+
+Everything that arrives in one turn of the reactor is stepped together and made
+durable by one fsync. A failed write stops the host: it votes, leads, applies
+and acknowledges nothing more until the process is started again.
+"""
+
+from collections.abc import Callable, Sequence
+from functools import singledispatchmethod
+from typing import Any
+
+from returns.result import Failure
+
+from jackdawsail import events
+from jackdawsail.clocks import Clock
+from jackdawsail.consensus import effects
+from jackdawsail.consensus.interfaces import StateMachine
+from jackdawsail.consensus.log import Entry, EntryKind, Snapshot
+from jackdawsail.consensus.messages import Message
+from jackdawsail.consensus.node import Node, Propose, SnapshotTaken
+from jackdawsail.consensus.storage import Storage
+from jackdawsail.control.proposals import Proposals
+
+HOST_HALTED = events.define(200, 'error', 'consensus host stopped taking part')
+LEADERSHIP_CHANGED = events.define(201, 'info', 'leadership changed')
+SNAPSHOT_SAVED = events.define(202, 'info', 'snapshot saved')
+SNAPSHOT_INSTALLED = events.define(203, 'info', 'snapshot of the leader installed')
+
+SendFunction = Callable[[Message], None]
+
+
+class ConsensusHost:
+    """Owns the node, its storage and the state machine of one control process."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        node: Node,
+        storage: Storage,
+        state_machine: StateMachine,
+        send: SendFunction,
+    ) -> None:
+        self.node = node
+        self.proposals = Proposals()
+        self.halted = ''
+        self.applied_index = node.core.commit_index
+        self.on_step: Callable[[], None] = lambda: None
+        self.on_placed: Callable[[effects.Accepted | effects.Refused], None] = lambda placed: None
+        self.clock = clock
+        self._storage = storage
+        self._state_machine = state_machine
+        self._send = send
+        self._queue: list[object] = []
+        self._commands: list[tuple[int, bytes]] = []
+
+    def submit(self, event: object) -> None:
+        """Queues an event of the node for the end of this turn of the reactor."""
+        self._schedule()
+        self._queue.append(event)
+
+    def submit_command(self, ticket: int, command: bytes) -> None:
+        """Queues a command to be proposed; those of one turn share an append."""
+        self._schedule()
+        self._commands.append((ticket, command))
+
+    def is_leader(self) -> bool:
+        """Tells whether this host leads and its lease holds now."""
+        return not self.halted and self.node.is_leader(self.clock.seconds())
+
+    def run(self) -> None:
+        """Steps the node through what is queued and carries the effects out."""
+        if self.halted:
+            return
+        try:
+            self._run()
+        except Exception as error:
+            # A half-carried-out batch must not be followed by another one.
+            self.halt(f'{type(error).__name__}: {error}')
+            raise
+
+    def save(self, wanted: Sequence[effects.Effect]) -> bool:
+        """Makes effects durable; False when the host has halted."""
+        outcome = self._storage.save(wanted)
+        if isinstance(outcome, Failure):
+            self.halt(outcome.failure())
+            return False
+        return True
+
+    def take_snapshot(self, keep_entries: int) -> None:
+        """Saves a snapshot of the applied state and shortens the log."""
+        log = self.node.core.log
+        index = self.applied_index
+        term = log.term_at(index) or 0
+        state = self._state_machine.snapshot()
+        snapshot = Snapshot(index, term, log.configuration_at(index), state)
+        outcome = self._storage.save_snapshot(snapshot, keep_entries)
+        if isinstance(outcome, Failure):
+            self.halt(outcome.failure())
+            return
+        self.node.step(SnapshotTaken(snapshot, keep_entries), self.clock.seconds())
+        events.log(SNAPSHOT_SAVED, index=index, size_bytes=len(state))
+
+    def halt(self, reason: str) -> None:
+        """Stops taking part; every waiting proposal may have been applied."""
+        if self.halted:
+            return
+        events.log(HOST_HALTED, reason=reason)
+        self._end(reason)
+
+    def stop(self) -> None:
+        """Ends in an orderly way and closes the files."""
+        if not self.halted:
+            self._end('stopping')
+        self._storage.close()
+
+    def _end(self, reason: str) -> None:
+        self.halted = reason
+        self.proposals.fail_all(reason)
+        self.on_step()
+
+    def _schedule(self) -> None:
+        if not self.halted and not self._queue and not self._commands:
+            self.clock.callLater(0, self.run)
+
+    def _run(self) -> None:
+        wanted: list[effects.Effect] = []
+        now_seconds = self.clock.seconds()
+        for event in self._take_queue():
+            wanted.extend(self.node.step(event, now_seconds))
+        durable = [effect for effect in wanted if isinstance(effect, effects.DURABLE)]
+        if durable and not self.save(durable):
+            return
+        for effect in wanted:
+            self._carry_out(effect)
+        self.proposals.expire(now_seconds)
+        self.on_step()
+
+    def _take_queue(self) -> list[object]:
+        queue = self._queue
+        commands = self._commands
+        self._queue = []
+        self._commands = []
+        if commands:
+            tickets, bodies = zip(*commands, strict=True)
+            queue.append(Propose(tickets, bodies))
+        return queue
+
+    @singledispatchmethod
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Does nothing for what is durable already."""
+
+    @_carry_out.register
+    def _on_send(self, effect: effects.Send) -> None:
+        self._send(effect.message)
+
+    @_carry_out.register
+    def _on_apply(self, effect: effects.Apply) -> None:
+        for entry in effect.entries:
+            self._apply(entry)
+
+    @_carry_out.register
+    def _on_install(self, effect: effects.SaveSnapshot) -> None:
+        snapshot = effect.snapshot
+        self._state_machine.restore(snapshot.state)
+        self.applied_index = snapshot.index
+        self.proposals.skipped(snapshot.index)
+        events.log(SNAPSHOT_INSTALLED, index=snapshot.index, size_bytes=len(snapshot.state))
+
+    @_carry_out.register
+    def _on_placed(self, effect: effects.Accepted | effects.Refused) -> None:
+        if isinstance(effect, effects.Accepted):
+            self.proposals.place(effect.ticket, effect.index, effect.term)
+        else:
+            self.proposals.refuse(effect.ticket, effect.reason, effect.leader)
+        self.on_placed(effect)
+
+    @_carry_out.register
+    def _on_leadership(self, effect: effects.LeadershipChanged) -> None:
+        fields = {'term': effect.term, 'leader': effect.leader, 'is_self': effect.is_self}
+        events.log(LEADERSHIP_CHANGED, **fields)
+
+    def _apply(self, entry: Entry) -> None:
+        reply: Any = None
+        if entry.kind is EntryKind.command:
+            reply = self._state_machine.apply(entry.index, entry.body)
+        self.applied_index = entry.index
+        self.proposals.applied(entry, reply)
--- /dev/null
+++ b/jackdawsail/control/forwarding.py
@@ -0,0 +1,75 @@
+"""Passes proposals of a follower on to the leader and waits to apply them locally.
+
+The leader answers only where the command stands in its log. The reply comes
+from the follower's own state machine, so it needs no encoding and the follower
+reads its own writes.
+"""
+
+from returns.result import Failure
+from twisted.internet.defer import succeed
+
+from jackdawsail.consensus.effects import Accepted, Refused
+from jackdawsail.consensus.interfaces import ProposeError
+from jackdawsail.control.consensus_host import ConsensusHost
+from jackdawsail.control.proposals import Answer
+from jackdawsail.control.raft_links import HostHandler, RaftLinks
+from jackdawsail.control.raft_messages import Forward, ForwardAccepted, ForwardRefused
+
+
+class Forwarding:
+    """Both ends of forwarded proposals on one control host."""
+
+    def __init__(self, host: ConsensusHost, links: RaftLinks) -> None:
+        self._host = host
+        self._links = links
+        # Own ticket of a proposal that a follower has sent -> (follower, its ticket).
+        self._origins: dict[int, tuple[str, int]] = {}
+
+    def handlers(self) -> dict[type, HostHandler]:
+        """Returns the handler of each message type."""
+        return {
+            Forward: self._on_forward,
+            ForwardAccepted: self._on_accepted,
+            ForwardRefused: self._on_refused,
+        }
+
+    def forward(self, command: bytes, leader: str, now_seconds: float) -> Answer:
+        """Sends a command to the leader; its answer comes when it is applied here."""
+        ticket, answer = self._host.proposals.open(now_seconds, peer=leader)
+        if self._links.send_to(leader, Forward(ticket, command)):
+            return answer
+        self._host.proposals.refuse(ticket, f'no link to the leader {leader}', leader)
+        return answer
+
+    def placed(self, effect: Accepted | Refused) -> None:
+        """Tells a follower what has become of the proposal that it forwarded."""
+        origin = self._origins.pop(effect.ticket, None)
+        if origin is None:
+            return
+        follower, ticket = origin
+        if isinstance(effect, Accepted):
+            self._links.send_to(follower, ForwardAccepted(ticket, effect.index, effect.term))
+        else:
+            refused = ForwardRefused(ticket, effect.reason, effect.leader)
+            self._links.send_to(follower, refused)
+
+    def _on_forward(self, follower: str, message: Forward) -> None:
+        if self._host.halted:
+            self._links.send_to(follower, ForwardRefused(message.ticket, self._host.halted, ''))
+            return
+        ticket, _answer = self._host.proposals.open(self._host.clock.seconds())
+        self._origins[ticket] = (follower, message.ticket)
+        self._host.submit_command(ticket, message.command)
+
+    def _on_accepted(self, _leader: str, message: ForwardAccepted) -> None:
+        self._host.proposals.place(message.ticket, message.index, message.term)
+        if message.index <= self._host.applied_index:
+            self._host.proposals.skipped(message.index)
+
+    def _on_refused(self, _leader: str, message: ForwardRefused) -> None:
+        self._host.proposals.refuse(message.ticket, message.reason, message.leader)
+
+
+def refused_answer(reason: str, leader: str) -> Answer:
+    """Makes the answer to a proposal that was not taken into any log."""
+    return succeed(Failure(ProposeError(reason, leader, maybe_applied=False)))
--- /dev/null
+++ b/jackdawsail/control/proposals.py
@@ -0,0 +1,107 @@
+"""Proposals that wait for their commands to be applied on this host.
+
+A proposal fails as not applied only when it is known that its command is in no
+log, or when another entry was committed in its place; otherwise it is said to
+be possibly applied.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred
+
+from jackdawsail.consensus.interfaces import ProposeError
+from jackdawsail.consensus.log import Entry
+
+PROPOSE_TIMEOUT_SECONDS = 5.0
+Answer = Deferred[Result[Any, ProposeError]]
+
+
+@dataclass(slots=True)
+class _Waiting:
+    answer: Answer
+    deadline_seconds: float
+    index: int = 0
+    term: int = 0
+    peer: str = ''
+
+
+class Proposals:
+    """Keeps the deferred answer of each proposal, by ticket and by log index."""
+
+    def __init__(self) -> None:
+        self._next_ticket = 1
+        self._waiting: dict[int, _Waiting] = {}
+        self._tickets_by_index: dict[int, list[int]] = {}
+
+    def open(self, now_seconds: float, peer: str = '') -> tuple[int, Answer]:
+        """Makes a ticket and its answer; ``peer`` names the leader it is forwarded to."""
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        answer: Answer = Deferred()
+        deadline_seconds = now_seconds + PROPOSE_TIMEOUT_SECONDS
+        self._waiting[ticket] = _Waiting(answer, deadline_seconds, peer=peer)
+        return ticket, answer
+
+    def place(self, ticket: int, index: int, term: int) -> None:
+        """Notes at which point of the log the command stands."""
+        waiting = self._waiting.get(ticket)
+        if waiting is not None:
+            waiting.index = index
+            waiting.term = term
+            self._tickets_by_index.setdefault(index, []).append(ticket)
+
+    def refuse(self, ticket: int, reason: str, leader: str) -> None:
+        """Fails a proposal that is in no log."""
+        self._finish(ticket, Failure(ProposeError(reason, leader, maybe_applied=False)))
+
+    def applied(self, entry: Entry, reply: Any) -> None:
+        """Answers the proposals that wait at an index."""
+        for ticket in self._tickets_at(entry.index):
+            if self._waiting[ticket].term == entry.term:
+                self._finish(ticket, Success(reply))
+            else:
+                self.refuse(ticket, 'another leader replaced the entry', '')
+
+    def skipped(self, until_index: int) -> None:
+        """Fails the proposals whose replies a snapshot from the leader has swallowed."""
+        swallowed = [index for index in self._tickets_by_index if index <= until_index]
+        for index in swallowed:
+            for ticket in self._tickets_at(index):
+                self._lose(ticket, 'applied as part of a snapshot')
+
+    def peer_lost(self, peer: str) -> None:
+        """Fails what was forwarded to a peer and not yet answered by it."""
+        for ticket, waiting in list(self._waiting.items()):
+            if waiting.peer == peer and not waiting.index:
+                self._lose(ticket, f'lost the link to {peer}')
+
+    def expire(self, now_seconds: float) -> None:
+        """Fails the proposals that have waited too long."""
+        for ticket, waiting in list(self._waiting.items()):
+            if waiting.deadline_seconds > now_seconds:
+                break
+            self._lose(ticket, 'not confirmed in time')
+
+    def fail_all(self, reason: str) -> None:
+        """Fails every proposal."""
+        for ticket in list(self._waiting):
+            self._lose(ticket, reason)
+
+    def _tickets_at(self, index: int) -> tuple[int, ...]:
+        return tuple(self._tickets_by_index.get(index, ()))
+
+    def _lose(self, ticket: int, reason: str) -> None:
+        self._finish(ticket, Failure(ProposeError(reason, '', maybe_applied=True)))
+
+    def _finish(self, ticket: int, outcome: Result[Any, ProposeError]) -> None:
+        waiting = self._waiting.pop(ticket, None)
+        if waiting is None:
+            return
+        if waiting.index:
+            tickets = self._tickets_by_index[waiting.index]
+            tickets.remove(ticket)
+            if not tickets:
+                self._tickets_by_index.pop(waiting.index)
+        waiting.answer.callback(outcome)
--- /dev/null
+++ b/jackdawsail/control/raft_links.py
@@ -0,0 +1,141 @@
+"""Links between the control hosts: each dials every other and sends on what it dialed.
+
+What arrives is taken only from the link on which the peer has last said hello,
+and only under the node id that it said, so a host's former identity is not
+heard any more.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, get_args
+
+from jackdawsail import events
+from jackdawsail.consensus import messages
+from jackdawsail.consensus.configuration import host_of
+from jackdawsail.control.raft_messages import (
+    Forward,
+    ForwardAccepted,
+    ForwardRefused,
+    RaftHello,
+)
+from jackdawsail.process import ProcessContext
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.dialer import Dialer
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.link import Link, LinkSettings
+
+PEER_UNKNOWN = events.define(210, 'warning', 'control host is not in the settings')
+HostHandler = Callable[[str, Any], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Peer:
+    link: Link
+    hello: RaftHello
+
+
+@dataclass(slots=True)
+class LinkHandlers:
+    """What the links tell their owner, by the peer's host name."""
+
+    hello: Callable[[], RaftHello]
+    greeted: Callable[[str, RaftHello], None]
+    received: Callable[[messages.Message], None]
+    lost: Callable[[str], None]
+    forwarded: dict[type, HostHandler] = field(default_factory=dict)
+
+
+class RaftLinks:
+    """The links of one control host to all others in its settings."""
+
+    def __init__(
+        self, context: ProcessContext, switchboard: Switchboard, hosts: dict[str, str]
+    ) -> None:
+        settings = LinkSettings(context.identity, context.secret)
+        rng = random.Random(context.identity.incarnation)
+        self._dialers = {
+            name: Dialer(context.reactor, address, settings, switchboard, rng)
+            for name, address in hosts.items()
+        }
+        self._switchboard = switchboard
+        self._peers: dict[str, _Peer] = {}
+        self._handlers: LinkHandlers | None = None
+
+    def start(self, handlers: LinkHandlers) -> None:
+        """Takes the handlers and begins to dial."""
+        self._handlers = handlers
+        self._switchboard.watch(self._opened, self._closed)
+        self._switchboard.on(RaftHello, self._on_hello)
+        for message_type in get_args(messages.Message):
+            self._switchboard.on(message_type, self._on_message)
+        for forwarded_type in (Forward, ForwardAccepted, ForwardRefused):
+            self._switchboard.on(forwarded_type, self._on_forwarded)
+        for dialer in self._dialers.values():
+            dialer.start()
+
+    def stop(self) -> None:
+        """Ends every link."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+
+    def send(self, message: messages.Message) -> None:
+        """Sends a message to the host of its target, if a link is open."""
+        self.send_to(host_of(message.target), message)
+
+    def send_to(self, host: str, message: object) -> bool:
+        """Sends a message to a host; False when no link is open."""
+        dialer = self._dialers.get(host)
+        if dialer is None or dialer.link is None:
+            return False
+        return dialer.link.send(message)
+
+    def greet(self) -> None:
+        """Says hello on every open link."""
+        if self._handlers is not None:
+            hello = self._handlers.hello()
+            for host in self._dialers:
+                self.send_to(host, hello)
+
+    def hellos(self) -> dict[str, RaftHello]:
+        """Returns the last hello of each host that is linked now."""
+        return {name: peer.hello for name, peer in self._peers.items()}
+
+    def _opened(self, link: Link) -> None:
+        dialed = any(dialer.link is link for dialer in self._dialers.values())
+        if dialed and self._handlers is not None:
+            link.send(self._handlers.hello())
+
+    def _closed(self, link: Link) -> None:
+        name = _name_of(link)
+        peer = self._peers.get(name)
+        if peer is not None and peer.link is link:
+            self._peers.pop(name)
+        if name in self._dialers and self._handlers is not None:
+            self._handlers.lost(name)
+
+    def _on_hello(self, link: Link, hello: RaftHello) -> None:
+        name = _name_of(link)
+        if name not in self._dialers or host_of(hello.node) != name:
+            events.log(PEER_UNKNOWN, peer=name, node=hello.node)
+            return
+        self._peers[name] = _Peer(link, hello)
+        if self._handlers is not None:
+            self._handlers.greeted(name, hello)
+
+    def _on_message(self, link: Link, message: Any) -> None:
+        peer = self._peers.get(_name_of(link))
+        current = peer is not None and peer.link is link and peer.hello.node == message.sender
+        if current and self._handlers is not None:
+            self._handlers.received(message)
+
+    def _on_forwarded(self, link: Link, message: Any) -> None:
+        name = _name_of(link)
+        if name in self._peers and self._handlers is not None:
+            self._handlers.forwarded[type(message)](name, message)
+
+
+def _name_of(link: Link) -> str:
+    if link.peer is None or link.peer.role is not Role.control:
+        return ''
+    return link.peer.name
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -5,6 +5,7 @@
 """
 
 import signal
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -63,6 +64,8 @@
     from twisted.internet import reactor as installed_reactor
 
     reactor: Any = installed_reactor
+    # Twisted's default is the wall clock, which jumps; leases need a monotonic one.
+    reactor.seconds = time.monotonic
     settings = load_settings(paths)
     if settings.host is None:
         raise UserError('settings have no host section')
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -53,6 +53,7 @@
     election_timeout_seconds: PositiveSeconds = 1.0
     raft_heartbeat_seconds: PositiveSeconds = 0.2
     snapshot_every_entries: int = Field(default=20000, ge=10)
+    replace_voter_after_seconds: PositiveSeconds = 30.0
     zone_lease_seconds: PositiveSeconds = 2.5
     bootstrap_token: str = ''
 
