--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -132,6 +132,13 @@
     region: Name
 
 
+class SiteSettings(Section):
+    """One site deployment: the back ends that a data centre runs for it."""
+
+    zone: Name
+    backends: list[Name]
+
+
 class WeightSettings(Section):
     """Weight distribution."""
 
@@ -156,4 +163,5 @@
     zones: dict[Name, ZoneSettings] = {}
     backends: dict[Name, BackendSettings] = {}
     customers: dict[Name, CustomerSettings] = {}
+    sites: dict[Name, SiteSettings] = {}
     weights: WeightSettings = WeightSettings()
