Run the control program on the replicator instead of the one-voter stub

The graceful stop waits until the successor's message has left. A host is known by its last node id only, so its former identity is not taken in again as a learner.

--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -24,11 +24,12 @@
     def __init__(self, core: Core, replication: Replication) -> None:
         self._core = core
         self._replication = replication
-        self._introduced: dict[str, float] = {}
+        # Host name -> the node id that it was last up under, and when that was.
+        self._introduced: dict[str, tuple[str, float]] = {}
 
     def introduce(self, node: str) -> None:
         """Notes a host that is up; one that is no member becomes a learner."""
-        self._introduced[node] = self._core.now_seconds
+        self._introduced[host_of(node)] = (node, self._core.now_seconds)
 
     def tick(self) -> None:
         """Makes the next change towards the target, if one is possible now."""
@@ -87,20 +88,14 @@
     def _without_former_disk(self) -> Configuration | None:
         """Drops the former identity of a host that is back with an empty disk."""
         current = self._core.configuration
-        ready = {host_of(learner) for learner in current.learners if self._caught_up(learner)}
         for member in current.members:
-            if self._is_up(member):
-                continue
-            if host_of(member) in ready or self._has_newer_learner(member):
+            if not self._is_up(member) and self._is_replaced(member):
                 return current.without(member)
         return None
 
-    def _has_newer_learner(self, member: str) -> bool:
-        learners = self._core.configuration.learners
-        if member not in learners:
-            return False
-        newer = learners[learners.index(member) + 1 :]
-        return any(host_of(learner) == host_of(member) for learner in newer)
+    def _is_replaced(self, member: str) -> bool:
+        others = [one for one in self._core.configuration.members if one != member]
+        return any(host_of(one) == host_of(member) and self._caught_up(one) for one in others)
 
     def _with_promoted(self) -> Configuration | None:
         current = self._core.configuration
@@ -131,7 +126,7 @@
 
     def _with_introduced(self) -> Configuration | None:
         current = self._core.configuration
-        for node in sorted(self._introduced):
+        for node, _seen_seconds in self._introduced.values():
             if node not in current.members:
                 return current.with_learner(node)
         return None
@@ -156,7 +151,7 @@
         return math.inf if progress is None else progress.silent_seconds(self._core.now_seconds)
 
     def _forget_old_introductions(self) -> None:
-        oldest = self._core.now_seconds - INTRODUCTION_SECONDS
-        for node, seen_seconds in list(self._introduced.items()):
-            if seen_seconds < oldest:
-                self._introduced.pop(node)
+        oldest_seconds = self._core.now_seconds - INTRODUCTION_SECONDS
+        self._introduced = {
+            host: seen for host, seen in self._introduced.items() if seen[1] >= oldest_seconds
+        }
--- a/jackdawsail/control/main.py
+++ b/jackdawsail/control/main.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import cyclopts
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 
 from jackdawsail import __version__, events
@@ -31,8 +31,7 @@
         self.parts.watchers.answer_all()
         for port in self.ports:
             port.stopListening()
-        self.parts.replicator.stop()
-        return succeed(None)
+        return self.parts.replicator.stop()
 
 
 def build(context: ProcessContext) -> Any:
--- a/jackdawsail/control/parts.py
+++ b/jackdawsail/control/parts.py
@@ -14,7 +14,7 @@
 from jackdawsail.control.fanout import make_fan_out
 from jackdawsail.control.lease_desk import LeaseDesk, make_lease_desk
 from jackdawsail.control.proposer import Proposer
-from jackdawsail.control.single import SingleReplicator
+from jackdawsail.control.replicator import make_replicator
 from jackdawsail.control.zone_leases import ZoneLeases
 from jackdawsail.errors import UserError
 from jackdawsail.process import ProcessContext
@@ -49,7 +49,7 @@
     settings = read_control_settings(context)
     switchboard = Switchboard()
     state = ControlState()
-    replicator = SingleReplicator(context.host.name, state)
+    replicator = make_replicator(context, switchboard, state)
     proposer = Proposer(replicator, context.host.name, context.identity.incarnation, time.time)
     make_claim_desk(switchboard, proposer)
     desk = _make_desk(context, switchboard, state, replicator)
--- a/jackdawsail/control/raft_links.py
+++ b/jackdawsail/control/raft_links.py
@@ -23,7 +23,7 @@
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.wire.dialer import Dialer
 from jackdawsail.wire.identity import Role
-from jackdawsail.wire.link import Link, LinkSettings
+from jackdawsail.wire.link import Link
 
 PEER_UNKNOWN = events.define(210, 'warning', 'control host is not in the settings')
 HostHandler = Callable[[str, Any], None]
@@ -52,10 +52,9 @@
     def __init__(
         self, context: ProcessContext, switchboard: Switchboard, hosts: dict[str, str]
     ) -> None:
-        settings = LinkSettings(context.identity, context.secret)
         rng = random.Random(context.identity.incarnation)
         self._dialers = {
-            name: Dialer(context.reactor, address, settings, switchboard, rng)
+            name: Dialer(context.reactor, address, context.link_settings, switchboard, rng)
             for name, address in hosts.items()
         }
         self._switchboard = switchboard
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from returns.result import Result
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
@@ -30,6 +30,7 @@
 GROUP_FOUNDED = events.define(222, 'info', 'new consensus group founded')
 KEEP_SHARE = 0.1
 GREET_SECONDS = 1.0
+FLUSH_SECONDS = 0.1
 Callback = Callable[[], None]
 
 
@@ -75,8 +76,10 @@
         self.host.submit(Resign())
         self.host.run()
         self.host.stop()
-        self._links.stop()
-        return succeed(None)
+        flushed: Deferred[None] = Deferred()
+        # The successor's message must leave before the process ends.
+        self.host.clock.callLater(FLUSH_SECONDS, flushed.callback, None)
+        return flushed.addCallback(self._stop_links)
 
     def is_leader(self) -> bool:
         """Tells whether this host leads and its leader lease holds now."""
@@ -144,6 +147,9 @@
     def _core(self) -> Core:
         return self.host.node.core
 
+    def _stop_links(self, _flushed: None) -> None:
+        self._links.stop()
+
     def _hello(self) -> RaftHello:
         core = self._core
         fresh = core.term == 0 and core.log.last_index == 0
