--- a/jackdawsail/agent/work_part.py
+++ b/jackdawsail/agent/work_part.py
@@ -190,7 +190,7 @@
         self._peer = peer
         self._tools = tools
         self._seal = AnswerSeal(job.work.attempt_id)
-        self._began_seconds = tools.reactor.seconds()
+        self._last_seconds = tools.reactor.seconds()
         self._concurrency = tools.desk.running
         self._tokens = 0
         self._run: UpstreamRun | None = None
@@ -214,13 +214,17 @@
 
     def part(self, body: bytes, tokens: int) -> None:
         """Sends the next part."""
+        if self._tokens and tokens:
+            self._progressed(tokens)
+        self._last_seconds = self._tools.reactor.seconds()
         self._tokens += tokens
         self._peer.send(self._seal.part(body, tokens))
 
     def whole(self) -> None:
         """Sends the end and counts a success."""
-        elapsed_seconds = self._tools.reactor.seconds() - self._began_seconds
-        self._tools.window.succeeded(elapsed_seconds / max(1, self._tokens), self._concurrency)
+        if not self._tokens:
+            self._progressed(1)
+        self._tools.window.succeeded(self._concurrency)
         self._peer.send(self._seal.end())
         self._finish()
 
@@ -235,6 +239,10 @@
         self._peer.send(AnswerFailed(attempt_id, outcome, reason))
         self._finish()
 
+    def _progressed(self, units: int) -> None:
+        elapsed_seconds = self._tools.reactor.seconds() - self._last_seconds
+        self._tools.window.progressed(elapsed_seconds / units)
+
     def _finish(self) -> None:
         prompt_tokens = len(self._job.work.body) // BYTES_PER_TOKEN
         self._part.run_ended(self._job.work.attempt_id, 1 + prompt_tokens + self._tokens)
--- a/jackdawsail/routing/agent_desk.py
+++ b/jackdawsail/routing/agent_desk.py
@@ -6,12 +6,12 @@
 lease holds; an attempt id is never served twice; a refusal is final.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, replace
 
 from jackdawsail.routing.fairness import FairQueue, Waiting
 from jackdawsail.routing.pace import CompletionPace
+from jackdawsail.routing.recent import RecentIds
 from jackdawsail.routing.window import StartupWindow
 from jackdawsail.wire.work_messages import Granted, Priority, Refused, Reserve, Work, WorkRefused
 
@@ -85,7 +85,8 @@
         self._blocked = blocked
         self._release_of = release_of
         self._attempts: dict[str, _Attempt] = {}
-        self._seen: OrderedDict[str, None] = OrderedDict()
+        self._seen = RecentIds(SEEN_ATTEMPTS)
+        self._handed_over = RecentIds(SEEN_ATTEMPTS)
         self._grants = 0
         self._held = 0
 
@@ -103,7 +104,7 @@
         """Takes a reservation: grants it, queues it, or refuses it at once."""
         if asked.attempt_id in self._seen:
             return []
-        self._remember(asked.attempt_id)
+        self._seen.add(asked.attempt_id)
         refusal = self._refusal(asked, now_seconds)
         if refusal is not None:
             return [Reply(peer, refusal)]
@@ -123,14 +124,18 @@
         return self.grant_ready(now_seconds)
 
     def work(self, peer: Peer, work: Work, now_seconds: float) -> Effects:
-        """Hands work over when it matches a live grant; else refuses it for good."""
+        """Hands work over when it matches a live grant; else refuses it for good.
+
+        Work that was handed over already is passed over in silence: a refusal
+        would tell the entry that it never ran.
+        """
+        if work.attempt_id in self._handed_over:
+            return []
         attempt = self._attempts.get(work.attempt_id)
         problem = self._work_problem(attempt, work, now_seconds)
-        if attempt is None or attempt.running:
-            return [Reply(peer, WorkRefused(work.attempt_id, problem))]
-        if problem:
-            self._drop(attempt)
-            return [Reply(peer, WorkRefused(work.attempt_id, problem))]
+        if problem or attempt is None:
+            return self._refuse_work(peer, work, attempt, problem)
+        self._handed_over.add(work.attempt_id)
         self._attempts[work.attempt_id] = replace(attempt, running=True)
         return [HandOver(peer, work, attempt.reserve)]
 
@@ -224,8 +229,6 @@
             return 'other-incarnation'
         if attempt is None or attempt.grant_number != work.grant_number or not work.grant_number:
             return 'no-such-grant'
-        if attempt.running:
-            return 'attempt-already-run'
         if attempt.deadline_seconds <= now_seconds:
             return 'grant-expired'
         return self._blocked(now_seconds)
@@ -247,7 +250,10 @@
         else:
             self.queue.remove(attempt.waiting)
 
-    def _remember(self, attempt_id: str) -> None:
-        self._seen[attempt_id] = None
-        if len(self._seen) > SEEN_ATTEMPTS:
-            self._seen.popitem(last=False)
+    def _refuse_work(
+        self, peer: Peer, work: Work, attempt: _Attempt | None, problem: str
+    ) -> Effects:
+        self._seen.add(work.attempt_id)
+        if attempt is not None:
+            self._drop(attempt)
+        return [Reply(peer, WorkRefused(work.attempt_id, problem))]
--- a/jackdawsail/routing/window.py
+++ b/jackdawsail/routing/window.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-GROWTH_FACTOR = 1.5
+GROWTH_FACTOR = 2
 JUMP_RATIO = 4.0
 HEALTHY_RATIO = 2.0
 ERROR_BURST = 3
@@ -60,13 +60,15 @@
             self.reset()
         self._cold = cold
 
-    def succeeded(self, unit_seconds: float, concurrency: int) -> None:
-        """Counts one completion and the concurrency at which it ran."""
-        self._errors_in_row = 0
+    def progressed(self, unit_seconds: float) -> None:
+        """Takes one latency while work goes on; a jump puts the limit back."""
         self._learn(unit_seconds)
         if self._smooth_seconds > JUMP_RATIO * self._best_seconds:
             self.reset()
-            return
+
+    def succeeded(self, concurrency: int) -> None:
+        """Counts one completion and the concurrency at which it ran."""
+        self._errors_in_row = 0
         healthy = self._smooth_seconds <= HEALTHY_RATIO * self._best_seconds
         used = concurrency * 2 >= self._limit
         if healthy and used and not self._cold:
