--- /dev/null
+++ b/jackdawsail/weights/chunk_store.py
@@ -0,0 +1,210 @@
+"""Chunks on disk: one preallocated file a release, and a checksummed bitmap beside it.
+
+A chunk counts only when the bitmap names it, and the bitmap is written after
+the chunk's bytes are synced; so a crash never leaves a partly written chunk
+that counts. The caller verifies chunks before it writes them, and the whole
+file again before an engine loads it.
+"""
+
+import hashlib
+import os
+import shutil
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import cbor2
+from returns.result import Failure, Result, Success
+
+from jackdawsail.weights.bitmap import pack_chunks, unpack_chunks
+from jackdawsail.weights.manifest import READ_BYTES, Manifest
+
+MODEL_FILE = 'model'
+BITMAP_FILE = 'bitmap'
+BITMAP_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class StoreError:
+    """Why the disk could not take or give something, in words for the operator."""
+
+    reason: str
+
+
+class StoredRelease:
+    """The file of one release and the set of chunks that it holds."""
+
+    def __init__(self, folder: Path, manifest: Manifest, descriptor: int) -> None:
+        self.manifest = manifest
+        self.path = folder / MODEL_FILE
+        self.held: set[int] = set()
+        self.origin_bytes = 0
+        self.is_verified = False
+        self._folder = folder
+        self._descriptor = descriptor
+
+    @property
+    def is_complete(self) -> bool:
+        """Tells whether every chunk is held."""
+        return len(self.held) == self.manifest.chunk_count
+
+    def write(self, chunk: int, body: bytes) -> Result[None, StoreError]:
+        """Writes a verified chunk; it survives a crash after the next ``sync``."""
+        offset_bytes = self.manifest.span(chunk).offset_bytes
+        try:
+            _write_all(self._descriptor, body, offset_bytes)
+        except OSError as error:
+            return Failure(StoreError(f'chunk store: {error.strerror}'))
+        self.held.add(chunk)
+        return Success(None)
+
+    def read(self, chunk: int) -> bytes:
+        """Reads a held chunk; the reader verifies it."""
+        span = self.manifest.span(chunk)
+        return os.pread(self._descriptor, span.length_bytes, span.offset_bytes)
+
+    def sync(self) -> Result[None, StoreError]:
+        """Syncs the chunks, then the bitmap that names them."""
+        named = frozenset(self.held)
+        try:
+            os.fsync(self._descriptor)
+            self._write_bitmap(named)
+        except OSError as error:
+            return Failure(StoreError(f'chunk store: {error.strerror}'))
+        return Success(None)
+
+    def verify(self) -> bool:
+        """Digests the whole file; chunks that fail are dropped from the held set."""
+        if not self.is_complete:
+            return False
+        whole = hashlib.sha256()
+        for piece in self._pieces():
+            whole.update(piece)
+        self.is_verified = whole.hexdigest() == self.manifest.digest
+        if not self.is_verified:
+            self.drop_bad_chunks()
+        return self.is_verified
+
+    def drop_bad_chunks(self) -> None:
+        """Verifies every held chunk by itself and forgets those that fail."""
+        held = sorted(self.held)
+        self.held = {chunk for chunk in held if self.manifest.proves(chunk, self.read(chunk))}
+
+    def close(self) -> None:
+        """Closes the file."""
+        os.close(self._descriptor)
+
+    def load_bitmap(self) -> None:
+        """Reads the bitmap of an earlier run; a damaged one counts for nothing."""
+        try:
+            checksum, body = cbor2.loads((self._folder / BITMAP_FILE).read_bytes())
+            version, digest, bitmap, origin_bytes = cbor2.loads(body)
+        except (OSError, ValueError, TypeError):
+            return
+        intact = hashlib.sha256(body).digest() == checksum and version == BITMAP_VERSION
+        if intact and digest == self.manifest.digest:
+            self.held = unpack_chunks(bitmap, self.manifest.chunk_count)
+            self.origin_bytes = origin_bytes
+
+    def _pieces(self) -> Iterator[bytes]:
+        for offset_bytes in range(0, self.manifest.size_bytes, READ_BYTES):
+            yield os.pread(self._descriptor, READ_BYTES, offset_bytes)
+
+    def _write_bitmap(self, named: frozenset[int]) -> None:
+        bitmap = pack_chunks(named, self.manifest.chunk_count)
+        body = cbor2.dumps([BITMAP_VERSION, self.manifest.digest, bitmap, self.origin_bytes])
+        framed = cbor2.dumps([hashlib.sha256(body).digest(), body])
+        _replace_file(self._folder / BITMAP_FILE, framed)
+
+
+class ChunkStore:
+    """The releases kept under one folder, within a bounded space."""
+
+    def __init__(self, folder: Path, space_bytes: int) -> None:
+        self._folder = folder
+        self._space_bytes = space_bytes
+        self._open: dict[str, StoredRelease] = {}
+
+    def get(self, release: str) -> StoredRelease | None:
+        """Returns a release that is open in this run."""
+        return self._open.get(release)
+
+    def all(self) -> list[StoredRelease]:
+        """Returns every release that is open in this run."""
+        return list(self._open.values())
+
+    def open(
+        self, manifest: Manifest, keep: Collection[str]
+    ) -> Result[StoredRelease, StoreError]:
+        """Opens or preallocates a release; others than ``keep`` make room for it."""
+        known = self._open.get(manifest.release)
+        if known is not None and known.manifest.digest == manifest.digest:
+            return Success(known)
+        self.remove_all_but({*keep} - {manifest.release} if known else {*keep, manifest.release})
+        if self._used_bytes(manifest.release) + manifest.size_bytes > self._space_bytes:
+            return Failure(StoreError('chunk store: chunk_space_bytes is too small'))
+        return self._allocate(manifest)
+
+    def remove_all_but(self, keep: Collection[str]) -> None:
+        """Removes the files of every other release."""
+        for release in [release for release in self._open if release not in keep]:
+            self._open.pop(release).close()
+        if not self._folder.is_dir():
+            return
+        for folder in self._folder.iterdir():
+            if folder.is_dir() and folder.name not in keep:
+                shutil.rmtree(folder, ignore_errors=True)
+
+    def close(self) -> None:
+        """Closes every file."""
+        for stored in self._open.values():
+            stored.close()
+        self._open.clear()
+
+    def _allocate(self, manifest: Manifest) -> Result[StoredRelease, StoreError]:
+        folder = self._folder / manifest.release
+        try:
+            descriptor = _preallocate(folder, manifest.size_bytes)
+        except OSError as error:
+            return Failure(StoreError(f'chunk store: {error.strerror}'))
+        stored = StoredRelease(folder, manifest, descriptor)
+        stored.load_bitmap()
+        self._open[manifest.release] = stored
+        return Success(stored)
+
+    def _used_bytes(self, but: str) -> int:
+        models = self._folder.glob(f'*/{MODEL_FILE}')
+        return sum(model.stat().st_size for model in models if model.parent.name != but)
+
+
+def _preallocate(folder: Path, size_bytes: int) -> int:
+    folder.mkdir(parents=True, exist_ok=True)
+    descriptor = os.open(folder / MODEL_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        os.posix_fallocate(descriptor, 0, size_bytes)
+    except OSError:
+        os.close(descriptor)
+        raise
+    return descriptor
+
+
+def _write_all(descriptor: int, body: bytes, offset_bytes: int) -> None:
+    view = memoryview(body)
+    while view:
+        written = os.pwrite(descriptor, view, offset_bytes)
+        offset_bytes += written
+        view = view[written:]
+
+
+def _replace_file(path: Path, body: bytes) -> None:
+    beside = path.with_suffix('.new')
+    with beside.open('wb') as opened:
+        opened.write(body)
+        opened.flush()
+        os.fsync(opened.fileno())
+    beside.replace(path)
+    descriptor = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/jackdawsail/weights/manifest.py
@@ -0,0 +1,109 @@
+"""The manifest of a release: its size, its chunks and the digests that prove them.
+
+A manifest is fixed when the release is created and never changes. Example::
+
+    manifest = manifest_from_record('critique-7', record).unwrap()
+    span = manifest.span(0)
+    span.offset_bytes, span.length_bytes
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as checked_dataclass
+from returns.result import Failure, Result, Success
+
+READ_BYTES = 1 << 20
+FETCHED_STATUSES = ('running', 'done')
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkSpan:
+    """Where a chunk lies in the file."""
+
+    offset_bytes: int
+    length_bytes: int
+
+
+@checked_dataclass(frozen=True, config=ConfigDict(extra='ignore'))
+class Manifest:
+    """What a release consists of; ``digest`` is the hex SHA-256 of the whole file."""
+
+    release: str
+    backend: str
+    ordinal: int
+    origin_path: str
+    size_bytes: int
+    chunk_bytes: int
+    chunk_digests: tuple[str, ...]
+    digest: str
+
+    @property
+    def chunk_count(self) -> int:
+        """Returns the number of chunks."""
+        return len(self.chunk_digests)
+
+    def span(self, chunk: int) -> ChunkSpan:
+        """Returns the place of a chunk; the last one may be shorter."""
+        offset_bytes = chunk * self.chunk_bytes
+        return ChunkSpan(offset_bytes, min(self.chunk_bytes, self.size_bytes - offset_bytes))
+
+    def proves(self, chunk: int, body: bytes) -> bool:
+        """Tells whether a body is this chunk, by length and SHA-256."""
+        if len(body) != self.span(chunk).length_bytes:
+            return False
+        return hashlib.sha256(body).hexdigest() == self.chunk_digests[chunk]
+
+
+_MANIFEST_ADAPTER = TypeAdapter(Manifest)
+
+
+def manifest_from_record(release: str, record: Mapping[str, Any]) -> Result[Manifest, str]:
+    """Validates the fanned-out record of a release as a manifest."""
+    try:
+        manifest = _MANIFEST_ADAPTER.validate_python({**record, 'release': release})
+    except ValidationError as error:
+        return Failure(f'release {release!r} has {error.error_count()} invalid fields')
+    if manifest.chunk_bytes < 1 or manifest.size_bytes < 1:
+        return Failure(f'release {release!r} is empty')
+    expected = (manifest.size_bytes + manifest.chunk_bytes - 1) // manifest.chunk_bytes
+    if expected != manifest.chunk_count:
+        return Failure(f'release {release!r} needs {expected} chunk digests')
+    return Success(manifest)
+
+
+@dataclass(frozen=True, slots=True)
+class FileDigests:
+    """The digests of one file, as a manifest needs them."""
+
+    size_bytes: int
+    chunk_digests: tuple[str, ...]
+    digest: str
+
+
+def digest_pieces(pieces: Iterable[bytes], chunk_bytes: int) -> FileDigests:
+    """Digests a stream of bytes; memory stays at one chunk whatever the size."""
+    whole = hashlib.sha256()
+    chunk_digests: list[str] = []
+    pending = bytearray()
+    size_bytes = 0
+    for piece in pieces:
+        whole.update(piece)
+        size_bytes += len(piece)
+        pending += piece
+        while len(pending) >= chunk_bytes:
+            chunk_digests.append(hashlib.sha256(pending[:chunk_bytes]).hexdigest())
+            del pending[:chunk_bytes]
+    if pending:
+        chunk_digests.append(hashlib.sha256(pending).hexdigest())
+    return FileDigests(size_bytes, tuple(chunk_digests), whole.hexdigest())
+
+
+def digest_file(path: Path, chunk_bytes: int) -> FileDigests:
+    """Digests a file in one streamed pass."""
+    with path.open('rb') as opened:
+        return digest_pieces(iter(lambda: opened.read(READ_BYTES), b''), chunk_bytes)
--- /dev/null
+++ b/jackdawsail/weights/origin_budget.py
@@ -0,0 +1,86 @@
+"""The part of the origin's budget that one data centre may use (pure).
+
+The byte budget is hard: a data centre that has used its share of
+``ORIGIN_COPIES_MAX`` copies draws from other data centres only. The request
+budget and ``Retry-After`` bound how often the origin is asked.
+"""
+
+import random
+
+ORIGIN_COPIES_MAX = 4.0
+ORIGIN_CORRUPT_MAX = 3
+BACKOFF_FIRST_SECONDS = 0.5
+BACKOFF_MAX_SECONDS = 30.0
+REQUESTS_PER_SECOND = 20.0
+REQUESTS_BURST = 20.0
+
+
+class OriginBudget:
+    """Bytes, requests and pauses of one release in one data centre."""
+
+    def __init__(self, size_bytes: int, drawing_zones: int, rng: random.Random) -> None:
+        self.failed_reason = ''
+        self._limit_bytes = ORIGIN_COPIES_MAX * size_bytes / max(1, drawing_zones)
+        self._spent_bytes = 0
+        self._reserved_bytes = 0
+        self._rng = rng
+        self._paused_until_seconds = 0.0
+        self._backoff_seconds = BACKOFF_FIRST_SECONDS
+        self._requests = REQUESTS_BURST
+        self._requests_at_seconds = 0.0
+        self._corrupt: dict[int, int] = {}
+
+    @property
+    def spent_bytes(self) -> int:
+        """Returns the bytes that are known to be drawn."""
+        return self._spent_bytes
+
+    def allows(self, length_bytes: int, now: float) -> bool:
+        """Tells whether a draw may be ordered now."""
+        if self.failed_reason or now < self._paused_until_seconds:
+            return False
+        self._refill(now)
+        used_bytes = self._spent_bytes + self._reserved_bytes
+        return self._requests >= 1 and used_bytes + length_bytes <= self._limit_bytes
+
+    def reserve(self, length_bytes: int) -> None:
+        """Sets the bytes of an ordered draw aside."""
+        self._reserved_bytes += length_bytes
+        self._requests -= 1
+
+    def settle(self, length_bytes: int, drawn_bytes: int) -> None:
+        """Replaces the reservation of an ended draw by what it really drew."""
+        self._reserved_bytes = max(0, self._reserved_bytes - length_bytes)
+        self._spent_bytes += drawn_bytes
+
+    def note_floor(self, spent_bytes: int) -> None:
+        """Raises the spent bytes to what the agents' reports prove."""
+        self._spent_bytes = max(self._spent_bytes, spent_bytes)
+
+    def note_good(self) -> None:
+        """Ends the backoff."""
+        self._backoff_seconds = BACKOFF_FIRST_SECONDS
+
+    def pause(self, retry_after_seconds: float, now: float) -> None:
+        """Asks nothing for the longer of Retry-After and a jittered backoff."""
+        if now < self._paused_until_seconds:
+            return
+        jittered_seconds = self._backoff_seconds * self._rng.uniform(0.5, 1)
+        self._backoff_seconds = min(BACKOFF_MAX_SECONDS, self._backoff_seconds * 2)
+        self._paused_until_seconds = now + max(retry_after_seconds, jittered_seconds)
+
+    def note_corrupt(self, chunk: int) -> None:
+        """Counts bytes that do not match the manifest; too many fail the release."""
+        self._corrupt[chunk] = self._corrupt.get(chunk, 0) + 1
+        if self._corrupt[chunk] >= ORIGIN_CORRUPT_MAX:
+            self.failed_reason = f'origin sends chunk {chunk} with a wrong digest'
+
+    def note_changed(self, reason: str) -> None:
+        """Fails the release: the origin serves other content under its name."""
+        self.failed_reason = reason or 'origin content has changed'
+
+    def _refill(self, now: float) -> None:
+        passed_seconds = now - self._requests_at_seconds
+        self._requests_at_seconds = now
+        refilled = self._requests + passed_seconds * REQUESTS_PER_SECOND
+        self._requests = min(REQUESTS_BURST, refilled)
--- /dev/null
+++ b/jackdawsail/weights/pacing.py
@@ -0,0 +1,55 @@
+"""Pacing of weight transfer, so that live answers go first.
+
+``TokenBucket`` spaces the bytes of one transfer. ``DelayPacer`` decides which
+share of the link transfers may use: like LEDBAT (RFC 6817) it compares each
+measured delay with the lowest recent one, gives way while a queue stands, and
+takes the whole link when there is none.
+"""
+
+from collections import deque
+
+TARGET_QUEUE_SECONDS = 0.05
+GAIN_PER_SAMPLE = 0.1
+SHARE_MIN = 0.1
+SHARE_MAX = 1.0
+BASE_WINDOW_SAMPLES = 200
+BITS_PER_BYTE = 8
+
+
+class TokenBucket:
+    """Allows ``rate_bytes_per_second`` with bursts of ``burst_bytes``."""
+
+    def __init__(self, rate_bytes_per_second: float, burst_bytes: float, now: float) -> None:
+        self.rate_bytes_per_second = rate_bytes_per_second
+        self._burst_bytes = burst_bytes
+        self._tokens = burst_bytes
+        self._updated_seconds = now
+
+    def take(self, taken_bytes: int, now: float) -> float:
+        """Charges bytes that have moved; returns the seconds to wait before more may."""
+        passed_seconds = max(0, now - self._updated_seconds)
+        refilled = self._tokens + passed_seconds * self.rate_bytes_per_second
+        self._updated_seconds = now
+        self._tokens = min(self._burst_bytes, refilled) - taken_bytes
+        return max(0, -self._tokens / self.rate_bytes_per_second)
+
+
+class DelayPacer:
+    """Turns delay samples into the share of a link that transfers may use."""
+
+    def __init__(self) -> None:
+        self.share = SHARE_MAX
+        self._samples: deque[float] = deque(maxlen=BASE_WINDOW_SAMPLES)
+
+    def note_delay(self, delay_seconds: float) -> None:
+        """Takes one delay sample and moves the share towards the target queue."""
+        self._samples.append(delay_seconds)
+        queue_seconds = delay_seconds - min(self._samples)
+        off_target = (TARGET_QUEUE_SECONDS - queue_seconds) / TARGET_QUEUE_SECONDS
+        moved = self.share + GAIN_PER_SAMPLE * max(-1, off_target)
+        self.share = min(SHARE_MAX, max(SHARE_MIN, moved))
+
+    def allowed_bits_per_second(self, link_bits_per_second: float, live_bits: float) -> float:
+        """Returns what transfers may use of a link that carries ``live_bits`` of answers."""
+        floor = link_bits_per_second * SHARE_MIN
+        return max(floor, (link_bits_per_second - live_bits) * self.share)
--- /dev/null
+++ b/jackdawsail/weights/placement.py
@@ -0,0 +1,33 @@
+"""Which data centre draws a chunk from the origin, and which from another one.
+
+For each chunk the data centres are ranked by rendezvous hash. The first
+``origin_copies`` of them draw it from the origin; each later one takes it from
+an earlier one, in a tree of fan-out two that differs from chunk to chunk.
+"""
+
+import hashlib
+from collections.abc import Sequence
+
+TREE_FANOUT = 2
+
+
+def rank_zones(chunk_digest: str, zones: Sequence[str]) -> list[str]:
+    """Orders the zones for one chunk; every process finds the same order."""
+    return sorted(zones, key=lambda zone: _score(chunk_digest, zone), reverse=True)
+
+
+def parent_zone(ranked: Sequence[str], zone: str, origin_copies: int) -> str:
+    """Names the zone to draw from; empty for the origin.
+
+    A zone that is not ranked (just taken out) draws from the first one.
+    """
+    if zone not in ranked:
+        return ranked[0] if ranked else ''
+    rank = ranked.index(zone)
+    if rank < origin_copies:
+        return ''
+    return ranked[(rank - origin_copies) // TREE_FANOUT]
+
+
+def _score(chunk_digest: str, zone: str) -> bytes:
+    return hashlib.sha256(f'{chunk_digest}/{zone}'.encode()).digest()
--- /dev/null
+++ b/jackdawsail/weights/tracker.py
@@ -0,0 +1,232 @@
+"""The tracker of a data centre: orders chunks and permits switches (pure).
+
+It is driven by the agents' messages and a clock reading, and returns effects.
+Its state is soft: a new tracker waits one round of chunk reports, honours the
+transfers that they name, and goes on.
+"""
+
+import random
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from jackdawsail.weights.manifest import Manifest
+from jackdawsail.weights.origin_budget import OriginBudget
+from jackdawsail.weights.pacing import DelayPacer
+from jackdawsail.weights.permits import PERMIT_SECONDS, SwitchPermits, switching_limit
+from jackdawsail.weights.schedule import Scheduler, ZonePlan
+from jackdawsail.weights.swarm import Flight, Swarm
+from jackdawsail.wire.weight_messages import (
+    ChunkReport,
+    FetchItem,
+    FetchOrder,
+    FetchOutcome,
+    FetchResult,
+    SourceKind,
+    SwitchPermit,
+    ZoneHave,
+)
+
+REPORT_ROUND_SECONDS = 2.0
+GATHER_SECONDS = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseOrder:
+    """What the replicated state and the settings say about one running release."""
+
+    manifest: Manifest
+    max_switching_share: float
+    plan: ZonePlan
+
+
+@dataclass(frozen=True, slots=True)
+class SendToAgent:
+    """Effect: send a message to an agent."""
+
+    agent: str
+    sent: FetchOrder | SwitchPermit
+
+
+@dataclass(frozen=True, slots=True)
+class ShareWithZones:
+    """Effect: tell the other data centres' entries what is held here."""
+
+    sent: ZoneHave
+
+
+Effect = SendToAgent | ShareWithZones
+
+
+@dataclass(slots=True)
+class _Tracked:
+    order: ReleaseOrder
+    swarm: Swarm
+    budget: OriginBudget
+    scheduler: Scheduler
+    ready_at_seconds: float
+
+
+class Tracker:
+    """Decides for every running release of one data centre."""
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        self.pacer = DelayPacer()
+        self._rng = rng
+        self._ready_at_seconds = now + REPORT_ROUND_SECONDS
+        self._tracked: dict[str, _Tracked] = {}
+        self._permits: dict[str, SwitchPermits] = {}
+
+    def set_orders(self, orders: Mapping[str, ReleaseOrder], now: float) -> None:
+        """Takes the running releases; what is missing is paused, aborted or done."""
+        for release in [release for release in self._tracked if release not in orders]:
+            self._tracked.pop(release)
+        for release, order in orders.items():
+            tracked = self._tracked.get(release)
+            if tracked is None:
+                self._tracked[release] = self._track(order, now)
+            else:
+                tracked.order = order
+
+    def report(self, agent: str, report: ChunkReport, now: float) -> None:
+        """Takes one agent's account of its chunks."""
+        tracked = self._tracked.get(report.release)
+        if tracked is None:
+            return
+        tracked.swarm.report(agent, report, now)
+        drawn = sum(member.origin_bytes for member in tracked.swarm.members.values())
+        tracked.budget.note_floor(drawn)
+        permits = self._permits_of(tracked)
+        if report.stage == 'switching':
+            permits.adopt(agent, now)
+        elif report.stage in {'serving', 'failed'}:
+            permits.end(agent)
+
+    def ask_switch(self, agent: str, release: str) -> None:
+        """Queues an agent that wants to change its engine."""
+        tracked = self._tracked.get(release)
+        if tracked is not None:
+            self._permits_of(tracked).ask(agent, release)
+
+    def result(self, agent: str, ended: FetchResult, now: float) -> None:
+        """Takes the end of one transfer."""
+        tracked = self._tracked.get(ended.release)
+        if tracked is None or agent not in tracked.swarm.members:
+            return
+        if ended.chunk >= tracked.order.manifest.chunk_count:
+            return
+        flight = tracked.swarm.end(agent, ended.chunk)
+        if ended.source is SourceKind.origin:
+            self._settle_origin(tracked, ended, now)
+        elif ended.outcome is not FetchOutcome.done:
+            is_corrupt = ended.outcome is FetchOutcome.corrupt
+            tracked.swarm.blame(ended.address, now, corrupt=is_corrupt)
+        if ended.outcome is FetchOutcome.done:
+            tracked.swarm.hold(agent, ended.chunk)
+            self._note_delay(flight, ended)
+
+    def leave(self, agent: str) -> None:
+        """Forgets an agent whose link has ended."""
+        for tracked in self._tracked.values():
+            self._drop(tracked, agent)
+
+    def remote(self, have: ZoneHave, now: float) -> None:
+        """Takes another data centre's account of its chunks."""
+        tracked = self._tracked.get(have.release)
+        if tracked is not None:
+            tracked.swarm.note_remote(have, now)
+
+    def tick(self, now: float) -> Iterator[Effect]:
+        """Yields everything there is to order now; call it often."""
+        for tracked in self._tracked.values():
+            self._expire(tracked, now)
+            if now >= tracked.ready_at_seconds:
+                yield from self._order_fetches(tracked, now)
+                yield from self._permit_switches(tracked, now)
+
+    def shares(self) -> Iterator[Effect]:
+        """Yields what the other data centres should know; call it each second."""
+        for tracked in self._tracked.values():
+            if tracked.swarm.members:
+                yield ShareWithZones(tracked.swarm.share(tracked.order.plan.zone))
+
+    def problems(self, backend: str) -> dict[str, str]:
+        """Returns the releases of a back end that are stopped, with the reason."""
+        found: dict[str, str] = {}
+        for release, tracked in self._tracked.items():
+            if tracked.order.manifest.backend != backend:
+                continue
+            reason = tracked.budget.failed_reason or _first_problem(tracked.swarm)
+            if reason:
+                found[release] = reason
+        return found
+
+    def origin_bytes(self) -> dict[str, int]:
+        """Returns what each release is known to have drawn from the origin here."""
+        return {release: each.budget.spent_bytes for release, each in self._tracked.items()}
+
+    def _track(self, order: ReleaseOrder, now: float) -> _Tracked:
+        swarm = Swarm(order.manifest)
+        zones = len(order.plan.zones)
+        budget = OriginBudget(order.manifest.size_bytes, zones, self._rng)
+        scheduler = Scheduler(swarm, budget, self._rng)
+        ready_at_seconds = max(self._ready_at_seconds, now + GATHER_SECONDS)
+        return _Tracked(order, swarm, budget, scheduler, ready_at_seconds)
+
+    def _permits_of(self, tracked: _Tracked) -> SwitchPermits:
+        return self._permits.setdefault(tracked.order.manifest.backend, SwitchPermits())
+
+    def _settle_origin(self, tracked: _Tracked, ended: FetchResult, now: float) -> None:
+        length_bytes = tracked.order.manifest.span(ended.chunk).length_bytes
+        budget = tracked.budget
+        budget.settle(length_bytes, ended.drawn_bytes)
+        if ended.outcome is FetchOutcome.done:
+            budget.note_good()
+        elif ended.outcome is FetchOutcome.changed:
+            budget.note_changed(ended.reason)
+        elif ended.outcome is FetchOutcome.corrupt:
+            budget.note_corrupt(ended.chunk)
+        else:
+            budget.pause(ended.retry_after_seconds, now)
+
+    def _note_delay(self, flight: Flight | None, ended: FetchResult) -> None:
+        if flight is not None and flight.is_cross and ended.first_byte_seconds > 0:
+            self.pacer.note_delay(ended.first_byte_seconds)
+
+    def _expire(self, tracked: _Tracked, now: float) -> None:
+        for agent in tracked.swarm.silent(now):
+            self._drop(tracked, agent)
+        for agent, chunk in tracked.swarm.late(now):
+            flight = tracked.swarm.end(agent, chunk)
+            if flight is not None:
+                self._lose(tracked, chunk, flight)
+                if flight.address:
+                    tracked.swarm.blame(flight.address, now, corrupt=False)
+
+    def _drop(self, tracked: _Tracked, agent: str) -> None:
+        self._permits_of(tracked).end(agent)
+        for chunk, flight in tracked.swarm.remove(agent):
+            self._lose(tracked, chunk, flight)
+
+    def _lose(self, tracked: _Tracked, chunk: int, flight: Flight) -> None:
+        """Counts a lost origin draw as drawn whole, for the budget is hard."""
+        if flight.source is SourceKind.origin:
+            length_bytes = tracked.order.manifest.span(chunk).length_bytes
+            tracked.budget.settle(length_bytes, length_bytes)
+
+    def _order_fetches(self, tracked: _Tracked, now: float) -> Iterator[Effect]:
+        by_agent: dict[str, list[FetchItem]] = {}
+        for placed in tracked.scheduler.plan(tracked.order.plan, now):
+            by_agent.setdefault(placed.agent, []).append(placed.fetch)
+        for agent, fetches in by_agent.items():
+            yield SendToAgent(agent, FetchOrder(tracked.order.manifest.release, fetches))
+
+    def _permit_switches(self, tracked: _Tracked, now: float) -> Iterator[Effect]:
+        limit = switching_limit(tracked.order.max_switching_share, len(tracked.swarm.members))
+        release = tracked.order.manifest.release
+        for agent, permitted in self._permits_of(tracked).grant(limit, [release], now):
+            yield SendToAgent(agent, SwitchPermit(permitted, PERMIT_SECONDS))
+
+
+def _first_problem(swarm: Swarm) -> str:
+    problems = (f'{name}: {each.problem}' for name, each in swarm.members.items() if each.problem)
+    return next(problems, '')
--- a/jackdawsail/wire/weight_messages.py
+++ b/jackdawsail/wire/weight_messages.py
@@ -31,6 +31,7 @@
     """Agent to tracker: what the agent holds of a release and what is under way.
 
     ``stage`` is ``fetching``, ``verified``, ``switching``, ``serving`` or ``failed``.
+    ``origin_bytes`` counts what this agent has drawn of the release from the origin.
     """
 
     release: str
@@ -38,15 +39,21 @@
     in_flight: list[int]
     stage: str
     problem: str = ''
+    chunk_address: str = ''
+    origin_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class FetchItem:
-    """One chunk to draw; ``address`` is a peer's chunk address or empty for the origin."""
+    """One chunk to draw; ``address`` is a peer's chunk address or empty for the origin.
+
+    ``bits_per_second`` paces the transfer; zero leaves it unpaced.
+    """
 
     chunk: int
     source: SourceKind
     address: str
+    bits_per_second: float = 0
 
 
 @message('fetch-order')
@@ -59,7 +66,10 @@
 
 @message('fetch-result')
 class FetchResult:
-    """Agent to tracker: how one fetch ended; ``address`` as in the order."""
+    """Agent to tracker: how one fetch ended; ``address`` as in the order.
+
+    ``drawn_bytes`` counts every byte received, also of a fetch that failed.
+    """
 
     release: str
     chunk: int
@@ -67,6 +77,9 @@
     address: str
     outcome: FetchOutcome
     reason: str = ''
+    drawn_bytes: int = 0
+    first_byte_seconds: float = 0
+    retry_after_seconds: float = 0
 
 
 @message('switch-ask')
@@ -84,11 +97,18 @@
     valid_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneHolder:
+    """One agent that other data centres may draw from."""
+
+    address: str
+    bitmap: bytes
+
+
 @message('zone-have')
 class ZoneHave:
-    """Tracker to the other zones' entries: the chunks that its zone holds, and who has them."""
+    """Tracker to the other zones' entries: who in its zone holds which chunks."""
 
     zone: str
     release: str
-    bitmap: bytes
-    addresses: list[str]
+    holders: list[ZoneHolder]
