Weights: tracker, chunk store, transfers, engine switcher and their parts

The stateful test found that chunks held only by a corrupt or unreachable agent counted as present; absent_chunks now looks at good holders only. Measured: pure tests only; no process run yet.

--- /dev/null
+++ b/jackdawsail/agent/chunk_server.py
@@ -0,0 +1,114 @@
+"""Serves verified chunks to other agents: ``GET /chunks/<digest>`` with a proof."""
+
+from typing import Any
+
+from prometheus_client import Counter
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from jackdawsail import events, metrics
+from jackdawsail.metrics import MetricsResource
+from jackdawsail.process import ProcessContext
+from jackdawsail.weights.chunk_store import ChunkStore, StoredRelease
+from jackdawsail.weights.proof import PROOF_HEADER, check_chunk_proof
+
+UPLOADS_MAX = 8
+PIECE_BYTES = 65536
+STATUS_FORBIDDEN = 403
+STATUS_NOT_FOUND = 404
+STATUS_BUSY = 503
+CHUNKS_SERVED = events.define(500, 'info', 'chunk server listens')
+SENT_BYTES = Counter(
+    'jackdawsail_chunk_sent_bytes',
+    'Bytes of chunks that this agent has sent to others',
+    registry=metrics.REGISTRY,
+)
+
+
+class ChunkResource(Resource):
+    """All chunks that the store holds, by digest."""
+
+    isLeaf = True  # noqa: N815 - Twisted's name
+
+    def __init__(self, store: ChunkStore, secret: bytes) -> None:
+        super().__init__()
+        self._store = store
+        self._secret = secret
+        self._uploads = 0
+        self._places: dict[str, dict[str, int]] = {}
+
+    def render_GET(self, request: Request) -> Any:  # noqa: N802 - Twisted's name
+        """Sends one chunk, or says why not."""
+        digest = b'/'.join(request.postpath or []).decode('ascii', 'replace')
+        if not check_chunk_proof(self._secret, digest, request.getHeader(PROOF_HEADER) or ''):
+            return _refuse(request, STATUS_FORBIDDEN)
+        if self._uploads >= UPLOADS_MAX:
+            request.setHeader('Retry-After', '1')
+            return _refuse(request, STATUS_BUSY)
+        body = self._find(digest)
+        if body is None:
+            return _refuse(request, STATUS_NOT_FOUND)
+        self._uploads += 1
+        request.notifyFinish().addBoth(self._ended)
+        request.setHeader('Content-Type', 'application/octet-stream')
+        request.setHeader('Content-Length', str(len(body)))
+        request.registerProducer(_Upload(request, body), streaming=False)
+        return NOT_DONE_YET
+
+    def _ended(self, _outcome: Any) -> None:
+        self._uploads -= 1
+
+    def _find(self, digest: str) -> bytes | None:
+        for stored in self._store.all():
+            chunk = self._index(stored).get(digest)
+            if chunk is not None and chunk in stored.held:
+                return stored.read(chunk)
+        return None
+
+    def _index(self, stored: StoredRelease) -> dict[str, int]:
+        digest = stored.manifest.digest
+        if digest not in self._places:
+            self._places = {each.manifest.digest: _places_of(each) for each in self._store.all()}
+        return self._places[digest]
+
+
+class _Upload:
+    """Writes a chunk piece by piece as the connection takes it."""
+
+    def __init__(self, request: Request, body: bytes) -> None:
+        self._request = request
+        self._body = body
+        self._sent = 0
+
+    def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
+        piece = self._body[self._sent : self._sent + PIECE_BYTES]
+        self._sent += len(piece)
+        SENT_BYTES.inc(len(piece))
+        self._request.write(piece)
+        if self._sent >= len(self._body):
+            self._request.unregisterProducer()
+            self._request.finish()
+
+    def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
+        self._sent = len(self._body)
+
+
+def listen_for_chunks(context: ProcessContext, port: int, store: ChunkStore) -> Any:
+    """Serves chunks and metrics on a port; returns the listening port."""
+    root: Any = Resource()
+    root.putChild(b'chunks', ChunkResource(store, context.secret))
+    root.putChild(b'metrics', MetricsResource())
+    host = context.settings.host
+    interface = host.address if host else '127.0.0.1'
+    listener = context.reactor.listenTCP(port, Site(root), interface=interface)
+    events.log(CHUNKS_SERVED, chunk_port=listener.getHost().port)
+    return listener
+
+
+def _places_of(stored: StoredRelease) -> dict[str, int]:
+    return {digest: chunk for chunk, digest in enumerate(stored.manifest.chunk_digests)}
+
+
+def _refuse(request: Request, status: int) -> bytes:
+    request.setResponseCode(status)
+    return b''
--- /dev/null
+++ b/jackdawsail/agent/engine_orders.py
@@ -0,0 +1,107 @@
+"""The only orders that an engine gets: load a release; and the look at its state."""
+
+import json
+from dataclasses import dataclass
+from io import BytesIO
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from returns.result import Failure, Result, Success
+from twisted.web.client import Agent, FileBodyProducer, readBody
+from twisted.web.http_headers import Headers
+
+from jackdawsail.clocks import Clock
+
+STATE_TIMEOUT_SECONDS = 2.0
+LOAD_TIMEOUT_SECONDS = 600.0
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+
+
+class EngineState(BaseModel):
+    """What ``GET /admin/state`` answers; ``generation`` changes at each engine restart."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+    generation: int | str
+    release: str = ''
+    loaded: bool = False
+    cold: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """One load order; ``fence`` is the number that a checking engine compares."""
+
+    release: str
+    path: str
+    digest: str
+    fence: int
+
+
+class EngineOrders:
+    """Speaks the engine's administration interface over HTTP."""
+
+    def __init__(self, http_agent: Agent, clock: Clock, base_url: str) -> None:
+        self._http_agent = http_agent
+        self._clock = clock
+        self._base_url = base_url.rstrip('/')
+
+    def look(self) -> Any:
+        """Fires with the engine's state, or a failure in words."""
+        asked = self._ask(b'GET', '/admin/state', None, STATE_TIMEOUT_SECONDS)
+        return asked.addCallback(_read_state)
+
+    def load(self, order: LoadOrder) -> Any:
+        """Orders a load; fires with the release that the engine confirms, or a failure."""
+        body = {
+            'release': order.release,
+            'path': order.path,
+            'digest': order.digest,
+            'fence': order.fence,
+        }
+        asked = self._ask(b'POST', '/admin/load', body, LOAD_TIMEOUT_SECONDS)
+        return asked.addCallback(_read_load, order.release)
+
+    def _ask(self, method: bytes, path: str, body: Any, timeout_seconds: float) -> Any:
+        url = f'{self._base_url}{path}'.encode()
+        headers = Headers({'Content-Type': ['application/json']})
+        producer: Any = None
+        if body is not None:
+            producer = FileBodyProducer(BytesIO(json.dumps(body).encode()))
+        asked: Any = self._http_agent.request(method, url, headers, producer)
+        asked.addCallback(_read_answer)
+        asked.addTimeout(timeout_seconds, self._clock)
+        return asked.addErrback(_as_failure)
+
+
+def _read_answer(response: Any) -> Any:
+    body: Any = readBody(response)
+    return body.addCallback(lambda read: Success((response.code, read)))
+
+
+def _as_failure(failure: Any) -> Any:
+    return Failure(failure.getErrorMessage() or failure.type.__name__)
+
+
+def _read_state(answer: Any) -> Result[EngineState, str]:
+    if not isinstance(answer, Success):
+        return Failure(f'engine is not reachable: {answer.failure()}')
+    status, body = answer.unwrap()
+    if status != STATUS_OK:
+        return Failure(f'engine answers {status}')
+    try:
+        return Success(EngineState.model_validate_json(body))
+    except ValidationError:
+        return Failure('engine state is not understood')
+
+
+def _read_load(answer: Any, release: str) -> Result[str, str]:
+    if not isinstance(answer, Success):
+        return Failure(f'engine load failed: {answer.failure()}')
+    status, body = answer.unwrap()
+    if status == STATUS_CONFLICT:
+        return Failure('engine has seen a newer fence number')
+    if status != STATUS_OK:
+        return Failure(f'engine answers {status} to the load: {body[:200]!r}')
+    return Success(release)
--- a/jackdawsail/weights/chunk_store.py
+++ b/jackdawsail/weights/chunk_store.py
@@ -133,21 +133,20 @@
         """Returns every release that is open in this run."""
         return list(self._open.values())
 
-    def open(
-        self, manifest: Manifest, keep: Collection[str]
-    ) -> Result[StoredRelease, StoreError]:
+    def open(self, manifest: Manifest, keep: Collection[str]) -> Result[StoredRelease, StoreError]:
         """Opens or preallocates a release; others than ``keep`` make room for it."""
         known = self._open.get(manifest.release)
-        if known is not None and known.manifest.digest == manifest.digest:
+        if known is not None:
             return Success(known)
-        self.remove_all_but({*keep} - {manifest.release} if known else {*keep, manifest.release})
+        self.remove_all_but(set(keep) | {manifest.release})
         if self._used_bytes(manifest.release) + manifest.size_bytes > self._space_bytes:
             return Failure(StoreError('chunk store: chunk_space_bytes is too small'))
         return self._allocate(manifest)
 
     def remove_all_but(self, keep: Collection[str]) -> None:
         """Removes the files of every other release."""
-        for release in [release for release in self._open if release not in keep]:
+        unwanted = set(self._open).difference(keep)
+        for release in unwanted:
             self._open.pop(release).close()
         if not self._folder.is_dir():
             return
@@ -181,13 +180,18 @@
     folder.mkdir(parents=True, exist_ok=True)
     descriptor = os.open(folder / MODEL_FILE, os.O_RDWR | os.O_CREAT, 0o600)
     try:
-        os.posix_fallocate(descriptor, 0, size_bytes)
+        _fit(descriptor, size_bytes)
     except OSError:
         os.close(descriptor)
         raise
     return descriptor
 
 
+def _fit(descriptor: int, size_bytes: int) -> None:
+    os.ftruncate(descriptor, size_bytes)
+    os.posix_fallocate(descriptor, 0, size_bytes)
+
+
 def _write_all(descriptor: int, body: bytes, offset_bytes: int) -> None:
     view = memoryview(body)
     while view:
--- /dev/null
+++ b/jackdawsail/weights/fetcher.py
@@ -0,0 +1,138 @@
+"""Carries out fetch orders: draws chunks, proves them, writes and syncs them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import Counter
+from returns.result import Success
+
+from jackdawsail import events, metrics
+from jackdawsail.clocks import Clock
+from jackdawsail.weights.chunk_store import StoredRelease, StoreError
+from jackdawsail.weights.draw import Drawer, Drawn
+from jackdawsail.weights.origin import DrawEnd
+from jackdawsail.wire.weight_messages import (
+    FetchItem,
+    FetchOrder,
+    FetchOutcome,
+    FetchResult,
+    SourceKind,
+)
+
+SYNC_SECONDS = 0.5
+CHUNK_REJECTED = events.define(510, 'warning', 'chunk was not taken in')
+STORE_FAULT = events.define(511, 'error', 'chunk store cannot write')
+DRAWN_BYTES = Counter(
+    'jackdawsail_chunk_drawn_bytes',
+    'Bytes of chunks that this agent has drawn',
+    ['source'],
+    registry=metrics.REGISTRY,
+)
+
+Run = Callable[..., Any]
+Tell = Callable[[FetchResult], None]
+
+
+class Fetcher:
+    """The transfers of one release under way; ``run`` calls blocking work in a thread."""
+
+    def __init__(
+        self, stored: StoredRelease, drawer: Drawer, clock: Clock, run: Run, tell: Tell
+    ) -> None:
+        self.in_flight: set[int] = set()
+        self.problem = ''
+        self.is_synced = True
+        self._stored = stored
+        self._drawer = drawer
+        self._clock = clock
+        self._run = run
+        self._tell = tell
+        self._sync_call: Any = None
+        self._syncing = False
+
+    def order(self, order: FetchOrder) -> None:
+        """Starts the ordered transfers; what is held or under way is answered or skipped."""
+        for fetch in order.fetches:
+            if fetch.chunk >= self._stored.manifest.chunk_count:
+                continue
+            if fetch.chunk in self._stored.held:
+                self._tell(self._result(fetch, FetchOutcome.done))
+            elif fetch.chunk not in self.in_flight:
+                self.in_flight.add(fetch.chunk)
+                drawing = self._drawer.draw(self._stored.manifest, fetch)
+                drawing.addCallback(self._ended, fetch)
+
+    def _ended(self, drawn: Drawn, fetch: FetchItem) -> None:
+        self.in_flight.discard(fetch.chunk)
+        DRAWN_BYTES.labels(source=fetch.source.value).inc(drawn.drawn_bytes)
+        if fetch.source is SourceKind.origin:
+            self._stored.origin_bytes += drawn.drawn_bytes
+        end = drawn.end or self._keep(fetch, drawn.body)
+        if end is None:
+            self._tell(self._result(fetch, FetchOutcome.done, drawn))
+            return
+        release = self._stored.manifest.release
+        events.log(
+            CHUNK_REJECTED,
+            release=release,
+            chunk=fetch.chunk,
+            source=fetch.address or 'origin',
+            outcome=end.outcome.value,
+            reason=end.reason,
+        )
+        self._tell(self._result(fetch, end.outcome, drawn, end))
+
+    def _keep(self, fetch: FetchItem, body: bytes) -> DrawEnd | None:
+        written = self._stored.write(fetch.chunk, body)
+        if not isinstance(written, Success):
+            self._fault(written.failure())
+            return DrawEnd(FetchOutcome.failed, written.failure().reason)
+        self.problem = ''
+        self.is_synced = False
+        self._sync_later()
+        return None
+
+    def _sync_later(self) -> None:
+        if self._sync_call is None and not self._syncing:
+            delay_seconds = 0 if self._stored.is_complete else SYNC_SECONDS
+            self._sync_call = self._clock.callLater(delay_seconds, self._sync)
+
+    def _sync(self) -> None:
+        self._sync_call = None
+        self._syncing = True
+        held_before = len(self._stored.held)
+        self._run(self._stored.sync).addCallback(self._synced, held_before)
+
+    def _synced(self, outcome: Any, held_before: int) -> None:
+        self._syncing = False
+        if not isinstance(outcome, Success):
+            self._fault(outcome.failure())
+            self._sync_later()
+            return
+        self.is_synced = len(self._stored.held) == held_before
+        if not self.is_synced:
+            self._sync_later()
+
+    def _fault(self, error: StoreError) -> None:
+        if self.problem != error.reason:
+            events.log(STORE_FAULT, release=self._stored.manifest.release, reason=error.reason)
+        self.problem = error.reason
+
+    def _result(
+        self,
+        fetch: FetchItem,
+        outcome: FetchOutcome,
+        drawn: Drawn | None = None,
+        end: DrawEnd | None = None,
+    ) -> FetchResult:
+        return FetchResult(
+            release=self._stored.manifest.release,
+            chunk=fetch.chunk,
+            source=fetch.source,
+            address=fetch.address,
+            outcome=outcome,
+            reason=end.reason if end else '',
+            drawn_bytes=drawn.drawn_bytes if drawn else 0,
+            first_byte_seconds=drawn.first_byte_seconds if drawn else 0,
+            retry_after_seconds=end.retry_after_seconds if end else 0,
+        )
--- /dev/null
+++ b/jackdawsail/weights/http_read.py
@@ -0,0 +1,158 @@
+"""Reads a bounded, paced HTTP body with Twisted; every end is a value."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from twisted.internet import protocol
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+from jackdawsail.clocks import Clock
+from jackdawsail.weights.origin import ResponseHead, parse_retry_after
+from jackdawsail.weights.pacing import TokenBucket
+
+CONNECT_TIMEOUT_SECONDS = 3
+HEAD_TIMEOUT_SECONDS = 10.0
+STALL_SECONDS = 5.0
+PERSISTENT_PER_HOST = 8
+RECEIVE_BUFFER_BYTES = 65536
+PACE_BURST_BYTES = 32768
+BITS_PER_BYTE = 8
+
+TakePiece = Callable[[bytes], bool]
+BodyEnd = Result[None, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Paced:
+    """How a body is read: at most this rate, zero for no pace."""
+
+    bits_per_second: float
+
+
+def make_http_agent(reactor: Any) -> Agent:
+    """Makes the client that keeps connections to sources open."""
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = PERSISTENT_PER_HOST
+    return Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=pool)
+
+
+def open_response(
+    agent: Agent, clock: Clock, url: str, headers: dict[str, str]
+) -> 'Deferred[IResponse]':
+    """Requests a URL; fails when the head does not come in time."""
+    sent = Headers({name: [text] for name, text in headers.items()})
+    asked: Any = agent.request(b'GET', url.encode(), sent, None)
+    return asked.addTimeout(HEAD_TIMEOUT_SECONDS, clock)
+
+
+def read_head(response: Any) -> ResponseHead:
+    """Picks the judged headers of a response."""
+    return ResponseHead(
+        response.code,
+        _header(response, 'ETag'),
+        _header(response, 'Content-Range'),
+        parse_retry_after(_header(response, 'Retry-After')),
+    )
+
+
+def read_body(response: Any, clock: Clock, take: TakePiece, paced: Paced) -> 'Deferred[BodyEnd]':
+    """Feeds the body to ``take`` at the allowed rate until it ends, stalls or is refused."""
+    reader = _BodyReader(clock, take, paced)
+    response.deliverBody(reader)
+    return reader.ended
+
+
+def refuse_body(response: Any) -> None:
+    """Drops a response whose body is not wanted."""
+    response.deliverBody(_Refusal())
+
+
+def _header(response: Any, name: str) -> str:
+    found = response.headers.getRawHeaders(name)
+    return found[0] if found else ''
+
+
+class _Refusal(protocol.Protocol):
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        transport: Any = self.transport
+        transport.loseConnection()
+
+
+class _BodyReader(protocol.Protocol):
+    """Reads one body; pauses the transport to keep the pace."""
+
+    transport: Any
+
+    def __init__(self, clock: Clock, take: TakePiece, paced: Paced) -> None:
+        self.ended: Deferred[BodyEnd] = Deferred()
+        self._clock = clock
+        self._take = take
+        self._bucket: TokenBucket | None = None
+        if paced.bits_per_second > 0:
+            rate = paced.bits_per_second / BITS_PER_BYTE
+            self._bucket = TokenBucket(rate, PACE_BURST_BYTES, clock.seconds())
+        self._stall: Any = None
+        self._resume: Any = None
+        self._done = False
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        self._limit_buffer()
+        self._watch_stall()
+
+    def dataReceived(self, received: bytes) -> None:  # noqa: N802 - Twisted's name
+        if self._done:
+            return
+        if not self._take(received):
+            self._finish(Failure('more bytes than asked for'))
+            return
+        self._watch_stall()
+        if self._bucket is None:
+            return
+        wait_seconds = self._bucket.take(len(received), self._clock.seconds())
+        if wait_seconds > 0 and self._resume is None:
+            self.transport.pauseProducing()
+            self._resume = self._clock.callLater(wait_seconds, self._go_on)
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        whole = reason.check(ResponseDone) is not None
+        self._finish(Success(None) if whole else Failure(reason.getErrorMessage()))
+
+    def _limit_buffer(self) -> None:
+        """Keeps the kernel from taking in what the pace has not allowed yet."""
+        if self._bucket is None:
+            return
+        producer = getattr(self.transport, '_producer', None)
+        connection = getattr(producer, 'socket', None)
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+    def _go_on(self) -> None:
+        self._resume = None
+        if not self._done:
+            self._watch_stall()
+            self.transport.resumeProducing()
+
+    def _watch_stall(self) -> None:
+        if self._stall is not None and self._stall.active():
+            self._stall.cancel()
+        self._stall = self._clock.callLater(STALL_SECONDS, self._stalled)
+
+    def _stalled(self) -> None:
+        self._finish(Failure('no bytes in time'))
+
+    def _finish(self, end: BodyEnd) -> None:
+        if self._done:
+            return
+        self._done = True
+        for timer in (self._stall, self._resume):
+            if timer is not None and timer.active():
+                timer.cancel()
+        if not isinstance(end, Success):
+            self.transport.loseConnection()
+        self.ended.callback(end)
--- a/jackdawsail/weights/origin_budget.py
+++ b/jackdawsail/weights/origin_budget.py
@@ -24,10 +24,10 @@
         self._spent_bytes = 0
         self._reserved_bytes = 0
         self._rng = rng
-        self._paused_until_seconds = 0.0
+        self._paused_until_seconds = float(0)
         self._backoff_seconds = BACKOFF_FIRST_SECONDS
         self._requests = REQUESTS_BURST
-        self._requests_at_seconds = 0.0
+        self._requests_at_seconds = float(0)
         self._corrupt: dict[int, int] = {}
 
     @property
--- /dev/null
+++ b/jackdawsail/weights/proof.py
@@ -0,0 +1,16 @@
+"""Proves to a chunk server that the asker knows the site secret."""
+
+import hashlib
+import hmac
+
+PROOF_HEADER = 'Jackdawsail-Proof'
+
+
+def chunk_proof(secret: bytes, digest: str) -> str:
+    """Makes the proof for one chunk; it gives nothing but that chunk."""
+    return hmac.new(secret, f'chunk {digest}'.encode(), hashlib.sha256).hexdigest()
+
+
+def check_chunk_proof(secret: bytes, digest: str, received: str) -> bool:
+    """Compares in constant time."""
+    return hmac.compare_digest(chunk_proof(secret, digest), received)
--- a/jackdawsail/weights/schedule.py
+++ b/jackdawsail/weights/schedule.py
@@ -14,6 +14,7 @@
 SOURCE_WINDOW_CHUNKS = 4
 FLIGHT_RATE_MARGIN = 4
 PARENT_PATIENCE_SECONDS = 5.0
+UPLOAD_BUDGET_COPIES = 1.05
 LOCAL_SLOW_BITS_PER_SECOND = 10_000_000
 BITS_PER_BYTE = 8
 
@@ -57,7 +58,7 @@
 
     def _plan_cross(self, plan: ZonePlan, now: float) -> Iterator[Placed]:
         free = CROSS_WINDOW_CHUNKS - len(self._swarm.crossing)
-        absent = self._swarm.absent_chunks() if free > 0 else []
+        absent = self._swarm.absent_chunks(now) if free > 0 else []
         if not absent:
             return
         shared = min(CROSS_WINDOW_CHUNKS, len(absent) + len(self._swarm.crossing))
@@ -73,7 +74,7 @@
     def _place_cross(
         self, plan: ZonePlan, chunk: int, bits_per_second: float, now: float
     ) -> Placed | None:
-        agent = self._next_drawer(chunk)
+        agent = self._next_drawer(chunk, now)
         if agent is None:
             return None
         address = self._cross_source(plan, chunk, now)
@@ -90,15 +91,17 @@
         self._swarm.members[agent].draws += 1
         return Placed(agent, FetchItem(chunk, source, address, bits_per_second))
 
-    def _next_drawer(self, chunk: int) -> str | None:
+    def _next_drawer(self, chunk: int, now: float) -> str | None:
         """Picks the agent that has drawn least, so that each draws its part."""
-        members = self._swarm.members
+        swarm = self._swarm
+        members = swarm.members
         able = [
             name
             for name in members
-            if chunk not in members[name].held and (name, chunk) not in self._swarm.flights
+            if chunk not in members[name].held and (name, chunk) not in swarm.flights
         ]
-        return min(able, key=lambda name: (members[name].draws, name), default=None)
+        good = [name for name in able if not swarm.is_lost(members[name].address, now)]
+        return min(good or able, key=lambda name: (members[name].draws, name), default=None)
 
     def _cross_source(self, plan: ZonePlan, chunk: int, now: float) -> str | None:
         """Returns an address, '' for the origin, or None to wait."""
@@ -168,15 +171,18 @@
         return sorted(held, key=lambda chunk: len(holders[chunk]))
 
     def _local_source(self, agent: str, chunk: int, now: float) -> str | None:
-        """Picks the holder that has uploaded least and is not busy."""
+        """Picks the holder that has uploaded least; waits rather than overuse one."""
         members = self._swarm.members
-        able = [
+        holders = [
             name
             for name in self._swarm.holders.get(chunk, ())
-            if name != agent and self._may_upload(members[name].address, now)
+            if name != agent and self._swarm.is_usable(members[name].address, now)
         ]
+        budget = UPLOAD_BUDGET_COPIES * self._swarm.manifest.chunk_count
+        within = [name for name in holders if members[name].uploads < budget]
+        able = [name for name in within or holders if not self._is_busy(name)]
         return min(able, key=lambda name: (members[name].uploads, name), default=None)
 
-    def _may_upload(self, address: str, now: float) -> bool:
-        busy = self._swarm.uploading[address] >= SOURCE_WINDOW_CHUNKS
-        return not busy and self._swarm.is_usable(address, now)
+    def _is_busy(self, name: str) -> bool:
+        address = self._swarm.members[name].address
+        return self._swarm.uploading[address] >= SOURCE_WINDOW_CHUNKS
--- a/jackdawsail/weights/swarm.py
+++ b/jackdawsail/weights/swarm.py
@@ -14,7 +14,9 @@
 MEMBER_SILENCE_SECONDS = 4.0
 REMOTE_SILENCE_SECONDS = 6.0
 SOURCE_CORRUPT_MAX = 2
-SOURCE_REST_SECONDS = 5.0
+SOURCE_REST_SECONDS = 1.0
+SOURCE_FAILURES_MAX = 4
+SOURCE_LOST_SECONDS = 30.0
 HOLDERS_SHARED_MAX = 8
 FLIGHT_EXTRA_SECONDS = 3.0
 
@@ -48,7 +50,9 @@
     """How a source has behaved; a corrupt one is not used again."""
 
     corrupt: int = 0
+    failures: int = 0
     rests_until_seconds: float = 0
+    lost_until_seconds: float = 0
 
 
 @dataclass(slots=True)
@@ -140,15 +144,30 @@
     def is_usable(self, address: str, now: float) -> bool:
         """Tells whether a source is neither given up nor resting."""
         score = self.scores.get(address)
+        rests = score is not None and score.rests_until_seconds > now
+        return not rests and not self.is_lost(address, now)
+
+    def is_lost(self, address: str, now: float) -> bool:
+        """Tells whether what a source holds is as good as absent."""
+        score = self.scores.get(address)
         if score is None:
-            return True
-        return score.corrupt < SOURCE_CORRUPT_MAX and score.rests_until_seconds <= now
+            return False
+        return score.corrupt >= SOURCE_CORRUPT_MAX or score.lost_until_seconds > now
+
+    def praise(self, address: str) -> None:
+        """Forgets the failures of a source that has delivered."""
+        if address in self.scores:
+            self.scores[address].failures = 0
 
     def blame(self, address: str, now: float, *, corrupt: bool) -> None:
         """Lets a source rest after a fault; corrupt ones are given up after a few."""
         score = self.scores.setdefault(address, SourceScore())
         score.rests_until_seconds = now + SOURCE_REST_SECONDS
         score.corrupt += int(corrupt)
+        score.failures += 1
+        if score.failures >= SOURCE_FAILURES_MAX:
+            score.failures = 0
+            score.lost_until_seconds = now + SOURCE_LOST_SECONDS
 
     def missing(self, agent: str) -> list[int]:
         """Returns the chunks that an agent neither has nor is drawing, in order."""
@@ -156,10 +175,12 @@
         chunks = range(self.manifest.chunk_count)
         return [each for each in chunks if each not in held and (agent, each) not in self.flights]
 
-    def absent_chunks(self) -> list[int]:
-        """Returns the chunks that nobody here has and nobody draws from elsewhere."""
+    def absent_chunks(self, now: float) -> list[int]:
+        """Returns the chunks that no good holder has here and nobody draws from elsewhere."""
+        members = self.members.items()
+        lost = {name for name, each in members if self.is_lost(each.address, now)}
         chunks = range(self.manifest.chunk_count)
-        absent = (each for each in chunks if not self.holders.get(each))
+        absent = (each for each in chunks if not self.holders.get(each, set()) - lost)
         return [each for each in absent if each not in self.crossing]
 
     def share(self, zone: str) -> ZoneHave:
--- /dev/null
+++ b/jackdawsail/weights/target.py
@@ -0,0 +1,68 @@
+"""Which release the replicated state wants on this host (pure)."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from returns.result import Success
+
+from jackdawsail.weights.manifest import FETCHED_STATUSES, Manifest, manifest_from_record
+
+WITHDRAWN_STATUSES = ('aborted', 'failed')
+
+
+class Records(Protocol):
+    """The part of the state replica that is read here."""
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Returns one record."""
+
+    def all(self, kind: str) -> dict[str, dict[str, Any]]:
+        """Returns every record of a kind by its name."""
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """What to hold and serve; ``is_active`` lets fetches and switches begin."""
+
+    manifest: Manifest
+    is_active: bool
+    previous: Manifest | None
+
+
+def choose_target(records: Records, backend: str) -> Target | None:
+    """Finds the wanted release of a back end; a withdrawn one gives way to the previous."""
+    wanted = records.get('backend', backend) or {}
+    release = str(wanted.get('release') or '')
+    previous = _manifest(records, str(wanted.get('previous') or ''))
+    manifest = _manifest(records, release)
+    status = _status(records, release)
+    if manifest is None or status in WITHDRAWN_STATUSES:
+        return None if previous is None else Target(previous, is_active=True, previous=None)
+    return Target(manifest, status in FETCHED_STATUSES, previous)
+
+
+def adoptable_releases(records: Records, backend: str) -> frozenset[str]:
+    """Returns the releases that an engine may go on serving until it changes."""
+    releases = records.all('release')
+    return frozenset(name for name, record in releases.items() if record['backend'] == backend)
+
+
+def running_manifests(records: Records) -> Mapping[str, Manifest]:
+    """Returns the releases whose chunks may move now: each back end's target."""
+    targets = (choose_target(records, backend) for backend in records.all('backend'))
+    active = (target for target in targets if target is not None and target.is_active)
+    return {target.manifest.release: target.manifest for target in active}
+
+
+def _manifest(records: Records, release: str) -> Manifest | None:
+    record = records.get('release', release) if release else None
+    if record is None:
+        return None
+    outcome = manifest_from_record(release, record)
+    return outcome.unwrap() if isinstance(outcome, Success) else None
+
+
+def _status(records: Records, release: str) -> str:
+    record = records.get('release', release) or {}
+    return str(record.get('status') or '')
--- a/jackdawsail/weights/tracker.py
+++ b/jackdawsail/weights/tracker.py
@@ -78,8 +78,9 @@
 
     def set_orders(self, orders: Mapping[str, ReleaseOrder], now: float) -> None:
         """Takes the running releases; what is missing is paused, aborted or done."""
-        for release in [release for release in self._tracked if release not in orders]:
-            self._tracked.pop(release)
+        ended = set(self._tracked).difference(orders)
+        for gone in ended:
+            self._tracked.pop(gone)
         for release, order in orders.items():
             tracked = self._tracked.get(release)
             if tracked is None:
@@ -121,6 +122,7 @@
             is_corrupt = ended.outcome is FetchOutcome.corrupt
             tracked.swarm.blame(ended.address, now, corrupt=is_corrupt)
         if ended.outcome is FetchOutcome.done:
+            tracked.swarm.praise(ended.address)
             tracked.swarm.hold(agent, ended.chunk)
             self._note_delay(flight, ended)
 
