--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -3,9 +3,9 @@
 Every field carries its unit as a suffix. Unknown keys are errors.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 Address = Annotated[str, Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
@@ -38,10 +38,24 @@
 
 
 class SecuritySettings(Section):
-    """How processes prove themselves; an empty secret is allowed on loopback only."""
+    """How processes prove themselves; an empty secret is allowed on loopback only.
+
+    With the three PEM files links also run over mutual TLS, and the common name
+    of a certificate must be its host's name.
+    """
 
     site_secret: str = ''
     site_secret_file: str = ''
+    certificate_file: str = ''
+    key_file: str = ''
+    authority_file: str = ''
+
+    @model_validator(mode='after')
+    def _certificates_are_complete(self) -> Self:
+        files = (self.certificate_file, self.key_file, self.authority_file)
+        if any(files) and not all(files):
+            raise ValueError('certificate_file, key_file and authority_file go together')
+        return self
 
 
 class VoterSettings(Section):
@@ -62,6 +76,7 @@
     election_timeout_seconds: PositiveSeconds = 1.0
     raft_heartbeat_seconds: PositiveSeconds = 0.2
     snapshot_every_entries: int = Field(default=20000, ge=10)
+    replace_voter_after_seconds: PositiveSeconds = 30.0
     zone_lease_seconds: PositiveSeconds = 2.5
     bootstrap_token: str = ''
 
@@ -117,6 +132,13 @@
     region: Name
 
 
+class SiteSettings(Section):
+    """One site deployment: the back ends that a data centre runs for it."""
+
+    zone: Name
+    backends: list[Name]
+
+
 class WeightSettings(Section):
     """Weight distribution."""
 
@@ -141,4 +163,5 @@
     zones: dict[Name, ZoneSettings] = {}
     backends: dict[Name, BackendSettings] = {}
     customers: dict[Name, CustomerSettings] = {}
+    sites: dict[Name, SiteSettings] = {}
     weights: WeightSettings = WeightSettings()
