Join the weights parts to the agent and the entry

The agent follows the link of its tracker and announces the port of its chunk server at its advertised address; the entry that tracks links to every entry of the other zones. The stand-ins for missing weights parts go.

--- a/jackdawsail/agent/entry_links.py
+++ b/jackdawsail/agent/entry_links.py
@@ -47,6 +47,8 @@
         self._status = status
         self._load = load
         self._announce: Announce | None = None
+        self._tracker: Link | None = None
+        self._tracker_watcher: Callable[[Link | None], None] = _ignore_tracker
         self._links: dict[str, Link] = {}
         self._dialers = _make_dialers(context, switchboard)
         self._loop = LoopingCall(self.beat)
@@ -56,6 +58,10 @@
         switchboard.on(StateSnapshot, self._state)
         switchboard.on(StateDelta, self._state)
 
+    def watch_tracker(self, watcher: Callable[[Link | None], None]) -> None:
+        """Registers who wants the link to the zone's weight tracker, None while unknown."""
+        self._tracker_watcher = watcher
+
     def start(self, announce: Announce) -> None:
         """Dials the entries and begins to send heartbeats."""
         self._announce = announce
@@ -94,19 +100,32 @@
     def _closed(self, link: Link) -> None:
         if link.peer and self._links.get(link.peer.name) is link:
             del self._links[link.peer.name]
+        if self._tracker is link:
+            self._set_tracker(None)
 
     def _acknowledged(self, link: Link, ack: HeartbeatAck) -> None:
         self._lease.answered(ack.sequence, ack.lease_seconds, ack.lease_number)
         self._status.fence_number = self._lease.number
         self._status.lease_until_seconds = self._lease.until_seconds
-        if ack.is_tracker and link.peer:
-            self._status.tracker_name = link.peer.name
+        if ack.is_tracker:
+            self._set_tracker(link)
+        elif self._tracker is link:
+            self._set_tracker(None)
+
+    def _set_tracker(self, link: Link | None) -> None:
+        if link is not self._tracker:
+            self._tracker = link
+            self._tracker_watcher(link)
 
     def _state(self, link: Link, received: StateSnapshot | StateDelta) -> None:
         if self._replica.take(received) is TakeOutcome.gap:
             link.send(self._replica.subscription())
 
 
+def _ignore_tracker(_link: Link | None) -> None:
+    """A plain service has no weights."""
+
+
 def make_announce(settings: AgentSettings, chunk_address: str) -> Announce:
     """Makes the announcement of this agent."""
     return Announce(
--- a/jackdawsail/agent/program.py
+++ b/jackdawsail/agent/program.py
@@ -10,7 +10,7 @@
 from jackdawsail.agent.lease import GateState, ServicePermit
 from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.upstream import UpstreamClient
-from jackdawsail.agent.weights_stub import make_weights_part
+from jackdawsail.agent.weights_part import WeightsPart, make_weights_part
 from jackdawsail.agent.work_part import WorkPart, WorkTools
 from jackdawsail.membership.leases import Lease
 from jackdawsail.process import ProcessContext
@@ -40,24 +40,20 @@
         self.links = EntryLinks(
             context, self.switchboard, self.replica, self.lease, self.status, self.work.load
         )
-        self.weights: Any = None
+        self.weights: WeightsPart | None = None
 
     def start(self) -> None:
         """Starts every part; a plain service is served at once."""
         self.work.start()
-        chunk_address = ''
+        chunk_port = 0
         if self._settings.upstream_kind == 'engine':
-            self.weights = make_weights_part(
-                self._context, self.switchboard, self.replica, self.status, self.work
-            )
-            self.weights.start()
-            chunk_address = getattr(self.weights, 'chunk_address', '')
+            chunk_port = self._start_weights()
             self._watch.start()
         else:
             self.work.open('')
+        chunk_address = self._context.host.reached_at(chunk_port) if chunk_port else ''
         self.links.start(make_announce(self._settings, chunk_address))
-        _, _, chunk_port = chunk_address.rpartition(':')
-        events.log(events.PROCESS_READY, role='agent', chunk_port=int(chunk_port or 0))
+        events.log(events.PROCESS_READY, role='agent', chunk_port=chunk_port)
 
     def stop(self) -> 'Deferred[None]':
         """Leaves: no new work, running work ends, bounded by the drain deadline."""
@@ -71,6 +67,15 @@
         drained.addBoth(self._close)
         return drained
 
+    def _start_weights(self) -> int:
+        weights = make_weights_part(
+            self._context, self.switchboard, self.replica, self.status, self.work
+        )
+        weights.start()
+        self.links.watch_tracker(weights.set_tracker)
+        self.weights = weights
+        return weights.chunk_port
+
     def _flush(self, _nothing: Any) -> 'Deferred[None]':
         flushed: Deferred[None] = Deferred()
         self._reactor.callLater(LEAVE_GRACE_SECONDS, flushed.callback, None)
--- a/jackdawsail/agent/status.py
+++ b/jackdawsail/agent/status.py
@@ -18,7 +18,6 @@
     release: str = ''
     fence_number: int = 0
     lease_until_seconds: float = 0
-    tracker_name: str = ''
     engine_generation: str = ''
     engine_loaded: bool = False
     engine_release: str = ''
--- a/jackdawsail/entry/peers.py
+++ b/jackdawsail/entry/peers.py
@@ -73,13 +73,22 @@
         self._switchboard = switchboard
         self._dialers: dict[str, Dialer] = {}
         self._rng = random.Random(context.identity.incarnation)
+        self._chosen: dict[str, str] = {}
+        self._reaches_zones = False
+
+    def reach_zones(self) -> None:
+        """Links to every entry of the other zones, any of which may be their tracker."""
+        self._reaches_zones = True
 
     def follow(self, directory: list[DirectoryEntry]) -> None:
         """Dials new peers and lets go of those that are no longer chosen."""
-        chosen = choose_peers(directory, self._context.identity)
-        for name in self._dialers.keys() - chosen.keys():
+        self._chosen = choose_peers(directory, self._context.identity)
+        wanted = dict(self._chosen)
+        if self._reaches_zones:
+            wanted.update(self._far_entries(directory))
+        for name in self._dialers.keys() - wanted.keys():
             self._dialers.pop(name).stop()
-        for name, address in chosen.items():
+        for name, address in wanted.items():
             if name not in self._dialers:
                 self._dial(name, address)
 
@@ -88,7 +97,7 @@
         return [
             Candidate(PEER_PREFIX + name, 0)
             for name, dialer in self._dialers.items()
-            if dialer.link is not None
+            if dialer.link is not None and name in self._chosen
         ]
 
     def link(self, candidate: str) -> Link | None:
@@ -101,6 +110,10 @@
         for dialer in self._dialers.values():
             dialer.stop()
 
+    def _far_entries(self, directory: list[DirectoryEntry]) -> dict[str, str]:
+        own_zone = self._context.identity.zone
+        return {each.name: each.link_address for each in directory if each.zone != own_zone}
+
     def _dial(self, name: str, address: str) -> None:
         context = self._context
         dialer = Dialer(
--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -10,7 +10,7 @@
 from jackdawsail.entry.bounded_http import BoundedSite
 from jackdawsail.entry.link_parts import make_entry_links
 from jackdawsail.entry.request_parts import make_request_parts
-from jackdawsail.entry.tracking import make_tracker
+from jackdawsail.entry.tracker_part import make_tracker_part
 from jackdawsail.entry.web import CallersResource, Handlers
 from jackdawsail.process import ProcessContext
 from jackdawsail.settings.models import EntrySettings
@@ -31,8 +31,8 @@
         self._reactor = context.reactor
         self.links = make_entry_links(context)
         self.requests = make_request_parts(context, self.links)
-        self.tracker = make_tracker(
-            context, self.links.switchboard, self.links.known.replica, self.links.table
+        self.tracker = make_tracker_part(
+            context, self.links.switchboard, self.links.known.replica, self.links.peers
         )
         self._ports: list[Any] = []
         self._follow = LoopingCall(self._follow_control)
@@ -44,7 +44,6 @@
         link_port = self._listen_links(host.address)
         caller_port = self._listen_callers(host.address)
         self.requests.start()
-        self.tracker.start()
         self.links.control.start(host.reached_at(caller_port), host.reached_at(link_port))
         self._follow.start(FOLLOW_SECONDS)
         events.log(
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -13,10 +13,10 @@
 from twisted.web.iweb import IResponse
 
 from jackdawsail.clocks import Clock
+from jackdawsail.process import ProcessContext
 from jackdawsail.weights.origin import ResponseHead, parse_retry_after
 from jackdawsail.weights.pacing import TokenBucket
 
-CONNECT_TIMEOUT_SECONDS = 3
 HEAD_TIMEOUT_SECONDS = 10.0
 STALL_SECONDS = 5.0
 PERSISTENT_PER_HOST = 8
@@ -35,11 +35,11 @@
     bits_per_second: float
 
 
-def make_http_agent(reactor: Any) -> Agent:
+def make_http_agent(context: ProcessContext) -> Agent:
     """Makes the client that keeps connections to sources open."""
-    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool = HTTPConnectionPool(context.reactor, persistent=True)
     pool.maxPersistentPerHost = PERSISTENT_PER_HOST
-    return Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=pool)
+    return context.make_http_agent(pool)
 
 
 def open_response(
