--- a/jackdawsail/agent/chunk_server.py
+++ b/jackdawsail/agent/chunk_server.py
@@ -98,9 +98,8 @@
     root: Any = Resource()
     root.putChild(b'chunks', ChunkResource(store, context.secret))
     root.putChild(b'metrics', MetricsResource())
-    host = context.settings.host
-    interface = host.address if host else '127.0.0.1'
-    listener = context.reactor.listenTCP(port, Site(root), interface=interface)
+    site = Site(root)
+    listener = context.reactor.listenTCP(port, site, interface=context.host.address)
     events.log(CHUNKS_SERVED, chunk_port=listener.getHost().port)
     return listener
 
--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -22,7 +22,7 @@
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.weights.chunk_store import ChunkStore
 from jackdawsail.weights.draw import Drawer
-from jackdawsail.weights.http_read import make_http_agent
+from jackdawsail.weights.http_read import make_pool
 from jackdawsail.weights.target import Records, Target, adoptable_releases, choose_target
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.weight_messages import (
@@ -62,10 +62,8 @@
         self._replica = replica
         self._status = status
         self._engine = engine
-        host = context.settings.host
-        self._address = host.address if host else '127.0.0.1'
         self._store = ChunkStore(Path(settings.chunk_folder), settings.chunk_space_bytes)
-        http_agent = make_http_agent(context.reactor)
+        http_agent = context.make_http_agent(make_pool(context.reactor))
         self._drawer = Drawer(http_agent, context.reactor, context.secret)
         self._task: ReleaseTask | None = None
         self._tracker: Link | None = None
@@ -183,7 +181,7 @@
         if task is None or self._tracker is None:
             return
         problem = task.problem or self._engine.switcher.problem
-        address = f'{self._address}:{self.chunk_port}'
+        address = self._context.host.reached_at(self.chunk_port)
         self._send(task.report(self._stage(task), problem, address))
 
     def _stage(self, task: ReleaseTask) -> str:
@@ -210,7 +208,7 @@
         raise AssertionError('an agent has no agent settings')
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
-    orders = EngineOrders(make_http_agent(clock), clock, settings.upstream_url)
+    orders = EngineOrders(context.make_http_agent(), clock, settings.upstream_url)
     engine = EngineTask(switcher, orders, gate, clock)
     part = WeightsPart(context, settings, replica, status, engine)
     switchboard.on(FetchOrder, part.take_order)
--- a/jackdawsail/entry/tracker_plans.py
+++ b/jackdawsail/entry/tracker_plans.py
@@ -31,7 +31,7 @@
         passed_seconds = now - self._at_seconds
         if passed_seconds <= 0:
             return
-        received_bytes = sum(link.counters.received_bytes for link in self._far_links())
+        received_bytes = sum(link.received_bytes for link in self._far_links())
         new_bytes = max(0, received_bytes - self._received_bytes)
         rate = new_bytes * BITS_PER_BYTE / passed_seconds
         self.bits_per_second += (rate - self.bits_per_second) * LIVE_SMOOTHING
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -16,7 +16,6 @@
 from jackdawsail.weights.origin import ResponseHead, parse_retry_after
 from jackdawsail.weights.pacing import TokenBucket
 
-CONNECT_TIMEOUT_SECONDS = 3
 HEAD_TIMEOUT_SECONDS = 10.0
 STALL_SECONDS = 5.0
 PERSISTENT_PER_HOST = 8
@@ -35,11 +34,11 @@
     bits_per_second: float
 
 
-def make_http_agent(reactor: Any) -> Agent:
-    """Makes the client that keeps connections to sources open."""
+def make_pool(reactor: Any) -> HTTPConnectionPool:
+    """Makes the pool that keeps connections to sources open."""
     pool = HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = PERSISTENT_PER_HOST
-    return Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=pool)
+    return pool
 
 
 def open_response(
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -74,6 +74,7 @@
         clock: Clock,
     ) -> None:
         self.peer: Identity | None = None
+        self.received_bytes = 0
         self.backlog = Backlog()
         self._core = core
         self._tls = settings.tls
@@ -127,6 +128,7 @@
     def dataReceived(self, received: bytes) -> None:  # noqa: N802
         """Feeds the websocket core and handles what it understood."""
         self._silent_since_seconds = self._clock.seconds()
+        self.received_bytes += len(received)
         self._core.receive_data(received)
         for event in self._core.events_received():
             self._handle_event(event)
