--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -22,7 +22,7 @@
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.weights.chunk_store import ChunkStore
 from jackdawsail.weights.draw import Drawer
-from jackdawsail.weights.http_read import make_http_agent
+from jackdawsail.weights.http_read import make_pool
 from jackdawsail.weights.target import Records, Target, adoptable_releases, choose_target
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.weight_messages import (
@@ -63,7 +63,8 @@
         self._status = status
         self._engine = engine
         self._store = ChunkStore(Path(settings.chunk_folder), settings.chunk_space_bytes)
-        self._drawer = Drawer(make_http_agent(context), context.reactor, context.secret)
+        http_agent = context.make_http_agent(make_pool(context.reactor))
+        self._drawer = Drawer(http_agent, context.reactor, context.secret)
         self._task: ReleaseTask | None = None
         self._tracker: Link | None = None
         self._loops: list[LoopingCall] = []
@@ -207,7 +208,7 @@
         raise AssertionError('an agent has no agent settings')
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
-    orders = EngineOrders(make_http_agent(context), clock, settings.upstream_url)
+    orders = EngineOrders(context.make_http_agent(), clock, settings.upstream_url)
     engine = EngineTask(switcher, orders, gate, clock)
     part = WeightsPart(context, settings, replica, status, engine)
     switchboard.on(FetchOrder, part.take_order)
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -13,7 +13,6 @@
 from twisted.web.iweb import IResponse
 
 from jackdawsail.clocks import Clock
-from jackdawsail.process import ProcessContext
 from jackdawsail.weights.origin import ResponseHead, parse_retry_after
 from jackdawsail.weights.pacing import TokenBucket
 
@@ -35,11 +34,11 @@
     bits_per_second: float
 
 
-def make_http_agent(context: ProcessContext) -> Agent:
-    """Makes the client that keeps connections to sources open."""
-    pool = HTTPConnectionPool(context.reactor, persistent=True)
+def make_pool(reactor: Any) -> HTTPConnectionPool:
+    """Makes the pool that keeps connections to sources open."""
+    pool = HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = PERSISTENT_PER_HOST
-    return context.make_http_agent(pool)
+    return pool
 
 
 def open_response(
