--- a/jackdawsail/control/admin_queries.py
+++ b/jackdawsail/control/admin_queries.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from returns.result import Success
+
 from jackdawsail.control.duties import LeaderDuties
 from jackdawsail.control.rollout import SUMMARY_FRESH_SECONDS, measure
 from jackdawsail.control.zone_leases import ZoneView
+from jackdawsail.state.draft import Draft, differences
+from jackdawsail.state.machine import run_command
 from jackdawsail.state.replica import Record
 from jackdawsail.state.tables import Tables
 from jackdawsail.wire.codec import as_plain
@@ -91,6 +95,17 @@
             found = trail.last(page.limit)
         return {'revision': self.tables.revision, 'items': found}
 
+    def preview(self, body: object) -> dict[str, Any]:
+        """Says what a command would change now, without proposing it."""
+        draft = Draft(self.tables.records, dict(self.tables.ordinals))
+        outcome = run_command(body, draft)
+        rejected = None if isinstance(outcome, Success) else as_plain(outcome.failure())
+        return {
+            'revision': self.tables.revision,
+            'rejected': rejected,
+            'differences': differences(self.tables.records, draft.changes),
+        }
+
     def call(self, customer: str, key: str) -> dict[str, Any] | None:
         """Describes one claimed call of a customer, without its answer's body."""
         call = self.tables.ledger.calls.get((customer, key))
--- a/jackdawsail/control/admin_resource.py
+++ b/jackdawsail/control/admin_resource.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import unquote
 
 from returns.result import Failure, Result, Success
 from twisted.web.resource import Resource
@@ -92,15 +93,18 @@
         return found
 
     def _post(self, request: Request, caller: Caller) -> None:
-        if _path(request) != ['commands']:
-            write_problem(request, _not_found('/'.join(_path(request))))
+        path = _path(request)
+        if path not in (['commands'], ['preview']):
+            write_problem(request, _not_found('/'.join(path)))
             return
         raw = request.content.read() if request.content else b''
         parsed = parse_command(raw).bind(lambda found: self._allow(found, caller))
-        if isinstance(parsed, Success):
-            self._propose(request, caller, parsed.unwrap())
-        else:
+        if isinstance(parsed, Failure):
             write_problem(request, parsed.failure())
+        elif path == ['preview']:
+            write_json(request, self._queries.preview(parsed.unwrap().body))
+        else:
+            self._propose(request, caller, parsed.unwrap())
 
     def _propose(self, request: Request, caller: Caller, command: ParsedCommand) -> None:
         proposed = self._proposer.submit(
@@ -168,7 +172,7 @@
 
 def _path(request: Request) -> list[str]:
     parts = request.path.decode('utf8', 'replace').strip('/').split('/')
-    return parts[1:] if parts[0] == 'v1' else []
+    return [unquote(part) for part in parts[1:]] if parts[0] == 'v1' else []
 
 
 def _argument(request: Request, name: str, default: str) -> str:
--- a/jackdawsail/state/documents.py
+++ b/jackdawsail/state/documents.py
@@ -14,9 +14,7 @@
     WeightSettings,
     ZoneSettings,
 )
-from jackdawsail.state.draft import Draft, differences
 from jackdawsail.state.replica import Record
-from jackdawsail.state.topology import merge_declared
 
 SHARED_SECTIONS = ('backends', 'customers', 'zones', 'sites', 'weights')
 MAX_FAULTS_SHOWN = 50
@@ -48,14 +46,6 @@
     return Failure(faults) if faults else Success(records)
 
 
-def preview(records: dict[str, Record], declared: dict[str, Record]) -> list[dict[str, Any]]:
-    """Lists what applying the declared records would change."""
-    draft = Draft(records, {})
-    for key in declared:
-        draft.put(key, merge_declared(key, draft.get(key), declared[key]))
-    return differences(records, draft.changes)
-
-
 def _origin_record(weights: WeightSettings) -> Record:
     record: Record = weights.model_dump()
     record['url'] = record.pop('origin_url')
--- a/jackdawsail/state/machine.py
+++ b/jackdawsail/state/machine.py
@@ -9,7 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any, get_args
 
-from returns.result import Result, Success
+from returns.result import Success
 
 from jackdawsail.state.audit import AuditRecord
 from jackdawsail.state.commands import (
@@ -103,7 +103,7 @@
             since = tables.audit.after(expected, MAX_DIFFERENCES_SHOWN)
             return Conflict(tables.revision, expected, since)
         draft = Draft(tables.records, dict(tables.ordinals))
-        outcome = self._run(body, draft)
+        outcome = run_command(body, draft)
         if not isinstance(outcome, Success):
             return outcome.failure()
         self._commit(envelope, body, draft)
@@ -123,24 +123,12 @@
         tables.revision += 1
         tables.ordinals = draft.ordinals
         apply_changes(tables.records, draft.changes)
+        if isinstance(body, OperatorPut):
+            tables.put_operator(body.name, Operator(body.role, body.token_digest))
         tables.audit.add(record)
         for changed in self._listeners:
             changed(tables.revision, draft.changes)
 
-    def _run(self, body: Any, draft: Draft) -> Outcome:
-        if isinstance(body, get_args(ReleaseCommand)):
-            return run_release(body, draft)
-        if isinstance(body, OperatorPut):
-            return self._put_operator(body)
-        return run_topology(body, draft)
-
-    def _put_operator(self, command: OperatorPut) -> Result[dict[str, Any], Rejected]:
-        if command.token_digest:
-            self.tables.operators[command.name] = Operator(command.role, command.token_digest)
-        else:
-            self.tables.operators.pop(command.name, None)
-        return Success({'role': command.role})
-
     @singledispatchmethod
     def _apply_ledger(self, body: Any) -> Reply:
         raise AssertionError(f'no ledger command: {body!r}')
@@ -157,6 +145,16 @@
         return Accepted(self.tables.revision, {'unknown_calls': lost})
 
 
+def run_command(body: object, draft: Draft) -> Outcome:
+    """Runs an administration command on a draft; nothing takes effect yet."""
+    if isinstance(body, get_args(ReleaseCommand)):
+        return run_release(body, draft)
+    if isinstance(body, OperatorPut):
+        # Operators are no records: the change is made when the command is committed.
+        return Success({'role': body.role})
+    return run_topology(body, draft)
+
+
 def describe_operator(body: object) -> list[dict[str, Any]]:
     """Describes a change of an operator, which is no fanned-out record."""
     if not isinstance(body, OperatorPut):
--- a/jackdawsail/state/tables.py
+++ b/jackdawsail/state/tables.py
@@ -50,6 +50,13 @@
     audit: AuditTrail = field(default_factory=AuditTrail)
     ledger: Ledger = field(default_factory=Ledger)
 
+    def put_operator(self, name: str, operator: Operator) -> None:
+        """Sets an operator; one without a token is removed."""
+        if operator.token_digest:
+            self.operators[name] = operator
+        else:
+            self.operators.pop(name, None)
+
     def has_answer(self, actor: str, request_id: str) -> bool:
         """Tells whether a request of an operator has its first answer."""
         return answer_key(actor, request_id) in self.answers
--- /dev/null
+++ b/jackdawsail/ui/customer_commands.py
@@ -0,0 +1,125 @@
+"""``jackdawsail customer``, ``site`` and ``operator``: who may use and run the deployment."""
+
+import hashlib
+import secrets
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+import cyclopts
+from cyclopts import Parameter
+
+from jackdawsail.ui.options import Options, make_table
+
+TOKEN_BYTES = 32
+UNCHANGED = Options()
+
+customer_app = cyclopts.App(name='customer', help='Customers, their shares and their limits.')
+site_app = cyclopts.App(name='site', help='Site deployments.')
+operator_app = cyclopts.App(name='operator', help='Operators and their roles.')
+
+
+@Parameter(name='*')
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of a customer; what is not given stays as it is."""
+
+    weight: float | None = None
+    requests_per_second: float | None = None
+    max_concurrent: int | None = None
+    token_digest: Annotated[str | None, Parameter(help='SHA-256 of its token, in hex.')] = None
+
+
+NO_LIMITS = Limits()
+
+
+@customer_app.command(name='put')
+def put_customer(
+    name: str,
+    *,
+    limits: Limits = NO_LIMITS,
+    new_token: Annotated[bool, Parameter(help='Make a token and print it once.')] = False,
+    options: Options = UNCHANGED,
+) -> None:
+    """Adds a customer or changes some of its limits."""
+    token = secrets.token_urlsafe(TOKEN_BYTES) if new_token else ''
+    given = {
+        'weight': limits.weight,
+        'requests_per_second': limits.requests_per_second,
+        'max_concurrent': limits.max_concurrent,
+        'token_digest': _digest(token) if token else limits.token_digest,
+    }
+    held = _held_limits(options, name)
+    fields = held | {key: given[key] for key in given if given[key] is not None}
+    accepted = options.command('customer-put', {'name': name, **fields})
+    _show_with_token(options, accepted, f'customer {name}', token)
+
+
+@customer_app.command(name='list')
+def list_customers(*, options: Options = UNCHANGED) -> None:
+    """Lists the customers."""
+    page = options.client().listing('/v1/customers')
+    columns = ['name', 'weight', 'requests_per_second', 'max_concurrent']
+    options.show(page, make_table('customers', columns, page['items']))
+
+
+@customer_app.command(name='remove')
+def remove_customer(name: str, *, options: Options = UNCHANGED) -> None:
+    """Removes a customer; its next request is refused."""
+    options.change('customer-remove', {'name': name}, f'customer {name} removed')
+
+
+@site_app.command(name='put')
+def put_site(name: str, *, zone: str, backends: list[str], options: Options = UNCHANGED) -> None:
+    """Adds a site deployment or changes it."""
+    fields = {'name': name, 'zone': zone, 'backends': backends}
+    options.change('site-put', fields, f'site {name} put')
+
+
+@site_app.command(name='list')
+def list_sites(*, options: Options = UNCHANGED) -> None:
+    """Lists the site deployments."""
+    page = options.client().listing('/v1/sites')
+    options.show(page, make_table('sites', ['name', 'zone', 'backends'], page['items']))
+
+
+@site_app.command(name='remove')
+def remove_site(name: str, *, options: Options = UNCHANGED) -> None:
+    """Removes a site deployment."""
+    options.change('site-remove', {'name': name}, f'site {name} removed')
+
+
+@operator_app.command(name='put')
+def put_operator(
+    name: str,
+    *,
+    role: Literal['read', 'operate', 'administer'] = 'read',
+    options: Options = UNCHANGED,
+) -> None:
+    """Adds an operator or replaces its token, which is printed once."""
+    token = secrets.token_urlsafe(TOKEN_BYTES)
+    fields = {'name': name, 'role': role, 'token_digest': _digest(token)}
+    accepted = options.command('operator-put', fields)
+    _show_with_token(options, accepted, f'operator {name}', token)
+
+
+@operator_app.command(name='remove')
+def remove_operator(name: str, *, options: Options = UNCHANGED) -> None:
+    """Removes an operator; its token is refused from now on."""
+    fields = {'name': name, 'role': 'read', 'token_digest': ''}
+    options.change('operator-put', fields, f'operator {name} removed')
+
+
+def _held_limits(options: Options, name: str) -> dict[str, Any]:
+    page = options.client().listing('/v1/customers')
+    found = [held for held in page['items'] if held['name'] == name]
+    return {key: found[0][key] for key in found[0] if key != 'name'} if found else {}
+
+
+def _digest(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _show_with_token(options: Options, accepted: dict[str, Any], who: str, token: str) -> None:
+    document = {**accepted, 'token': token} if token else accepted
+    said = f'\ntoken, shown only now: {token}' if token else ''
+    options.show(document, f'{who} put (revision {accepted["revision"]}){said}')
--- /dev/null
+++ b/jackdawsail/ui/exit_codes.py
@@ -0,0 +1,16 @@
+"""Exit codes of the command line; docs/operators/configuration.md lists them."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What a script may tell apart."""
+
+    done = 0
+    failed = 1
+    invalid = 2
+    conflict = 3
+    unreachable = 4
+    forbidden = 5
+    not_found = 6
+    late = 7
--- /dev/null
+++ b/jackdawsail/ui/main.py
@@ -0,0 +1,68 @@
+"""The command line of operators over the administration API."""
+
+import sys
+
+import cyclopts
+from rich.console import Console
+
+from jackdawsail import __version__
+from jackdawsail.errors import UserError
+from jackdawsail.ui import (
+    config_commands,
+    customer_commands,
+    release_commands,
+    status_commands,
+    zone_commands,
+)
+from jackdawsail.ui.client import AdminError
+from jackdawsail.ui.options import difference_table
+
+GROUPS = (
+    release_commands.app,
+    customer_commands.customer_app,
+    customer_commands.site_app,
+    customer_commands.operator_app,
+    zone_commands.zone_app,
+    zone_commands.host_app,
+    status_commands.calls_app,
+    config_commands.app,
+)
+COMMANDS = (status_commands.status, status_commands.audit, status_commands.apply)
+
+
+def make_app() -> cyclopts.App:
+    """Makes the command tree."""
+    app = cyclopts.App(
+        name='jackdawsail',
+        version=__version__,
+        help='Operate a jackdawsail deployment through its control hosts.',
+    )
+    for added in (*GROUPS, *COMMANDS):
+        app.command(added)
+    app.register_install_completion_command()
+    return app
+
+
+def main() -> None:
+    """Runs one command; an error is one clear text and a documented exit code."""
+    try:
+        make_app()()
+    except UserError as error:
+        _report(error)
+        sys.exit(int(error.exit_code))
+
+
+def _report(error: UserError) -> None:
+    console = Console(stderr=True)
+    console.print(f'error: {error}', highlight=False, markup=False, soft_wrap=True)
+    if isinstance(error, AdminError):
+        for record in error.problem.get('differences', []):
+            console.print(
+                f'revision {record["to_revision"]} by {record["actor"]}: {record["kind"]}',
+                highlight=False,
+            )
+            console.print(difference_table(record['changes']))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/jackdawsail/ui/release_commands.py
@@ -0,0 +1,159 @@
+"""``jackdawsail release``: create, list, show, start, pause, resume and abort."""
+
+import hashlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cyclopts
+from cyclopts import Parameter
+
+from jackdawsail.errors import UserError
+from jackdawsail.ui.exit_codes import ExitCode
+from jackdawsail.ui.options import Options, make_table
+from jackdawsail.ui.waiting import Progressed, parse_seconds, wait_for
+
+DEFAULT_CHUNK_BYTES = 262_144
+READ_BYTES = 1_048_576
+COLUMNS = ['name', 'backend', 'ordinal', 'status', 'on_release', 'upstreams', 'reason']
+ENDED = frozenset(('done', 'failed', 'aborted'))
+UNCHANGED = Options()
+
+app = cyclopts.App(name='release', help='Create model releases and bring them to the fleet.')
+
+
+@Parameter(name='*')
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What a release consists of: a local copy to hash, or its declared digest."""
+
+    file: Annotated[Path | None, Parameter(help='Hash this file, chunk by chunk.')] = None
+    digest: Annotated[str, Parameter(help='SHA-256 of the whole, in hex.')] = ''
+    size: Annotated[int, Parameter(help='Size in bytes, with --digest.')] = 0
+    chunk_bytes: int = DEFAULT_CHUNK_BYTES
+    origin_path: Annotated[str, Parameter(help='Path at the origin; the file name.')] = ''
+
+
+NO_CONTENT = Content()
+
+
+@app.command
+def create(
+    name: str, *, backend: str, content: Content = NO_CONTENT, options: Options = UNCHANGED
+) -> None:
+    """Creates an immutable release from a file, or from a digest and a size."""
+    fields: dict[str, Any] = {'name': name, 'backend': backend}
+    fields['chunk_bytes'] = content.chunk_bytes
+    fields |= _content_fields(content)
+    options.change('release-create', fields, f'release {name} created')
+
+
+@app.command(name='list')
+def show_all(*, options: Options = UNCHANGED) -> None:
+    """Lists the releases."""
+    page = options.client().listing('/v1/releases')
+    options.show(page, make_table('releases', COLUMNS, page['items']))
+
+
+@app.command
+def show(name: str, *, options: Options = UNCHANGED) -> None:
+    """Shows one release with its progress."""
+    release = options.client().get(f'/v1/releases/{name}')
+    columns = [*COLUMNS, 'size_bytes', 'chunks', 'digest']
+    options.show(release, make_table(name, columns, [release]))
+
+
+@app.command
+def start(
+    name: str,
+    *,
+    wait: Annotated[bool, Parameter(help='Wait until every upstream serves it.')] = False,
+    deadline: Annotated[str, Parameter(help='With --wait, for instance 10m.')] = '10m',
+    options: Options = UNCHANGED,
+) -> None:
+    """Starts a release; one that is under way for the same back end goes first."""
+    accepted = options.command('release-start', {'name': name})
+    status = accepted['detail']['status']
+    if not wait:
+        options.show(accepted, f'release {name} is {status} (revision {accepted["revision"]})')
+        return
+    client = options.client()
+    release = wait_for(
+        f'release {name}',
+        lambda: client.get(f'/v1/releases/{name}'),
+        _progress,
+        parse_seconds(deadline),
+    )
+    options.show(release, make_table(name, COLUMNS, [release]))
+    if release['status'] != 'done':
+        raise UserError(f'release {name} is {release["status"]}', ExitCode.failed)
+
+
+@app.command
+def pause(name: str, *, options: Options = UNCHANGED) -> None:
+    """Stops further fetches and switches; what serves goes on."""
+    options.change('release-pause', {'name': name}, f'release {name} paused')
+
+
+@app.command
+def resume(name: str, *, options: Options = UNCHANGED) -> None:
+    """Continues a paused release."""
+    options.change('release-resume', {'name': name}, f'release {name} resumed')
+
+
+@app.command
+def abort(name: str, *, reason: str = '', options: Options = UNCHANGED) -> None:
+    """Gives a release up, or rolls a finished one back to the one before."""
+    fields = {'name': name, 'reason': reason}
+    options.change('release-abort', fields, f'release {name} aborted')
+
+
+def hash_file(path: Path, chunk_bytes: int) -> dict[str, Any]:
+    """Hashes a file and each of its chunks in one pass; memory stays at one read."""
+    whole, size_bytes, digests = hashlib.sha256(), 0, []
+    try:
+        with path.open('rb') as stream:
+            while (chunk := _hash_chunk(stream, chunk_bytes, whole)) is not None:
+                digest, length = chunk
+                digests.append(digest)
+                size_bytes += length
+    except OSError as error:
+        raise UserError(f'{path}: {error.strerror}') from None
+    return {'size_bytes': size_bytes, 'digest': whole.hexdigest(), 'chunk_digests': digests}
+
+
+def _content_fields(content: Content) -> dict[str, Any]:
+    if content.file:
+        origin_path = content.origin_path or content.file.name
+        return {**hash_file(content.file, content.chunk_bytes), 'origin_path': origin_path}
+    if content.digest and content.size and content.origin_path:
+        return {
+            'digest': content.digest,
+            'size_bytes': content.size,
+            'origin_path': content.origin_path,
+        }
+    text = 'give --file PATH, or --digest HEX, --size N and --origin-path P'
+    raise UserError(text, ExitCode.invalid)
+
+
+def _hash_chunk(stream: Any, chunk_bytes: int, whole: Any) -> tuple[str, int] | None:
+    digest, length = hashlib.sha256(), 0
+    while length < chunk_bytes:
+        piece = stream.read(min(READ_BYTES, chunk_bytes - length))
+        if not piece:
+            break
+        whole.update(piece)
+        digest.update(piece)
+        length += len(piece)
+    return (digest.hexdigest(), length) if length else None
+
+
+def _progress(release: dict[str, Any]) -> Progressed:
+    text = f'{release["status"]}, {release["on_release"]} of {release["upstreams"]} upstreams'
+    failures = [f'{host}: {reason}' for host, reason in release['failed'].items()]
+    return Progressed(
+        release['on_release'],
+        release['upstreams'],
+        '; '.join([text, *failures[:3]]),
+        release['status'] in ENDED,
+    )
