--- a/jackdawsail/control/admin_http.py
+++ b/jackdawsail/control/admin_http.py
@@ -12,6 +12,7 @@
 IDLE_SECONDS = 60
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
+TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,21 +36,30 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Takes a piece of the body while it is within the limit."""
         if self.content is not None and self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self.channel.loseConnection()
+            self._refuse()
             return
         super().handleContentChunk(data)
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuses a declared length over the limit before any of it is stored."""
         if length is not None and length > MAX_BODY_BYTES:
-            self.channel.loseConnection()
+            self._refuse()
             return
         super().gotLength(length)
 
+    def _refuse(self) -> None:
+        self.channel.transport.write(TOO_LARGE)
+        self.channel.loseConnection()
+
 
 def make_site(resource: Any) -> Site:
     """Makes the server side of a resource tree, with time and size limits."""
-    site = Site(resource, requestFactory=BoundedRequest, timeout=IDLE_SECONDS)
+    site = Site(
+        resource,
+        requestFactory=BoundedRequest,
+        parsePOSTFormSubmission=False,
+        timeout=IDLE_SECONDS,
+    )
     site.displayTracebacks = False
     return site
 
--- a/jackdawsail/control/duties.py
+++ b/jackdawsail/control/duties.py
@@ -77,7 +77,7 @@
         return [view for view in views if view.entries]
 
     def _seed(self) -> list[Any]:
-        if self.desk.state.tables.revision or not self.seed_document:
+        if self.desk.state.tables.revision or not self.seed_document.get('zones'):
             return []
         seeds = records_of(self.seed_document)
         if not isinstance(seeds, Success) or not seeds.unwrap():
--- a/jackdawsail/ui/main.py
+++ b/jackdawsail/ui/main.py
@@ -25,7 +25,7 @@
     zone_commands.zone_app,
     zone_commands.host_app,
     status_commands.calls_app,
-    config_commands.app,
+    config_commands.config_app,
 )
 COMMANDS = (status_commands.status, status_commands.audit, status_commands.apply)
 
--- a/jackdawsail/ui/waiting.py
+++ b/jackdawsail/ui/waiting.py
@@ -44,7 +44,7 @@
     late_at_seconds = time.monotonic() + deadline_seconds
     # Progress goes to standard error, so that --json output stays clean.
     with _make_progress() as progress:
-        task = progress.add_task(title, total=1)
+        task = progress.add_task(title, total=1, note='')
         while True:
             document = read()
             found = measure(document)
--- a/test/control/test_admin_input.py
+++ b/test/control/test_admin_input.py
@@ -5,11 +5,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
+from twisted.web.test.requesthelper import DummyChannel
 
 from jackdawsail.control.admin_commands import COMMAND_TYPES, parse_command
 from jackdawsail.control.admin_http import MAX_BODY_BYTES, BoundedRequest
-from jackdawsail.state.machine import run_command
 from jackdawsail.state.draft import Draft
+from jackdawsail.state.machine import run_command
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
@@ -45,30 +46,13 @@
     assert "perhaps 'weight' was meant" in parsed.failure().detail
 
 
-class Channel:
-    """Counts closed connections."""
-
-    closed = 0
-
-    def loseConnection(self):
-        self.closed += 1
-
-    def getPeer(self):
-        return None
-
-    getHost = getPeer
-    _isSecure = False
-
-    def isSecure(self):
-        return False
-
-
 def test_oversized_bodies_end_the_connection():
-    declared = BoundedRequest(Channel())
+    declared = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
     declared.gotLength(MAX_BODY_BYTES + 1)
-    assert declared.channel.closed == 1
-    chunked = BoundedRequest(Channel())
+    assert b'413' in declared.channel.transport.written.getvalue()
+    assert declared.channel.transport.disconnected
+    chunked = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
     chunked.gotLength(None)
     for _ in range(9):
         chunked.handleContentChunk(b'x' * (MAX_BODY_BYTES // 8))
-    assert chunked.channel.closed == 1
+    assert chunked.channel.transport.disconnected
