--- a/jackdawsail/control/admin_http.py
+++ b/jackdawsail/control/admin_http.py
@@ -48,7 +48,8 @@
         super().gotLength(length)
 
     def _refuse(self) -> None:
-        self.channel.transport.write(TOO_LARGE)
+        transport: Any = self.channel.transport
+        transport.write(TOO_LARGE)
         self.channel.loseConnection()
 
 
