--- /dev/null
+++ b/test/ui/test_command_line.py
@@ -0,0 +1,119 @@
+"""The command line against a real control process: results, conflicts, exit codes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from jackdawsail.ui.exit_codes import ExitCode
+
+SETTINGS = """
+deployment: demo
+host: {name: c1, zone: attica-a, region: attica}
+control:
+  data_folder: DATA
+  voters: [{name: c1, address: '127.0.0.1:PORT'}]
+  link_port: PORT
+  bootstrap_token: boot
+zones: {attica-a: {region: attica}, crete-a: {region: crete}}
+backends: {quill: {kind: engine}}
+customers: {label: {weight: 2}}
+"""
+
+
+@pytest.fixture(scope='module')
+def control(tmp_path_factory):
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = str(probe.getsockname()[1])
+    folder = tmp_path_factory.mktemp('control')
+    settings = folder / 'base.yaml'
+    settings.write_text(SETTINGS.replace('DATA', str(folder / 'data')).replace('PORT', port))
+    command = [sys.executable, '-m', 'jackdawsail.control.main', '--settings', str(settings)]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    try:
+        yield settings, f'127.0.0.1:{_admin_port(process)}'
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=20)
+    assert process.returncode == 0
+
+
+def _admin_port(process):
+    for line in process.stderr:
+        event = json.loads(line)
+        if event['number'] == 100:
+            return event['admin_port']
+    raise AssertionError('control did not become ready')
+
+
+@pytest.fixture
+def run(control):
+    def run_line(*words, token='boot'):
+        environment = {**os.environ, 'JACKDAWSAIL_CONTROL': control[1], 'JACKDAWSAIL_TOKEN': token}
+        command = [sys.executable, '-m', 'jackdawsail.ui.main', *words]
+        done = subprocess.run(command, env=environment, capture_output=True, text=True, timeout=60)
+        return done.returncode, done.stdout, done.stderr
+
+    return run_line
+
+
+def test_release_from_file_to_abort(run, tmp_path):
+    weights = tmp_path / 'weights.bin'
+    weights.write_bytes(b'w' * 3000)
+    created = run('release', 'create', 'r1', '--backend', 'quill', '--file', str(weights))
+    assert created[0] == 0, created
+    assert run('release', 'start', 'r1')[0] == 0
+    code, shown, _ = run('release', 'show', 'r1', '--json')
+    release = json.loads(shown)
+    assert (code, release['status'], release['chunks']) == (0, 'running', 1)
+    assert run('release', 'create', 'r1', '--backend', 'quill', '--file', str(weights))[0] == 3
+    assert run('release', 'show', 'r9')[0] == ExitCode.not_found
+    assert run('release', 'abort', 'r1', '--reason', 'wrong notes')[0] == 0
+
+
+def test_apply_shows_the_difference_and_a_conflict_what_came_between(run, control, tmp_path):
+    overlay = tmp_path / 'site.yaml'
+    overlay.write_text('customers: {label: {weight: 7}}')
+    applied = run('apply', str(control[0]), '--overlay', str(overlay), '--wait')
+    assert applied[0] == 0, applied
+    assert 'customer/label' in applied[1]
+    revision = json.loads(run('status', '--json')[1])['revision']
+    stale = ('customer', 'put', 'label', '--weight', '3', '--expect-revision', str(revision - 1))
+    code, _, error = run(*stale)
+    assert code == ExitCode.conflict
+    assert 'customer/label' in error
+    assert 'bootstrap' in run('audit')[1]
+
+
+def test_operators_have_roles(run):
+    code, shown, _ = run('operator', 'put', 'ana', '--role', 'operate', '--json')
+    token = json.loads(shown)['token']
+    assert code == 0
+    assert run('host', 'out', 'h1', token=token)[0] == 0
+    assert run('customer', 'remove', 'label', token=token)[0] == ExitCode.forbidden
+    assert run('status', token='wrong')[0] == ExitCode.forbidden
+    assert token not in run('audit', '--json')[1]
+
+
+def test_last_zone_needs_force(run):
+    code, _, error = run('zone', 'out', 'crete-a')
+    assert (code, 'last-zone' in error) == (ExitCode.conflict, True)
+    assert run('zone', 'out', 'crete-a', '--force', '--no-wait')[0] == 0
+    assert run('zone', 'in', 'crete-a')[0] == 0
+
+
+def test_unreachable_host_is_explained(monkeypatch):
+    from jackdawsail.errors import UserError
+    from jackdawsail.ui.client import AdminClient
+
+    now = iter(range(0, 1000, 5))
+    client = AdminClient(['127.0.0.1:1'], 't', lambda _seconds: None, lambda: next(now))
+    with pytest.raises(UserError, match='JACKDAWSAIL_CONTROL') as raised:
+        client.get('/v1/status')
+    assert raised.value.exit_code == ExitCode.unreachable
