--- a/bench/demo.py
+++ b/bench/demo.py
@@ -23,7 +23,7 @@
 from bench.harness.fleet import Fleet, running
 from bench.harness.layout import Kind
 from bench.harness.plan import MEBIBYTE, Customer, Deployment
-from bench.harness.releases import create_release, replicas, wait_replicas
+from bench.harness.releases import replicas, wait_replicas
 
 CUSTOMERS = (
     'aegean-records',
@@ -114,9 +114,11 @@
 def _prepare(fleet: Fleet, console: Console) -> None:
     """Applies the settings and brings the first release to every engine."""
     fleet.wait_leader()
-    _cli(fleet, 'apply', str(fleet.files.base_path))
-    _cli(fleet, 'site', 'put', 'attica', '--zone', 'attica-a', '--backend', 'critique-models')
-    create_release(fleet, FIRST, MODEL_BYTES)
+    _cli(fleet, 'apply', str(fleet.files.base_path), '--yes', '--wait')
+    _cli(fleet, 'customer', 'put', 'spetses-sessions', '--weight', '2')
+    backends = ('--backends', 'critique-models', '--backends', 'bookings-app')
+    _cli(fleet, 'site', 'put', 'attica', '--zone', 'attica-a', *backends)
+    _create(fleet, FIRST)
     _cli(fleet, 'release', 'start', FIRST)
     wait_replicas(fleet, FIRST, timeout_seconds=ROLLOUT_SECONDS)
     console.print(f'every engine serves {FIRST}; {len(CUSTOMERS)} customers begin to ask')
@@ -125,7 +127,7 @@
 def _release_under_load(fleet: Fleet, console: Console, begin: float) -> DemoResult:
     callers = start_callers(fleet, _loads(), LOAD_SECONDS)
     time.sleep(BEFORE_SECONDS)
-    create_release(fleet, SECOND, MODEL_BYTES)
+    _create(fleet, SECOND)
     started = time.monotonic()
     _cli(fleet, 'release', 'start', SECOND)
     seconds_to_all = _watch(fleet, callers, console, started)
@@ -187,6 +189,14 @@
     )
 
 
+def _create(fleet: Fleet, release: str) -> None:
+    published = fleet.publish(release, MODEL_BYTES)
+    chunk_bytes = str(fleet.deployment.chunk_bytes)
+    named = ('release', 'create', release, '--backend', fleet.deployment.engine_backend)
+    file = ('--file', str(published.file), '--origin-path', published.path)
+    _cli(fleet, *named, *file, '--chunk-bytes', chunk_bytes)
+
+
 def _cli(fleet: Fleet, *arguments: str) -> None:
     done = fleet.cli(*arguments)
     if done.returncode:
