Connect the weights to the agent and entry programs

Change: the agent reports to the entry that its status names as tracker; trackers dial the entries of other data centres; the reason of an agent that cannot take a release goes into the zone's summary, a release that cannot be completed goes to the control leader as ReleaseProblem.

--- a/jackdawsail/agent/engine_task.py
+++ b/jackdawsail/agent/engine_task.py
@@ -8,6 +8,7 @@
 from jackdawsail import events
 from jackdawsail.agent.engine_orders import EngineOrders
 from jackdawsail.agent.gate import WorkGate
+from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.switcher import (
     Authority,
     CloseGate,
@@ -18,6 +19,7 @@
     Switcher,
 )
 from jackdawsail.clocks import Clock
+from jackdawsail.wire.membership_messages import UpstreamState
 
 ENGINE_LOADING = events.define(520, 'info', 'engine is ordered to load a release')
 ENGINE_LOADED = events.define(521, 'info', 'engine serves a release that it confirmed')
@@ -29,11 +31,17 @@
     """Owns the switcher of one engine; ``poll`` is called a few times a second."""
 
     def __init__(
-        self, switcher: Switcher, orders: EngineOrders, gate: WorkGate, clock: Clock
+        self,
+        switcher: Switcher,
+        orders: EngineOrders,
+        gate: WorkGate,
+        status: AgentStatus,
+        clock: Clock,
     ) -> None:
         self.switcher = switcher
         self._orders = orders
         self._gate = gate
+        self._status = status
         self._clock = clock
         self._look_number = 0
         self._looking = False
@@ -54,6 +62,7 @@
     def _carry_out(self, effect: SwitchEffect) -> bool:
         if isinstance(effect, CloseGate):
             events.log(ENGINE_GATE_CLOSED, reason=effect.reason)
+            self._status.state = UpstreamState.loading
             closing: Deferred[None] = self._gate.close(effect.reason)
             closing.addCallback(lambda _ended: self.switcher.gate_closed())
         elif isinstance(effect, OpenGate):
--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -1,11 +1,10 @@
 """The agent's weights: fetches the wanted release, proves it, changes the engine to it.
 
-The agent's main program calls ``set_tracker`` with the link to the entry that
-said ``is_tracker`` in its last heartbeat acknowledgement (None: no tracker).
+The tracker is the entry that ``AgentStatus.tracker_name`` names, which said so in
+its last heartbeat acknowledgement.
 """
 
-from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall
@@ -16,18 +15,18 @@
 from jackdawsail.agent.engine_task import EngineTask
 from jackdawsail.agent.gate import WorkGate
 from jackdawsail.agent.release_task import ReleaseTask
+from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.switcher import AskPermit, Authority, Phase, ReadyRelease, Switcher
 from jackdawsail.process import ProcessContext
 from jackdawsail.settings.models import AgentSettings
 from jackdawsail.switchboard import Switchboard
-from jackdawsail.weights.chunk_store import ChunkStore
+from jackdawsail.weights.chunk_store import make_chunk_store
 from jackdawsail.weights.draw import Drawer
 from jackdawsail.weights.http_read import make_pool
 from jackdawsail.weights.target import Records, Target, adoptable_releases, choose_target
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.weight_messages import (
     FetchOrder,
-    FetchResult,
     SwitchAsk,
     SwitchPermit,
 )
@@ -37,13 +36,6 @@
 REPORT_SECONDS = 1.0
 
 
-class UpstreamStatus(Protocol):
-    """The part of the agent's status that orders to the engine depend on."""
-
-    fence_number: int
-    lease_until_seconds: float
-
-
 class WeightsPart:
     """Glue between the links, the chunk store, the transfers and the engine."""
 
@@ -52,17 +44,19 @@
     def __init__(
         self,
         context: ProcessContext,
-        settings: AgentSettings,
+        switchboard: Switchboard,
         replica: Records,
-        status: UpstreamStatus,
+        status: AgentStatus,
         engine: EngineTask,
     ) -> None:
         self._context = context
-        self._settings = settings
+        self._switchboard = switchboard
+        self._settings = settings_of(context)
+        settings = self._settings
         self._replica = replica
         self._status = status
         self._engine = engine
-        self._store = ChunkStore(Path(settings.chunk_folder), settings.chunk_space_bytes)
+        self._store = make_chunk_store(settings)
         http_agent = context.make_http_agent(make_pool(context.reactor))
         self._drawer = Drawer(http_agent, context.reactor, context.secret)
         self._task: ReleaseTask | None = None
@@ -91,13 +85,6 @@
         stopped: Deferred[Any] = self._listener.stopListening() or succeed(None)
         return stopped
 
-    def set_tracker(self, link: Link | None) -> None:
-        """Names the link to the tracker; a new one gets a report at once."""
-        if link is self._tracker:
-            return
-        self._tracker = link
-        self._report()
-
     def take_order(self, link: Link, order: FetchOrder) -> None:
         """Carries out an order of the present tracker."""
         if link is self._tracker and self._task is not None:
@@ -120,7 +107,13 @@
         loop.start(seconds)
         self._loops.append(loop)
 
+    @property
+    def chunk_address(self) -> str:
+        """Returns where other agents reach the chunk server, once it listens."""
+        return self._context.host.reached_at(self.chunk_port)
+
     def _step(self) -> None:
+        self._follow_tracker()
         origin = self._replica.get('weights', 'origin') or {}
         self._drawer.origin_url = str(origin.get('url') or '')
         target = choose_target(self._replica, self._settings.backend)
@@ -133,6 +126,14 @@
             if isinstance(effect, AskPermit):
                 self._send(SwitchAsk(effect.release))
 
+    def _follow_tracker(self) -> None:
+        name = self._status.tracker_name
+        links = (link for link in self._switchboard.links if link.peer and link.is_open)
+        link = next((link for link in links if link.peer and link.peer.name == name), None)
+        if link is not self._tracker:
+            self._tracker = link
+            self._report()
+
     def _ready(self, target: Target | None) -> ReadyRelease | None:
         if self._task is None or target is None or not target.is_active:
             return None
@@ -152,7 +153,7 @@
                 self._context.reactor,
                 self._run,
             )
-            task.tell = self._tell
+            task.tell = self._send
             self._task = task
             self._report()
         if target.is_active:
@@ -169,9 +170,6 @@
         reactor = self._context.reactor
         return deferToThreadPool(reactor, reactor.getThreadPool(), action, *args)
 
-    def _tell(self, ended: FetchResult) -> None:
-        self._send(ended)
-
     def _send(self, sent: object) -> None:
         if self._tracker is not None:
             self._tracker.send(sent)
@@ -181,8 +179,7 @@
         if task is None or self._tracker is None:
             return
         problem = task.problem or self._engine.switcher.problem
-        address = self._context.host.reached_at(self.chunk_port)
-        self._send(task.report(self._stage(task), problem, address))
+        self._send(task.report(self._stage(task), problem, self.chunk_address))
 
     def _stage(self, task: ReleaseTask) -> str:
         switcher = self._engine.switcher
@@ -195,22 +192,28 @@
         return 'verified' if switcher.phase is Phase.serving else 'switching'
 
 
+def settings_of(context: ProcessContext) -> AgentSettings:
+    """Returns the agent section, which an agent always has."""
+    settings = context.settings.agent
+    if settings is None:
+        raise AssertionError('an agent has no agent settings')
+    return settings
+
+
 def make_weights_part(
     context: ProcessContext,
     switchboard: Switchboard,
     replica: Any,
-    status: UpstreamStatus,
+    status: AgentStatus,
     gate: WorkGate,
 ) -> WeightsPart:
     """Builds the part and registers its messages; ``start`` sets it to work."""
-    settings = context.settings.agent
-    if settings is None:
-        raise AssertionError('an agent has no agent settings')
+    settings = settings_of(context)
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
     orders = EngineOrders(context.make_http_agent(), clock, settings.upstream_url)
-    engine = EngineTask(switcher, orders, gate, clock)
-    part = WeightsPart(context, settings, replica, status, engine)
+    engine = EngineTask(switcher, orders, gate, status, clock)
+    part = WeightsPart(context, switchboard, replica, status, engine)
     switchboard.on(FetchOrder, part.take_order)
     switchboard.on(SwitchPermit, part.take_permit)
     replica.watch(part.changed)
--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -94,6 +94,7 @@
 
     def _follow_control(self) -> None:
         self.tracker.set_tracker(self.links.control.is_tracker)
+        self.tracker.follow(self.links.control.directory)
         self.links.peers.follow(self.links.control.directory)
 
     def _listen_links(self, address: str) -> int:
--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -6,11 +6,13 @@
 """
 
 import random
+from collections.abc import Sequence
 from typing import Any, Protocol
 
 from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
+from jackdawsail.entry.tracker_peers import TrackerPeers
 from jackdawsail.entry.tracker_plans import LiveRate, Planner
 from jackdawsail.process import ProcessContext
 from jackdawsail.switchboard import Switchboard
@@ -18,6 +20,8 @@
 from jackdawsail.weights.tracker import Effect, SendToAgent, Tracker
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
+from jackdawsail.wire.membership_messages import DirectoryEntry
+from jackdawsail.wire.release_messages import ReleaseProblem
 from jackdawsail.wire.weight_messages import ChunkReport, FetchResult, SwitchAsk, ZoneHave
 
 TICK_SECONDS = 0.1
@@ -25,14 +29,12 @@
 SOON_SECONDS = 0.005
 TRACKER_BEGINS = events.define(530, 'info', 'this entry is the weight tracker')
 TRACKER_ENDS = events.define(531, 'info', 'this entry is no longer the weight tracker')
-RELEASE_STOPPED = events.define(532, 'error', 'release is stopped in this data centre')
 
 
 class Membership(Protocol):
     """What the tracker needs of the entry's membership."""
 
-    def reach_zones(self) -> None:
-        """Opens links to the entries of the other data centres, and keeps them."""
+    problems: dict[str, str]
 
 
 class TrackerPart:
@@ -43,7 +45,7 @@
         context: ProcessContext,
         switchboard: Switchboard,
         replica: Records,
-        membership: Membership | None,
+        membership: Membership,
     ) -> None:
         self._context = context
         self._switchboard = switchboard
@@ -55,6 +57,8 @@
         self._loops: list[LoopingCall] = []
         self._soon: Any = None
         self._live = LiveRate(switchboard, context.identity.region)
+        self._peers = TrackerPeers(context, switchboard)
+        self._directory: Sequence[DirectoryEntry] = ()
         self._planner = Planner(replica, context.identity.zone, self._live)
 
     def set_tracker(self, is_tracker: bool) -> None:
@@ -71,19 +75,21 @@
             events.log(TRACKER_ENDS)
             self.stop()
 
+    def start(self) -> None:
+        """Waits for ``set_tracker``."""
+
+    def follow(self, directory: Sequence[DirectoryEntry]) -> None:
+        """Takes the directory of entries, for the links to other trackers."""
+        self._directory = directory
+
     def stop(self) -> None:
         """Ends the timers and forgets the soft state."""
+        self._peers.stop()
         for loop in self._loops:
             loop.stop()
         self._loops.clear()
         self._tracker = None
 
-    def problems(self, backend: str) -> dict[str, str]:
-        """Returns the stopped releases of a back end with the reason, for the summary."""
-        if self._tracker is None:
-            return {}
-        return self._tracker.problems(backend)
-
     def take_report(self, link: Link, report: ChunkReport) -> None:
         """Takes an agent's report; its link is kept for orders."""
         tracker = self._tracker
@@ -161,10 +167,19 @@
         if self._tracker is None:
             return
         shares = list(self._tracker.shares())
-        if shares and self._membership is not None:
-            self._membership.reach_zones()
+        if shares:
+            self._peers.follow(self._directory)
         for effect in shares:
             self._carry_out(effect)
+        self._membership.problems = self._tracker.problems()
+        for release, reason in self._tracker.stopped().items():
+            self._tell_control(ReleaseProblem(release, reason))
+
+    def _tell_control(self, sent: object) -> None:
+        """Tells every control host, for the leader may just be changing."""
+        for link in list(self._switchboard.links):
+            if link.peer and link.peer.role is Role.control:
+                link.send(sent)
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, SendToAgent):
@@ -172,20 +187,15 @@
             if link is not None:
                 link.send(effect.sent)
             return
-        for far_link in self._far_entries():
+        for far_link in self._peers.links().values():
             far_link.send(effect.sent)
 
-    def _far_entries(self) -> list[Link]:
-        zone = self._context.identity.zone
-        entries = (link for link in self._switchboard.links if _is_entry(link))
-        return [link for link in entries if link.peer and link.peer.zone != zone]
-
 
 def make_tracker_part(
     context: ProcessContext,
     switchboard: Switchboard,
     replica: Any,
-    membership: Membership | None,
+    membership: Membership,
 ) -> TrackerPart:
     """Builds the part and registers its messages; ``set_tracker`` sets it to work."""
     part = TrackerPart(context, switchboard, replica, membership)
@@ -198,9 +208,5 @@
     return part
 
 
-def _is_entry(link: Link) -> bool:
-    return link.peer is not None and link.peer.role is Role.entry
-
-
 def _ignore(_link: Link) -> None:
     """Links that open are of no interest before their first report."""
--- a/jackdawsail/entry/tracking.py
+++ b/jackdawsail/entry/tracking.py
@@ -21,6 +21,9 @@
     def set_tracker(self, is_tracker: bool) -> None:
         """Has nothing to track."""
 
+    def follow(self, directory: Any) -> None:
+        """Has no other trackers to reach."""
+
 
 def make_tracker(
     context: ProcessContext, switchboard: Switchboard, replica: StateReplica, table: ZoneTable
--- a/jackdawsail/membership/zone_table.py
+++ b/jackdawsail/membership/zone_table.py
@@ -45,9 +45,10 @@
 
 
 class ZoneTable:
-    """Agents by name."""
+    """Agents by name; ``problems`` holds those that cannot take a release, with the reason."""
 
     def __init__(self) -> None:
+        self.problems: dict[str, str] = {}
         self._agents: dict[str, AgentRecord] = {}
         self._dampers: dict[str, FlapDamper] = {}
 
@@ -115,7 +116,7 @@
     def _summary_of(self, backend: str) -> BackendSummary:
         records = [kept for kept in self._agents.values() if kept.announce.backend == backend]
         serving = [kept for kept in records if kept.load.state is UpstreamState.serving]
-        failed = [kept.name for kept in records if kept.load.state is UpstreamState.failed]
+        failed = [kept.name for kept in records if self._has_failed(kept)]
         return BackendSummary(
             upstreams=len(records),
             serving=len(serving),
@@ -123,9 +124,12 @@
             queued=sum(kept.load.queued for kept in records),
             limit=sum(kept.load.limit for kept in records),
             releases=dict(Counter(kept.load.release for kept in serving)),
-            failed=dict.fromkeys(failed, 'failed'),
+            failed={name: self.problems.get(name, 'failed') for name in failed},
         )
 
+    def _has_failed(self, record: AgentRecord) -> bool:
+        return record.load.state is UpstreamState.failed or record.name in self.problems
+
     def _current(self, identity: Identity) -> AgentRecord | None:
         record = self._agents.get(identity.name)
         if record is None or record.identity.incarnation != identity.incarnation:
--- a/jackdawsail/weights/chunk_store.py
+++ b/jackdawsail/weights/chunk_store.py
@@ -16,6 +16,7 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
+from jackdawsail.settings.models import AgentSettings
 from jackdawsail.weights.bitmap import pack_chunks, unpack_chunks
 from jackdawsail.weights.manifest import READ_BYTES, Manifest
 
@@ -176,6 +177,11 @@
         return sum(model.stat().st_size for model in models if model.parent.name != but)
 
 
+def make_chunk_store(settings: AgentSettings) -> ChunkStore:
+    """Makes the store that the agent's settings describe."""
+    return ChunkStore(Path(settings.chunk_folder), settings.chunk_space_bytes)
+
+
 def _preallocate(folder: Path, size_bytes: int) -> int:
     folder.mkdir(parents=True, exist_ok=True)
     descriptor = os.open(folder / MODEL_FILE, os.O_RDWR | os.O_CREAT, 0o600)
--- a/jackdawsail/weights/tracker.py
+++ b/jackdawsail/weights/tracker.py
@@ -151,21 +151,20 @@
             if tracked.swarm.members:
                 yield ShareWithZones(tracked.swarm.share(tracked.order.plan.zone))
 
-    def problems(self, backend: str) -> dict[str, str]:
-        """Returns the releases of a back end that are stopped, with the reason."""
+    def stopped(self) -> dict[str, str]:
+        """Returns the releases that cannot be completed, with the reason."""
+        tracked = self._tracked.items()
+        reasons = {release: each.budget.failed_reason for release, each in tracked}
+        return {release: reason for release, reason in reasons.items() if reason}
+
+    def problems(self) -> dict[str, str]:
+        """Returns the agents that cannot take a release, with the reason."""
         found: dict[str, str] = {}
-        for release, tracked in self._tracked.items():
-            if tracked.order.manifest.backend != backend:
-                continue
-            reason = tracked.budget.failed_reason or _first_problem(tracked.swarm)
-            if reason:
-                found[release] = reason
+        for tracked in self._tracked.values():
+            members = tracked.swarm.members.items()
+            found.update({name: each.problem for name, each in members if each.problem})
         return found
 
-    def origin_bytes(self) -> dict[str, int]:
-        """Returns what each release is known to have drawn from the origin here."""
-        return {release: each.budget.spent_bytes for release, each in self._tracked.items()}
-
     def _track(self, order: ReleaseOrder, now: float) -> _Tracked:
         swarm = Swarm(order.manifest)
         zones = len(order.plan.zones)
@@ -227,8 +226,3 @@
         release = tracked.order.manifest.release
         for agent, permitted in self._permits_of(tracked).grant(limit, [release], now):
             yield SendToAgent(agent, SwitchPermit(permitted, PERMIT_SECONDS))
-
-
-def _first_problem(swarm: Swarm) -> str:
-    problems = (f'{name}: {each.problem}' for name, each in swarm.members.items() if each.problem)
-    return next(problems, '')
--- a/test/weights/test_tracker.py
+++ b/test/weights/test_tracker.py
@@ -90,7 +90,7 @@
     zone.origin_fault = lambda _fetch: FetchOutcome.changed
     for _ in range(100):
         zone.step()
-    assert zone.tracker.problems('quill') == {'quill-2': 'test'}
+    assert zone.tracker.stopped() == {'quill-2': 'test'}
     assert len(zone.origin_draws) <= 5 + 2 * 3
 
 
@@ -99,7 +99,7 @@
     zone.origin_fault = lambda _fetch: FetchOutcome.corrupt
     for _ in range(200):
         zone.step()
-    assert 'wrong digest' in zone.tracker.problems('quill')['quill-2']
+    assert 'wrong digest' in zone.tracker.stopped()['quill-2']
     assert zone.copies() <= ORIGIN_COPIES_MAX / 3
 
 
