--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -1,7 +1,7 @@
 """The agent's weights: fetches the wanted release, proves it, changes the engine to it.
 
-The tracker is the entry that ``AgentStatus.tracker_name`` names, which said so in
-its last heartbeat acknowledgement.
+``set_tracker`` names the link to the entry that said ``is_tracker`` in its last
+heartbeat acknowledgement (None: no tracker).
 """
 
 from typing import Any
@@ -44,19 +44,16 @@
     def __init__(
         self,
         context: ProcessContext,
-        switchboard: Switchboard,
         replica: Records,
         status: AgentStatus,
         engine: EngineTask,
     ) -> None:
         self._context = context
-        self._switchboard = switchboard
         self._settings = settings_of(context)
-        settings = self._settings
         self._replica = replica
         self._status = status
         self._engine = engine
-        self._store = make_chunk_store(settings)
+        self._store = make_chunk_store(self._settings)
         http_agent = context.make_http_agent(make_pool(context.reactor))
         self._drawer = Drawer(http_agent, context.reactor, context.secret)
         self._task: ReleaseTask | None = None
@@ -64,6 +61,11 @@
         self._loops: list[LoopingCall] = []
         self._listener: Any = None
 
+    @property
+    def chunk_address(self) -> str:
+        """Returns where other agents reach the chunk server, once it listens."""
+        return self._context.host.reached_at(self.chunk_port)
+
     def start(self) -> None:
         """Listens for chunk requests and begins to work; ``chunk_port`` is then set."""
         self._listener = listen_for_chunks(self._context, self._settings.chunk_port, self._store)
@@ -85,6 +87,12 @@
         stopped: Deferred[Any] = self._listener.stopListening() or succeed(None)
         return stopped
 
+    def set_tracker(self, link: Link | None) -> None:
+        """Names the link to the tracker; a new one gets a report at once."""
+        if link is not self._tracker:
+            self._tracker = link
+            self._report()
+
     def take_order(self, link: Link, order: FetchOrder) -> None:
         """Carries out an order of the present tracker."""
         if link is self._tracker and self._task is not None:
@@ -107,13 +115,7 @@
         loop.start(seconds)
         self._loops.append(loop)
 
-    @property
-    def chunk_address(self) -> str:
-        """Returns where other agents reach the chunk server, once it listens."""
-        return self._context.host.reached_at(self.chunk_port)
-
     def _step(self) -> None:
-        self._follow_tracker()
         origin = self._replica.get('weights', 'origin') or {}
         self._drawer.origin_url = str(origin.get('url') or '')
         target = choose_target(self._replica, self._settings.backend)
@@ -126,14 +128,6 @@
             if isinstance(effect, AskPermit):
                 self._send(SwitchAsk(effect.release))
 
-    def _follow_tracker(self) -> None:
-        name = self._status.tracker_name
-        links = (link for link in self._switchboard.links if link.peer and link.is_open)
-        link = next((link for link in links if link.peer and link.peer.name == name), None)
-        if link is not self._tracker:
-            self._tracker = link
-            self._report()
-
     def _ready(self, target: Target | None) -> ReadyRelease | None:
         if self._task is None or target is None or not target.is_active:
             return None
@@ -213,7 +207,7 @@
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
     orders = EngineOrders(context.make_http_agent(), clock, settings.upstream_url)
     engine = EngineTask(switcher, orders, gate, status, clock)
-    part = WeightsPart(context, switchboard, replica, status, engine)
+    part = WeightsPart(context, replica, status, engine)
     switchboard.on(FetchOrder, part.take_order)
     switchboard.on(SwitchPermit, part.take_permit)
     replica.watch(part.changed)
--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -6,13 +6,11 @@
 """
 
 import random
-from collections.abc import Sequence
 from typing import Any, Protocol
 
 from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
-from jackdawsail.entry.tracker_peers import TrackerPeers
 from jackdawsail.entry.tracker_plans import LiveRate, Planner
 from jackdawsail.process import ProcessContext
 from jackdawsail.switchboard import Switchboard
@@ -20,7 +18,6 @@
 from jackdawsail.weights.tracker import Effect, SendToAgent, Tracker
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
-from jackdawsail.wire.membership_messages import DirectoryEntry
 from jackdawsail.wire.release_messages import ReleaseProblem
 from jackdawsail.wire.weight_messages import ChunkReport, FetchResult, SwitchAsk, ZoneHave
 
@@ -31,8 +28,15 @@
 TRACKER_ENDS = events.define(531, 'info', 'this entry is no longer the weight tracker')
 
 
+class Peers(Protocol):
+    """What the tracker needs of the entry's links to other zones."""
+
+    def reach_zones(self) -> None:
+        """Opens links to the entries of the other zones, and keeps them."""
+
+
 class Membership(Protocol):
-    """What the tracker needs of the entry's membership."""
+    """What the tracker tells the entry's membership."""
 
     problems: dict[str, str]
 
@@ -46,6 +50,7 @@
         switchboard: Switchboard,
         replica: Records,
         membership: Membership,
+        peers: Peers,
     ) -> None:
         self._context = context
         self._switchboard = switchboard
@@ -57,8 +62,7 @@
         self._loops: list[LoopingCall] = []
         self._soon: Any = None
         self._live = LiveRate(switchboard, context.identity.region)
-        self._peers = TrackerPeers(context, switchboard)
-        self._directory: Sequence[DirectoryEntry] = ()
+        self._peers = peers
         self._planner = Planner(replica, context.identity.zone, self._live)
 
     def set_tracker(self, is_tracker: bool) -> None:
@@ -75,16 +79,8 @@
             events.log(TRACKER_ENDS)
             self.stop()
 
-    def start(self) -> None:
-        """Waits for ``set_tracker``."""
-
-    def follow(self, directory: Sequence[DirectoryEntry]) -> None:
-        """Takes the directory of entries, for the links to other trackers."""
-        self._directory = directory
-
     def stop(self) -> None:
         """Ends the timers and forgets the soft state."""
-        self._peers.stop()
         for loop in self._loops:
             loop.stop()
         self._loops.clear()
@@ -168,7 +164,7 @@
             return
         shares = list(self._tracker.shares())
         if shares:
-            self._peers.follow(self._directory)
+            self._peers.reach_zones()
         for effect in shares:
             self._carry_out(effect)
         self._membership.problems = self._tracker.problems()
@@ -187,18 +183,29 @@
             if link is not None:
                 link.send(effect.sent)
             return
-        for far_link in self._peers.links().values():
+        for far_link in self._far_entries():
             far_link.send(effect.sent)
 
+    def _far_entries(self) -> list[Link]:
+        """Returns one link to each connected entry of another data centre."""
+        zone = self._context.identity.zone
+        found: dict[str, Link] = {}
+        for link in self._switchboard.links:
+            peer = link.peer
+            if peer is not None and peer.role is Role.entry and peer.zone != zone:
+                found[peer.name] = link
+        return list(found.values())
+
 
 def make_tracker_part(
     context: ProcessContext,
     switchboard: Switchboard,
     replica: Any,
     membership: Membership,
+    peers: Peers,
 ) -> TrackerPart:
     """Builds the part and registers its messages; ``set_tracker`` sets it to work."""
-    part = TrackerPart(context, switchboard, replica, membership)
+    part = TrackerPart(context, switchboard, replica, membership, peers)
     switchboard.on(ChunkReport, part.take_report)
     switchboard.on(FetchResult, part.take_result)
     switchboard.on(SwitchAsk, part.take_ask)
--- /dev/null
+++ b/test/control/test_admin_input.py
@@ -0,0 +1,58 @@
+"""Malformed, oversized and hostile administration input is refused with a value."""
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from twisted.web.test.requesthelper import DummyChannel
+
+from jackdawsail.control.admin_commands import COMMAND_TYPES, parse_command
+from jackdawsail.control.admin_http import MAX_BODY_BYTES, BoundedRequest
+from jackdawsail.state.draft import Draft
+from jackdawsail.state.machine import run_command
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=6,
+)
+FIELDS = st.sampled_from(['name', 'backend', 'zone', 'backends', 'document', 'weight', 'role'])
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.sampled_from([*COMMAND_TYPES, 'apply', 'nothing']),
+    st.dictionaries(FIELDS, JSON | st.just('quill'), max_size=4),
+)
+def test_any_json_is_a_command_or_a_problem(kind, fields):
+    raw = json.dumps({'request_id': 'r', 'kind': kind, **fields}).encode()
+    parsed = parse_command(raw)
+    if isinstance(parsed, Success):
+        run_command(parsed.unwrap().body, Draft({}, {}))
+    else:
+        assert parsed.failure().code == 'invalid'
+
+
+@settings(max_examples=100, derandomize=True)
+@given(st.binary(max_size=100))
+def test_any_bytes_are_a_problem(raw):
+    assert isinstance(parse_command(raw), Failure)
+
+
+def test_deep_nesting_and_near_names():
+    assert isinstance(parse_command(b'[' * 100_000), Failure)
+    parsed = parse_command(b'{"request_id": "r", "kind": "customer-put", "wieght": 2}')
+    assert "perhaps 'weight' was meant" in parsed.failure().detail
+
+
+def test_oversized_bodies_end_the_connection():
+    declared = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
+    declared.gotLength(MAX_BODY_BYTES + 1)
+    assert b'413' in declared.channel.transport.written.getvalue()
+    assert declared.channel.transport.disconnected
+    chunked = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
+    chunked.gotLength(None)
+    for _ in range(9):
+        chunked.handleContentChunk(b'x' * (MAX_BODY_BYTES // 8))
+    assert chunked.channel.transport.disconnected
