--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -32,7 +32,11 @@
         self.links = make_entry_links(context)
         self.requests = make_request_parts(context, self.links)
         self.tracker = make_tracker_part(
-            context, self.links.switchboard, self.links.known.replica, self.links.peers
+            context,
+            self.links.switchboard,
+            self.links.known.replica,
+            self.links.table,
+            self.links.peers,
         )
         self._ports: list[Any] = []
         self._follow = LoopingCall(self._follow_control)
