--- a/bench/fakes/caller.py
+++ b/bench/fakes/caller.py
@@ -37,7 +37,10 @@
 
 @dataclass(frozen=True)
 class CallerOptions:
-    """One customer's load; ``kind`` is ``generate`` or ``book``."""
+    """One customer's load; ``kind`` is ``generate`` or ``book``.
+
+    With ``pinned_entry`` the caller uses that address alone, and never asks.
+    """
 
     name: str
     token: str
@@ -52,6 +55,7 @@
     deadline_seconds: float = 20
     retry_refused: bool = True
     resend_lost: bool = True
+    pinned_entry: str = ''
 
 
 @dataclass(frozen=True)
@@ -238,7 +242,7 @@
         sent = self._headers(headers)
         deadline = job.scheduled_seconds + self._options.deadline_seconds
         while True:
-            job.entry = yield self._book.choose()
+            job.entry = self._options.pinned_entry or (yield self._book.choose())
             job.tries += 1
             answer = yield ask(self._world, 'POST', job.entry, path, content, sent)
             job.told.append([self._world.now(), answer.outcome, answer.code or answer.reason])
--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -27,11 +27,15 @@
 
 @dataclass(frozen=True)
 class Load:
-    """The load of one customer, in the words of ``CallerOptions``."""
+    """The load of one customer, in the words of ``CallerOptions``.
+
+    With ``token_of`` it is sent in another customer's name, under its own label.
+    """
 
     customer: str
     requests_per_second: float = 1
     kind: str = 'generate'
+    token_of: str = ''
     options: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
@@ -96,7 +100,7 @@
     backend = deployment.service_backend if books else deployment.engine_backend
     caller = CallerOptions(
         name=load.customer,
-        token=customer_token(load.customer),
+        token=customer_token(load.token_of or load.customer),
         backend=backend,
         kind=load.kind,
         requests_per_second=load.requests_per_second,
--- a/jackdawsail/entry/handlers.py
+++ b/jackdawsail/entry/handlers.py
@@ -1,5 +1,6 @@
 """The callers' routes beside the pipeline: addresses, health, state of a call, cancel."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -36,6 +37,7 @@
     ledger: LedgerClient
     dispatcher: Dispatcher
     address_valid_seconds: float
+    rng: random.Random
 
 
 class CallHandlers:
@@ -45,11 +47,10 @@
         self._tools = tools
         self._owner_of = owner_of
 
-    def entries(self, request: Any, answer: HttpAnswer, _argument: str) -> None:
+    def entries(self, _request: Any, answer: HttpAnswer, _argument: str) -> None:
         """Answers which entries to use, and how long the answer may be kept."""
         tools = self._tools
-        caller = _token(request) or str(request.getClientAddress().host)
-        listed = order_entries(self._directory(), tools.identity, tools.replica, caller)
+        listed = order_entries(self._directory(), tools.identity, tools.replica, tools.rng)
         entries = [
             {'name': entry.name, 'zone': entry.zone, 'address': entry.caller_address}
             for entry in listed
--- a/jackdawsail/entry/request_parts.py
+++ b/jackdawsail/entry/request_parts.py
@@ -85,6 +85,7 @@
         ledger,
         stages.dispatcher,
         settings.address_valid_seconds if settings else 0,
+        random.Random(context.identity.incarnation),
     )
     return CallHandlers(tools, stages.dispatcher.owner_of)
 
