Let a few grants run ahead of the engine's places

A place was thought to be empty for the way of grant and work. Change: work waits at the agent for the next free place, one grant ahead for each four places.

--- a/jackdawsail/agent/work_part.py
+++ b/jackdawsail/agent/work_part.py
@@ -146,7 +146,7 @@
         self._perform(self._desk.work(link, work, self._now()))
 
     def _on_cancel_work(self, _link: Link, cancel: CancelWork) -> None:
-        self._stop_work(cancel.attempt_id)
+        self._perform(self._desk.cancel_work(cancel.attempt_id, self._now()))
 
     def _on_closed(self, link: Link) -> None:
         self._perform(self._desk.peer_lost(link, self._now()))
--- a/jackdawsail/routing/agent_desk.py
+++ b/jackdawsail/routing/agent_desk.py
@@ -4,6 +4,10 @@
 the time; effects come out. It keeps these promises: work is handed over only
 for a live grant of this run of the agent, once, while the gate is open and the
 lease holds; an attempt id is never served twice; a refusal is final.
+
+The upstream never has more than the window's limit. A few grants ahead of it
+let work wait here, ready for the next free place, so that a place is not empty
+for the time that a grant and its work need on the way.
 """
 
 from collections.abc import Callable, Hashable
@@ -60,6 +64,7 @@
     waiting: Waiting
     deadline_seconds: float
     grant_number: int = 0
+    work: Work | None = None
     running: bool = False
 
 
@@ -77,6 +82,7 @@
         weight_of: Callable[[str], float],
         blocked: Callable[[float], str],
         release_of: Callable[[], str],
+        places_per_ahead: int = 0,
     ) -> None:
         self.queue = FairQueue(weight_of)
         self.pace = CompletionPace()
@@ -87,17 +93,20 @@
         self._attempts: dict[str, _Attempt] = {}
         self._seen = RecentIds(SEEN_ATTEMPTS)
         self._handed_over = RecentIds(SEEN_ATTEMPTS)
+        self._places_per_ahead = places_per_ahead
         self._grants = 0
         self._held = 0
+        self._running = 0
+        self._ready: dict[str, Work] = {}
 
     @property
     def running(self) -> int:
         """Counts the requests that the upstream works on."""
-        return sum(1 for attempt in self._attempts.values() if attempt.running)
+        return self._running
 
     @property
     def held(self) -> int:
-        """Counts grants and running requests together."""
+        """Counts grants, work that is ready, and running requests together."""
         return self._held
 
     def reserve(self, peer: Peer, asked: Reserve, now_seconds: float) -> Effects:
@@ -116,9 +125,9 @@
         return self.grant_ready(now_seconds)
 
     def cancel(self, attempt_id: str, now_seconds: float) -> Effects:
-        """Gives a waiting or granted reservation up; running work is left alone."""
+        """Gives a waiting or granted reservation up; its work is left alone."""
         attempt = self._attempts.get(attempt_id)
-        if attempt is None or attempt.running:
+        if attempt is None or attempt.work is not None:
             return []
         self._drop(attempt)
         return self.grant_ready(now_seconds)
@@ -136,16 +145,28 @@
         if problem or attempt is None:
             return self._refuse_work(peer, work, attempt, problem)
         self._handed_over.add(work.attempt_id)
-        self._attempts[work.attempt_id] = replace(attempt, running=True)
-        return [HandOver(peer, work, attempt.reserve)]
+        self._attempts[work.attempt_id] = replace(attempt, work=work)
+        self._ready[work.attempt_id] = work
+        return self._hand_over_ready(now_seconds)
+
+    def cancel_work(self, attempt_id: str, now_seconds: float) -> Effects:
+        """Gives work up: drops it while it is only ready, else stops the upstream."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.work is None:
+            return []
+        if attempt.running:
+            return [StopWork(attempt_id)]
+        self._drop(attempt)
+        return self.grant_ready(now_seconds)
 
     def ended(self, attempt_id: str, used_tokens: int, now_seconds: float) -> Effects:
         """Counts the end of running work, however it ended."""
         attempt = self._attempts.pop(attempt_id)
         self._held -= 1
+        self._running -= 1
         self.queue.settle(attempt.waiting, used_tokens)
         self.pace.completed(now_seconds, busy=len(self.queue) > 0)
-        return self.grant_ready(now_seconds)
+        return self._hand_over_ready(now_seconds) + self.grant_ready(now_seconds)
 
     def peer_lost(self, peer: Peer, now_seconds: float) -> Effects:
         """Drops everything of an entry whose link has ended."""
@@ -164,26 +185,49 @@
         effects: Effects = []
         unused = [kept for kept in self._attempts.values() if not kept.running]
         for attempt in unused:
-            if attempt.grant_number:
-                self._end_unused_grant(attempt, now_seconds)
-            elif reason or attempt.deadline_seconds <= now_seconds:
-                self._drop(attempt)
-                effects.append(self._refuse(attempt, reason or 'deadline', now_seconds))
+            effects += self._lapse(attempt, reason, now_seconds)
         self.queue.forget_idle(IDLE_ACCOUNTS)
-        return effects + self.grant_ready(now_seconds)
+        return effects + self._hand_over_ready(now_seconds) + self.grant_ready(now_seconds)
 
     def grant_ready(self, now_seconds: float) -> Effects:
         """Grants waiting requests while there are free places."""
         effects: Effects = []
         if self._blocked(now_seconds):
             return effects
-        while self._held < self._window.limit:
+        limit = self._window.limit
+        ahead = limit // self._places_per_ahead if self._places_per_ahead else 0
+        while self._held < limit + ahead:
             waiting = self.queue.pop()
             if waiting is None:
                 break
             effects.append(self._grant(waiting, now_seconds))
         return effects
 
+    def _hand_over_ready(self, now_seconds: float) -> Effects:
+        effects: Effects = []
+        if self._blocked(now_seconds):
+            return effects
+        while self._ready and self._running < self._window.limit:
+            attempt_id = next(iter(self._ready))
+            work = self._ready.pop(attempt_id)
+            attempt = replace(self._attempts[attempt_id], running=True)
+            self._attempts[attempt_id] = attempt
+            self._running += 1
+            effects.append(HandOver(attempt.peer, work, attempt.reserve))
+        return effects
+
+    def _lapse(self, attempt: _Attempt, reason: str, now_seconds: float) -> Effects:
+        attempt_id = attempt.reserve.attempt_id
+        late = attempt.deadline_seconds <= now_seconds
+        if attempt.work is not None:
+            return self._refuse_work(attempt.peer, attempt.work, attempt, reason) if reason else []
+        if attempt.grant_number:
+            return self.cancel(attempt_id, now_seconds) if late else []
+        if not reason and not late:
+            return []
+        self._drop(attempt)
+        return [self._refuse(attempt, reason or 'deadline', now_seconds)]
+
     def _grant(self, waiting: Waiting, now_seconds: float) -> Reply:
         self._grants += 1
         self._held += 1
@@ -233,10 +277,6 @@
             return 'grant-expired'
         return self._blocked(now_seconds)
 
-    def _end_unused_grant(self, attempt: _Attempt, now_seconds: float) -> None:
-        if attempt.deadline_seconds <= now_seconds:
-            self._drop(attempt)
-
     def _refuse(self, attempt: _Attempt, reason: str, now_seconds: float) -> Reply:
         queued = self.queue.queued_of(attempt.reserve.customer)
         retry_seconds = max(CLOSED_RETRY_SECONDS, self._predicted_wait_seconds(queued))
@@ -244,6 +284,7 @@
 
     def _drop(self, attempt: _Attempt) -> None:
         del self._attempts[attempt.reserve.attempt_id]
+        self._ready.pop(attempt.reserve.attempt_id, None)
         if attempt.grant_number:
             self._held -= 1
             self.queue.settle(attempt.waiting, 0)
