--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,157 @@
+"""Load of one entry process: requests and streamed tokens a second, and what they cost.
+
+One entry, two engines and a plain service. The target is three times what the
+design size asks of a node (11 requests and 5,200 tokens a second), on one core:
+33 requests a second, each streaming 473 tokens.
+"""
+
+import json
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from bench.fakes.engine import EngineOptions
+from bench.harness.callers import Load, measure, start_callers
+from bench.harness.fleet import Fleet, running
+from bench.harness.http import call
+from bench.harness.layout import Kind
+from bench.harness.plan import Customer, Deployment
+from bench.harness.serving import generate_path, serve_release
+
+NODE_REQUESTS_PER_SECOND = 11.0
+NODE_TOKENS_PER_SECOND = 5200.0
+MULTIPLE = 3
+REQUEST_RATE = NODE_REQUESTS_PER_SECOND * MULTIPLE
+TOKENS_PER_REQUEST = int(NODE_TOKENS_PER_SECOND / NODE_REQUESTS_PER_SECOND)
+LOAD_SECONDS = 30.0
+SETTLE_SECONDS = 4.0
+MEASURE_SECONDS = 10.0
+CUSTOMERS = tuple(f'customer-{number}' for number in range(6))
+DIRECT_CALLS = 60
+SHARE_OF_TARGET = 0.97
+ENGINE = EngineOptions(
+    capacity=256, cold_limit=256, step_seconds=0.025, tokens_per_step=1, slowdown_per_request=0
+)
+
+
+@dataclass(frozen=True)
+class LoadResult:
+    """The fields of ``--json``; processor times are of the entry process."""
+
+    requests_per_second: float
+    tokens_per_second: float
+    entry_core_share: float
+    agent_core_share: float
+    processor_ms_per_request: float
+    processor_us_per_token: float
+    answered: int
+    wrong_answers: int
+    refused_or_lost: int
+    added_p95_ms: float
+    direct_p95_ms: float
+    entry_rss_mb: float
+
+
+def run(*, as_json: Annotated[bool, Parameter(name='--json', negative=())] = False) -> int:
+    """Loads one entry; exit status 0 means that three times the design load was held."""
+    with running(_deployment()) as fleet:
+        serve_release(fleet, 'model-1', CUSTOMERS[0])
+        result = _measure(fleet)
+    Path('results').mkdir(exist_ok=True)
+    Path('results/load.json').write_text(json.dumps(asdict(result), indent=1), 'utf8')
+    print(json.dumps(asdict(result), indent=None if as_json else 1))
+    return 0 if _met(result) else 1
+
+
+def _deployment() -> Deployment:
+    no_limit = Customer(requests_per_second=1000, max_concurrent=2000)
+    return Deployment(
+        zones={'zone-a': 'region-a'},
+        engines_per_zone=4,
+        entries_per_zone=1,
+        customers={name: no_limit for name in CUSTOMERS},
+        engine=ENGINE,
+        agent_cold_limit=ENGINE.capacity,
+    )
+
+
+def _measure(fleet: Fleet) -> LoadResult:
+    direct_ms, through_ms = _added_latency(fleet)
+    rate = REQUEST_RATE / len(CUSTOMERS)
+    options = {'max_tokens': TOKENS_PER_REQUEST, 'deadline_seconds': 60, 'retry_refused': False}
+    loads = [Load(name, rate, options=options) for name in CUSTOMERS]
+    # Two processes of callers, so that the entry and not its callers is measured.
+    groups = [loads[:2], loads[2:4], loads[4:]]
+    callers = [
+        start_callers(fleet, group, LOAD_SECONDS, seed=number, name=f'callers-{number}')
+        for number, group in enumerate(groups)
+    ]
+    time.sleep(TOKENS_PER_REQUEST * ENGINE.step_seconds + SETTLE_SECONDS)
+    entry = fleet.children[fleet.names(Kind.entry)[0]]
+    agent = fleet.children[fleet.names(Kind.agent)[0]]
+    begin, agent_begin, began = entry.usage(), agent.usage(), time.time()
+    tokens_begin = _tokens(fleet)
+    time.sleep(MEASURE_SECONDS)
+    end, agent_end, ended = entry.usage(), agent.usage(), time.time()
+    tokens_seconds = (_tokens(fleet) - tokens_begin) / (ended - began)
+    lines = [line for group in callers for line in group.wait()]
+    answered = [line for line in lines if line['status'] == 200]
+    started = [line for line in lines if began <= line['scheduled_seconds'] < ended]
+    requests_seconds = len(started) / (ended - began)
+    core_share = (end.processor_seconds - begin.processor_seconds) / (ended - began)
+    agent_share = (agent_end.processor_seconds - agent_begin.processor_seconds) / (ended - began)
+    return LoadResult(
+        requests_per_second=round(requests_seconds, 1),
+        tokens_per_second=round(tokens_seconds),
+        entry_core_share=round(core_share, 3),
+        agent_core_share=round(agent_share, 3),
+        processor_ms_per_request=round(1000 * core_share / max(1, requests_seconds), 2),
+        processor_us_per_token=round(1e6 * core_share / max(1, tokens_seconds), 1),
+        answered=len(answered),
+        wrong_answers=sum(not line['correct'] for line in answered),
+        refused_or_lost=len(lines) - len(answered),
+        added_p95_ms=round(through_ms - direct_ms, 2),
+        direct_p95_ms=round(direct_ms, 2),
+        entry_rss_mb=round(end.resident_bytes / 1e6, 1),
+    )
+
+
+def _tokens(fleet: Fleet) -> int:
+    """Returns the tokens that the entry has passed on, by its own metric."""
+    address = fleet.entry_addresses()[0]
+    text = call('GET', address, '/metrics').body.decode()
+    lines = [line for line in text.splitlines() if line.startswith('jackdawsail_tokens_total')]
+    return int(sum(float(line.rpartition(' ')[2]) for line in lines))
+
+
+def _added_latency(fleet: Fleet) -> tuple[float, float]:
+    """Returns the p95 of short calls, direct to an engine and through the entry, in ms."""
+    engine = fleet.names(Kind.engine)[0]
+    direct_address = fleet.layout.places[engine].listens_at(0)
+    entry_address = fleet.entry_addresses()[0]
+    body = {'prompt': 'short', 'max_tokens': 2}
+    direct_body: dict[str, Any] = {**body, 'release': 'model-1', 'priority': 'live'}
+    direct, through = [], []
+    for number in range(DIRECT_CALLS):
+        asked = {**direct_body, 'request_id': f'direct-{number}', 'resume_from': 0}
+        began = time.monotonic()
+        call('POST', direct_address, '/v1/generate', asked)
+        direct.append(time.monotonic() - began)
+        began = time.monotonic()
+        fleet.call_entry(entry_address, CUSTOMERS[0], 'POST', generate_path(fleet), body)
+        through.append(time.monotonic() - began)
+    return 1000 * measure(direct).p95_seconds, 1000 * measure(through).p95_seconds
+
+
+def _met(result: LoadResult) -> bool:
+    targets = (
+        result.requests_per_second >= SHARE_OF_TARGET * REQUEST_RATE,
+        result.tokens_per_second >= SHARE_OF_TARGET * MULTIPLE * NODE_TOKENS_PER_SECOND,
+        result.entry_core_share <= 1,
+        result.wrong_answers == 0,
+        result.refused_or_lost == 0,
+    )
+    return all(targets)
--- a/jackdawsail/entry/pipeline.py
+++ b/jackdawsail/entry/pipeline.py
@@ -7,6 +7,7 @@
 
 from jackdawsail.entry.call import Call, Problem, WholeAnswer
 from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.entry.metrics import REFUSED
 from jackdawsail.entry.stages.admit import Admission
 from jackdawsail.entry.stages.authenticate import Authenticator
 from jackdawsail.entry.stages.claim import Claimer, ClaimOutcome
@@ -47,7 +48,9 @@
         """Starts a request; its answer goes to ``http``."""
         checked = self._check(raw)
         if not isinstance(checked, Success):
-            http.send_problem(checked.failure())
+            problem = checked.failure()
+            REFUSED.labels(problem.code).inc()
+            http.send_problem(problem)
             return
         call = checked.unwrap()
         claimed: Any = self._stages.claimer.claim(call)
--- a/jackdawsail/entry/stages/dispatch.py
+++ b/jackdawsail/entry/stages/dispatch.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.task import LoopingCall
 
+from jackdawsail.entry.metrics import LATENCY
 from jackdawsail.entry.stages.choose import Chooser
 from jackdawsail.routing.desk import Desk, deliver
 from jackdawsail.routing.orders import Begin, Effects, Finish, NeedCandidates, Order, Pass, SendTo
@@ -82,7 +83,7 @@
 
     def submit(self, order: Order, answering: Answering) -> None:
         """Starts a request."""
-        desk = Desk(order)
+        desk = Desk(order, self._reactor.seconds())
         self._desks[order.request_id] = (desk, answering)
         self._budget.first_try()
         self._perform(desk, answering, desk.start())
@@ -146,7 +147,10 @@
             self._choose_and_offer(desk, answering, need)
 
     @_do.register
-    def _do_begin(self, begun: Begin, _desk: Desk, answering: Answering) -> None:
+    def _do_begin(self, begun: Begin, desk: Desk, answering: Answering) -> None:
+        order = desk.order
+        waited_seconds = self._reactor.seconds() - desk.began_seconds
+        LATENCY.labels(order.backend, order.customer).observe(waited_seconds)
         answering.begin(begun)
 
     @_do.register
--- a/jackdawsail/entry/stages/relay.py
+++ b/jackdawsail/entry/stages/relay.py
@@ -11,6 +11,7 @@
 
 from jackdawsail.entry.call import AnswerBuffer, Call, CallKind, Problem, WholeAnswer
 from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.entry.metrics import TOKENS
 from jackdawsail.routing.orders import Begin, Finish, Pass
 from jackdawsail.wire.work_messages import Outcome
 
@@ -42,6 +43,7 @@
         self._call = call
         self._http = http
         self._ended = ended
+        self._tokens = TOKENS.labels(call.backend, call.customer)
         self._buffer = AnswerBuffer()
         self._status = 0
         self._content_type = ''
@@ -55,6 +57,7 @@
 
     def pass_on(self, piece: Pass) -> None:
         """Keeps the piece."""
+        self._tokens.inc(piece.tokens)
         self._buffer.add(piece.body)
 
     def finish(self, finish: Finish) -> None:
@@ -86,6 +89,7 @@
         self._http = http
         self._ended = ended
         self._leave = leave
+        self._tokens = TOKENS.labels(call.backend, call.customer)
         self._position = call.resume_from
         self._release = ''
         self._status = 0
@@ -99,6 +103,7 @@
     def pass_on(self, piece: Pass) -> None:
         """Sends one event; drops a caller that does not read."""
         self._position += piece.tokens
+        self._tokens.inc(piece.tokens)
         if not piece.tokens:
             self._http.write(piece.body)
             return
--- a/jackdawsail/entry/stages/settle.py
+++ b/jackdawsail/entry/stages/settle.py
@@ -4,6 +4,7 @@
 
 from jackdawsail.entry.call import Call, WholeAnswer
 from jackdawsail.entry.ledger_client import LedgerClient
+from jackdawsail.entry.metrics import REQUESTS
 from jackdawsail.entry.stages.admit import Admission
 from jackdawsail.entry.stages.claim import digest_of
 from jackdawsail.wire.claim_messages import ClaimRequest, StoredAnswer
@@ -22,6 +23,7 @@
     def settle(self, call: Call, outcome: Outcome, answer: WholeAnswer | None) -> None:
         """Frees the place, and settles the claim if there is one."""
         self.admission.release(call)
+        REQUESTS.labels(call.backend, call.customer, str(outcome)).inc()
         if not call.claim_number:
             return
         claim = ClaimRequest(
--- a/jackdawsail/routing/agent_desk.py
+++ b/jackdawsail/routing/agent_desk.py
@@ -63,6 +63,7 @@
     reserve: Reserve
     waiting: Waiting
     deadline_seconds: float
+    start_by_seconds: float
     grant_number: int = 0
     work: Work | None = None
     running: bool = False
@@ -120,7 +121,9 @@
         live = asked.priority is Priority.live
         waiting = Waiting(asked.attempt_id, asked.customer, max(1, asked.tokens_estimate), live)
         deadline_seconds = now_seconds + asked.wait_seconds
-        self._attempts[asked.attempt_id] = _Attempt(peer, asked, waiting, deadline_seconds)
+        self._attempts[asked.attempt_id] = _Attempt(
+            peer, asked, waiting, deadline_seconds, deadline_seconds
+        )
         self.queue.push(waiting)
         return self.grant_ready(now_seconds)
 
@@ -220,7 +223,9 @@
         attempt_id = attempt.reserve.attempt_id
         late = attempt.deadline_seconds <= now_seconds
         if attempt.work is not None:
-            return self._refuse_work(attempt.peer, attempt.work, attempt, reason) if reason else []
+            if not reason and now_seconds < attempt.start_by_seconds:
+                return []
+            return self._refuse_work(attempt.peer, attempt.work, attempt, reason or 'deadline')
         if attempt.grant_number:
             return self.cancel(attempt_id, now_seconds) if late else []
         if not reason and not late:
--- a/jackdawsail/routing/desk.py
+++ b/jackdawsail/routing/desk.py
@@ -35,6 +35,9 @@
     WorkRefused,
 )
 
+# Longer than an agent's tick, so that it can first refuse work that has not started.
+BOUND_GRACE_SECONDS = 0.25
+
 
 class _Stage(Enum):
     waiting = 1
@@ -55,8 +58,9 @@
 class Desk:
     """Decides for one request; the shell performs the effects in their order."""
 
-    def __init__(self, order: Order) -> None:
+    def __init__(self, order: Order, began_seconds: float = 0) -> None:
         self.order = order
+        self.began_seconds = began_seconds
         self._stage = _Stage.waiting
         self._reservations = Reservations(order.request_id)
         self._bound: _Bound | None = None
@@ -172,7 +176,9 @@
 
         A claimed call that was handed over goes on, so that its true end is settled.
         """
-        if now_seconds < self.order.deadline_seconds or self._began:
+        grace_seconds = BOUND_GRACE_SECONDS if self._bound else 0
+        late = now_seconds >= self.order.deadline_seconds + grace_seconds
+        if self._began or not late:
             return []
         if self.order.claim_number and self._bound is not None:
             return []
