Send the answer parts of one moment in one frame

Cause: at three times the design load the entry spent 53.5 us a token, a good part of it on one websocket frame and one decoding a token.

--- a/bench/load.py
+++ b/bench/load.py
@@ -24,14 +24,14 @@
 NODE_REQUESTS_PER_SECOND = 11.0
 NODE_TOKENS_PER_SECOND = 5200.0
 MULTIPLE = 3
-REQUEST_RATE = NODE_REQUESTS_PER_SECOND * MULTIPLE
+# A little above the target, for the figures of a window vary with the arrivals.
+REQUEST_RATE = 1.1 * NODE_REQUESTS_PER_SECOND * MULTIPLE
 TOKENS_PER_REQUEST = int(NODE_TOKENS_PER_SECOND / NODE_REQUESTS_PER_SECOND)
 LOAD_SECONDS = 30.0
 SETTLE_SECONDS = 4.0
 MEASURE_SECONDS = 10.0
 CUSTOMERS = tuple(f'customer-{number}' for number in range(6))
 DIRECT_CALLS = 60
-SHARE_OF_TARGET = 0.97
 ENGINE = EngineOptions(
     capacity=256, cold_limit=256, step_seconds=0.025, tokens_per_step=1, slowdown_per_request=0
 )
@@ -148,8 +148,8 @@
 
 def _met(result: LoadResult) -> bool:
     targets = (
-        result.requests_per_second >= SHARE_OF_TARGET * REQUEST_RATE,
-        result.tokens_per_second >= SHARE_OF_TARGET * MULTIPLE * NODE_TOKENS_PER_SECOND,
+        result.requests_per_second >= MULTIPLE * NODE_REQUESTS_PER_SECOND,
+        result.tokens_per_second >= MULTIPLE * NODE_TOKENS_PER_SECOND,
         result.entry_core_share <= 1,
         result.wrong_answers == 0,
         result.refused_or_lost == 0,
--- a/jackdawsail/agent/work_part.py
+++ b/jackdawsail/agent/work_part.py
@@ -11,6 +11,7 @@
 
 from jackdawsail import events
 from jackdawsail.agent.lease import ServicePermit
+from jackdawsail.agent.part_batches import PartBatches
 from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.upstream import Job, UpstreamClient, UpstreamRun
 from jackdawsail.routing.agent_desk import AgentDesk, Effects, HandOver, Reply, StopWork
@@ -59,6 +60,7 @@
         self._desk = tools.desk
         self._runs: dict[str, _Running] = {}
         self._drained: list[Deferred[None]] = []
+        self.batches = PartBatches(tools.reactor)
         self._loop = LoopingCall(self.tick)
         self._loop.clock = tools.reactor
         tools.switchboard.on(Reserve, self._on_reserve)
@@ -210,7 +212,7 @@
     def head(self, status: int, content_type: str) -> None:
         """Sends the head."""
         attempt_id = self._job.work.attempt_id
-        self._peer.send(AnswerHead(attempt_id, status, content_type, self._job.release))
+        self._send(AnswerHead(attempt_id, status, content_type, self._job.release))
 
     def part(self, body: bytes, tokens: int) -> None:
         """Sends the next part."""
@@ -218,14 +220,14 @@
             self._progressed(tokens)
         self._last_seconds = self._tools.reactor.seconds()
         self._tokens += tokens
-        self._peer.send(self._seal.part(body, tokens))
+        self._part.batches.add(self._peer, self._seal.part(body, tokens))
 
     def whole(self) -> None:
         """Sends the end and counts a success."""
         if not self._tokens:
             self._progressed(1)
         self._tools.window.succeeded(self._concurrency)
-        self._peer.send(self._seal.end())
+        self._send(self._seal.end())
         self._finish()
 
     def failed(self, outcome: Outcome, reason: str) -> None:
@@ -236,9 +238,12 @@
         elif reason != 'cancelled':
             self._tools.window.failed()
             events.log(WORK_FAILED, attempt=attempt_id, reason=reason, outcome=str(outcome))
-        self._peer.send(AnswerFailed(attempt_id, outcome, reason))
+        self._send(AnswerFailed(attempt_id, outcome, reason))
         self._finish()
 
+    def _send(self, sent: Any) -> None:
+        self._part.batches.send(self._peer, sent)
+
     def _progressed(self, units: int) -> None:
         elapsed_seconds = self._tools.reactor.seconds() - self._last_seconds
         self._tools.window.progressed(elapsed_seconds / units)
--- a/jackdawsail/entry/request_parts.py
+++ b/jackdawsail/entry/request_parts.py
@@ -19,6 +19,7 @@
 from jackdawsail.process import ProcessContext
 from jackdawsail.routing.retries import RetryBudget
 from jackdawsail.wire.link import Link
+from jackdawsail.wire.work_messages import AnswerParts
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,11 @@
         if link.peer:
             dispatcher.candidate_lost(PEER_PREFIX + link.peer.name)
 
+    def received_parts(link: Link, message: AnswerParts) -> None:
+        for part in message.parts:
+            received(link, part)
+
+    links.switchboard.on(AnswerParts, received_parts)
     for message_type in FROM_CANDIDATES:
         links.switchboard.on(message_type, received)
     links.agents.watch_lost(dispatcher.candidate_lost)
--- a/jackdawsail/wire/work_messages.py
+++ b/jackdawsail/wire/work_messages.py
@@ -116,6 +116,13 @@
     tokens: int
 
 
+@message('answer-parts')
+class AnswerParts:
+    """Agent to entry: the next pieces of several answers in one frame."""
+
+    parts: list[AnswerPart]
+
+
 @message('answer-end')
 class AnswerEnd:
     """Agent to entry: the answer is whole; parts, bytes and SHA-256 of all of it."""
