--- /dev/null
+++ b/bench/coldstart.py
@@ -0,0 +1,148 @@
+"""Start-up window: engines that collapse above what they bear while they are cold.
+
+The same load, more than the engines can take, runs once with the agents' window
+and once without it (cold limit = capacity). Under it one engine is killed and
+comes back cold. A collapse is counted by the engine itself.
+"""
+
+import json
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from bench.fakes.engine import EngineOptions
+from bench.harness.callers import Load, start_callers, summarise
+from bench.harness.fleet import Fleet, running
+from bench.harness.layout import Kind
+from bench.harness.plan import Customer, Deployment
+from bench.harness.serving import serve_release
+from bench.harness.waiting import wait_until
+
+WARM_SECONDS = 6.0
+CAPACITY = 8
+LOAD_RATE = 90.0
+LOAD_SECONDS = 40.0
+FULL_SECONDS = 20.0
+MAX_WARM_RATIO = 1.3
+SAMPLE_SECONDS = 0.02
+CUSTOMERS = ('customer-1', 'customer-2')
+
+
+@dataclass(frozen=True)
+class Trial:
+    """What one run of the load met."""
+
+    collapses: int
+    seconds_to_full: list[float]
+    answered: int
+    wrong_answers: int
+    p95_seconds: float
+
+
+@dataclass(frozen=True)
+class ColdstartResult:
+    """The fields of ``--json``; seconds to full are counted from the engine's load."""
+
+    collapses: int
+    seconds_to_full: float
+    warm_seconds: float
+    warm_ratio: float
+    answered: int
+    p95_seconds: float
+    collapses_after_unannounced_cold: int
+    wrong_answers: int
+    baseline_collapses: int
+    baseline_answered: int
+    baseline_p95_seconds: float
+
+
+def run(*, as_json: Annotated[bool, Parameter(name='--json', negative=())] = False) -> int:
+    """Runs both trials; exit status 0 means that no engine collapsed and all were full in time."""
+    windowed, unannounced = _trial(cold_limit=1, with_unannounced=True)
+    baseline, _ = _trial(cold_limit=CAPACITY, with_unannounced=False)
+    slowest = max(windowed.seconds_to_full)
+    result = ColdstartResult(
+        collapses=windowed.collapses,
+        seconds_to_full=round(slowest, 2),
+        warm_seconds=WARM_SECONDS,
+        warm_ratio=round(slowest / WARM_SECONDS, 3),
+        answered=windowed.answered,
+        p95_seconds=round(windowed.p95_seconds, 3),
+        collapses_after_unannounced_cold=unannounced,
+        wrong_answers=windowed.wrong_answers + baseline.wrong_answers,
+        baseline_collapses=baseline.collapses,
+        baseline_answered=baseline.answered,
+        baseline_p95_seconds=round(baseline.p95_seconds, 3),
+    )
+    Path('results').mkdir(exist_ok=True)
+    Path('results/coldstart.json').write_text(json.dumps(asdict(result), indent=1), 'utf8')
+    print(json.dumps(asdict(result), indent=None if as_json else 1))
+    kept = result.collapses == 0 and result.wrong_answers == 0
+    return 0 if kept and result.warm_ratio <= MAX_WARM_RATIO else 1
+
+
+def _trial(cold_limit: int, with_unannounced: bool) -> tuple[Trial, int]:
+    with running(_deployment(cold_limit)) as fleet:
+        serve_release(fleet, 'model-1', CUSTOMERS[0])
+        options = {'retry_refused': False, 'deadline_seconds': 3}
+        rate = LOAD_RATE / len(CUSTOMERS)
+        loads = [Load(name, rate, options=options) for name in CUSTOMERS]
+        callers = start_callers(fleet, loads, LOAD_SECONDS)
+        engine = fleet.names(Kind.engine)[0]
+        seconds_to_full = [_wait_full(fleet, engine)]
+        fleet.restart(engine)
+        seconds_to_full.append(_wait_full(fleet, engine))
+        collapses = _collapses(fleet)
+        if with_unannounced:
+            fleet.tell_fake(engine, '/admin/cold', {})
+        callers.stop()
+        asked = summarise(callers.lines())
+        unannounced = _collapses(fleet) - collapses
+        trial = Trial(
+            collapses,
+            seconds_to_full,
+            asked.answered,
+            asked.wrong_answers,
+            asked.latency.p95_seconds,
+        )
+    return trial, unannounced
+
+
+def _deployment(cold_limit: int) -> Deployment:
+    no_limit = Customer(requests_per_second=1000, max_concurrent=1000)
+    return Deployment(
+        zones={'zone-a': 'region-a'},
+        engines_per_zone=2,
+        customers={name: no_limit for name in CUSTOMERS},
+        engine=EngineOptions(
+            capacity=CAPACITY, cold_limit=1, warm_seconds=WARM_SECONDS, slowdown_per_request=0.02
+        ),
+        agent_cold_limit=cold_limit,
+    )
+
+
+def _wait_full(fleet: Fleet, engine: str) -> float:
+    """Waits until the engine's last load is done and all its places are taken."""
+    loads = len(fleet.records(engine, 'load'))
+    generation = fleet.ask_fake(engine, '/admin/state').get('generation')
+
+    def loaded() -> list[dict[str, Any]]:
+        state = fleet.ask_fake(engine, '/admin/state')
+        done = state.get('loaded') and state.get('generation') == generation
+        return fleet.records(engine, 'load')[max(0, loads - 1) :] if done else []
+
+    load = wait_until(loaded, FULL_SECONDS, f'{engine} loads')[-1]
+    wait_until(
+        lambda: fleet.ask_fake(engine, '/admin/state').get('running') == CAPACITY,
+        FULL_SECONDS,
+        f'{engine} is full',
+        SAMPLE_SECONDS,
+    )
+    return float(time.time() - load['time_seconds'])
+
+
+def _collapses(fleet: Fleet) -> int:
+    return len(fleet.all_records(fleet.names(Kind.engine), 'collapse'))
