Judge the start-up window by mean latency, not by single gaps

Cause: the best latency was the least single gap between events; events that are read together have a gap near zero, so every later gap was a jump and the window fell back to cold again and again. Ruled out: the rounds of growth (limit 1 to 8 takes 7 completions). Change: best and jump are judged on the smoothed mean.

--- a/jackdawsail/routing/window.py
+++ b/jackdawsail/routing/window.py
@@ -5,7 +5,7 @@
 back to the cold limit. While the upstream says that it is cold, the limit stays.
 
 Latency is counted as seconds per unit of work (a generated token, or a call),
-against the best that was seen in this generation.
+against the best mean that was seen in this generation.
 """
 
 from dataclasses import dataclass
@@ -14,7 +14,8 @@
 JUMP_RATIO = 4.0
 HEALTHY_RATIO = 2.0
 ERROR_BURST = 3
-SMOOTHING = 0.2
+SMOOTHING = 0.1
+FIRST_SAMPLES = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
         self._limit = min(self._settings.cold_limit, self._settings.capacity)
         self._best_seconds: float = 0
         self._smooth_seconds: float = 0
+        self._samples = 0
         self._good_in_round = 0
         self._errors_in_row = 0
 
@@ -85,11 +87,15 @@
         self.reset()
 
     def _learn(self, unit_seconds: float) -> None:
-        if not self._smooth_seconds:
+        self._samples += 1
+        if self._samples == 1:
             self._smooth_seconds = unit_seconds
-            self._best_seconds = unit_seconds
         self._smooth_seconds += SMOOTHING * (unit_seconds - self._smooth_seconds)
-        self._best_seconds = min(self._best_seconds, unit_seconds)
+        # Single latencies vary down to zero, where events arrive together; only
+        # their mean is a measure.
+        if self._samples <= FIRST_SAMPLES:
+            self._best_seconds = self._smooth_seconds
+        self._best_seconds = min(self._best_seconds, self._smooth_seconds)
 
     def _count_good(self) -> None:
         self._good_in_round += 1
--- /dev/null
+++ b/test/routing/test_window.py
@@ -0,0 +1,49 @@
+"""The start-up window never passes the cold limit while cold, and falls back at once."""
+
+from jackdawsail.routing.window import ERROR_BURST, StartupWindow, WindowSettings
+
+
+def make_window(cold_limit=1, capacity=8):
+    return StartupWindow(WindowSettings(cold_limit, capacity))
+
+
+def run_good(window, rounds, seconds=0.01):
+    for _ in range(rounds):
+        for _ in range(10):
+            window.progressed(seconds)
+        window.succeeded(window.limit)
+
+
+def test_stays_at_the_cold_limit_while_the_engine_is_cold():
+    window = make_window()
+    window.observe_state('g1', cold=True)
+    run_good(window, 100)
+    assert window.limit == 1
+    window.observe_state('g1', cold=False)
+    run_good(window, 1 + 2 + 4)
+    assert window.is_full
+
+
+def test_events_that_arrive_together_are_no_latency_jump():
+    window = make_window()
+    for _ in range(50):
+        for gap_seconds in (0.02, 0.0, 0.0, 0.02):
+            window.progressed(gap_seconds)
+        window.succeeded(window.limit)
+    assert window.is_full
+
+
+def test_new_generation_cold_word_jump_and_errors_put_it_back():
+    def fall(disturb):
+        window = make_window()
+        window.observe_state('g1', cold=False)
+        run_good(window, 20)
+        assert window.is_full
+        disturb(window)
+        return window.limit
+
+    assert fall(lambda window: window.observe_state('g2', cold=False)) == 1
+    assert fall(lambda window: window.observe_state('g1', cold=True)) == 1
+    assert fall(lambda window: [window.failed() for _ in range(ERROR_BURST)]) == 1
+    assert fall(lambda window: window.refused()) == 1
+    assert fall(lambda window: [window.progressed(0.2) for _ in range(5)]) == 1
