--- a/jackdawsail/consensus/configuration.py
+++ b/jackdawsail/consensus/configuration.py
@@ -15,11 +15,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """The voters and learners; ``target_voters`` is the number that repair restores."""
+    """The voters and learners.
+
+    ``target_voters`` is the number that repair restores. ``retired`` holds the
+    host names that operators have taken out of the group.
+    """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
     target_voters: int = 0
+    retired: tuple[str, ...] = ()
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -50,19 +55,28 @@
         learners = tuple(one for one in self.learners if one != node)
         return replace(self, voters=voters, learners=learners)
 
+    def retire(self, host: str) -> 'Configuration':
+        """Returns the configuration in which a host shall be replaced."""
+        return replace(self, retired=tuple(sorted({*self.retired, host})))
+
+    def take_back(self, host: str) -> 'Configuration':
+        """Returns the configuration in which a retired host may join again."""
+        return replace(self, retired=tuple(one for one in self.retired if one != host))
+
     def changes_one_voter_from(self, before: 'Configuration') -> bool:
         """Tells whether at most one voter differs, so that any two majorities meet."""
         return len(set(self.voters) ^ set(before.voters)) <= 1
 
     def encode(self) -> bytes:
         """Encodes the configuration for a log entry or a snapshot."""
-        return cbor2.dumps([list(self.voters), list(self.learners), self.target_voters])
+        lists = [list(part) for part in (self.voters, self.learners, self.retired)]
+        return cbor2.dumps([*lists, self.target_voters])
 
 
 def decode_configuration(body: bytes) -> Configuration:
     """Decodes what ``Configuration.encode`` made."""
-    voters, learners, target_voters = cbor2.loads(body)
-    return Configuration(tuple(voters), tuple(learners), target_voters)
+    voters, learners, retired, target_voters = cbor2.loads(body)
+    return Configuration(tuple(voters), tuple(learners), target_voters, tuple(retired))
 
 
 def node_id(host_name: str, disk_id: str) -> str:
--- a/jackdawsail/consensus/election.py
+++ b/jackdawsail/consensus/election.py
@@ -19,9 +19,11 @@
     def tick(self) -> bool:
         """Begins a pre-vote when no leader was heard for long; returns whether it won."""
         core = self._core
-        if core.role is Role.leader or not core.is_voter:
+        if core.role is Role.leader or core.now_seconds < core.campaign_seconds:
             return False
-        if core.now_seconds < core.campaign_seconds:
+        if not core.is_voter:
+            # Without a leader it introduces itself again: it may have been removed.
+            core.change_role(Role.follower, '')
             return False
         self._transfer = False
         core.change_role(Role.pre_candidate, '')
--- a/jackdawsail/consensus/interfaces.py
+++ b/jackdawsail/consensus/interfaces.py
@@ -52,9 +52,13 @@
         """Returns role, term, indexes, voters and learners for the administration API."""
 
     def change_voters(
-        self, remove_host: str = '', target_voters: int = 0
+        self, remove_host: str = '', add_host: str = '', target_voters: int = 0
     ) -> 'Deferred[Result[Any, ProposeError]]':
-        """Removes a host from the group or sets the number of voters (0: as it is)."""
+        """Retires a host, takes one back or sets the number of voters (0: as it is).
+
+        Only the leader can; it answers when the wish is committed. The
+        replacement itself follows as soon as another host has caught up.
+        """
 
     def start(self) -> None:
         """Connects to the other control hosts and takes part in the group."""
--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -1,13 +1,13 @@
 """Changes of membership, one server at a time, and the repair of a lost voter.
 
-A new host is first a learner. When it has caught up it is promoted if there
-are fewer voters than the target. A voter that stays lost is removed first,
-which never needs more live hosts than adding first, and the learner promoted
-next.
+A new host is first a learner. When it has caught up it is promoted if fewer
+voters than the target are sound, that is neither lost nor retired by an
+operator. Only then is an unsound voter removed: should another host fail in
+between, the return of any one of them restores the quorum.
 """
 
 import math
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from jackdawsail.consensus.configuration import Configuration, host_of
 from jackdawsail.consensus.core import Core, Role
@@ -18,6 +18,15 @@
 INTRODUCTION_SECONDS = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """An operator's change: hosts to retire or take back, the number of voters (0: as it is)."""
+
+    remove_host: str = ''
+    add_host: str = ''
+    target_voters: int = 0
+
+
 class Membership:
     """Decides on the leader which configuration comes next."""
 
@@ -47,27 +56,21 @@
             return False
         return core.log.configuration_index <= core.commit_index
 
-    def change(self, remove_host: str, target_voters: int) -> str:
-        """Removes a host or sets the number of voters; returns why it cannot, or ''."""
+    def change(self, wanted: MemberChange) -> str:
+        """Writes an operator's change; returns why it cannot, or ''."""
+        current = self._core.configuration
         if not self.can_change():
             return 'not the leader, or an earlier change is not committed yet'
-        wanted = self._core.configuration
-        if target_voters:
-            wanted = replace(wanted, target_voters=target_voters)
-        for member in wanted.members:
-            if remove_host and host_of(member) == remove_host:
-                wanted = wanted.without(member)
-        return self._write_if_safe(wanted)
-
-    def _write_if_safe(self, wanted: Configuration) -> str:
-        current = self._core.configuration
-        if wanted == current:
+        changed = current
+        if wanted.target_voters:
+            changed = replace(changed, target_voters=wanted.target_voters)
+        if wanted.remove_host:
+            changed = changed.retire(wanted.remove_host)
+        if wanted.add_host:
+            changed = changed.take_back(wanted.add_host)
+        if changed == current:
             return 'nothing changes'
-        if not wanted.changes_one_voter_from(current):
-            return 'only one voter may change at a time'
-        if not wanted.voters or not self._stays_available(wanted):
-            return 'too few of the remaining voters are up'
-        self._write(wanted)
+        self._write(changed)
         return ''
 
     def _write(self, wanted: Configuration) -> None:
@@ -77,60 +80,64 @@
 
     def _next(self) -> Configuration | None:
         rules = (
-            self._without_former_disk,
-            self._with_promoted,
-            self._without_lost,
             self._without_surplus,
+            self._with_promoted,
+            self._without_useless_learner,
             self._with_introduced,
         )
         return next(filter(None, (rule() for rule in rules)), None)
 
-    def _without_former_disk(self) -> Configuration | None:
-        """Drops the former identity of a host that is back with an empty disk."""
+    def _without_surplus(self) -> Configuration | None:
         current = self._core.configuration
-        for member in current.members:
-            if not self._is_up(member) and self._is_replaced(member):
-                return current.without(member)
-        return None
-
-    def _is_replaced(self, member: str) -> bool:
-        others = [one for one in self._core.configuration.members if one != member]
-        return any(host_of(one) == host_of(member) and self._caught_up(one) for one in others)
+        if len(current.voters) <= current.target_voters:
+            return None
+        return current.without(max(current.voters, key=self._dispensability))
 
     def _with_promoted(self) -> Configuration | None:
         current = self._core.configuration
-        if len(current.voters) >= current.target_voters:
+        sound = {host_of(voter) for voter in current.voters if self._is_sound(voter)}
+        if len(sound) >= current.target_voters:
             return None
-        voting_hosts = {host_of(voter) for voter in current.voters}
         for learner in current.learners:
-            if self._caught_up(learner) and host_of(learner) not in voting_hosts:
+            free = host_of(learner) not in {*sound, *current.retired}
+            if free and self._caught_up(learner):
                 return current.promote(learner)
         return None
 
-    def _without_lost(self) -> Configuration | None:
+    def _without_useless_learner(self) -> Configuration | None:
         current = self._core.configuration
-        if not any(self._caught_up(learner) for learner in current.learners):
-            return None
-        for voter in current.voters:
-            limit_seconds = self._core.timing.replace_voter_after_seconds
-            if self._silent_seconds(voter) >= limit_seconds:
-                return current.without(voter)
+        for learner in current.learners:
+            if self._is_replaced(learner) or host_of(learner) in current.retired:
+                return current.without(learner)
         return None
 
-    def _without_surplus(self) -> Configuration | None:
-        current = self._core.configuration
-        if len(current.voters) <= current.target_voters:
-            return None
-        others = [voter for voter in current.voters if voter != self._core.node]
-        return current.without(max(others, key=self._silent_seconds))
-
     def _with_introduced(self) -> Configuration | None:
         current = self._core.configuration
-        for node, _seen_seconds in self._introduced.values():
-            if node not in current.members:
+        for host, (node, _seen_seconds) in self._introduced.items():
+            if node not in current.members and host not in current.retired:
                 return current.with_learner(node)
         return None
 
+    def _dispensability(self, voter: str) -> tuple[bool, bool, bool, float]:
+        retired = host_of(voter) in self._core.configuration.retired
+        other = voter != self._core.node
+        return self._is_lost(voter), retired, other, self._silent_seconds(voter)
+
+    def _is_sound(self, voter: str) -> bool:
+        retired = host_of(voter) in self._core.configuration.retired
+        return not retired and not self._is_lost(voter)
+
+    def _is_lost(self, voter: str) -> bool:
+        limit_seconds = self._core.timing.replace_voter_after_seconds
+        return self._silent_seconds(voter) >= limit_seconds or self._is_replaced(voter)
+
+    def _is_replaced(self, member: str) -> bool:
+        """Tells whether a host is back under another id, as its disk was replaced."""
+        if self._is_up(member):
+            return False
+        others = [one for one in self._core.configuration.members if one != member]
+        return any(host_of(one) == host_of(member) and self._caught_up(one) for one in others)
+
     def _stays_available(self, wanted: Configuration) -> bool:
         up = [voter for voter in wanted.voters if self._is_up(voter)]
         return wanted.has_quorum(up)
--- a/jackdawsail/consensus/node.py
+++ b/jackdawsail/consensus/node.py
@@ -22,7 +22,7 @@
 from jackdawsail.consensus.effects import Accepted, Effect, Refused
 from jackdawsail.consensus.inbox import Inbox
 from jackdawsail.consensus.log import Entry, EntryKind, LogView, Snapshot
-from jackdawsail.consensus.membership import Membership
+from jackdawsail.consensus.membership import MemberChange, Membership
 from jackdawsail.consensus.replication import Replication
 
 
@@ -51,11 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeMembers:
-    """An operator's change: a host to remove, or another number of voters (0: as it is)."""
+    """An operator's change of the group, with the ticket that its answer carries."""
 
     ticket: int
-    remove_host: str = ''
-    target_voters: int = 0
+    change: MemberChange
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +133,7 @@
     def _on_change(self, event: ChangeMembers) -> None:
         accepted = Accepted(event.ticket, self.core.log.last_index + 1, self.core.term)
         position = len(self.core.effects)
-        reason = self._membership.change(event.remove_host, event.target_voters)
+        reason = self._membership.change(event.change)
         if reason:
             self._refuse(event.ticket, reason)
         else:
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -12,6 +12,7 @@
 from jackdawsail.consensus.core import Core, Role
 from jackdawsail.consensus.effects import SaveEntries, SaveVote
 from jackdawsail.consensus.interfaces import ProposeError
+from jackdawsail.consensus.membership import MemberChange
 from jackdawsail.consensus.node import (
     ChangeMembers,
     Introduced,
@@ -108,13 +109,14 @@
         return self._forwarding.forward(command, leader, now_seconds)
 
     def change_voters(
-        self, remove_host: str = '', target_voters: int = 0
+        self, remove_host: str = '', add_host: str = '', target_voters: int = 0
     ) -> Deferred[Result[Any, ProposeError]]:
-        """Removes a host or sets the number of voters; only the leader can."""
+        """Retires a host, takes one back or sets the number of voters; only the leader can."""
         if self.host.halted or self._core.role is not Role.leader:
             return refused_answer('not the leader', self.leader_name())
         ticket, answer = self.host.proposals.open(self.host.clock.seconds())
-        self.host.submit(ChangeMembers(ticket, remove_host, target_voters))
+        change = MemberChange(remove_host, add_host, target_voters)
+        self.host.submit(ChangeMembers(ticket, change))
         return answer
 
     def watch_leadership(self, callback: Callback) -> None:
@@ -138,6 +140,7 @@
             'voters': list(configuration.voters),
             'learners': list(configuration.learners),
             'target_voters': configuration.target_voters,
+            'retired': list(configuration.retired),
             'matched': self.host.node.matched(),
             'linked': sorted(self._links.hellos()),
             'halted': self.host.halted,
--- /dev/null
+++ b/test/consensus/cluster.py
@@ -0,0 +1,405 @@
+"""Consensus hosts on simulated clocks, links and disks, with the checks of Raft's promises."""
+
+import contextlib
+import hashlib
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from returns.result import Success
+
+from jackdawsail.consensus.configuration import host_of, node_id
+from jackdawsail.consensus.core import Role, Timing
+from jackdawsail.consensus.effects import SaveEntries, SaveVote
+from jackdawsail.consensus.membership import MemberChange
+from jackdawsail.consensus.node import (
+    ChangeMembers,
+    Introduced,
+    Tick,
+    founding_durable,
+    make_node,
+)
+from jackdawsail.consensus.recovery import open_storage
+from jackdawsail.control.consensus_host import ConsensusHost
+from test.consensus.disks import Crash, Disk
+
+STEP_SECONDS = 0.02
+TICK_SECONDS = 0.1
+MAX_SKEW = 0.05
+TIMING = Timing(replace_voter_after_seconds=6.0, piece_bytes=48, batch_bytes=200)
+SNAPSHOT_EVERY = 12
+KEEP_ENTRIES = 4
+
+
+class Digest:
+    """A state machine whose state is a digest of everything applied."""
+
+    def __init__(self):
+        self.state = b''
+
+    def apply(self, index, command):
+        self.state = hashlib.sha256(self.state + command).digest() * 4
+        return command
+
+    def snapshot(self):
+        return self.state
+
+    def restore(self, snapshot):
+        self.state = snapshot
+
+
+@dataclass
+class LocalClock:
+    """A host's monotonic clock, which runs a little fast or slow."""
+
+    cluster: 'Cluster'
+    rate: float
+    offset_seconds: float
+
+    def seconds(self):
+        return self.offset_seconds + self.cluster.now_seconds * self.rate
+
+    def callLater(self, delay, callable, *args, **kw):
+        return None
+
+
+@dataclass
+class Member:
+    """One simulated machine; ``host`` is None while it is down."""
+
+    name: str
+    clock: LocalClock
+    disk: Disk = field(default_factory=Disk)
+    host: ConsensusHost | None = None
+    machine: Digest = field(default_factory=Digest)
+    disks: int = 0
+
+
+class Cluster:
+    """Runs members and checks after every step what must always hold."""
+
+    def __init__(self, seed, hosts=5, voters=3):
+        self.rng = random.Random(seed)
+        self.now_seconds = 0.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.max_delay_seconds = 0.01
+        self.cuts = set()
+        self.members = {}
+        self.acknowledged = []
+        self.accepted = 0
+        self.steps = 0
+        self._queue = []
+        self._sequence = 0
+        self._next_tick = 0.0
+        self._committed = {}
+        self._states = {0: b''}
+        self._leaders = {}
+        for number in range(hosts):
+            self._add(f'h{number}', number)
+        self._found([f'h{number}' for number in range(voters)])
+
+    # Faults and orders.
+
+    def boot(self, name):
+        member = self.members[name]
+        if member.host is not None:
+            return
+        opened = open_storage(member.disk, f'd{member.disks}').unwrap()
+        member.machine = Digest()
+        snapshot = opened.durable.snapshot
+        if snapshot is not None:
+            member.machine.restore(snapshot.state)
+        node = make_node(
+            node_id(name, opened.disk_id), TIMING, self.rng, opened.durable, member.clock.seconds()
+        )
+        machine = _Watched(member, self)
+        member.host = ConsensusHost(member.clock, node, opened.storage, machine, self._send)
+        self._check_snapshot(snapshot)
+
+    def crash(self, name, power=True):
+        member = self.members[name]
+        member.host = None
+        if power:
+            member.disk.lose_power(self.rng)
+        else:
+            member.disk.kill_process()
+
+    def crash_at(self, name, operation):
+        if self.members[name].host is not None:
+            self.members[name].disk.fail_at(operation, Crash())
+
+    def fill_disk(self, name, operation):
+        if self.members[name].host is not None:
+            self.members[name].disk.fail_at(operation, OSError(28, 'No space left on device'))
+
+    def swap_disk(self, name):
+        """Puts an empty disk in, if the data survives the loss of this one."""
+        if not self._may_lose(name):
+            return False
+        member = self.members[name]
+        member.host = None
+        member.disk = Disk()
+        member.disks += 1
+        self.boot(name)
+        return True
+
+    def cut(self, source, target):
+        self.cuts.add((source, target))
+
+    def isolate(self, names):
+        inside = set(names)
+        for a in inside:
+            for b in self.members.keys() - inside:
+                self.cuts |= {(a, b), (b, a)}
+
+    def heal(self):
+        self.cuts.clear()
+        self.loss = self.duplication = 0.0
+        self.max_delay_seconds = 0.01
+
+    def propose(self, name, count=1):
+        member = self.members[name]
+        if member.host is None or member.host.halted:
+            return
+        for _ in range(count):
+            self.accepted += 1
+            command = b'command %d' % self.accepted
+            ticket, answer = member.host.proposals.open(member.clock.seconds())
+            answer.addCallback(self._answered)
+            member.host.submit_command(ticket, command)
+        self._run(member)
+
+    def change(self, name, remove_host='', add_host='', target_voters=0):
+        member = self.members[name]
+        if member.host is not None and not member.host.halted:
+            ticket, _answer = member.host.proposals.open(member.clock.seconds())
+            change = MemberChange(remove_host, add_host, target_voters)
+            member.host.submit(ChangeMembers(ticket, change))
+            self._run(member)
+
+    def run(self, seconds):
+        end = self.now_seconds + seconds
+        while self.now_seconds < end:
+            self.now_seconds += STEP_SECONDS
+            self._deliver()
+            if self.now_seconds >= self._next_tick:
+                self._next_tick = self.now_seconds + TICK_SECONDS
+                self._tick_all()
+            self.check_lease()
+
+    def settle(self, seconds=40.0):
+        """Heals everything and waits until every member has applied everything."""
+        self.heal()
+        for name, member in self.members.items():
+            member.disk.kill_process()
+            if member.host is not None and member.host.halted:
+                self.crash(name, power=False)
+            self.boot(name)
+        end = self.now_seconds + seconds
+        while self.now_seconds < end:
+            self.run(1)
+            self._take_all_back()
+            if self._converged():
+                return True
+        return False
+
+    # What is asked of the cluster.
+
+    def leader(self):
+        leading = [name for name, member in self.members.items() if self._leads(member)]
+        return leading[0] if leading else ''
+
+    def up(self):
+        return [name for name, member in self.members.items() if member.host is not None]
+
+    def core(self, name):
+        return self.members[name].host.node.core
+
+    def voters(self):
+        cores = [self.core(name) for name in self.up()]
+        latest = max(cores, key=lambda core: (core.log.last_term, core.log.last_index))
+        return [host_of(voter) for voter in latest.configuration.voters]
+
+    # Checks.
+
+    def check_lease(self):
+        leading = [name for name, member in self.members.items() if self._leads(member)]
+        assert len(leading) <= 1, f'two hosts hold the leader lease: {leading}'
+
+    def check_logs(self):
+        logs = [self.core(name).log for name in self.up()]
+        for position, one in enumerate(logs):
+            for other in logs[position + 1 :]:
+                _check_matching(one, other)
+
+    def check_acknowledged(self):
+        bodies = {entry.body for entry in self._committed.values()}
+        for command in self.acknowledged:
+            assert command in bodies, f'{command} was acknowledged and is lost'
+
+    def on_applied(self, entry_index, command, state):
+        known = self._states.get(entry_index)
+        assert known is None or known == state, f'states differ after {entry_index}'
+        self._states[entry_index] = state
+
+    # Machinery.
+
+    def _add(self, name, number):
+        rate = 1 + self.rng.uniform(-MAX_SKEW, MAX_SKEW)
+        clock = LocalClock(self, rate, self.rng.uniform(0, 1000))
+        self.members[name] = Member(name, clock)
+        self.boot(name)
+
+    def _found(self, names):
+        founder = self.members[names[0]]
+        nodes = tuple(self.core(name).node for name in names)
+        durable = founding_durable(nodes)
+        founder.host.save([SaveVote(1, ''), SaveEntries(tuple(durable.entries))])
+        founder.host = None
+        self.boot(founder.name)
+
+    def _may_lose(self, name):
+        """Only one disk may be lost until the group has been repaired."""
+        member = self.members[name]
+        if any(other.host is None or other.host.halted for other in self.members.values()):
+            return False
+        if not self.leader() or name == self.leader():
+            return False
+        core = self.core(self.leader())
+        committed = core.log.configuration_index <= core.commit_index
+        own = member.host.node.core.node
+        current = set(core.configuration.voters)
+        others = {self.core(other).node for other in self.up()} - {own}
+        holding = {node for node in current & others if self._holds(host_of(node), core)}
+        return committed and len(holding) >= core.configuration.quorum
+
+    def _holds(self, name, leading):
+        return self.core(name).log.last_index >= leading.commit_index
+
+    def _leads(self, member):
+        return member.host is not None and member.host.is_leader()
+
+    def _take_all_back(self):
+        leader = self.leader()
+        retired = self.core(leader).configuration.retired if leader else ()
+        for host in retired[:1]:
+            self.change(leader, add_host=host)
+
+    def _converged(self):
+        leader = self.leader()
+        if not leader:
+            return False
+        core = self.core(leader)
+        wanted = core.configuration
+        full = len(wanted.voters) == wanted.target_voters
+        applied = {member.host.applied_index for member in self.members.values()}
+        return full and not wanted.retired and applied == {core.log.last_index}
+
+    def _answered(self, outcome):
+        if isinstance(outcome, Success) and outcome.unwrap() is not None:
+            self.acknowledged.append(outcome.unwrap())
+
+    def _send(self, message):
+        source, target = host_of(message.sender), host_of(message.target)
+        if (source, target) in self.cuts or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            self._sequence += 1
+            due = self.now_seconds + self.rng.uniform(0.001, self.max_delay_seconds)
+            heapq.heappush(self._queue, (due, self._sequence, message))
+
+    def _deliver(self):
+        while self._queue and self._queue[0][0] <= self.now_seconds:
+            message = heapq.heappop(self._queue)[2]
+            member = self.members[host_of(message.target)]
+            if member.host is not None:
+                member.host.submit(message)
+                self._run(member)
+
+    def _tick_all(self):
+        for member in self.members.values():
+            if member.host is None or member.host.halted:
+                continue
+            member.host.submit(Tick())
+            core = member.host.node.core
+            if not core.leader:
+                self._introduce(core.node)
+            self._run(member)
+
+    def _introduce(self, node):
+        for other in self.members.values():
+            reachable = (host_of(node), other.name) not in self.cuts
+            if reachable and other.host is not None and other.name != host_of(node):
+                other.host.submit(Introduced(node))
+
+    def _run(self, member):
+        host = member.host
+        core = host.node.core
+        led = core.role is Role.leader
+        before = host.applied_index
+        self.steps += 1
+        try:
+            host.run()
+        except Crash:
+            self.crash(member.name)
+            return
+        if core.role is Role.leader and not led:
+            self._check_election(core)
+        self._note_committed(core, before, host.applied_index)
+        covered = 0 if core.snapshot is None else core.snapshot.index
+        if not host.halted and host.applied_index - covered >= SNAPSHOT_EVERY:
+            with contextlib.suppress(Crash):
+                host.take_snapshot(KEEP_ENTRIES)
+                return
+            self.crash(member.name)
+
+    def _check_election(self, core):
+        first = self._leaders.setdefault(core.term, core.node)
+        assert first == core.node, f'{first} and {core.node} lead term {core.term}'
+        for index, entry in self._committed.items():
+            if index > core.log.base_index:
+                held = core.log.term_at(index)
+                assert held == entry.term, f'leader {core.node} lacks committed entry {index}'
+
+    def _note_committed(self, core, after_index, until_index):
+        start = max(after_index, core.log.base_index)
+        for entry in core.log.between(start, until_index):
+            known = self._committed.setdefault(entry.index, entry)
+            assert known == entry, f'two entries were committed at {entry.index}'
+
+    def _check_snapshot(self, snapshot):
+        if snapshot is not None and snapshot.index in self._states:
+            assert self._states[snapshot.index] == snapshot.state
+
+
+class _Watched:
+    """Passes commands to a member's machine and compares the state after each."""
+
+    def __init__(self, member, cluster):
+        self._member = member
+        self._cluster = cluster
+
+    def apply(self, index, command):
+        reply = self._member.machine.apply(index, command)
+        self._cluster.on_applied(index, command, self._member.machine.state)
+        return reply
+
+    def snapshot(self):
+        return self._member.machine.snapshot()
+
+    def restore(self, snapshot):
+        self._member.machine.restore(snapshot)
+
+
+def _check_matching(one, other):
+    start = max(one.base_index, other.base_index)
+    last = min(one.last_index, other.last_index)
+    same_above = False
+    for index in range(last, start, -1):
+        a, b = one.between(index - 1, index)[0], other.between(index - 1, index)[0]
+        same = a.term == b.term
+        assert not (same and a != b), f'entries at {index} differ in one term'
+        assert same or not same_above, f'logs differ below the equal entry {index + 1}'
+        same_above = same
--- /dev/null
+++ b/test/consensus/test_rules.py
@@ -0,0 +1,137 @@
+"""Single rules of the protocol that random schedules seldom reach."""
+
+import random
+
+from jackdawsail.consensus.configuration import Configuration
+from jackdawsail.consensus.core import Role, Timing
+from jackdawsail.consensus.effects import Refused, Send
+from jackdawsail.consensus.log import Entry, EntryKind
+from jackdawsail.consensus.membership import MemberChange
+from jackdawsail.consensus.messages import AppendReply, PreVote, PreVoteReply, VoteReply
+from jackdawsail.consensus.node import ChangeMembers, Durable, Tick, make_node
+from test.consensus.cluster import Cluster
+
+VOTERS = ('a@1', 'b@1', 'c@1')
+OLD_TERM = 2
+
+
+def make_leader():
+    """Makes a leader of term 4 whose log ends with an entry of an earlier term."""
+    configuration = Configuration(VOTERS, (), 3).encode()
+    entries = (
+        Entry(1, 1, EntryKind.configuration, configuration),
+        Entry(2, OLD_TERM, EntryKind.command, b'x'),
+    )
+    durable = Durable(term=3, entries=entries)
+    node = make_node('a@1', Timing(), random.Random(1), durable, now_seconds=0)
+    node.step(Tick(), 3)
+    node.step(PreVoteReply('b@1', 'a@1', 4, granted=True), 3)
+    node.step(VoteReply('b@1', 'a@1', 4, granted=True), 3)
+    assert node.core.role is Role.leader
+    return node
+
+
+def appended(match_index, sent_seconds, sender='b@1'):
+    return AppendReply(sender, 'a@1', 4, True, match_index, 0, 0, sent_seconds)
+
+
+def test_entry_of_an_earlier_term_does_not_commit_by_counting():
+    node = make_leader()
+    node.step(appended(2, 3), 3.1)
+    assert node.core.commit_index == 0
+    node.step(appended(3, 3), 3.1)
+    assert node.core.commit_index == 3
+
+
+def test_lease_counts_from_when_the_acknowledged_append_was_sent():
+    node = make_leader()
+    node.step(appended(3, sent_seconds=3), now_seconds=3.7)
+    assert node.is_leader(3.7)
+    assert not node.is_leader(3.01 + Timing().lease_seconds)
+
+
+def test_restarted_voter_supports_a_leader_that_it_may_have_acknowledged():
+    durable = Durable(term=3, entries=make_leader().core.log.between(0, 2))
+    node = make_node('b@1', Timing(), random.Random(1), durable, now_seconds=50)
+    ask = PreVote('c@1', 'b@1', 4, 9, 3)
+    early, late = node.step(ask, 50.9), node.step(ask, 51.1)
+    assert [effect.message.granted for effect in (*early, *late) if isinstance(effect, Send)] == [
+        False,
+        True,
+    ]
+
+
+def test_second_change_waits_for_the_first_to_commit():
+    node = make_leader()
+    node.step(appended(3, 3), 3.1)
+    first = node.step(ChangeMembers(1, MemberChange(target_voters=5)), 3.2)
+    second = node.step(ChangeMembers(2, MemberChange(remove_host='c')), 3.2)
+    assert not any(isinstance(effect, Refused) for effect in first)
+    assert isinstance(second[0], Refused)
+
+
+def settled(hosts, voters, seed=5):
+    cluster = Cluster(seed, hosts, voters)
+    cluster.run(6)
+    return cluster
+
+
+def test_isolated_leader_loses_its_lease_and_confirms_nothing():
+    cluster = settled(3, 3)
+    old = cluster.leader()
+    cluster.isolate([old])
+    before = list(cluster.acknowledged)
+    cluster.propose(old)
+    cluster.run(1.2)
+    assert not cluster.members[old].host.is_leader()
+    cluster.run(3)
+    new = cluster.leader()
+    assert new not in {'', old}
+    assert cluster.acknowledged == before
+    cluster.propose(new)
+    cluster.run(1)
+    assert len(cluster.acknowledged) == len(before) + 1
+    assert cluster.settle()
+
+
+def test_second_voter_may_be_lost_right_after_the_repair():
+    cluster = settled(4, 3)
+    first = next(name for name in cluster.voters() if name != cluster.leader())
+    cluster.crash(first)
+    while first in cluster.voters():
+        cluster.run(0.1)
+    cluster.crash(cluster.leader())
+    cluster.run(5)
+    cluster.propose(cluster.leader())
+    cluster.run(1)
+    assert len(cluster.acknowledged) == 1
+
+
+def test_swapped_disk_gives_a_new_identity_that_must_catch_up():
+    cluster = settled(3, 3)
+    cluster.propose(cluster.leader(), 30)
+    cluster.run(1)
+    swapped = next(name for name in cluster.voters() if name != cluster.leader())
+    assert cluster.swap_disk(swapped)
+    core = cluster.core(swapped)
+    assert not core.is_voter
+    cluster.run(5)
+    voters = cluster.core(cluster.leader()).configuration.voters
+    assert f'{swapped}@d1' in voters
+    assert f'{swapped}@d0' not in voters
+    assert cluster.core(swapped).commit_index == cluster.core(cluster.leader()).commit_index
+
+
+def test_full_disk_stops_the_host_and_nothing_unsynced_is_acknowledged():
+    cluster = settled(3, 3)
+    old = cluster.leader()
+    cluster.fill_disk(old, 0)
+    cluster.propose(old, 3)
+    assert 'No space left' in cluster.members[old].host.halted
+    assert not cluster.members[old].host.is_leader()
+    cluster.run(4)
+    cluster.propose(cluster.leader(), 2)
+    cluster.run(1)
+    assert len(cluster.acknowledged) == 2
+    assert cluster.settle()
+    cluster.check_acknowledged()
