Take a tracker's summary only after its agents have had time to reach it

Cause: a tracker fills its first summary before any agent has dialled it, so an empty zone looked fresh and a release could end as done too early; a zone out right after a leader change was refused as if nobody else served. Change: summaries count two seconds after an entry is named; a zone out waits for the other zones to be heard.

--- a/jackdawsail/control/admin_resource.py
+++ b/jackdawsail/control/admin_resource.py
@@ -147,16 +147,13 @@
     ) -> Result[ParsedCommand, Problem]:
         duties = self._queries.duties
         now_seconds = duties.desk.reactor.seconds()
-        if not duties.desk.leases.is_settled(now_seconds):
+        others = [view for view in duties.live_zones(now_seconds) if view.name != body.name]
+        if any(view.is_serving for view in others):
+            return Success(command)
+        unheard = any(view.summary_age_seconds is None for view in others)
+        if unheard or not duties.desk.leases.is_settled(now_seconds):
             detail = 'the leader is new and has not heard every data centre yet'
             return Failure(make_problem(HTTPStatus.SERVICE_UNAVAILABLE, 'not-settled', detail))
-        healthy = [
-            view.name
-            for view in duties.live_zones(now_seconds)
-            if any(summary.serving for summary in view.backends.values())
-        ]
-        if set(healthy) - {body.name}:
-            return Success(command)
         detail = f'no other data centre than {body.name} has a serving upstream; force it if meant'
         return Failure(make_problem(HTTPStatus.CONFLICT, 'last-zone', detail))
 
--- a/jackdawsail/control/zone_leases.py
+++ b/jackdawsail/control/zone_leases.py
@@ -17,6 +17,7 @@
 )
 
 FENCE_TERM_SHIFT = 32
+TRACKER_SETTLE_SECONDS = 2.0  # every agent has dialled a new tracker and sent a heartbeat
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,7 @@
 class _ZoneState:
     lapse_at_seconds: float
     tracker: str = ''
+    tracker_since_seconds: float = 0
     tracker_until_seconds: float = 0
     backends: dict[str, BackendSummary] = field(default_factory=dict)
     summary_at_seconds: float | None = None
@@ -73,6 +75,12 @@
     backends: dict[str, BackendSummary]
     summary_age_seconds: float | None
 
+    @property
+    def is_serving(self) -> bool:
+        """Tells whether a tracker has reported a serving upstream."""
+        heard = self.summary_age_seconds is not None
+        return heard and any(summary.serving for summary in self.backends.values())
+
 
 class ZoneLeases:
     """The leader's leases; ``become_leader`` starts a new term with nothing known."""
@@ -100,7 +108,7 @@
         self._see(request, entry, rule, now_seconds)
         zone = self._zone(entry.zone)
         is_tracker = self._choose_tracker(entry, zone, now_seconds)
-        if is_tracker:
+        if is_tracker and now_seconds - zone.tracker_since_seconds >= TRACKER_SETTLE_SECONDS:
             zone.backends = request.backends
             zone.summary_at_seconds = now_seconds
         lease_seconds: float = 0
@@ -184,6 +192,8 @@
         if zone.tracker_until_seconds > now_seconds or self._best(entry.zone) != process:
             return False
         zone.tracker = process
+        zone.tracker_since_seconds = now_seconds
+        zone.summary_at_seconds = None
         zone.tracker_until_seconds = now_seconds + self.lease_seconds
         return True
 
