--- a/jackdawsail/control/main.py
+++ b/jackdawsail/control/main.py
@@ -14,6 +14,7 @@
 from jackdawsail.process import ProcessContext, SettingsPaths, run_process
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import LinkServerFactory
+from jackdawsail.wire.tls import listen
 
 app = cyclopts.App(name='jackdawsail-control', version=__version__)
 
@@ -42,8 +43,9 @@
     root: Any = Resource()
     root.putChild(b'v1', parts.resource)
     root.putChild(b'metrics', MetricsResource())
-    link_port = _listen(context, settings.link_port, links)
-    admin_port = _listen(context, settings.admin_port, make_site(root))
+    address = context.host.address
+    link_port = listen(context.reactor, settings.link_port, address, links, context.tls)
+    admin_port = context.reactor.listenTCP(settings.admin_port, make_site(root), interface=address)
     parts.replicator.start()
     events.log(
         events.PROCESS_READY,
@@ -53,10 +55,6 @@
     return ControlProgram(parts, [link_port, admin_port]).stop
 
 
-def _listen(context: ProcessContext, port: int, factory: Any) -> Any:
-    return context.reactor.listenTCP(port, factory, interface=context.host.address)
-
-
 @app.default
 def run(settings: SettingsPaths) -> int:
     """Runs a control host from a base settings file and its overlays."""
--- a/jackdawsail/ui/customer_commands.py
+++ b/jackdawsail/ui/customer_commands.py
@@ -31,6 +31,10 @@
 
 NO_LIMITS = Limits()
 
+BackendNames = Annotated[
+    list[str], Parameter(name='--backend', negative=(), help='Back end that runs there; repeat.')
+]
+
 
 @customer_app.command(name='put')
 def put_customer(
@@ -69,7 +73,9 @@
 
 
 @site_app.command(name='put')
-def put_site(name: str, *, zone: str, backends: list[str], options: Options = UNCHANGED) -> None:
+def put_site(
+    name: str, *, zone: str, backends: BackendNames, options: Options = UNCHANGED
+) -> None:
     """Adds a site deployment or changes it."""
     fields = {'name': name, 'zone': zone, 'backends': backends}
     options.change('site-put', fields, f'site {name} put')
