--- a/jackdawsail/consensus/core.py
+++ b/jackdawsail/consensus/core.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from jackdawsail.consensus.configuration import Configuration
-from jackdawsail.consensus.effects import Apply, Effect, LeadershipChanged, SaveVote, Send
+from jackdawsail.consensus.effects import Apply, Effect, SaveVote, Send
 from jackdawsail.consensus.log import LogView, Snapshot
 from jackdawsail.consensus.messages import Message
 
@@ -100,13 +100,9 @@
         self.put_off_campaign()
 
     def change_role(self, role: Role, leader: str) -> None:
-        """Sets the role and the known leader, and reports a change."""
-        changed = (self.role is Role.leader) != (role is Role.leader) or self.leader != leader
+        """Sets the role and the known leader."""
         self.role = role
         self.leader = leader
-        if changed:
-            is_self = role is Role.leader
-            self.effects.append(LeadershipChanged(self.term, leader, is_self))
 
     def put_off_campaign(self) -> None:
         """Draws the time of the next election, one to two timeouts from now."""
--- a/jackdawsail/consensus/effects.py
+++ b/jackdawsail/consensus/effects.py
@@ -68,16 +68,5 @@
     leader: str
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipChanged:
-    """The term, the role or the known leader has changed."""
-
-    term: int
-    leader: str
-    is_self: bool
-
-
-Effect = (
-    SaveVote | SaveEntries | SaveSnapshot | Send | Apply | Accepted | Refused | LeadershipChanged
-)
+Effect = SaveVote | SaveEntries | SaveSnapshot | Send | Apply | Accepted | Refused
 DURABLE = (SaveVote, SaveEntries, SaveSnapshot)
--- a/jackdawsail/control/consensus_host.py
+++ b/jackdawsail/control/consensus_host.py
@@ -22,7 +22,6 @@
 from jackdawsail.control.proposals import Proposals
 
 HOST_HALTED = events.define(200, 'error', 'consensus host stopped taking part')
-LEADERSHIP_CHANGED = events.define(201, 'info', 'leadership changed')
 SNAPSHOT_SAVED = events.define(202, 'info', 'snapshot saved')
 SNAPSHOT_INSTALLED = events.define(203, 'info', 'snapshot of the leader installed')
 
@@ -53,6 +52,12 @@
         self._queue: list[object] = []
         self._commands: list[tuple[int, bytes]] = []
 
+    def restore(self) -> None:
+        """Gives the state machine the snapshot that was on the disk, if there is one."""
+        snapshot = self.node.core.snapshot
+        if snapshot is not None:
+            self._state_machine.restore(snapshot.state)
+
     def submit(self, event: object) -> None:
         """Queues an event of the node for the end of this turn of the reactor."""
         self._schedule()
@@ -174,11 +179,6 @@
             self.proposals.refuse(effect.ticket, effect.reason, effect.leader)
         self.on_placed(effect)
 
-    @_carry_out.register
-    def _on_leadership(self, effect: effects.LeadershipChanged) -> None:
-        fields = {'term': effect.term, 'leader': effect.leader, 'is_self': effect.is_self}
-        events.log(LEADERSHIP_CHANGED, **fields)
-
     def _apply(self, entry: Entry) -> None:
         reply: Any = None
         if entry.kind is EntryKind.command:
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -28,6 +28,7 @@
 from jackdawsail.control.raft_messages import RaftHello
 from jackdawsail.settings.models import ControlSettings
 
+LEADERSHIP_CHANGED = events.define(201, 'info', 'leader, term or leader lease changed')
 GROUP_FOUNDED = events.define(222, 'info', 'new consensus group founded')
 KEEP_SHARE = 0.1
 GREET_SECONDS = 1.0
@@ -52,6 +53,8 @@
 
     def start(self) -> None:
         """Connects to the other control hosts and takes part in the group."""
+        # Only now, when every listener of the state machine is in its place.
+        self.host.restore()
         self.host.on_step = self._after_step
         self.host.on_placed = self._forwarding.placed
         handlers = LinkHandlers(
@@ -191,6 +194,8 @@
         if seen == self._seen:
             return
         self._seen = seen
+        leader, term, holds_lease = seen
+        events.log(LEADERSHIP_CHANGED, leader=leader, term=term, holds_lease=holds_lease)
         for watcher in self._watchers:
             watcher()
 
--- a/jackdawsail/control/replicator.py
+++ b/jackdawsail/control/replicator.py
@@ -51,8 +51,8 @@
     own_name = context.identity.name
     links = RaftLinks(context, switchboard, _peers(control, own_name))
     folder = Path(control.data_folder) / RAFT_FOLDER
-    opened = _open(files or FolderFiles(folder), folder)
-    host = _make_host(context, opened, state_machine, links.send)
+    opened = open_folder(files or FolderFiles(folder), folder)
+    host = make_host(context, opened, state_machine, links.send)
     return RaftReplicator(own_name, control, host, links)
 
 
@@ -64,12 +64,13 @@
     return hosts
 
 
-def _make_host(
+def make_host(
     context: ProcessContext,
     opened: Opened,
     state_machine: StateMachine,
     send: Callable[[Message], None],
 ) -> ConsensusHost:
+    """Makes the consensus host of a process from what its folder holds."""
     control = _control(context)
     timing = Timing(
         election_timeout_seconds=control.election_timeout_seconds,
@@ -78,15 +79,13 @@
     )
     own = node_id(context.identity.name, opened.disk_id)
     rng = random.Random(context.identity.incarnation)
-    snapshot = opened.durable.snapshot
-    if snapshot is not None:
-        state_machine.restore(snapshot.state)
     now_seconds = context.reactor.seconds()
     node = make_node(own, timing, rng, opened.durable, now_seconds)
     return ConsensusHost(context.reactor, node, opened.storage, state_machine, send)
 
 
-def _open(files: FileOperations, folder: Path) -> Opened:
+def open_folder(files: FileOperations, folder: Path) -> Opened:
+    """Opens the folder and logs what was found; raises UserError for damage."""
     outcome = open_storage(files, secrets.token_hex(DISK_ID_BYTES))
     if isinstance(outcome, Failure):
         events.log(STORAGE_REFUSED, folder=str(folder), reason=outcome.failure())
