--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,61 @@
+"""Works out docs/CAPACITY.md's tables from the measured slopes.
+
+``python -m bench capacity`` writes the tables into the page, between the marks
+``<!-- table NAME -->`` and ``<!-- end -->``; ``--check`` compares instead and ends
+with 1 when the page and the computed tables differ.
+
+Example::
+
+    python -m bench slopes --json
+    python -m bench capacity
+    python -m bench capacity --check
+"""
+
+import json
+import re
+from pathlib import Path
+
+from bench.capacity_roles import make_days_table, make_role_table
+from bench.capacity_size import Size
+from bench.capacity_slopes import Slopes, make_measured_table, make_rest_table, read_slopes
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / 'docs' / 'CAPACITY.md'
+SLOPES_FILE = ROOT / 'docs' / 'capacity' / 'slopes.json'
+TABLE_PATTERN = re.compile(r'<!-- table (\w+) -->\n.*?<!-- end -->', re.DOTALL)
+
+
+def make_tables(slopes: Slopes, size: Size) -> dict[str, str]:
+    """Returns every table of the page by its name."""
+    return {
+        'slopes': make_measured_table(slopes),
+        'rest': make_rest_table(slopes),
+        'roles': make_role_table(slopes, size),
+        'days': make_days_table(slopes, size),
+    }
+
+
+def fill_page(text: str, tables: dict[str, str]) -> str:
+    """Puts the tables between their marks; an unknown name is a broken page."""
+
+    def fill(found: re.Match[str]) -> str:
+        name = found.group(1)
+        return f'<!-- table {name} -->\n{tables[name]}\n<!-- end -->'
+
+    return TABLE_PATTERN.sub(fill, text)
+
+
+def run(check: bool = False, as_json: bool = False) -> int:
+    """Writes the tables into the page, or checks that they stand there."""
+    slopes = read_slopes(SLOPES_FILE)
+    text = PAGE.read_text('utf8')
+    filled = fill_page(text, make_tables(slopes, Size()))
+    if check:
+        same = filled == text
+        print(
+            json.dumps({'same': same}) if as_json else f'page is {"" if same else "not "}current'
+        )
+        return 0 if same else 1
+    PAGE.write_text(filled, 'utf8')
+    print(f'wrote {PAGE.relative_to(ROOT)}')
+    return 0
--- /dev/null
+++ b/bench/capacity_size.py
@@ -0,0 +1,76 @@
+"""The size to design for, from the users' letter, and the figures that follow from it."""
+
+from dataclasses import dataclass
+
+SECONDS_A_DAY = 86400
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Counts and rates of the letter, and the few assumptions that it leaves open."""
+
+    nodes: int = 760
+    engines: int = 12_000
+    upstream_hosts: int = 1_500
+    requests_per_second: float = 8_300
+    tokens_per_second: float = 3_900_000
+    regions: int = 12
+    zones: int = 39
+    changes_per_day: int = 22_000
+    set_aside_hosts: int = 19
+    voters: int = 7
+    host_failures_per_day: int = 150
+    restarts_per_day: int = 930
+    # Assumptions, each named in the page.
+    busiest_minute_factor: float = 10
+    customers: int = 2_000
+    claimed_share: float = 0.02
+    links_per_agent: int = 3
+    model_bytes: int = 140 * 10**9
+    chunk_bytes: int = 64 * MEBIBYTE
+
+    @property
+    def relays(self) -> int:
+        """Stateless relays: the set-aside hosts that do not vote."""
+        return self.set_aside_hosts - self.voters
+
+    @property
+    def entries(self) -> int:
+        """Nodes that are not set aside for control."""
+        return self.nodes - self.set_aside_hosts
+
+    @property
+    def agents_per_entry(self) -> float:
+        """Agent links that one entry holds."""
+        return self.upstream_hosts * self.links_per_agent / self.entries
+
+    @property
+    def entries_per_relay(self) -> float:
+        """Entry links that one relay holds."""
+        return self.entries / self.relays
+
+    @property
+    def changes_per_second(self) -> float:
+        """Configuration changes a second in the busiest minute."""
+        return self.changes_per_day / SECONDS_A_DAY * self.busiest_minute_factor
+
+    @property
+    def claims_per_second(self) -> float:
+        """Claims of calls that may not be repeated, over all regions."""
+        return self.requests_per_second * self.claimed_share
+
+    @property
+    def chunks(self) -> int:
+        """Chunks of one model."""
+        return -(-self.model_bytes // self.chunk_bytes)
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """What a node may spend for control."""
+
+    processor_share: float = 0.044
+    memory_bytes: int = 128 * MEBIBYTE
+    bytes_per_second: int = 20 * KIBIBYTE
