--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,9 @@
 import json
 import re
 from pathlib import Path
+from typing import Annotated
+
+from cyclopts import Parameter
 
 from bench.capacity_roles import make_days_table, make_role_table
 from bench.capacity_size import Size
@@ -45,17 +48,15 @@
     return TABLE_PATTERN.sub(fill, text)
 
 
-def run(check: bool = False, as_json: bool = False) -> int:
+def run(check: bool = False, as_json: Annotated[bool, Parameter(name='--json')] = False) -> int:
     """Writes the tables into the page, or checks that they stand there."""
     slopes = read_slopes(SLOPES_FILE)
     text = PAGE.read_text('utf8')
     filled = fill_page(text, make_tables(slopes, Size()))
-    if check:
-        same = filled == text
-        print(
-            json.dumps({'same': same}) if as_json else f'page is {"" if same else "not "}current'
-        )
-        return 0 if same else 1
-    PAGE.write_text(filled, 'utf8')
-    print(f'wrote {PAGE.relative_to(ROOT)}')
-    return 0
+    is_current = filled == text
+    if not check:
+        PAGE.write_text(filled, 'utf8')
+        is_current = True
+    verdict = 'current' if is_current else 'not current'
+    print(json.dumps({'page': verdict}) if as_json else f'the page is {verdict}')
+    return 0 if is_current else 1
--- /dev/null
+++ b/bench/slopes_changes.py
@@ -0,0 +1,117 @@
+"""Slopes by the rate of changes and of claims, on three voters with stand-in entries."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from bench.capacity_slopes import Slope
+from bench.harness.callers import Load, start_callers
+from bench.harness.fleet import Fleet, running
+from bench.harness.layout import Kind
+from bench.harness.plan import Deployment
+from bench.slopes_links import ONE_ZONE, SETTLE_SECONDS, start_standins
+from bench.slopes_sampling import Window, make_slope, watch
+
+CHANGE_RATES = (0, 5, 10, 20)
+CLAIM_RATES = (0, 10, 20, 40)
+SUBSCRIBERS = 50
+WINDOW_SECONDS = 6.0
+FOLLOWERS = 2
+FAN_OUT_TAGS = ('state-delta', 'state-snapshot')
+
+
+def measure_changes() -> dict[str, Slope]:
+    """Measures the leader and an entry under changes, then the leader under claims."""
+    with running(Deployment(zones=ONE_ZONE, engines_per_zone=0, voters=3)) as fleet:
+        fleet.wait_leader()
+        for name in fleet.names(Kind.control):
+            address = fleet.layout.places[name].reached_at(0)
+            start_standins(fleet, f'standins-{name}', 'entries', address, SUBSCRIBERS)
+        time.sleep(SETTLE_SECONDS)
+        changes = [(rate, _under_changes(fleet, rate)) for rate in CHANGE_RATES]
+    with running(Deployment(zones=ONE_ZONE, engines_per_zone=0, voters=3)) as fleet:
+        fleet.wait_leader()
+        claims = [(rate, _under_claims(fleet, rate)) for rate in CLAIM_RATES]
+    leader = [(rate, windows[0]) for rate, windows in changes]
+    entry = [(rate, windows[1]) for rate, windows in changes]
+    return {
+        'control_processor_per_change': make_slope(
+            [(rate, window.processor_share) for rate, window in leader],
+            's',
+            f'change with {SUBSCRIBERS} subscribers',
+            'changes',
+        ),
+        'raft_bytes_per_command': make_slope(
+            [(rate, _raft_bytes(window) / FOLLOWERS) for rate, window in leader],
+            'B',
+            'command and follower',
+            'changes',
+        ),
+        'fanout_bytes_per_change': make_slope(
+            [(rate, _fan_out_bytes(window) / (SUBSCRIBERS + 1)) for rate, window in leader],
+            'B',
+            'change and subscriber',
+            'changes',
+        ),
+        'entry_processor_per_change': make_slope(
+            [(rate, window.processor_share) for rate, window in entry], 's', 'change', 'changes'
+        ),
+        'claim_processor_per_claim': make_slope(
+            [(rate, window.processor_share) for rate, window in claims],
+            's',
+            'claim and settlement',
+            'changes',
+        ),
+    }
+
+
+def leader_name(fleet: Fleet) -> str:
+    """Returns the control host whose administration API says that it leads."""
+    status = fleet.wait_leader()
+    return str(status['leader'])
+
+
+def _under_changes(fleet: Fleet, rate: float) -> tuple[Window, Window]:
+    # The load is sent from a thread of this process, at fixed times.
+    leader = leader_name(fleet)
+    with ThreadPoolExecutor(max_workers=3) as pool:
+        sending = pool.submit(_send_changes, fleet, rate, WINDOW_SECONDS + 1)
+        entry = pool.submit(_watch_place, fleet, 'entry-zone-a-1', 0)
+        window = _watch_place(fleet, leader, 1)
+        sending.result()
+        return window, entry.result()
+
+
+def _send_changes(fleet: Fleet, rate: float, seconds: float) -> None:
+    started = time.monotonic()
+    count = int(rate * seconds)
+    for number in range(count):
+        wait_seconds = started + number / rate - time.monotonic()
+        time.sleep(max(0, wait_seconds))
+        reply = fleet.command('customer-put', name=f'customer-{number % 20}', weight=1 + number)
+        assert reply.status == 200, reply.body
+
+
+def _under_claims(fleet: Fleet, rate: float) -> Window:
+    if not rate:
+        return _watch_place(fleet, leader_name(fleet), 1)
+    customer = next(iter(fleet.deployment.customers))
+    load = Load(customer, requests_per_second=rate, kind='book')
+    callers = start_callers(fleet, [load], WINDOW_SECONDS + 3, name=f'claims-{rate}')
+    time.sleep(1)
+    window = _watch_place(fleet, leader_name(fleet), 1)
+    callers.wait()
+    return window
+
+
+def _watch_place(fleet: Fleet, name: str, port: int) -> Window:
+    address = fleet.layout.places[name].reached_at(port)
+    return watch(fleet.children[name], address, WINDOW_SECONDS)
+
+
+def _raft_bytes(window: Window) -> float:
+    sent = window.sent_bytes
+    return sum(count for tag, count in sent.items() if 'append' in tag) / window.seconds
+
+
+def _fan_out_bytes(window: Window) -> float:
+    return sum(window.sent_bytes.get(tag, 0) for tag in FAN_OUT_TAGS) / window.seconds
--- /dev/null
+++ b/bench/slopes_links.py
@@ -0,0 +1,81 @@
+"""Slopes by the number of links: agents at an entry, entries at a control host."""
+
+import time
+
+from bench.capacity_slopes import Rest, Slope
+from bench.harness.fleet import Fleet, running
+from bench.harness.layout import Kind
+from bench.harness.plan import Deployment
+from bench.harness.settings_files import SITE_SECRET
+from bench.slopes_sampling import Window, make_slope, watch
+
+LINK_COUNTS = (0, 40, 80, 160)
+SETTLE_SECONDS = 3.0
+WINDOW_SECONDS = 8.0
+STANDIN_SECONDS = 600.0
+ONE_ZONE = {'zone-a': 'region-a'}
+
+
+def measure_entry_links() -> dict[str, Slope]:
+    """Measures an entry with stand-in agents."""
+    return _measure('entry-zone-a-1', 'agents', 'entry', 'agent')
+
+
+def measure_control_links() -> dict[str, Slope]:
+    """Measures a control host with stand-in entries."""
+    return _measure('control-1', 'entries', 'control', 'entry')
+
+
+def _measure(watched: str, role: str, program: str, peer: str) -> dict[str, Slope]:
+    with running(Deployment(zones=ONE_ZONE, engines_per_zone=0, services=0)) as fleet:
+        fleet.wait_leader()
+        windows = {count: _watch_with(fleet, role, watched, count) for count in LINK_COUNTS}
+    processor = [(count, window.processor_share) for count, window in windows.items()]
+    traffic = [(count, window.bytes_per_second) for count, window in windows.items()]
+    memory = [(count, window.resident_bytes) for count, window in windows.items()]
+    part, per = f'{program}-links', f'{peer} link'
+    return {
+        f'{program}_processor_per_{peer}': make_slope(processor, 'core', per, part),
+        f'{program}_bytes_per_{peer}': make_slope(traffic, 'B/s', per, part),
+        f'{program}_memory_per_{peer}': make_slope(memory, 'B', per, part),
+    }
+
+
+def _watch_with(fleet: Fleet, role: str, watched: str, count: int) -> Window:
+    place = fleet.layout.places[watched]
+    is_entry = place.kind is Kind.entry
+    name = f'standins-{role}-{count}'
+    if count:
+        start_standins(fleet, name, role, place.reached_at(1 if is_entry else 0), count)
+    time.sleep(SETTLE_SECONDS)
+    http = place.reached_at(0 if is_entry else 1)
+    window = watch(fleet.children[watched], http, WINDOW_SECONDS)
+    if count:
+        fleet.kill(name)
+    return window
+
+
+def start_standins(fleet: Fleet, name: str, role: str, address: str, count: int) -> None:
+    """Starts one process of stand-ins on a fleet."""
+    arguments = [role, '--address', address, '--count', str(count), '--zone', 'zone-a']
+    arguments += ['--seconds', str(STANDIN_SECONDS), '--secret', SITE_SECRET]
+    fleet.add_child(name, 'bench.standins', arguments).start()
+
+
+def measure_rest() -> dict[str, Rest]:
+    """Measures the start of each program and its memory at rest."""
+    with running(Deployment(zones=ONE_ZONE, engines_per_zone=1, services=0)) as fleet:
+        fleet.wait_leader()
+        time.sleep(SETTLE_SECONDS)
+        chosen = {
+            'control': 'control-1',
+            'entry': 'entry-zone-a-1',
+            'agent': 'agent-zone-a-1',
+        }
+        return {
+            program: Rest(
+                ready_seconds=fleet.children[name].ready_seconds,
+                resident_bytes=fleet.children[name].usage().resident_bytes,
+            )
+            for program, name in chosen.items()
+        }
--- /dev/null
+++ b/bench/slopes_requests.py
@@ -0,0 +1,93 @@
+"""Slopes by the rate of requests and by the tokens of their answers, for entry and agent."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from bench.capacity_slopes import Slope
+from bench.fakes.engine import EngineOptions
+from bench.harness.callers import Load, start_callers
+from bench.harness.fleet import Fleet, running
+from bench.harness.plan import Deployment
+from bench.harness.releases import release_and_wait
+from bench.slopes_links import ONE_ZONE
+from bench.slopes_sampling import Window, make_slope, watch
+
+REQUEST_RATES = (2, 10, 20, 40)
+TOKEN_COUNTS = (8, 64, 128, 256)
+TOKEN_REQUEST_RATE = 15
+WINDOW_SECONDS = 6.0
+FAST_ENGINE = EngineOptions(capacity=64, cold_limit=64, slowdown_per_request=0)
+
+
+@dataclass(frozen=True)
+class Pair:
+    """The same window at the entry and at the agent."""
+
+    entry: Window
+    agent: Window
+
+
+def measure_requests() -> dict[str, Slope]:
+    """Measures both programs under rising request rates, then rising answer lengths."""
+    deployment = Deployment(
+        zones=ONE_ZONE,
+        engines_per_zone=1,
+        services=0,
+        engine=FAST_ENGINE,
+        agent_cold_limit=64,
+    )
+    with running(deployment) as fleet:
+        fleet.wait_leader()
+        release_and_wait(fleet, 'slopes-1')
+        by_rate = [(rate, _under(fleet, rate, 1)) for rate in REQUEST_RATES]
+        by_tokens = [
+            (tokens * TOKEN_REQUEST_RATE, _under(fleet, TOKEN_REQUEST_RATE, tokens))
+            for tokens in TOKEN_COUNTS
+        ]
+    return {
+        'entry_processor_per_request': make_slope(
+            [(rate, pair.entry.processor_share) for rate, pair in by_rate],
+            's',
+            'request',
+            'requests',
+        ),
+        'agent_processor_per_request': make_slope(
+            [(rate, pair.agent.processor_share) for rate, pair in by_rate],
+            's',
+            'request',
+            'requests',
+        ),
+        'entry_processor_per_token': make_slope(
+            [(tokens, pair.entry.processor_share) for tokens, pair in by_tokens],
+            's',
+            'token',
+            'requests',
+        ),
+        'agent_processor_per_token': make_slope(
+            [(tokens, pair.agent.processor_share) for tokens, pair in by_tokens],
+            's',
+            'token',
+            'requests',
+        ),
+    }
+
+
+def _under(fleet: Fleet, rate: float, tokens: int) -> Pair:
+    customer = next(iter(fleet.deployment.customers))
+    load = Load(customer, requests_per_second=rate, options={'max_tokens': tokens})
+    name = f'callers-{rate}-{tokens}'
+    callers = start_callers(fleet, [load], WINDOW_SECONDS + 4, name=name)
+    time.sleep(2)
+    with ThreadPoolExecutor(max_workers=2) as pool:
+        entry = pool.submit(_watch, fleet, 'entry-zone-a-1')
+        agent = pool.submit(_watch, fleet, 'agent-zone-a-1')
+        pair = Pair(entry.result(), agent.result())
+    callers.wait()
+    return pair
+
+
+def _watch(fleet: Fleet, name: str) -> Window:
+    # Only an entry shows metrics over HTTP on its first port; an agent's come from its chunk port.
+    address = fleet.layout.places[name].reached_at(0)
+    return watch(fleet.children[name], address, WINDOW_SECONDS)
