--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -76,6 +76,7 @@
     election_timeout_seconds: PositiveSeconds = 1.0
     raft_heartbeat_seconds: PositiveSeconds = 0.2
     snapshot_every_entries: int = Field(default=20000, ge=10)
+    replace_voter_after_seconds: PositiveSeconds = 30.0
     zone_lease_seconds: PositiveSeconds = 2.5
     bootstrap_token: str = ''
 
@@ -131,6 +132,13 @@
     region: Name
 
 
+class SiteSettings(Section):
+    """One site deployment: the back ends that a data centre runs for it."""
+
+    zone: Name
+    backends: list[Name]
+
+
 class WeightSettings(Section):
     """Weight distribution."""
 
@@ -155,4 +163,5 @@
     zones: dict[Name, ZoneSettings] = {}
     backends: dict[Name, BackendSettings] = {}
     customers: dict[Name, CustomerSettings] = {}
+    sites: dict[Name, SiteSettings] = {}
     weights: WeightSettings = WeightSettings()
--- a/jackdawsail/state/machine.py
+++ b/jackdawsail/state/machine.py
@@ -9,7 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any, get_args
 
-from returns.result import Result, Success
+from returns.result import Success
 
 from jackdawsail.state.audit import AuditRecord
 from jackdawsail.state.commands import (
@@ -27,6 +27,7 @@
     FirstAnswer,
     Operator,
     Tables,
+    answer_key,
     decode_tables,
     encode_tables,
 )
@@ -72,7 +73,7 @@
 
     def first_answer(self, envelope: CommandEnvelope) -> Reply | None:
         """Returns the stored answer to a resent command, or None for a new one."""
-        stored = self.tables.answers.get(_answer_key(envelope))
+        stored = self.tables.answers.get(answer_key(envelope.actor, envelope.request_id))
         if stored is None:
             return None
         if stored.command_digest != _digest(envelope):
@@ -92,7 +93,7 @@
             return earlier
         reply = self._apply_administration(envelope, body)
         answer = FirstAnswer(_digest(envelope), encode(reply))
-        self.tables.remember(_answer_key(envelope), answer)
+        self.tables.remember(answer_key(envelope.actor, envelope.request_id), answer)
         return reply
 
     def _apply_administration(self, envelope: CommandEnvelope, body: object) -> Reply:
@@ -102,7 +103,7 @@
             since = tables.audit.after(expected, MAX_DIFFERENCES_SHOWN)
             return Conflict(tables.revision, expected, since)
         draft = Draft(tables.records, dict(tables.ordinals))
-        outcome = self._run(body, draft)
+        outcome = run_command(body, draft)
         if not isinstance(outcome, Success):
             return outcome.failure()
         self._commit(envelope, body, draft)
@@ -122,24 +123,12 @@
         tables.revision += 1
         tables.ordinals = draft.ordinals
         apply_changes(tables.records, draft.changes)
+        if isinstance(body, OperatorPut):
+            tables.put_operator(body.name, Operator(body.role, body.token_digest))
         tables.audit.add(record)
         for changed in self._listeners:
             changed(tables.revision, draft.changes)
 
-    def _run(self, body: Any, draft: Draft) -> Outcome:
-        if isinstance(body, get_args(ReleaseCommand)):
-            return run_release(body, draft)
-        if isinstance(body, OperatorPut):
-            return self._put_operator(body)
-        return run_topology(body, draft)
-
-    def _put_operator(self, command: OperatorPut) -> Result[dict[str, Any], Rejected]:
-        if command.token_digest:
-            self.tables.operators[command.name] = Operator(command.role, command.token_digest)
-        else:
-            self.tables.operators.pop(command.name, None)
-        return Success({'role': command.role})
-
     @singledispatchmethod
     def _apply_ledger(self, body: Any) -> Reply:
         raise AssertionError(f'no ledger command: {body!r}')
@@ -156,6 +145,16 @@
         return Accepted(self.tables.revision, {'unknown_calls': lost})
 
 
+def run_command(body: object, draft: Draft) -> Outcome:
+    """Runs an administration command on a draft; nothing takes effect yet."""
+    if isinstance(body, get_args(ReleaseCommand)):
+        return run_release(body, draft)
+    if isinstance(body, OperatorPut):
+        # Operators are no records: the change is made when the command is committed.
+        return Success({'role': body.role})
+    return run_topology(body, draft)
+
+
 def describe_operator(body: object) -> list[dict[str, Any]]:
     """Describes a change of an operator, which is no fanned-out record."""
     if not isinstance(body, OperatorPut):
@@ -164,10 +163,6 @@
     return [{'key': f'operator/{body.name}', 'field': 'role', 'before': None, 'after': shown}]
 
 
-def _answer_key(envelope: CommandEnvelope) -> str:
-    return f'{envelope.actor}/{envelope.request_id}'
-
-
 def _digest(envelope: CommandEnvelope) -> bytes:
     # The expected revision belongs to the command: the same change against another
     # revision is another request.
