--- a/bench/slopes_requests.py
+++ b/bench/slopes_requests.py
@@ -9,7 +9,7 @@
 from bench.harness.callers import Load, start_callers
 from bench.harness.fleet import Fleet, running
 from bench.harness.plan import Deployment
-from bench.harness.releases import release_and_wait
+from bench.harness.releases import roll_out
 from bench.slopes_links import ONE_ZONE
 from bench.slopes_sampling import Window, make_slope, watch
 
@@ -39,7 +39,7 @@
     )
     with running(deployment) as fleet:
         fleet.wait_leader()
-        release_and_wait(fleet, 'slopes-1')
+        roll_out(fleet, 'slopes-1')
         by_rate = [(rate, _under(fleet, rate, 1)) for rate in REQUEST_RATES]
         by_tokens = [
             (tokens * TOKEN_REQUEST_RATE, _under(fleet, TOKEN_REQUEST_RATE, tokens))
