--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -18,6 +18,7 @@
 from jackdawsail.weights.tracker import Effect, SendToAgent, Tracker
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
+from jackdawsail.wire.release_messages import ReleaseProblem
 from jackdawsail.wire.weight_messages import ChunkReport, FetchResult, SwitchAsk, ZoneHave
 
 TICK_SECONDS = 0.1
@@ -25,14 +26,19 @@
 SOON_SECONDS = 0.005
 TRACKER_BEGINS = events.define(530, 'info', 'this entry is the weight tracker')
 TRACKER_ENDS = events.define(531, 'info', 'this entry is no longer the weight tracker')
-RELEASE_STOPPED = events.define(532, 'error', 'release is stopped in this data centre')
 
 
-class Membership(Protocol):
-    """What the tracker needs of the entry's membership."""
+class Peers(Protocol):
+    """What the tracker needs of the entry's links to other zones."""
 
     def reach_zones(self) -> None:
-        """Opens links to the entries of the other data centres, and keeps them."""
+        """Opens links to the entries of the other zones, and keeps them."""
+
+
+class Membership(Protocol):
+    """What the tracker tells the entry's membership."""
+
+    problems: dict[str, str]
 
 
 class TrackerPart:
@@ -43,7 +49,8 @@
         context: ProcessContext,
         switchboard: Switchboard,
         replica: Records,
-        membership: Membership | None,
+        membership: Membership,
+        peers: Peers,
     ) -> None:
         self._context = context
         self._switchboard = switchboard
@@ -55,6 +62,7 @@
         self._loops: list[LoopingCall] = []
         self._soon: Any = None
         self._live = LiveRate(switchboard, context.identity.region)
+        self._peers = peers
         self._planner = Planner(replica, context.identity.zone, self._live)
 
     def set_tracker(self, is_tracker: bool) -> None:
@@ -78,12 +86,6 @@
         self._loops.clear()
         self._tracker = None
 
-    def problems(self, backend: str) -> dict[str, str]:
-        """Returns the stopped releases of a back end with the reason, for the summary."""
-        if self._tracker is None:
-            return {}
-        return self._tracker.problems(backend)
-
     def take_report(self, link: Link, report: ChunkReport) -> None:
         """Takes an agent's report; its link is kept for orders."""
         tracker = self._tracker
@@ -161,10 +163,19 @@
         if self._tracker is None:
             return
         shares = list(self._tracker.shares())
-        if shares and self._membership is not None:
-            self._membership.reach_zones()
+        if shares:
+            self._peers.reach_zones()
         for effect in shares:
             self._carry_out(effect)
+        self._membership.problems = self._tracker.problems()
+        for release, reason in self._tracker.stopped().items():
+            self._tell_control(ReleaseProblem(release, reason))
+
+    def _tell_control(self, sent: object) -> None:
+        """Tells every control host, for the leader may just be changing."""
+        for link in list(self._switchboard.links):
+            if link.peer and link.peer.role is Role.control:
+                link.send(sent)
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, SendToAgent):
@@ -176,19 +187,25 @@
             far_link.send(effect.sent)
 
     def _far_entries(self) -> list[Link]:
+        """Returns one link to each connected entry of another data centre."""
         zone = self._context.identity.zone
-        entries = (link for link in self._switchboard.links if _is_entry(link))
-        return [link for link in entries if link.peer and link.peer.zone != zone]
+        found: dict[str, Link] = {}
+        for link in self._switchboard.links:
+            peer = link.peer
+            if peer is not None and peer.role is Role.entry and peer.zone != zone:
+                found[peer.name] = link
+        return list(found.values())
 
 
 def make_tracker_part(
     context: ProcessContext,
     switchboard: Switchboard,
     replica: Any,
-    membership: Membership | None,
+    membership: Membership,
+    peers: Peers,
 ) -> TrackerPart:
     """Builds the part and registers its messages; ``set_tracker`` sets it to work."""
-    part = TrackerPart(context, switchboard, replica, membership)
+    part = TrackerPart(context, switchboard, replica, membership, peers)
     switchboard.on(ChunkReport, part.take_report)
     switchboard.on(FetchResult, part.take_result)
     switchboard.on(SwitchAsk, part.take_ask)
@@ -198,9 +215,5 @@
     return part
 
 
-def _is_entry(link: Link) -> bool:
-    return link.peer is not None and link.peer.role is Role.entry
-
-
 def _ignore(_link: Link) -> None:
     """Links that open are of no interest before their first report."""
