--- a/bench/demo.py
+++ b/bench/demo.py
@@ -116,7 +116,7 @@
     fleet.wait_leader()
     _cli(fleet, 'apply', str(fleet.files.base_path), '--yes', '--wait')
     _cli(fleet, 'customer', 'put', 'spetses-sessions', '--weight', '2')
-    backends = ('--backends', 'critique-models', '--backends', 'bookings-app')
+    backends = ('--backend', 'critique-models', '--backend', 'bookings-app')
     _cli(fleet, 'site', 'put', 'attica', '--zone', 'attica-a', *backends)
     _create(fleet, FIRST)
     _cli(fleet, 'release', 'start', FIRST)
