--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -14,7 +14,6 @@
 from bench.fakes.caller import CallerOptions
 from bench.harness.child import Child
 from bench.harness.fleet import Fleet
-from bench.harness.layout import CALLERS_ADDRESS
 from bench.harness.settings_files import customer_token
 from bench.harness.waiting import wait_until
 
@@ -78,7 +77,7 @@
         'duration_seconds': duration_seconds,
         'digests_path': str(fleet.digests_path),
         'result_path': str(result_path),
-        'source_address': CALLERS_ADDRESS if fleet.deployment.shaping else '',
+        'source_address': fleet.layout.callers_address,
         'seed': seed,
         **options,
     }
--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -241,6 +241,8 @@
         if start:
             fleet.start()
         yield fleet
+    except KeyboardInterrupt:
+        raise
     except BaseException:
         keep = True
         print(f'logs are kept in {folder}', file=sys.stderr)
--- a/bench/harness/layout.py
+++ b/bench/harness/layout.py
@@ -1,8 +1,8 @@
 """Places every process of a deployment: its name, zone, addresses and ports.
 
-With the proxy, each host listens on an address of its own (127.1.zone.host) and
-is reached through the proxy at 127.2.zone.host, so that the proxy knows who
-dials whom. Without it all share 127.0.0.1.
+Each run has two loopback networks of its own. With the proxy, each host listens
+on an address of the first and is reached through the proxy at one of the second,
+so that the proxy knows who dials whom. Without it all share one address.
 """
 
 import itertools
@@ -11,12 +11,11 @@
 from enum import StrEnum
 
 from bench.harness.plan import Deployment
-from bench.harness.ports import free_ports
+from bench.harness.ports import Nets, free_ports, random_nets
 
-LOOPBACK = '127.0.0.1'
 ORIGIN_PLACE = 'origin'
 CALLERS_PLACE = 'callers'
-CALLERS_ADDRESS = '127.1.0.250'
+CALLERS_HOST = 250
 
 
 class Kind(StrEnum):
@@ -56,7 +55,8 @@
 class Layout:
     """All places of a deployment, by name and by kind."""
 
-    def __init__(self, places: list[Place]) -> None:
+    def __init__(self, places: list[Place], callers_address: str) -> None:
+        self.callers_address = callers_address
         self.places = {place.name: place for place in places}
 
     def of_kind(self, kind: Kind, zone: str = '') -> list[Place]:
@@ -79,26 +79,37 @@
     backend: str = ''
 
 
+@dataclass(frozen=True)
+class _Spot:
+    nets: Nets
+    host: int
+
+
 def make_layout(deployment: Deployment) -> Layout:
     """Chooses names, addresses and free ports."""
     wanted = [*_control(deployment), *_entries(deployment), *_upstreams(deployment)]
     wanted.append(_Wanted('origin', Kind.origin, ORIGIN_PLACE))
-    ports = iter(free_ports(len(wanted) * 2))
+    nets = random_nets()
+    ports = iter(free_ports(len(wanted) * 2, nets.listening(0, 1)))
     hosts = itertools.count(1)
-    return Layout([_place(deployment, each, next(hosts), ports) for each in wanted])
+    places = [_place(deployment, each, _Spot(nets, next(hosts)), ports) for each in wanted]
+    callers_address = nets.listening(0, CALLERS_HOST) if deployment.shaping else ''
+    return Layout(places, callers_address)
 
 
-def _place(deployment: Deployment, wanted: _Wanted, host: int, ports: Iterator[int]) -> Place:
+def _place(deployment: Deployment, wanted: _Wanted, spot: _Spot, ports: Iterator[int]) -> Place:
     zones = [ORIGIN_PLACE, *deployment.zones]
     zone_number = zones.index(wanted.zone)
     proxied = deployment.shaping is not None
+    nets = spot.nets
+    shared = nets.listening(0, 1)
     return Place(
         name=wanted.name,
         kind=wanted.kind,
         zone=wanted.zone,
         region=deployment.zones.get(wanted.zone, ORIGIN_PLACE),
-        address=f'127.1.{zone_number}.{host}' if proxied else LOOPBACK,
-        advertised=f'127.2.{zone_number}.{host}' if proxied else LOOPBACK,
+        address=nets.listening(zone_number, spot.host) if proxied else shared,
+        advertised=nets.advertised(zone_number, spot.host) if proxied else shared,
         ports=(next(ports), next(ports)),
         upstream=wanted.upstream,
         backend=wanted.backend,
--- a/bench/harness/proxy_control.py
+++ b/bench/harness/proxy_control.py
@@ -7,9 +7,9 @@
 
 from bench.harness.child import Child
 from bench.harness.http import get, post
-from bench.harness.layout import CALLERS_ADDRESS, CALLERS_PLACE, LOOPBACK, Place
+from bench.harness.layout import CALLERS_PLACE, Place
 from bench.harness.plan import Shaping
-from bench.harness.ports import free_ports
+from bench.harness.ports import LOOPBACK, free_ports
 from bench.proxy.rules import Rule
 
 if TYPE_CHECKING:
@@ -71,7 +71,7 @@
         'name': CALLERS_PLACE,
         'zone': CALLERS_PLACE,
         'region': CALLERS_PLACE,
-        'address': CALLERS_ADDRESS,
+        'address': fleet.layout.callers_address,
         'advertised': '',
         'ports': [],
     }
