--- a/bench/harness/releases.py
+++ b/bench/harness/releases.py
@@ -29,6 +29,13 @@
     return reply.content
 
 
+def apply_base(fleet: Fleet) -> None:
+    """Applies the base settings of the fleet and waits until they are in force."""
+    applied = fleet.cli('apply', str(fleet.files.base_path), '--yes', '--wait')
+    if applied.returncode:
+        raise CommandRefusedError(applied.stderr)
+
+
 def create_release(
     fleet: Fleet, name: str, size_bytes: int = MEBIBYTE, seed: int = 0
 ) -> ReleaseFiles:
--- a/bench/slopes_changes.py
+++ b/bench/slopes_changes.py
@@ -4,10 +4,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from bench.capacity_slopes import Slope
-from bench.harness.callers import Load, start_callers
+from bench.harness.callers import Load, start_callers, summarise
 from bench.harness.fleet import Fleet, running
 from bench.harness.layout import Kind
 from bench.harness.plan import Deployment
+from bench.harness.releases import apply_base
 from bench.slopes_links import ONE_ZONE, SETTLE_SECONDS, start_standins
 from bench.slopes_sampling import Window, make_slope, watch
 
@@ -30,6 +31,7 @@
         changes = [(rate, _under_changes(fleet, rate)) for rate in CHANGE_RATES]
     with running(Deployment(zones=ONE_ZONE, engines_per_zone=0, voters=3)) as fleet:
         fleet.wait_leader()
+        apply_base(fleet)
         claims = [(rate, _under_claims(fleet, rate)) for rate in CLAIM_RATES]
     leader = [(rate, windows[0]) for rate, windows in changes]
     entry = [(rate, windows[1]) for rate, windows in changes]
@@ -67,7 +69,7 @@
 def leader_name(fleet: Fleet) -> str:
     """Returns the control host whose administration API says that it leads."""
     status = fleet.wait_leader()
-    return str(status['leader'])
+    return str(status['consensus']['leader'])
 
 
 def _under_changes(fleet: Fleet, rate: float) -> tuple[Window, Window]:
@@ -99,7 +101,9 @@
     callers = start_callers(fleet, [load], WINDOW_SECONDS + 3, name=f'claims-{rate}')
     time.sleep(1)
     window = _watch_place(fleet, leader_name(fleet), 1)
-    callers.wait()
+    summary = summarise(callers.wait(), 'book')
+    if summary.answered < summary.requests:
+        raise AssertionError(f'bookings were not answered: {summary.codes}')
     return window
 
 
--- a/bench/slopes_requests.py
+++ b/bench/slopes_requests.py
@@ -6,10 +6,10 @@
 
 from bench.capacity_slopes import Slope
 from bench.fakes.engine import EngineOptions
-from bench.harness.callers import Load, start_callers
+from bench.harness.callers import Load, start_callers, summarise
 from bench.harness.fleet import Fleet, running
 from bench.harness.plan import Deployment
-from bench.harness.releases import roll_out
+from bench.harness.releases import apply_base, roll_out
 from bench.slopes_links import ONE_ZONE
 from bench.slopes_sampling import Window, make_slope, watch
 
@@ -39,6 +39,7 @@
     )
     with running(deployment) as fleet:
         fleet.wait_leader()
+        apply_base(fleet)
         roll_out(fleet, 'slopes-1')
         by_rate = [(rate, _under(fleet, rate, 1)) for rate in REQUEST_RATES]
         by_tokens = [
@@ -83,7 +84,9 @@
         entry = pool.submit(_watch, fleet, 'entry-zone-a-1')
         agent = pool.submit(_watch, fleet, 'agent-zone-a-1')
         pair = Pair(entry.result(), agent.result())
-    callers.wait()
+    summary = summarise(callers.wait())
+    if summary.answered < summary.requests:
+        raise AssertionError(f'requests were not answered: {summary.codes}')
     return pair
 
 
