Pace transfers from the request on, probe the delay between regions, switch at once

Cause: 8 MiB over 10 Mbit/s took 1.7 times the bound. The first bytes of the own parallel draws wait behind one another, which the pacer took for a queue; permits waited for reports and polls. Change: the delay comes from probes between trackers of different regions; a peer paces its sending; unused pace counts from the request; the agent steps on events and reports a new stage at once; four draws under way instead of three.

--- a/jackdawsail/agent/engine_task.py
+++ b/jackdawsail/agent/engine_task.py
@@ -1,5 +1,6 @@
 """Runs the switcher against the engine: looks, load orders and the work gate."""
 
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Success
@@ -43,6 +44,7 @@
         self._gate = gate
         self._status = status
         self._clock = clock
+        self.on_progress: Callable[[], None] = _ignore_progress
         self._look_number = 0
         self._looking = False
 
@@ -64,7 +66,7 @@
             events.log(ENGINE_GATE_CLOSED, reason=effect.reason)
             self._status.state = UpstreamState.loading
             closing: Deferred[None] = self._gate.close(effect.reason)
-            closing.addCallback(lambda _ended: self.switcher.gate_closed())
+            closing.addCallback(self._closed)
         elif isinstance(effect, OpenGate):
             events.log(ENGINE_LOADED, release=effect.release)
             self._gate.open(effect.release)
@@ -74,6 +76,10 @@
             return False
         return True
 
+    def _closed(self, _ended: None) -> None:
+        self.switcher.gate_closed()
+        self._clock.callLater(0, self.on_progress)
+
     def _load(self, effect: Load) -> None:
         release = effect.order.release
         events.log(ENGINE_LOADING, release=release, fence=effect.order.fence)
@@ -96,3 +102,8 @@
         self._looking = False
         seen = outcome.unwrap() if isinstance(outcome, Success) else None
         self.switcher.seen(seen)
+        self.on_progress()
+
+
+def _ignore_progress() -> None:
+    """Stands in until the owner sets ``on_progress``."""
--- a/jackdawsail/agent/release_task.py
+++ b/jackdawsail/agent/release_task.py
@@ -25,6 +25,10 @@
     """Stands in until the owner sets ``tell``."""
 
 
+def _ignore_verified() -> None:
+    """Stands in until the owner sets ``on_verified``."""
+
+
 class ReleaseTask:
     """Brings one release from nothing to a verified file."""
 
@@ -34,6 +38,7 @@
         self.manifest = manifest
         self.problem = ''
         self.tell: Callable[[FetchResult], None] = _tell_nobody
+        self.on_verified: Callable[[], None] = _ignore_verified
         self._store = store
         self._drawer = drawer
         self._clock = clock
@@ -120,6 +125,7 @@
         self._verifying = False
         event = RELEASE_VERIFIED if outcome is True else RELEASE_BAD
         events.log(event, release=self.manifest.release)
+        self.on_verified()
 
     def _note_problem(self, reason: str) -> None:
         if reason != self.problem:
--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -60,6 +60,8 @@
         self._tracker: Link | None = None
         self._loops: list[LoopingCall] = []
         self._listener: Any = None
+        self._reported_stage = ''
+        engine.on_progress = self._step
 
     @property
     def chunk_address(self) -> str:
@@ -103,6 +105,7 @@
         if link is self._tracker:
             until_seconds = self._context.reactor.seconds() + permit.valid_seconds
             self._engine.switcher.permit(permit.release, until_seconds)
+            self._step()
 
     def changed(self, keys: set[str]) -> None:
         """Reacts to a change of the replicated state at once."""
@@ -127,6 +130,7 @@
         for effect in self._engine.step(authority):
             if isinstance(effect, AskPermit):
                 self._send(SwitchAsk(effect.release))
+        self._report_stage()
 
     def _ready(self, target: Target | None) -> ReadyRelease | None:
         if self._task is None or target is None or not target.is_active:
@@ -148,6 +152,7 @@
                 self._run,
             )
             task.tell = self._send
+            task.on_verified = self._step
             self._task = task
             self._report()
         if target.is_active:
@@ -168,6 +173,15 @@
         if self._tracker is not None:
             self._tracker.send(sent)
 
+    def _report_stage(self) -> None:
+        """Reports a new stage at once, so that the next engine need not wait."""
+        if self._task is None:
+            return
+        stage = self._stage(self._task)
+        if stage != self._reported_stage:
+            self._reported_stage = stage
+            self._report()
+
     def _report(self) -> None:
         task = self._task
         if task is None or self._tracker is None:
--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
+from jackdawsail.entry.far_entries import FarEntries
 from jackdawsail.entry.tracker_plans import LiveRate, Planner
 from jackdawsail.process import ProcessContext
 from jackdawsail.switchboard import Switchboard
@@ -19,10 +20,16 @@
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.release_messages import ReleaseProblem
-from jackdawsail.wire.weight_messages import ChunkReport, FetchResult, SwitchAsk, ZoneHave
+from jackdawsail.wire.weight_messages import (
+    ChunkReport,
+    FetchResult,
+    SwitchAsk,
+    ZoneHave,
+)
 
 TICK_SECONDS = 0.1
 SHARE_SECONDS = 1.0
+PROBE_SECONDS = 0.25
 SOON_SECONDS = 0.005
 TRACKER_BEGINS = events.define(530, 'info', 'this entry is the weight tracker')
 TRACKER_ENDS = events.define(531, 'info', 'this entry is no longer the weight tracker')
@@ -63,6 +70,7 @@
         self._soon: Any = None
         self._live = LiveRate(switchboard, context.identity.region)
         self._peers = peers
+        self._far = FarEntries(context, switchboard)
         self._planner = Planner(replica, context.identity.zone, self._live)
 
     def set_tracker(self, is_tracker: bool) -> None:
@@ -75,6 +83,7 @@
             self._refresh()
             self._repeat(self._tick, TICK_SECONDS)
             self._repeat(self._share, SHARE_SECONDS)
+            self._repeat(self._probe, PROBE_SECONDS)
         else:
             events.log(TRACKER_ENDS)
             self.stop()
@@ -171,6 +180,10 @@
         for release, reason in self._tracker.stopped().items():
             self._tell_control(ReleaseProblem(release, reason))
 
+    def _probe(self) -> None:
+        if self._tracker is not None and self._tracker.is_drawing():
+            self._far.probe(self._tracker.pacer)
+
     def _tell_control(self, sent: object) -> None:
         """Tells every control host, for the leader may just be changing."""
         for link in list(self._switchboard.links):
@@ -183,18 +196,7 @@
             if link is not None:
                 link.send(effect.sent)
             return
-        for far_link in self._far_entries():
-            far_link.send(effect.sent)
-
-    def _far_entries(self) -> list[Link]:
-        """Returns one link to each connected entry of another data centre."""
-        zone = self._context.identity.zone
-        found: dict[str, Link] = {}
-        for link in self._switchboard.links:
-            peer = link.peer
-            if peer is not None and peer.role is Role.entry and peer.zone != zone:
-                found[peer.name] = link
-        return list(found.values())
+        self._far.send(effect.sent)
 
 
 def make_tracker_part(
--- a/jackdawsail/weights/draw.py
+++ b/jackdawsail/weights/draw.py
@@ -11,7 +11,7 @@
 from jackdawsail.weights.http_read import Paced, open_response, read_body, read_head, refuse_body
 from jackdawsail.weights.manifest import Manifest
 from jackdawsail.weights.origin import DrawEnd, OriginDraw
-from jackdawsail.weights.proof import PROOF_HEADER, chunk_proof
+from jackdawsail.weights.proof import PROOF_HEADER, RATE_HEADER, chunk_proof
 from jackdawsail.wire.weight_messages import FetchItem, FetchOutcome, SourceKind
 
 STATUS_OK = 200
@@ -25,7 +25,6 @@
     end: DrawEnd | None
     body: bytes
     drawn_bytes: int
-    first_byte_seconds: float
 
 
 class Drawer:
@@ -53,16 +52,15 @@
         known = self._validators.get(manifest.release, '')
         draw = OriginDraw(manifest, fetch.chunk, known)
         started_seconds = self._clock.seconds()
-        first_byte_seconds = float(0)
         end: DrawEnd | None = None
         while draw.lacking_bytes > 0 and end is None and draw.may_resume():
             response = yield self._ask_origin(manifest, draw)
-            first_byte_seconds = first_byte_seconds or self._clock.seconds() - started_seconds
-            end = yield self._read_origin(response, draw, fetch)
+            paced = Paced(fetch.bits_per_second, started_seconds)
+            end = yield self._read_origin(response, draw, paced)
         end = end or _close(draw)
         if end is None:
             self._validators[manifest.release] = draw.validator
-        return Drawn(end, bytes(draw.body), draw.drawn_bytes, first_byte_seconds)
+        return Drawn(end, bytes(draw.body), draw.drawn_bytes)
 
     def _ask_origin(self, manifest: Manifest, draw: OriginDraw) -> Any:
         path = manifest.origin_path.lstrip('/')
@@ -72,7 +70,7 @@
 
     @inlineCallbacks
     def _read_origin(
-        self, response: Any, draw: OriginDraw, fetch: FetchItem
+        self, response: Any, draw: OriginDraw, paced: Paced
     ) -> Generator[Any, Any, DrawEnd | None]:
         if isinstance(response, Failure):
             return DrawEnd(FetchOutcome.failed, f'origin: {response.failure()}')
@@ -80,7 +78,6 @@
         if end is not None:
             refuse_body(response)
             return end
-        paced = Paced(fetch.bits_per_second)
         yield read_body(response, self._clock, draw.take, paced)
         return None
 
@@ -88,21 +85,23 @@
     def _from_peer(self, manifest: Manifest, fetch: FetchItem) -> Generator[Any, Any, Drawn]:
         digest = manifest.chunk_digests[fetch.chunk]
         started_seconds = self._clock.seconds()
-        response = yield self._ask_peer(fetch.address, digest)
+        response = yield self._ask_peer(fetch, digest)
         if isinstance(response, Failure):
             return _failed(FetchOutcome.failed, response.failure())
         if response.code != STATUS_OK:
             refuse_body(response)
             return _refused(response.code)
-        first_byte_seconds = self._clock.seconds() - started_seconds
         taken = _Taken(manifest.span(fetch.chunk).length_bytes)
-        ended = yield read_body(response, self._clock, taken.take, Paced(fetch.bits_per_second))
+        paced = Paced(fetch.bits_per_second, started_seconds)
+        ended = yield read_body(response, self._clock, taken.take, paced)
         end = _judge_peer(manifest, fetch.chunk, ended, bytes(taken.body))
-        return Drawn(end, bytes(taken.body), len(taken.body), first_byte_seconds)
+        return Drawn(end, bytes(taken.body), len(taken.body))
 
-    def _ask_peer(self, address: str, digest: str) -> Any:
+    def _ask_peer(self, fetch: FetchItem, digest: str) -> Any:
         headers = {PROOF_HEADER: chunk_proof(self._secret, digest)}
-        url = f'http://{address}/chunks/{digest}'
+        if fetch.bits_per_second > 0:
+            headers[RATE_HEADER] = str(int(fetch.bits_per_second))
+        url = f'http://{fetch.address}/chunks/{digest}'
         asked = open_response(self._http_agent, self._clock, url, headers)
         return asked.addErrback(_as_failure)
 
@@ -140,7 +139,7 @@
 
 
 def _failed(outcome: FetchOutcome, reason: str) -> Drawn:
-    return Drawn(DrawEnd(outcome, reason), b'', 0, 0)
+    return Drawn(DrawEnd(outcome, reason), b'', 0)
 
 
 def _as_failure(failure: Any) -> Any:
--- a/jackdawsail/weights/fetcher.py
+++ b/jackdawsail/weights/fetcher.py
@@ -133,6 +133,5 @@
             outcome=outcome,
             reason=end.reason if end else '',
             drawn_bytes=drawn.drawn_bytes if drawn else 0,
-            first_byte_seconds=drawn.first_byte_seconds if drawn else 0,
             retry_after_seconds=end.retry_after_seconds if end else 0,
         )
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -29,9 +29,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Paced:
-    """How a body is read: at most this rate, zero for no pace."""
+    """How a body is read: at most this rate since the request, zero for no pace."""
 
     bits_per_second: float
+    began_seconds: float
 
 
 def make_pool(reactor: Any) -> HTTPConnectionPool:
@@ -95,7 +96,7 @@
         self._bucket: TokenBucket | None = None
         if paced.bits_per_second > 0:
             rate = paced.bits_per_second / BITS_PER_BYTE
-            self._bucket = TokenBucket(rate, PACE_BURST_BYTES, clock.seconds())
+            self._bucket = TokenBucket(rate, PACE_BURST_BYTES, paced.began_seconds)
         self._stall: Any = None
         self._resume: Any = None
         self._done = False
--- a/jackdawsail/weights/pacing.py
+++ b/jackdawsail/weights/pacing.py
@@ -8,21 +8,21 @@
 
 from collections import deque
 
-TARGET_QUEUE_SECONDS = 0.05
+TARGET_QUEUE_SECONDS = 0.03
 GAIN_PER_SAMPLE = 0.1
 SHARE_MIN = 0.1
 SHARE_MAX = 1.0
 BASE_WINDOW_SAMPLES = 200
+FILTER_SAMPLES = 3
 BITS_PER_BYTE = 8
 
 
 class TokenBucket:
-    """Allows ``rate_bytes_per_second`` with bursts of ``burst_bytes``."""
+    """Allows ``rate_bytes_per_second``; what was not used in time may be used later."""
 
-    def __init__(self, rate_bytes_per_second: float, burst_bytes: float, now: float) -> None:
+    def __init__(self, rate_bytes_per_second: float, begin_bytes: float, now: float) -> None:
         self.rate_bytes_per_second = rate_bytes_per_second
-        self._burst_bytes = burst_bytes
-        self._tokens = burst_bytes
+        self._tokens = begin_bytes
         self._updated_seconds = now
 
     def take(self, taken_bytes: int, now: float) -> float:
@@ -30,7 +30,7 @@
         passed_seconds = max(0, now - self._updated_seconds)
         refilled = self._tokens + passed_seconds * self.rate_bytes_per_second
         self._updated_seconds = now
-        self._tokens = min(self._burst_bytes, refilled) - taken_bytes
+        self._tokens = refilled - taken_bytes
         return max(0, -self._tokens / self.rate_bytes_per_second)
 
 
@@ -44,7 +44,9 @@
     def note_delay(self, delay_seconds: float) -> None:
         """Takes one delay sample and moves the share towards the target queue."""
         self._samples.append(delay_seconds)
-        queue_seconds = delay_seconds - min(self._samples)
+        # The lowest of a few samples: one late answer of a busy process is no queue.
+        recent = list(self._samples)[-FILTER_SAMPLES:]
+        queue_seconds = min(recent) - min(self._samples)
         off_target = (TARGET_QUEUE_SECONDS - queue_seconds) / TARGET_QUEUE_SECONDS
         moved = self.share + GAIN_PER_SAMPLE * max(-1, off_target)
         self.share = min(SHARE_MAX, max(SHARE_MIN, moved))
--- a/jackdawsail/weights/proof.py
+++ b/jackdawsail/weights/proof.py
@@ -1,9 +1,13 @@
-"""Proves to a chunk server that the asker knows the site secret."""
+"""Headers of a chunk request: the proof of the site secret, and the wanted pace.
+
+Pacing at the sender keeps bursts off the link, which the receiver alone cannot.
+"""
 
 import hashlib
 import hmac
 
 PROOF_HEADER = 'Jackdawsail-Proof'
+RATE_HEADER = 'Jackdawsail-Bits-Per-Second'
 
 
 def chunk_proof(secret: bytes, digest: str) -> str:
--- a/jackdawsail/weights/schedule.py
+++ b/jackdawsail/weights/schedule.py
@@ -9,7 +9,7 @@
 from jackdawsail.weights.swarm import FLIGHT_EXTRA_SECONDS, Flight, Swarm
 from jackdawsail.wire.weight_messages import FetchItem, SourceKind
 
-CROSS_WINDOW_CHUNKS = 3
+CROSS_WINDOW_CHUNKS = 4
 LOCAL_WINDOW_CHUNKS = 4
 SOURCE_WINDOW_CHUNKS = 4
 FLIGHT_RATE_MARGIN = 4
--- a/jackdawsail/weights/tracker.py
+++ b/jackdawsail/weights/tracker.py
@@ -27,7 +27,7 @@
 )
 
 REPORT_ROUND_SECONDS = 2.0
-GATHER_SECONDS = 0.3
+GATHER_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +115,7 @@
             return
         if ended.chunk >= tracked.order.manifest.chunk_count:
             return
-        flight = tracked.swarm.end(agent, ended.chunk)
+        tracked.swarm.end(agent, ended.chunk)
         if ended.source is SourceKind.origin:
             self._settle_origin(tracked, ended, now)
         elif ended.outcome is not FetchOutcome.done:
@@ -124,7 +124,6 @@
         if ended.outcome is FetchOutcome.done:
             tracked.swarm.praise(ended.address)
             tracked.swarm.hold(agent, ended.chunk)
-            self._note_delay(flight, ended)
 
     def leave(self, agent: str) -> None:
         """Forgets an agent whose link has ended."""
@@ -151,6 +150,10 @@
             if tracked.swarm.members:
                 yield ShareWithZones(tracked.swarm.share(tracked.order.plan.zone))
 
+    def is_drawing(self) -> bool:
+        """Tells whether anything comes in from other data centres or the origin."""
+        return any(tracked.swarm.crossing for tracked in self._tracked.values())
+
     def stopped(self) -> dict[str, str]:
         """Returns the releases that cannot be completed, with the reason."""
         tracked = self._tracked.items()
@@ -189,10 +192,6 @@
         else:
             budget.pause(ended.retry_after_seconds, now)
 
-    def _note_delay(self, flight: Flight | None, ended: FetchResult) -> None:
-        if flight is not None and flight.is_cross and ended.first_byte_seconds > 0:
-            self.pacer.note_delay(ended.first_byte_seconds)
-
     def _expire(self, tracked: _Tracked, now: float) -> None:
         for agent in tracked.swarm.silent(now):
             self._drop(tracked, agent)
--- a/jackdawsail/wire/weight_messages.py
+++ b/jackdawsail/wire/weight_messages.py
@@ -78,10 +78,17 @@
     outcome: FetchOutcome
     reason: str = ''
     drawn_bytes: int = 0
-    first_byte_seconds: float = 0
     retry_after_seconds: float = 0
 
 
+@message('delay-probe')
+class DelayProbe:
+    """Tracker to an entry of another region, which echoes it: measures the queue between."""
+
+    sent_seconds: float
+    is_echo: bool
+
+
 @message('switch-ask')
 class SwitchAsk:
     """Agent to tracker: the release is verified; may the engine change to it?"""
