--- a/bench/service.py
+++ b/bench/service.py
@@ -37,6 +37,7 @@
 PROMPT_CHARACTERS = 200
 PERCENT_95 = 0.95
 CALLER_DELAY_SECONDS = 0.003
+HELD_SECONDS = 5.0
 MIB = 1024 * 1024
 TARGET_NEW_WORK_SECONDS = 3.0
 TARGET_RATIO = 1.3
@@ -212,7 +213,7 @@
     ]
     after = [line for line in lines if marks.cut <= line['scheduled_seconds'] < marks.end]
     # Callers with an address in the cut data centre may connect there and hear nothing.
-    heard = [line for line in after if line['told'][0][0] < marks.end]
+    heard = [line for line in after if _first_told_seconds(line) < HELD_SECONDS]
     before = _between(lines, marks.begin, marks.out)
     out = _between(lines, marks.out, marks.back)
     back = _between(lines, marks.back, marks.cut)
@@ -270,6 +271,10 @@
     return float(line['end_seconds'] - line['scheduled_seconds'])
 
 
+def _first_told_seconds(line: dict[str, Any]) -> float:
+    return float(line['told'][0][0] - line['scheduled_seconds'])
+
+
 def _percentile(seconds: list[float]) -> float:
     return sorted(seconds)[int(len(seconds) * PERCENT_95)] if seconds else 0
 
--- a/jackdawsail/control/admin_resource.py
+++ b/jackdawsail/control/admin_resource.py
@@ -134,6 +134,9 @@
         body = command.body
         if not isinstance(allowed, Success):
             return Failure(allowed.failure())
+        if self._queries.duties.is_seeding():
+            detail = 'the state is empty and takes the settings of the control host first'
+            return Failure(_not_settled(detail))
         is_resend = self._is_known(caller, command)
         if not isinstance(body, ZoneOut) or body.force or is_resend:
             return Success(command)
@@ -153,7 +156,7 @@
         unheard = any(view.summary_age_seconds is None for view in others)
         if unheard or not duties.desk.leases.is_settled(now_seconds):
             detail = 'the leader is new and has not heard every data centre yet'
-            return Failure(make_problem(HTTPStatus.SERVICE_UNAVAILABLE, 'not-settled', detail))
+            return Failure(_not_settled(detail))
         detail = f'no other data centre than {body.name} has a serving upstream; force it if meant'
         return Failure(make_problem(HTTPStatus.CONFLICT, 'last-zone', detail))
 
@@ -196,6 +199,10 @@
     return make_problem(HTTPStatus.NOT_FOUND, 'not-found', f'{what} does not exist')
 
 
+def _not_settled(detail: str) -> Problem:
+    return make_problem(HTTPStatus.SERVICE_UNAVAILABLE, 'not-settled', detail)
+
+
 def _not_committed(error: Any) -> Problem:
     code = 'maybe-applied' if error.maybe_applied else 'not-applied'
     detail = f'{error.reason}; send it again under the same request id'
--- a/jackdawsail/control/duties.py
+++ b/jackdawsail/control/duties.py
@@ -12,7 +12,7 @@
 from jackdawsail.control.rollout import RolloutJudge
 from jackdawsail.control.zone_leases import ZoneView
 from jackdawsail.state.commands import Apply, LedgerEntryLost, ReleaseFinish, ReleaseManifest
-from jackdawsail.state.documents import records_of
+from jackdawsail.state.replica import Record
 from jackdawsail.state.replies import Rejected
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.wire.link import Link
@@ -33,7 +33,7 @@
 
     desk: LeaseDesk
     proposer: Proposer
-    seed_document: dict[str, Any]
+    seeds: dict[str, Record]
     judge: RolloutJudge = field(default_factory=RolloutJudge)
     absent_since_seconds: dict[tuple[str, int], float] = field(default_factory=dict)
     proposing: bool = False
@@ -76,14 +76,15 @@
         views = [self.desk.leases.view(name, now_seconds) for name in sorted(names)]
         return [view for view in views if view.entries]
 
+    def is_seeding(self) -> bool:
+        """Tells whether an empty state is still to take the settings of this host."""
+        return not self.desk.state.tables.revision and bool(self.seeds)
+
     def _seed(self) -> list[Any]:
-        if self.desk.state.tables.revision or not self.seed_document.get('zones'):
-            return []
-        seeds = records_of(self.seed_document)
-        if not isinstance(seeds, Success) or not seeds.unwrap():
+        if not self.is_seeding():
             return []
         events.log(STATE_SEEDED)
-        return [Apply(seeds.unwrap())]
+        return [Apply(self.seeds)]
 
     def _finished_releases(self, now_seconds: float) -> list[Any]:
         if not self.desk.leases.is_settled(now_seconds):
--- a/jackdawsail/control/parts.py
+++ b/jackdawsail/control/parts.py
@@ -19,7 +19,7 @@
 from jackdawsail.errors import UserError
 from jackdawsail.process import ProcessContext
 from jackdawsail.settings.models import ControlSettings
-from jackdawsail.state.documents import SHARED_SECTIONS
+from jackdawsail.state.documents import seed_records
 from jackdawsail.state.machine import ControlState
 from jackdawsail.switchboard import Switchboard
 
@@ -53,7 +53,7 @@
     proposer = Proposer(replicator, context.host.name, context.identity.incarnation, time.time)
     make_claim_desk(switchboard, proposer)
     desk = _make_desk(context, switchboard, state, replicator)
-    duties = LeaderDuties(desk, proposer, _seed_document(context))
+    duties = LeaderDuties(desk, proposer, seed_records(context.settings))
     watchers = make_watchers(context.reactor, state)
     queries = Queries(duties, replicator.status)
     return ControlParts(
@@ -74,8 +74,3 @@
     desk = LeaseDesk(context.reactor, switchboard, replicator, state, leases, fan_out)
     replicator.watch_leadership(desk.leadership_changed)
     return make_lease_desk(desk)
-
-
-def _seed_document(context: ProcessContext) -> dict[str, Any]:
-    document = context.settings.model_dump(exclude_unset=True)
-    return {name: document[name] for name in SHARED_SECTIONS if name in document}
--- a/jackdawsail/state/documents.py
+++ b/jackdawsail/state/documents.py
@@ -10,6 +10,7 @@
     CustomerSettings,
     Name,
     Section,
+    Settings,
     SiteSettings,
     WeightSettings,
     ZoneSettings,
@@ -46,6 +47,18 @@
     return Failure(faults) if faults else Success(records)
 
 
+def shared_sections(settings: Settings) -> dict[str, Any]:
+    """Returns the sections of a settings document that all sites share."""
+    document = settings.model_dump(exclude_unset=True)
+    return {name: document[name] for name in SHARED_SECTIONS if name in document}
+
+
+def seed_records(settings: Settings) -> dict[str, Record]:
+    """Returns the records that an empty state takes; none without a data centre."""
+    shared = shared_sections(settings)
+    return records_of(shared).value_or({}) if shared.get('zones') else {}
+
+
 def _origin_record(weights: WeightSettings) -> Record:
     record: Record = weights.model_dump()
     record['url'] = record.pop('origin_url')
--- a/jackdawsail/ui/status_commands.py
+++ b/jackdawsail/ui/status_commands.py
@@ -13,7 +13,7 @@
 
 from jackdawsail.errors import UserError
 from jackdawsail.settings.loader import load_settings
-from jackdawsail.state.documents import SHARED_SECTIONS
+from jackdawsail.state.documents import shared_sections
 from jackdawsail.ui.exit_codes import ExitCode
 from jackdawsail.ui.options import Options, Rows, difference_table, make_table
 from jackdawsail.ui.waiting import Progressed, parse_seconds, wait_for
@@ -76,7 +76,7 @@
 ) -> None:
     """Puts the customers, back ends, data centres, sites and weights of settings files."""
     client = options.client()
-    fields = {'document': shared_document([base, *(overlay or [])]), 'prune': prune}
+    fields = {'document': shared_sections(load_settings([base, *(overlay or [])])), 'prune': prune}
     planned = client.preview('apply', fields)
     if planned['rejected']:
         raise UserError(planned['rejected']['reason'], ExitCode.conflict)
@@ -89,12 +89,6 @@
     options.show(document, f'applied (revision {accepted["revision"]})')
 
 
-def shared_document(paths: list[Path]) -> dict[str, Any]:
-    """Loads settings files and returns the sections that all sites share."""
-    document = load_settings(paths).model_dump(exclude_unset=True)
-    return {name: document[name] for name in SHARED_SECTIONS if name in document}
-
-
 def lacking_text(found: dict[str, Any]) -> str:
     """Says which entries, and how many agents, lack the newest revision."""
     entries = ', '.join(found['entries_lacking']) or 'no entry'
--- a/test/ui/test_command_line.py
+++ b/test/ui/test_command_line.py
@@ -2,60 +2,29 @@
 
 import json
 import os
-import signal
 import subprocess
 import sys
 
 import pytest
 
 from jackdawsail.ui.exit_codes import ExitCode
-
-SETTINGS = """
-deployment: demo
-host: {name: c1, zone: attica-a, region: attica}
-control:
-  data_folder: DATA
-  voters: [{name: c1, address: '127.0.0.1:PORT'}]
-  link_port: PORT
-  bootstrap_token: boot
-zones: {attica-a: {region: attica}, crete-a: {region: crete}}
-backends: {quill: {kind: engine}}
-customers: {label: {weight: 2}}
-"""
+from test.running_control import running_control
 
 
 @pytest.fixture(scope='module')
 def control(tmp_path_factory):
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = str(probe.getsockname()[1])
-    folder = tmp_path_factory.mktemp('control')
-    settings = folder / 'base.yaml'
-    settings.write_text(SETTINGS.replace('DATA', str(folder / 'data')).replace('PORT', port))
-    command = [sys.executable, '-m', 'jackdawsail.control.main', '--settings', str(settings)]
-    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
-    try:
-        yield settings, f'127.0.0.1:{_admin_port(process)}'
-    finally:
-        process.send_signal(signal.SIGTERM)
-        process.communicate(timeout=20)
-    assert process.returncode == 0
-
-
-def _admin_port(process):
-    for line in process.stderr:
-        event = json.loads(line)
-        if event['number'] == 100:
-            return event['admin_port']
-    raise AssertionError('control did not become ready')
+    with running_control(tmp_path_factory.mktemp('control')) as started:
+        yield started
 
 
 @pytest.fixture
 def run(control):
     def run_line(*words, token='boot'):
-        environment = {**os.environ, 'JACKDAWSAIL_CONTROL': control[1], 'JACKDAWSAIL_TOKEN': token}
+        environment = {
+            **os.environ,
+            'JACKDAWSAIL_CONTROL': control.address,
+            'JACKDAWSAIL_TOKEN': token,
+        }
         command = [sys.executable, '-m', 'jackdawsail.ui.main', *words]
         done = subprocess.run(command, env=environment, capture_output=True, text=True, timeout=60)
         return done.returncode, done.stdout, done.stderr
@@ -80,7 +49,7 @@
 def test_apply_shows_the_difference_and_a_conflict_what_came_between(run, control, tmp_path):
     overlay = tmp_path / 'site.yaml'
     overlay.write_text('customers: {label: {weight: 7}}')
-    applied = run('apply', str(control[0]), '--overlay', str(overlay), '--wait')
+    applied = run('apply', str(control.settings), '--overlay', str(overlay), '--wait')
     assert applied[0] == 0, applied
     assert 'customer/label' in applied[1]
     revision = json.loads(run('status', '--json')[1])['revision']
