--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 format: $(STAMP)
 	$(PY) -m ruff format $(SOURCES)
 	$(PY) -m ruff check --fix $(SOURCES)
+	$(PY) -m jackdawsail.events_page > docs/events.md
 
 lint: $(STAMP)
 	$(PY) -m ruff format --check $(SOURCES)
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -5,10 +5,29 @@
 
 import pytest
 
+from jackdawsail.events_page import make_page
+
 ROOT = Path(__file__).parent.parent
 
 
+def test_events_page_is_up_to_date():
+    assert (ROOT / 'docs/events.md').read_text('utf8') == make_page()
+
+
 @pytest.mark.parametrize('page', sorted(ROOT.glob('docs/**/*.md')) + [ROOT / 'README.md'])
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r'\]\(([^)#:]+?)(?:#[^)]*)?\)', page.read_text('utf8')):
         assert (page.parent / target).exists(), f'{page.name} points to {target}'
+
+
+def test_every_promise_names_tests_that_exist():
+    text = (ROOT / 'docs/promises.md').read_text('utf8')
+    named = re.findall(r'`(test/[\w/]+\.py)::(\w+)`', text)
+    assert len(named) >= 9
+    for path, function in named:
+        assert f'def {function}(' in (ROOT / path).read_text('utf8'), f'{path}::{function}'
+    scenarios = re.findall(r'`(test/scenarios/[\w]+\.feature)`: "([^"]+)"', text)
+    for path, title in scenarios:
+        assert f'Scenario: {title}' in (ROOT / path).read_text('utf8'), f'{path}: {title}'
+    promises = re.findall(r'^## \d+\. ', text, flags=re.MULTILINE)
+    assert len(promises) == 9
