--- a/bench/fakes/caller.py
+++ b/bench/fakes/caller.py
@@ -52,6 +52,7 @@
     deadline_seconds: float = 20
     retry_refused: bool = True
     resend_lost: bool = True
+    entries: list[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -122,11 +123,13 @@
 class AddressBook:
     """The entries that one caller was told to use, while that is valid."""
 
-    def __init__(self, world: World, token: str, rng: random.Random) -> None:
+    def __init__(self, world: World, options: CallerOptions, rng: random.Random) -> None:
         self._world = world
-        self._headers = {'Authorization': f'Bearer {token}'}
+        self._headers = {'Authorization': f'Bearer {options.token}'}
         self._known = list(world.options.entries)
         rng.shuffle(self._known)
+        near = options.entries or []
+        self._known.sort(key=lambda address: address not in near)
         self._answer: list[str] = []
         self._valid_until_seconds: float = 0
 
@@ -174,7 +177,7 @@
         self._world = world
         self._options = options
         self._rng = rng
-        self._book = AddressBook(world, options.token, rng)
+        self._book = AddressBook(world, options, rng)
         self._next_seconds = world.reactor.seconds()
         self._until_seconds = self._next_seconds + world.options.duration_seconds
         self._number = 0
@@ -295,6 +298,7 @@
             'end_seconds': self._world.now(),
             'status': answer.status,
             'outcome': answer.outcome,
+            'request_id': answer.headers.get('jackdawsail-request-id', ''),
             'code': answer.code,
             'reason': answer.reason,
             'release': answer.release,
--- a/bench/fakes/web.py
+++ b/bench/fakes/web.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import yaml
-from twisted.internet import reactor as installed_reactor
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
@@ -69,6 +68,8 @@
 
 def serve(program: str, options: Any, root: Resource) -> None:
     """Serves until the process is told to end."""
+    from twisted.internet import reactor as installed_reactor
+
     events.configure_logging(program, options.name)
     reactor: Any = installed_reactor
     site = Site(root)
--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -26,12 +26,16 @@
 
 @dataclass(frozen=True)
 class Load:
-    """The load of one customer, in the words of ``CallerOptions``."""
+    """The load of one customer, in the words of ``CallerOptions``.
+
+    A caller in a zone asks the entries of that zone first.
+    """
 
     customer: str
     requests_per_second: float = 1
     kind: str = 'generate'
     options: dict[str, Any] = dataclasses.field(default_factory=dict)
+    zone: str = ''
 
 
 class Callers:
@@ -99,6 +103,7 @@
         backend=backend,
         kind=load.kind,
         requests_per_second=load.requests_per_second,
+        entries=fleet.entry_addresses(load.zone) if load.zone else None,
         **load.options,
     )
     return dataclasses.asdict(caller)
--- a/bench/harness/child.py
+++ b/bench/harness/child.py
@@ -1,6 +1,5 @@
 """One process of a fleet: started, watched, frozen, killed and stopped by its pid."""
 
-import ctypes
 import json
 import os
 import signal
@@ -9,8 +8,10 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
+from bench.harness.deathsignal import end_with_parent
+from bench.harness.template import Template
 from bench.harness.waiting import wait_until
 
 READY_NUMBER = 100
@@ -19,8 +20,7 @@
 KILL_SECONDS = 5.0
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
 LOG_TAIL_LINES = 30
-PARENT_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of prctl(2)
-LIBC = ctypes.CDLL(None)
+REAP_POLL_SECONDS = 0.02
 REPOSITORY = Path(__file__).resolve().parents[2]
 
 
@@ -32,20 +32,81 @@
     resident_bytes: int
 
 
-def _end_with_parent() -> None:
-    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+class Started(Protocol):
+    """A process as far as a child needs it."""
+
+    pid: int
+
+    def poll(self) -> int | None:
+        """Returns the exit code once the process has ended."""
+
+
+class Starter(Protocol):
+    """Starts a program with its output in a file."""
+
+    def start(self, module: str, arguments: list[str], log_path: Path) -> Started:
+        """Starts ``python -m module``."""
+
+
+class FreshStarter:
+    """Starts each program in an interpreter of its own."""
+
+    def start(self, module: str, arguments: list[str], log_path: Path) -> Started:
+        with log_path.open('ab') as log:
+            return subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=make_environment(),
+                start_new_session=True,
+                preexec_fn=end_with_parent,
+            )
+
+
+class TemplateStarter:
+    """Forks each program from a template that has the libraries loaded."""
+
+    def __init__(self) -> None:
+        self._template = Template(make_environment())
+
+    def start(self, module: str, arguments: list[str], log_path: Path) -> Started:
+        pid = self._template.start(module, arguments, str(log_path))
+        return _Forked(pid, self._template)
+
+    def close(self) -> None:
+        """Ends the template and what it has started."""
+        self._template.close()
+
+
+@dataclass(frozen=True)
+class _Forked:
+    pid: int
+    template: Template
+
+    def poll(self) -> int | None:
+        return self.template.poll(self.pid)
+
+
+def make_environment() -> dict[str, str]:
+    """Returns the environment of every process of the bench."""
+    return {**os.environ, 'PYTHONPATH': str(REPOSITORY)}
 
 
 class Child:
     """A process whose log goes to a file and which logs when it is ready."""
 
-    def __init__(self, name: str, module: str, arguments: list[str], log_path: Path) -> None:
+    def __init__(
+        self, name: str, module: str, arguments: list[str], log_path: Path, starter: Starter
+    ) -> None:
         self.name = name
         self.log_path = log_path
         self.exit_code: int | None = None
         self.ready_seconds: float = 0
-        self._command = [sys.executable, '-m', module, *arguments]
-        self._process: subprocess.Popen[bytes] | None = None
+        self._module = module
+        self._arguments = arguments
+        self._starter = starter
+        self._process: Started | None = None
         self._log_start = 0
         self._started_seconds: float = 0
 
@@ -56,19 +117,11 @@
 
     def start(self) -> None:
         """Starts the process without waiting for it."""
-        environment = {**os.environ, 'PYTHONPATH': str(REPOSITORY)}
-        self._log_start = self.log_path.stat().st_size if self.log_path.exists() else 0
+        self.log_path.touch()
+        self._log_start = self.log_path.stat().st_size
         self._started_seconds = time.monotonic()
-        with self.log_path.open('ab') as log:
-            self._process = subprocess.Popen(
-                self._command,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                env=environment,
-                start_new_session=True,
-                preexec_fn=_end_with_parent,
-            )
+        self.exit_code = None
+        self._process = self._starter.start(self._module, self._arguments, self.log_path)
 
     def wait_ready(self) -> dict[str, Any]:
         """Waits for the ready event and returns its fields."""
@@ -89,15 +142,14 @@
 
     def is_running(self) -> bool:
         """Tells whether the process runs."""
-        if self._process is None:
-            return False
-        self.exit_code = self._process.poll()
-        return self.exit_code is None
+        if self._process is not None and self.exit_code is None:
+            self.exit_code = self._process.poll()
+        return self._process is not None and self.exit_code is None
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
-        if self._process is not None and self.is_running():
-            self._process.send_signal(number)
+        if self.is_running():
+            os.kill(self.pid, number)
 
     def kill(self) -> None:
         """Ends the process at once, as a crash does."""
@@ -109,6 +161,10 @@
         self.send(signal.SIGTERM)
         return self._reap(timeout_seconds)
 
+    def terminate(self) -> None:
+        """Asks for a graceful stop without waiting for it."""
+        self.send(signal.SIGTERM)
+
     def usage(self) -> Usage:
         """Reads /proc."""
         fields = Path(f'/proc/{self.pid}/stat').read_text().rpartition(')')[2].split()
@@ -118,14 +174,11 @@
         return Usage(processor_ticks / CLOCK_TICKS, resident_pages * page_bytes)
 
     def _reap(self, timeout_seconds: float) -> int | None:
-        process = self._process
-        if process is None:
-            return None
-        try:
-            self.exit_code = process.wait(timeout_seconds)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            self.exit_code = process.wait()
+        deadline = time.monotonic() + timeout_seconds
+        while self.is_running():
+            if time.monotonic() > deadline:
+                self.send(signal.SIGKILL)
+            time.sleep(REAP_POLL_SECONDS)
         return self.exit_code
 
     def _lines(self) -> list[str]:
--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -23,7 +23,13 @@
 from pathlib import Path
 from typing import Any
 
-from bench.harness.child import REPOSITORY, Child
+from bench.harness.child import (
+    Child,
+    FreshStarter,
+    Starter,
+    TemplateStarter,
+    make_environment,
+)
 from bench.harness.http import Reply, call, get, post
 from bench.harness.layout import Kind, Layout, Place, make_layout
 from bench.harness.plan import MEBIBYTE, Deployment
@@ -42,6 +48,7 @@
 KEEP_LOGS_VARIABLE = 'JACKDAWSAIL_KEEP_LOGS'
 LEADER_SECONDS = 15.0
 MISDIRECTED = 421
+ADMIN_SECONDS = 3.0
 
 
 @dataclass(frozen=True)
@@ -57,7 +64,9 @@
 class Fleet:
     """Owns the processes of a deployment; made by ``running``."""
 
-    def __init__(self, deployment: Deployment, folder: Path) -> None:
+    def __init__(self, deployment: Deployment, folder: Path, starter: Starter) -> None:
+        self._starter = starter
+        self._leader_admin = ''
         self.deployment = deployment
         self.folder = folder
         self.layout: Layout = make_layout(deployment)
@@ -82,7 +91,7 @@
 
     def add_child(self, name: str, module: str, arguments: list[str]) -> Child:
         """Makes any further child that is stopped with the fleet."""
-        child = Child(name, module, arguments, self.folder / f'{name}.log')
+        child = Child(name, module, arguments, self.folder / f'{name}.log', self._starter)
         self.children[name] = child
         return child
 
@@ -162,9 +171,12 @@
         """Calls the administration API, trying the control hosts until the leader answers."""
         headers = {'Authorization': f'Bearer {token}'}
         reply = Reply(0, b'no control host')
-        for address in self.admin_addresses():
-            reply = call(method, address, path, content, headers)
+        addresses = self.admin_addresses()
+        addresses.sort(key=lambda address: address != self._leader_admin)
+        for address in addresses:
+            reply = call(method, address, path, content, headers, ADMIN_SECONDS)
             if reply.status not in {0, MISDIRECTED} and reply.status < 500:
+                self._leader_admin = address
                 return reply
         return reply
 
@@ -178,13 +190,16 @@
         """Waits until the administration API answers, and returns its status."""
         return wait_until(self._leader_status, LEADER_SECONDS, 'a control leader')
 
+    def wait_in_force(self) -> None:
+        """Waits until every entry and agent holds the first settings."""
+        wait_until(self._all_in_force, LEADER_SECONDS, 'the settings in force everywhere')
+
     def cli(
         self, *arguments: str, timeout_seconds: float = 60
     ) -> subprocess.CompletedProcess[str]:
         """Runs the command line against this deployment."""
         environment = {
-            **os.environ,
-            'PYTHONPATH': str(REPOSITORY),
+            **make_environment(),
             'JACKDAWSAIL_CONTROL': ','.join(self.admin_addresses()),
             'JACKDAWSAIL_TOKEN': BOOTSTRAP_TOKEN,
         }
@@ -224,6 +239,12 @@
         reply = self.admin('GET', '/v1/status')
         return reply.content if reply.status == 200 else None
 
+    def _all_in_force(self) -> bool:
+        status = self.wait_leader()
+        entries = len(self.names(Kind.entry))
+        settled = not status['entries_lacking'] and not status['agents_lacking']
+        return status['revision'] > 0 and len(status['entries']) == entries and settled
+
     def _start_proxy(self) -> None:
         proxy = make_proxy(self)
         self.proxy = proxy.control
@@ -232,10 +253,12 @@
 
 
 @contextmanager
-def running(deployment: Deployment, start: bool = True) -> Iterator[Fleet]:
+def running(
+    deployment: Deployment, start: bool = True, starter: Starter | None = None
+) -> Iterator[Fleet]:
     """Runs a deployment; stops all of it at the end and keeps the logs of a failure."""
     folder = Path(tempfile.mkdtemp(prefix='jackdawsail-bench-'))
-    fleet = Fleet(deployment, folder)
+    fleet = Fleet(deployment, folder, starter or FreshStarter())
     keep = bool(os.environ.get(KEEP_LOGS_VARIABLE))
     try:
         if start:
@@ -251,3 +274,13 @@
         fleet.close()
         if not keep:
             shutil.rmtree(folder, ignore_errors=True)
+
+
+@contextmanager
+def template_starter() -> Iterator[TemplateStarter]:
+    """Runs a template from which many fleets can be started fast."""
+    starter = TemplateStarter()
+    try:
+        yield starter
+    finally:
+        starter.close()
