--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -14,7 +14,6 @@
 from bench.fakes.caller import CallerOptions
 from bench.harness.child import Child
 from bench.harness.fleet import Fleet
-from bench.harness.layout import CALLERS_ADDRESS
 from bench.harness.settings_files import customer_token
 from bench.harness.waiting import wait_until
 
@@ -30,6 +29,7 @@
     """The load of one customer, in the words of ``CallerOptions``.
 
     With ``token_of`` it is sent in another customer's name, under its own label.
+    A caller in a zone asks the entries of that zone first.
     """
 
     customer: str
@@ -37,6 +37,7 @@
     kind: str = 'generate'
     token_of: str = ''
     options: dict[str, Any] = dataclasses.field(default_factory=dict)
+    zone: str = ''
 
 
 class Callers:
@@ -82,7 +83,7 @@
         'duration_seconds': duration_seconds,
         'digests_path': str(fleet.digests_path),
         'result_path': str(result_path),
-        'source_address': CALLERS_ADDRESS if fleet.deployment.shaping else '',
+        'source_address': fleet.layout.callers_address,
         'seed': seed,
         **options,
     }
@@ -104,6 +105,7 @@
         backend=backend,
         kind=load.kind,
         requests_per_second=load.requests_per_second,
+        entries=fleet.entry_addresses(load.zone) if load.zone else None,
         **load.options,
     )
     return dataclasses.asdict(caller)
