--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -35,9 +35,9 @@
     customer: str
     requests_per_second: float = 1
     kind: str = 'generate'
-    token_of: str = ''
     options: dict[str, Any] = dataclasses.field(default_factory=dict)
     zone: str = ''
+    token_of: str = ''
 
 
 class Callers:
