Let the next append carry the commit index; encode plain fields at once

Each commit was followed by a round of appends of its own, eight messages with five voters. Entries hold a change from the leader itself, so the followers may learn of the commit from the next append or heartbeat (at most 0.2 s later). as_plain returns plain values before it looks for dataclasses.

--- a/jackdawsail/consensus/replication.py
+++ b/jackdawsail/consensus/replication.py
@@ -133,7 +133,6 @@
         # Only entries of the own term commit by counting; earlier ones commit with them.
         if committed >= self._lead_index and committed > core.commit_index:
             core.commit(committed)
-            self._beat_seconds = -math.inf
             self._leave_office_if_removed()
 
     def _leave_office_if_removed(self) -> None:
--- a/jackdawsail/wire/codec.py
+++ b/jackdawsail/wire/codec.py
@@ -41,6 +41,7 @@
     adapter: TypeAdapter[Any]
 
 
+_PLAIN_TYPES = (str, bytes, int, float, type(None))
 _SCHEMAS_BY_TAG: dict[str, _Schema] = {}
 _SCHEMAS_BY_TYPE: dict[type, _Schema] = {}
 
@@ -72,6 +73,8 @@
 
 def as_plain(part: Any) -> Any:
     """Turns nested dataclasses into mappings that CBOR and JSON can carry."""
+    if isinstance(part, _PLAIN_TYPES):
+        return part
     if dataclasses.is_dataclass(part) and not isinstance(part, type):
         return {name.name: as_plain(getattr(part, name.name)) for name in dataclasses.fields(part)}
     if isinstance(part, (list, tuple)):
