Make the manifest of a release that is declared by its whole digest

Change: one tracker, chosen by rendezvous hash, reads the origin once and reports the manifest; other content than declared fails the release. A second read began before the state had the answer (131 requests instead of 128); a reader now remembers what it has told.

--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -12,6 +12,7 @@
 
 from jackdawsail import events
 from jackdawsail.entry.far_entries import FarEntries
+from jackdawsail.entry.first_read import FirstReader
 from jackdawsail.entry.tracker_plans import LiveRate, Planner
 from jackdawsail.process import ProcessContext
 from jackdawsail.switchboard import Switchboard
@@ -70,6 +71,7 @@
         self._soon: Any = None
         self._live = LiveRate(switchboard, context.identity.region)
         self._peers = peers
+        self._reader = FirstReader(context, self._tell_control)
         self._far = FarEntries(context, switchboard)
         self._planner = Planner(replica, context.identity.zone, self._live)
 
@@ -93,6 +95,7 @@
         for loop in self._loops:
             loop.stop()
         self._loops.clear()
+        self._reader.stop()
         self._tracker = None
 
     def take_report(self, link: Link, report: ChunkReport) -> None:
@@ -149,6 +152,7 @@
             return
         orders = self._planner.orders(self._tracker.pacer)
         self._tracker.set_orders(orders, self._now())
+        self._planner.read_unread(self._reader, self._tracker.pacer)
 
     def _tick(self) -> None:
         self._live.measure(self._now())
--- a/jackdawsail/entry/tracker_plans.py
+++ b/jackdawsail/entry/tracker_plans.py
@@ -1,10 +1,11 @@
 """Turns the replicated state and the live load into the tracker's plans."""
 
+from jackdawsail.entry.first_read import FirstReader
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.weights.manifest import Manifest
 from jackdawsail.weights.pacing import DelayPacer
 from jackdawsail.weights.schedule import ZonePlan
-from jackdawsail.weights.target import Records, running_manifests
+from jackdawsail.weights.target import Records, running_manifests, unread_manifests
 from jackdawsail.weights.tracker import ReleaseOrder
 from jackdawsail.wire.link import Link
 
@@ -56,6 +57,17 @@
         manifests = running_manifests(self._records)
         return {name: self._order(manifest, pacer) for name, manifest in manifests.items()}
 
+    def read_unread(self, reader: FirstReader, pacer: DelayPacer) -> None:
+        """Lets the first reader make the manifests that are missing."""
+        unread = unread_manifests(self._records)
+        origin = self._records.get('weights', 'origin') or {}
+        for manifest in unread[:1]:
+            plan = self._plan(manifest.backend, pacer)
+            url = str(origin.get('url') or '')
+            reader.follow(unread, plan.zones, url, plan.cross_bits_per_second)
+        if not unread:
+            reader.stop()
+
     def _order(self, manifest: Manifest, pacer: DelayPacer) -> ReleaseOrder:
         backend = self._records.get('backend', manifest.backend) or {}
         share = float(backend.get('max_switching_share') or DEFAULT_SWITCHING_SHARE)
--- a/jackdawsail/weights/draw.py
+++ b/jackdawsail/weights/draw.py
@@ -1,6 +1,6 @@
 """Draws one chunk from the origin or from a peer; every end is a value."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +14,7 @@
 from jackdawsail.weights.proof import PROOF_HEADER, RATE_HEADER, chunk_proof
 from jackdawsail.wire.weight_messages import FetchItem, FetchOutcome, SourceKind
 
+JudgeDraw = Callable[[OriginDraw], DrawEnd | None]
 STATUS_OK = 200
 STATUS_BUSY = 503
 
@@ -40,15 +41,21 @@
     def draw(self, manifest: Manifest, fetch: FetchItem) -> Any:
         """Draws as ordered; the Deferred fires with ``Drawn`` and never fails."""
         if fetch.source is SourceKind.origin:
-            return self._from_origin(manifest, fetch)
+            return self._from_origin(manifest, fetch, _judge_origin)
         return self._from_peer(manifest, fetch)
 
+    def draw_unproved(self, manifest: Manifest, fetch: FetchItem) -> Any:
+        """Draws from the origin for a manifest that has no chunk digests yet."""
+        return self._from_origin(manifest, fetch, _judge_length)
+
     def forget_validator(self, release: str) -> None:
         """Forgets a validator when an operator resumes a stopped release."""
         self._validators.pop(release, None)
 
     @inlineCallbacks
-    def _from_origin(self, manifest: Manifest, fetch: FetchItem) -> Generator[Any, Any, Drawn]:
+    def _from_origin(
+        self, manifest: Manifest, fetch: FetchItem, judge: JudgeDraw
+    ) -> Generator[Any, Any, Drawn]:
         known = self._validators.get(manifest.release, '')
         draw = OriginDraw(manifest, fetch.chunk, known)
         started_seconds = self._clock.seconds()
@@ -57,7 +64,7 @@
             response = yield self._ask_origin(manifest, draw)
             paced = Paced(fetch.bits_per_second, started_seconds)
             end = yield self._read_origin(response, draw, paced)
-        end = end or _close(draw)
+        end = end or judge(draw)
         if end is None:
             self._validators[manifest.release] = draw.validator
         return Drawn(end, bytes(draw.body), draw.drawn_bytes)
@@ -118,10 +125,16 @@
         return len(self.body) <= self._length_bytes
 
 
-def _close(draw: OriginDraw) -> DrawEnd | None:
+def _judge_length(draw: OriginDraw) -> DrawEnd | None:
     if draw.lacking_bytes > 0:
         return DrawEnd(FetchOutcome.failed, 'origin cuts the connection')
-    return draw.verdict()
+    if draw.lacking_bytes < 0:
+        return DrawEnd(FetchOutcome.corrupt, 'origin sends more than the range')
+    return None
+
+
+def _judge_origin(draw: OriginDraw) -> DrawEnd | None:
+    return _judge_length(draw) or draw.verdict()
 
 
 def _judge_peer(manifest: Manifest, chunk: int, ended: Any, body: bytes) -> DrawEnd | None:
--- a/jackdawsail/weights/target.py
+++ b/jackdawsail/weights/target.py
@@ -55,6 +55,22 @@
     return {target.manifest.release: target.manifest for target in active}
 
 
+def unread_manifests(records: Records) -> list[Manifest]:
+    """Returns the running targets without chunk digests, with empty ones in their place."""
+    found: list[Manifest] = []
+    for backend in records.all('backend').values():
+        release = str(backend.get('release') or '')
+        record = records.get('release', release)
+        if record is None or record['chunk_digests'] or record['status'] != 'running':
+            continue
+        count = -(-record['size_bytes'] // record['chunk_bytes'])
+        blank = {**record, 'chunk_digests': ['' for _ in range(count)]}
+        outcome = manifest_from_record(release, blank)
+        if isinstance(outcome, Success):
+            found.append(outcome.unwrap())
+    return found
+
+
 def _manifest(records: Records, release: str) -> Manifest | None:
     record = records.get('release', release) if release else None
     if record is None:
