Tell accidents of the origin from wrong content; leave full disks alone

Change: only the same wrong digest twice stops a release; a chunk that the origin has corrupted is taken from another data centre at once where one has it; an agent that cannot write says so (outcome unkept) and gets no orders until it tries again.

--- a/jackdawsail/weights/fetcher.py
+++ b/jackdawsail/weights/fetcher.py
@@ -20,6 +20,7 @@
 )
 
 SYNC_SECONDS = 0.5
+STORE_RETRY_SECONDS = 3.0
 CHUNK_REJECTED = events.define(510, 'warning', 'chunk was not taken in')
 STORE_FAULT = events.define(511, 'error', 'chunk store cannot write')
 DRAWN_BYTES = Counter(
@@ -40,7 +41,8 @@
         self, stored: StoredRelease, drawer: Drawer, clock: Clock, run: Run, tell: Tell
     ) -> None:
         self.in_flight: set[int] = set()
-        self.problem = ''
+        self._problem = ''
+        self._retry_at_seconds = float('-inf')
         self.is_synced = True
         self._stored = stored
         self._drawer = drawer
@@ -50,6 +52,11 @@
         self._sync_call: Any = None
         self._syncing = False
 
+    @property
+    def problem(self) -> str:
+        """Tells why nothing can be kept; empty again when it is time to try."""
+        return self._problem if self._clock.seconds() < self._retry_at_seconds else ''
+
     def order(self, order: FetchOrder) -> None:
         """Starts the ordered transfers; what is held or under way is answered or skipped."""
         for fetch in order.fetches:
@@ -86,8 +93,8 @@
         written = self._stored.write(fetch.chunk, body)
         if not isinstance(written, Success):
             self._fault(written.failure())
-            return DrawEnd(FetchOutcome.failed, written.failure().reason)
-        self.problem = ''
+            return DrawEnd(FetchOutcome.unkept, written.failure().reason)
+        self._problem = ''
         self.is_synced = False
         self._sync_later()
         return None
@@ -114,9 +121,10 @@
             self._sync_later()
 
     def _fault(self, error: StoreError) -> None:
-        if self.problem != error.reason:
+        if self._problem != error.reason:
             events.log(STORE_FAULT, release=self._stored.manifest.release, reason=error.reason)
-        self.problem = error.reason
+        self._problem = error.reason
+        self._retry_at_seconds = self._clock.seconds() + STORE_RETRY_SECONDS
 
     def _result(
         self,
--- a/jackdawsail/weights/origin.py
+++ b/jackdawsail/weights/origin.py
@@ -5,6 +5,7 @@
 the same name is seen before its bytes count.
 """
 
+import hashlib
 import re
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 from jackdawsail.wire.weight_messages import FetchOutcome
 
 ATTEMPTS_MAX = 3
+DIGEST_SHOWN = 16
 STATUS_PARTIAL = 206
 STATUS_WHOLE = 200
 STATUS_MISSING = (404, 410)
@@ -95,7 +97,9 @@
         """Judges a whole body; None means that the chunk is proved."""
         if self._manifest.proves(self._chunk, bytes(self.body)):
             return None
-        return DrawEnd(FetchOutcome.corrupt, 'origin bytes do not match the manifest')
+        digest = hashlib.sha256(self.body).hexdigest()
+        reason = f'origin sends a wrong digest {digest[:DIGEST_SHOWN]}'
+        return DrawEnd(FetchOutcome.corrupt, reason)
 
     def _judge_partial(self, head: ResponseHead) -> DrawEnd | None:
         if self.validator and head.etag and head.etag != self.validator:
--- a/jackdawsail/weights/origin_budget.py
+++ b/jackdawsail/weights/origin_budget.py
@@ -8,7 +8,7 @@
 import random
 
 ORIGIN_COPIES_MAX = 4.0
-ORIGIN_CORRUPT_MAX = 3
+SAME_CORRUPT_MAX = 2
 BACKOFF_FIRST_SECONDS = 0.5
 BACKOFF_MAX_SECONDS = 30.0
 REQUESTS_PER_SECOND = 20.0
@@ -28,7 +28,7 @@
         self._backoff_seconds = BACKOFF_FIRST_SECONDS
         self._requests = REQUESTS_BURST
         self._requests_at_seconds = float(0)
-        self._corrupt: dict[int, int] = {}
+        self._corrupt: dict[int, list[str]] = {}
 
     @property
     def spent_bytes(self) -> int:
@@ -69,11 +69,16 @@
         self._backoff_seconds = min(BACKOFF_MAX_SECONDS, self._backoff_seconds * 2)
         self._paused_until_seconds = now + max(retry_after_seconds, jittered_seconds)
 
-    def note_corrupt(self, chunk: int) -> None:
-        """Counts bytes that do not match the manifest; too many fail the release."""
-        self._corrupt[chunk] = self._corrupt.get(chunk, 0) + 1
-        if self._corrupt[chunk] >= ORIGIN_CORRUPT_MAX:
-            self.failed_reason = f'origin sends chunk {chunk} with a wrong digest'
+    def note_corrupt(self, chunk: int, reason: str) -> None:
+        """Takes a wrong digest; the same one again is no accident and fails the release."""
+        reasons = self._corrupt.setdefault(chunk, [])
+        reasons.append(reason)
+        if reasons.count(reason) >= SAME_CORRUPT_MAX:
+            self.failed_reason = f'chunk {chunk}: {reason}'
+
+    def has_corrupt(self, chunk: int) -> bool:
+        """Tells whether the origin has sent wrong bytes for a chunk."""
+        return chunk in self._corrupt
 
     def note_changed(self, reason: str) -> None:
         """Fails the release: the origin serves other content under its name."""
--- a/jackdawsail/weights/schedule.py
+++ b/jackdawsail/weights/schedule.py
@@ -95,11 +95,7 @@
         """Picks the agent that has drawn least, so that each draws its part."""
         swarm = self._swarm
         members = swarm.members
-        able = [
-            name
-            for name in members
-            if chunk not in members[name].held and (name, chunk) not in swarm.flights
-        ]
+        able = [name for name in members if swarm.lacks(name, chunk)]
         good = [name for name in able if not swarm.is_lost(members[name].address, now)]
         return min(good or able, key=lambda name: (members[name].draws, name), default=None)
 
@@ -107,19 +103,21 @@
         """Returns an address, '' for the origin, or None to wait."""
         ranked = self._rank(chunk)
         parent = parent_zone(ranked, plan.zone, plan.origin_copies)
+        waited_seconds = now - self._absent_since_seconds.setdefault(chunk, now)
+        near = self._swarm.remote_addresses(chunk, parent, now) if parent else []
+        if near:
+            return self._rng.choice(near)
+        is_patient = waited_seconds < PARENT_PATIENCE_SECONDS
+        if parent and is_patient:
+            return None
         length_bytes = self._swarm.manifest.span(chunk).length_bytes
-        since_seconds = self._absent_since_seconds.setdefault(chunk, now)
-        if parent:
-            near = self._swarm.remote_addresses(chunk, parent, now)
-            if near:
-                return self._rng.choice(near)
-            if now - since_seconds < PARENT_PATIENCE_SECONDS:
-                return None
-        if parent or now - since_seconds >= PARENT_PATIENCE_SECONDS:
-            elsewhere = self._elsewhere(plan, chunk, now)
-            if elsewhere:
-                return self._rng.choice(elsewhere)
-        return '' if self._budget.allows(length_bytes, now) else None
+        may_draw = self._budget.allows(length_bytes, now)
+        if may_draw and is_patient and not self._budget.has_corrupt(chunk):
+            return ''
+        elsewhere = self._elsewhere(plan, chunk, now)
+        if elsewhere:
+            return self._rng.choice(elsewhere)
+        return '' if may_draw else None
 
     def _elsewhere(self, plan: ZonePlan, chunk: int, now: float) -> list[str]:
         others = [zone for zone in self._swarm.remotes if zone != plan.zone]
@@ -135,7 +133,11 @@
     def _plan_local(self, now: float) -> Iterator[Placed]:
         members = self._swarm.members
         chunk_count = self._swarm.manifest.chunk_count
-        lacking = [name for name, member in members.items() if len(member.held) < chunk_count]
+        lacking = [
+            name
+            for name, member in members.items()
+            if len(member.held) < chunk_count and not member.problem
+        ]
         for agent in sorted(lacking, key=self._local_flights):
             yield from self._exchange(agent, now)
 
--- a/jackdawsail/weights/swarm.py
+++ b/jackdawsail/weights/swarm.py
@@ -169,6 +169,13 @@
             score.failures = 0
             score.lost_until_seconds = now + SOURCE_LOST_SECONDS
 
+    def lacks(self, agent: str, chunk: int) -> bool:
+        """Tells whether an agent could draw a chunk now."""
+        member = self.members[agent]
+        return (
+            not member.problem and chunk not in member.held and (agent, chunk) not in self.flights
+        )
+
     def missing(self, agent: str) -> list[int]:
         """Returns the chunks that an agent neither has nor is drawing, in order."""
         held = self.members[agent].held
--- a/jackdawsail/weights/tracker.py
+++ b/jackdawsail/weights/tracker.py
@@ -118,7 +118,7 @@
         tracked.swarm.end(agent, ended.chunk)
         if ended.source is SourceKind.origin:
             self._settle_origin(tracked, ended, now)
-        elif ended.outcome is not FetchOutcome.done:
+        elif ended.outcome not in {FetchOutcome.done, FetchOutcome.unkept}:
             is_corrupt = ended.outcome is FetchOutcome.corrupt
             tracked.swarm.blame(ended.address, now, corrupt=is_corrupt)
         if ended.outcome is FetchOutcome.done:
@@ -183,12 +183,12 @@
         length_bytes = tracked.order.manifest.span(ended.chunk).length_bytes
         budget = tracked.budget
         budget.settle(length_bytes, ended.drawn_bytes)
-        if ended.outcome is FetchOutcome.done:
+        if ended.outcome in {FetchOutcome.done, FetchOutcome.unkept}:
             budget.note_good()
         elif ended.outcome is FetchOutcome.changed:
             budget.note_changed(ended.reason)
         elif ended.outcome is FetchOutcome.corrupt:
-            budget.note_corrupt(ended.chunk)
+            budget.note_corrupt(ended.chunk, ended.reason)
         else:
             budget.pause(ended.retry_after_seconds, now)
 
--- a/jackdawsail/wire/weight_messages.py
+++ b/jackdawsail/wire/weight_messages.py
@@ -17,13 +17,14 @@
 
 
 class FetchOutcome(StrEnum):
-    """How one chunk transfer ended."""
+    """How one chunk transfer ended; ``unkept``: proved, but this host could not write it."""
 
     done = 'done'
     corrupt = 'corrupt'
     failed = 'failed'
     changed = 'changed'
     busy = 'busy'
+    unkept = 'unkept'
 
 
 @message('chunk-report')
