A settlement that a leader cannot commit is sent again, not dropped

Cause: a control host that had lost leadership answered a settlement with accepted=False; the entry took that for the ledger's refusal and forgot it, so the call stayed running in the ledger and every resend with its key heard that it was still running. Ruled out: the resend timer (it works when no answer comes). Change: a host that cannot commit a settlement does not answer it; the entry's resend finds the leader. Before: test_settlement_survives_a_leader_that_cannot_commit_it fails (settlement forgotten); after: passes.

--- a/jackdawsail/control/claims.py
+++ b/jackdawsail/control/claims.py
@@ -14,7 +14,6 @@
     ClaimReply,
     ClaimRequest,
     ClaimVerdict,
-    SettleReply,
     SettleRequest,
 )
 from jackdawsail.wire.link import Link
@@ -34,9 +33,9 @@
     in_flight: int = 0
 
     def receive(self, link: Link, request: ClaimRequest | SettleRequest) -> None:
-        """Queues one request; a host that does not lead refuses it at once."""
+        """Queues one request; a host that does not lead refuses a claim at once."""
         if not self.proposer.replicator.is_leader():
-            link.send(_refusal(request))
+            _refuse(link, request)
             return
         self.waiting.append((link, request))
         self._propose_next()
@@ -60,7 +59,7 @@
             _send_replies(batch, outcome.unwrap())
         else:
             for link, request in batch:
-                link.send(_refusal(request))
+                _refuse(link, request)
         self._propose_next()
 
 
@@ -79,7 +78,8 @@
         link.send(next(claims) if isinstance(request, ClaimRequest) else next(settles))
 
 
-def _refusal(request: ClaimRequest | SettleRequest) -> ClaimReply | SettleReply:
+def _refuse(link: Link, request: ClaimRequest | SettleRequest) -> None:
+    # A settlement without an answer is sent again by its entry until a leader has it;
+    # an answer would end that, and leave the call running in the ledger.
     if isinstance(request, ClaimRequest):
-        return ClaimReply(request.request_id, ClaimVerdict.unavailable, 0)
-    return SettleReply(request.request_id, accepted=False)
+        link.send(ClaimReply(request.request_id, ClaimVerdict.unavailable, 0))
--- /dev/null
+++ b/test/control/test_claims.py
@@ -0,0 +1,94 @@
+"""Claims and settlements at a host that loses leadership, and at the entry that sent them."""
+
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from jackdawsail.consensus.interfaces import ProposeError
+from jackdawsail.control.claims import make_claim_desk
+from jackdawsail.entry.ledger_client import RESEND_SECONDS, LedgerClient
+from jackdawsail.state.replies import LedgerReplies
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.claim_messages import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimVerdict,
+    SettleReply,
+    StoredAnswer,
+)
+from jackdawsail.wire.work_messages import Outcome
+
+CLAIM = ClaimRequest('r1', 'label', 'key', 'digest', 'entry-1', 7)
+
+
+class FakeReplicator:
+    """Leads until it is told otherwise."""
+
+    leads = True
+
+    def is_leader(self):
+        return self.leads
+
+
+class FakeProposer:
+    """Keeps what is proposed until the test decides how it ends."""
+
+    def __init__(self):
+        self.replicator = FakeReplicator()
+        self.proposed = []
+
+    def own(self, body):
+        self.proposed.append((body, Deferred()))
+        return self.proposed[-1][1]
+
+
+class Wire:
+    """A link whose messages go straight to the other side's handlers."""
+
+    def __init__(self, target):
+        self.target = target
+        self.back = None
+
+    def send(self, sent):
+        self.target.link_received(self.back, sent)
+        return True
+
+
+def make_sides():
+    clock, proposer = Clock(), FakeProposer()
+    control, entry = Switchboard(), Switchboard()
+    to_control, to_entry = Wire(control), Wire(entry)
+    to_control.back, to_entry.back = to_entry, to_control
+    make_claim_desk(control, proposer)
+    client = LedgerClient(clock, entry, lambda: to_control)
+    client.start()
+    return clock, proposer, client
+
+
+def test_settlement_survives_a_leader_that_cannot_commit_it():
+    clock, proposer, client = make_sides()
+    client.settle(CLAIM, 1, Outcome.done, StoredAnswer(200, 'text/plain', b'booked'))
+    proposer.proposed[0][1].callback(Success(Failure(ProposeError('lost', '', True))))
+    assert client.busy
+    proposer.replicator.leads = False
+    clock.advance(RESEND_SECONDS)
+    assert len(proposer.proposed) == 1
+    proposer.replicator.leads = True
+    clock.advance(RESEND_SECONDS)
+    clock.advance(RESEND_SECONDS)
+    proposer.proposed[1][1].callback(Success(LedgerReplies([], [SettleReply('r1', True)])))
+    assert not client.busy
+
+
+def test_claim_given_up_is_cleared_when_the_ledger_answers_late():
+    clock, proposer, client = make_sides()
+    verdicts = []
+    client.claim(CLAIM, deadline_seconds=1).addCallback(verdicts.append)
+    for _ in range(12):
+        clock.advance(0.1)
+    assert verdicts == [ClaimReply('r1', ClaimVerdict.unavailable, 0)]
+    granted = LedgerReplies([ClaimReply('r1', ClaimVerdict.granted, 4)], [])
+    proposer.proposed[0][1].callback(Success(granted))
+    cleared = [body.settles for body, _ in proposer.proposed if body.settles]
+    assert [settle.outcome for settle in cleared[0]] == ['not-run']
+    assert cleared[0][0].claim_number == 4
