--- a/bench/burst.py
+++ b/bench/burst.py
@@ -27,6 +27,7 @@
 from bench.harness.layout import Kind
 from bench.harness.plan import MEBIBYTE, Customer, Deployment, Shaping
 from bench.harness.releases import create_release, replicas, start_release, wait_replicas
+from bench.harness.series import save_series
 from bench.harness.waiting import wait_until
 
 BITS_PER_BYTE = 8
@@ -135,6 +136,7 @@
     with running(plan) as fleet:
         _prepare(fleet)
         outcome = Burst(fleet, site, size_bytes, chosen, seed).run()
+        save_series(fleet, _name(outcome))
         if baselines and not fault:
             found = _baselines(fleet, size_bytes)
             outcome = BurstResult(**{**asdict(outcome), 'baselines': found})
@@ -308,12 +310,16 @@
     }
 
 
+def _name(outcome: BurstResult) -> str:
+    parts = ('burst', outcome.site, str(outcome.engines), outcome.fault)
+    return '-'.join(part for part in parts if part)
+
+
 def _show(outcome: BurstResult, as_json: bool) -> None:
     document = {**asdict(outcome), 'misses': outcome.misses()}
     folder = Path('results')
     folder.mkdir(exist_ok=True)
-    name = f'burst-{outcome.site}-{outcome.engines}{"-" + outcome.fault if outcome.fault else ""}'
-    (folder / f'{name}.json').write_text(json.dumps(document, indent=1) + '\n', 'utf8')
+    (folder / f'{_name(outcome)}.json').write_text(json.dumps(document, indent=1) + '\n', 'utf8')
     if as_json:
         print(json.dumps(document))
         return
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -24,6 +24,7 @@
 from bench.harness.layout import Kind
 from bench.harness.plan import MEBIBYTE, Customer, Deployment
 from bench.harness.releases import replicas, wait_replicas
+from bench.harness.series import save_series
 
 CUSTOMERS = (
     'aegean-records',
@@ -132,6 +133,7 @@
     _cli(fleet, 'release', 'start', SECOND)
     seconds_to_all = _watch(fleet, callers, console, started)
     lines = callers.wait()
+    save_series(fleet, 'demo')
     return _sum_up(fleet, lines, seconds_to_all, time.monotonic() - begin)
 
 
--- a/bench/service.py
+++ b/bench/service.py
@@ -22,6 +22,7 @@
 from bench.harness.layout import Kind
 from bench.harness.plan import Customer, Deployment, Shaping
 from bench.harness.releases import must, roll_out
+from bench.harness.series import save_series
 from bench.harness.waiting import wait_until
 from bench.ideal import Arrival, ideal_seconds
 
@@ -112,6 +113,7 @@
         callers = start_callers(fleet, _loads(), seconds, seed)
         marks = _play(fleet, callers, cut)
         result = _sum_up(fleet, callers.wait(), marks)
+        save_series(fleet, 'service', asdict(marks))
     Path('results').mkdir(exist_ok=True)
     text = json.dumps(asdict(result))
     Path('results/service.json').write_text(f'{text}\n', 'utf8')
