Send one signal for a planned stop

Cause: the scenario of planned stops asked two processes to stop and then called stop, which sent SIGTERM a second time; a second signal ends a process at once, so a stream was cut off after 0.2 s (seen: link closed 1 ms after the stop began). Change: stop does not signal a child that was asked already.

--- a/bench/harness/child.py
+++ b/bench/harness/child.py
@@ -108,6 +108,7 @@
         self._starter = starter
         self._process: Started | None = None
         self._log_start = 0
+        self._terminated = False
         self._started_seconds: float = 0
 
     @property
@@ -158,11 +159,13 @@
 
     def stop(self, timeout_seconds: float = STOP_SECONDS) -> int | None:
         """Stops gracefully; kills when the deadline passes. Returns the exit code."""
-        self.send(signal.SIGTERM)
+        if not self._terminated:
+            self.terminate()
         return self._reap(timeout_seconds)
 
     def terminate(self) -> None:
-        """Asks for a graceful stop without waiting for it."""
+        """Asks for a graceful stop without waiting for it; a second signal would end it at once."""
+        self._terminated = True
         self.send(signal.SIGTERM)
 
     def usage(self) -> Usage:
