Keep the link of a peer entry that is leaving until it closes; test the border

Cause: an entry that left the directory lost its links from peers at once, which cut off what ran through it. Change: such links get no new work and stay.

--- a/bench/harness/child.py
+++ b/bench/harness/child.py
@@ -118,6 +118,7 @@
 
     def start(self) -> None:
         """Starts the process without waiting for it."""
+        self._terminated = False
         self.log_path.touch()
         self._log_start = self.log_path.stat().st_size
         self._started_seconds = time.monotonic()
--- a/jackdawsail/entry/peers.py
+++ b/jackdawsail/entry/peers.py
@@ -72,6 +72,7 @@
         self._context = context
         self._switchboard = switchboard
         self._dialers: dict[str, Dialer] = {}
+        self._retired: dict[str, Dialer] = {}
         self._rng = random.Random(context.identity.incarnation)
         self._chosen: dict[str, str] = {}
         self._reaches_zones = False
@@ -81,16 +82,23 @@
         self._reaches_zones = True
 
     def follow(self, directory: list[DirectoryEntry]) -> None:
-        """Dials new peers and lets go of those that are no longer chosen."""
+        """Dials new peers and gives no new work to those that are no longer chosen.
+
+        The link of such a peer stays open until the peer itself closes it, for
+        requests may still run there.
+        """
         self._chosen = choose_peers(directory, self._context.identity)
         wanted = dict(self._chosen)
         if self._reaches_zones:
             wanted.update(self._far_entries(directory))
         for name in self._dialers.keys() - wanted.keys():
-            self._dialers.pop(name).stop()
+            self._retired[name] = self._dialers.pop(name)
         for name, address in wanted.items():
             if name not in self._dialers:
                 self._dial(name, address)
+        ended = [name for name, dialer in self._retired.items() if dialer.link is None]
+        for name in ended:
+            self._retired.pop(name).stop()
 
     def candidates(self, _backend: str) -> list[Candidate]:
         """Returns the connected peers."""
@@ -102,12 +110,13 @@
 
     def link(self, candidate: str) -> Link | None:
         """Returns the link of a peer by its candidate name."""
-        dialer = self._dialers.get(candidate.removeprefix(PEER_PREFIX))
+        peer_name = candidate.removeprefix(PEER_PREFIX)
+        dialer = self._dialers.get(peer_name) or self._retired.get(peer_name)
         return dialer.link if dialer else None
 
     def stop(self) -> None:
         """Ends every link."""
-        for dialer in self._dialers.values():
+        for dialer in (*self._dialers.values(), *self._retired.values()):
             dialer.stop()
 
     def _far_entries(self, directory: list[DirectoryEntry]) -> dict[str, str]:
@@ -115,6 +124,10 @@
         return {each.name: each.link_address for each in directory if each.zone != own_zone}
 
     def _dial(self, name: str, address: str) -> None:
+        retired = self._retired.pop(name, None)
+        if retired is not None:
+            self._dialers[name] = retired
+            return
         context = self._context
         dialer = Dialer(
             context.reactor, address, context.link_settings, self._switchboard, self._rng
--- /dev/null
+++ b/test/agent/test_streams.py
@@ -0,0 +1,182 @@
+"""An engine's stream is whole only by its own last event; cut, crossed and wrong ones fail."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from jackdawsail.agent.sse import SseParser
+from jackdawsail.agent.upstream import STALL_SECONDS, EngineBody, ServiceBody, UpstreamRun
+from jackdawsail.entry.call import Call, CallKind
+from jackdawsail.entry.http_answers import HttpAnswer
+from jackdawsail.entry.stages.relay import MAX_UNREAD_BYTES, StreamRelay
+from jackdawsail.routing.orders import Begin, Finish, Pass
+from jackdawsail.wire.work_messages import AnswerHead, Outcome
+
+END = Failure(ResponseDone())
+
+
+class Sink:
+    def __init__(self):
+        self.heard = []
+
+    def head(self, status, content_type):
+        self.heard.append(('head', status))
+
+    def part(self, body, tokens):
+        self.heard.append(('part', body, tokens))
+
+    def whole(self):
+        self.heard.append(('whole',))
+
+    def failed(self, outcome, reason):
+        self.heard.append(('failed', str(outcome), reason))
+
+
+def event(**fields):
+    return b'data: ' + json.dumps(fields).encode() + b'\n\n'
+
+
+def make_body(body, status=200, resume_from=0):
+    clock, sink = Clock(), Sink()
+    run = UpstreamRun(clock, sink)
+    if resume_from:
+        body.resume_from(resume_from)
+    body.begin(run, status, 'text/event-stream')
+    return clock, sink, body
+
+
+def feed(received, status=200, resume_from=0):
+    _clock, sink, body = make_body(EngineBody('r1'), status, resume_from)
+    body.dataReceived(received)
+    body.connectionLost(END)
+    return sink.heard[-1]
+
+
+TWO = event(text='a ', position=1) + event(text='b ', position=2)
+
+
+@pytest.mark.parametrize(
+    ('received', 'last'),
+    [
+        (TWO + event(done=True, tokens=2, release='r1'), ('whole',)),
+        (TWO, ('failed', 'unknown', 'stream-cut-off')),
+        (TWO + event(done=True, tokens=2, release='r2'), ('failed', 'unknown', 'other-release')),
+        (TWO + event(done=True, tokens=3, release='r1'), ('failed', 'unknown', 'tokens-missing')),
+        (TWO + event(text='b ', position=2), ('failed', 'unknown', 'position-goes-back')),
+        (b'data: {"text": 3}\n\n', ('failed', 'unknown', 'event is malformed')),
+    ],
+)
+def test_stream_is_whole_only_with_its_own_end(received, last):
+    assert feed(received) == last
+
+
+def test_refusal_by_status_is_not_run_and_a_resumed_stream_counts_on():
+    assert feed(b'', status=503) == ('failed', 'not-run', 'engine-refused-503')
+    assert feed(b'', status=409) == ('failed', 'not-run', 'engine-refused-409')
+    rest = event(text='c ', position=6) + event(done=True, tokens=6, release='r1')
+    assert feed(rest, resume_from=5) == ('whole',)
+
+
+def test_stalled_and_cut_answers_are_unknown():
+    clock, sink, body = make_body(ServiceBody())
+    body.dataReceived(b'half')
+    body.connectionLost(Failure(ConnectionError()))
+    assert sink.heard[-1] == ('failed', 'unknown', 'answer-cut-off')
+    clock, sink, body = make_body(EngineBody('r1'))
+    clock.advance(STALL_SECONDS)
+    assert sink.heard[-1] == ('failed', 'unknown', 'upstream-stalled')
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.lists(st.integers(1, 40), max_size=20))
+def test_events_do_not_depend_on_how_the_bytes_are_cut(cuts):
+    whole = TWO + event(done=True, tokens=2, release='r1')
+    parser, events, rest = SseParser(), [], whole
+    for cut in [*cuts, len(whole)]:
+        piece, rest = rest[:cut], rest[cut:]
+        events += parser.feed(piece).unwrap()
+    assert events == SseParser().feed(whole).unwrap()
+
+
+@settings(max_examples=300, derandomize=True)
+@given(st.lists(st.binary(max_size=60), max_size=5))
+def test_sse_parser_never_raises(chunks):
+    parser = SseParser()
+    for chunk in chunks:
+        if not isinstance(parser.feed(b'data:' + chunk + b'\n\n'), Success):
+            return
+
+
+class Request:
+    """A caller's request that can stop reading."""
+
+    def __init__(self):
+        self.written, self.finished, self.dropped, self.headers = b'', False, False, {}
+        self.producer = None
+
+    def notifyFinish(self):
+        from twisted.internet.defer import Deferred
+
+        return Deferred()
+
+    def setResponseCode(self, status):
+        self.status = status
+
+    def setHeader(self, name, text):
+        self.headers[name] = text
+
+    def registerProducer(self, producer, streaming):
+        self.producer = producer
+
+    def unregisterProducer(self):
+        self.producer = None
+
+    def write(self, body):
+        self.written += body
+
+    def finish(self):
+        self.finished = True
+
+    def loseConnection(self):
+        self.dropped = True
+
+
+def make_relay():
+    request, left, ended = Request(), [], []
+    call = Call('q1', CallKind.generate, 'b', 'POST', '/', '', b'', customer='c')
+    http = HttpAnswer(request, 'q1', lambda: None)
+    relay = StreamRelay(
+        call,
+        http,
+        lambda call, outcome, answer: ended.append(outcome),
+        lambda request_id, reason: left.append(reason),
+    )
+    relay.begin(Begin(AnswerHead('q1.1', 200, 'text/event-stream', 'r1')))
+    return request, relay, left, ended
+
+
+def test_broken_stream_is_never_closed_cleanly():
+    request, relay, _left, ended = make_relay()
+    relay.pass_on(Pass(b'a ', 1))
+    relay.finish(Finish(Outcome.unknown, 'agent-lost'))
+    assert b'event: error' in request.written
+    assert b'"done"' not in request.written
+    assert request.dropped
+    assert not request.finished
+    assert ended == [Outcome.unknown]
+
+
+def test_slow_reader_is_dropped_when_its_buffer_is_full():
+    request, relay, left, _ended = make_relay()
+    request.producer.pauseProducing()
+    written = len(request.written)
+    for _ in range(1 + MAX_UNREAD_BYTES // 1000):
+        relay.pass_on(Pass(b'x' * 1000, 1))
+    assert len(request.written) == written
+    assert left[0] == 'reader-too-slow'
--- /dev/null
+++ b/test/entry/test_ledger_client.py
@@ -0,0 +1,91 @@
+"""Claims and settlements survive the loss of the leader between them."""
+
+from twisted.internet.task import Clock
+
+from jackdawsail.entry.ledger_client import CLAIM_WAIT_SECONDS, RESEND_SECONDS, LedgerClient
+from jackdawsail.state.ledger import Ledger
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.claim_messages import (
+    ClaimRequest,
+    ClaimVerdict,
+    SettleRequest,
+    StoredAnswer,
+)
+from jackdawsail.wire.work_messages import Outcome
+
+
+class Leader:
+    """A control leader with a ledger; it may take a message and lose its reply."""
+
+    peer = None
+
+    def __init__(self, switchboard, ledger):
+        self.switchboard, self.ledger, self.loses, self.down = switchboard, ledger, False, False
+
+    def send(self, message):
+        if self.down:
+            return False
+        is_claim = isinstance(message, ClaimRequest)
+        reply = self.ledger.claim(message) if is_claim else self.ledger.settle(message)
+        if not self.loses:
+            self.switchboard.link_received(self, reply)
+        return True
+
+
+def make(loses=False):
+    clock, switchboard, ledger = Clock(), Switchboard(), Ledger()
+    leader = Leader(switchboard, ledger)
+    leader.loses = loses
+    client = LedgerClient(clock, switchboard, lambda: leader)
+    client.start()
+    return clock, leader, client, ledger
+
+
+def claim(request_id='q1', key='k1', entry='e1'):
+    return ClaimRequest(request_id, 'label', key, 'digest', entry, 1)
+
+
+def advance(clock, seconds):
+    for _ in range(int(seconds * 10) + 1):
+        clock.advance(0.1)
+
+
+def test_claim_whose_reply_was_lost_is_granted_once_it_is_asked_again():
+    clock, leader, client, ledger = make(loses=True)
+    replies = []
+    client.claim(claim(), 100).addCallback(replies.append)
+    advance(clock, RESEND_SECONDS)
+    leader.loses = False
+    advance(clock, 2 * RESEND_SECONDS)
+    assert [reply.verdict for reply in replies] == [ClaimVerdict.granted]
+    assert len(ledger.calls) == 1
+
+
+def test_claim_that_was_given_up_is_cleared_so_that_its_key_is_free_again():
+    clock, leader, client, ledger = make(loses=True)
+    replies = []
+    client.claim(claim(), 100).addCallback(replies.append)
+    advance(clock, CLAIM_WAIT_SECONDS)
+    assert [reply.verdict for reply in replies] == [ClaimVerdict.unavailable]
+    assert client.busy
+    leader.loses = False
+    advance(clock, 2 * RESEND_SECONDS)
+    assert not client.busy
+    assert ledger.claim(claim('q2', entry='e2')).verdict is ClaimVerdict.granted
+
+
+def test_settlement_is_kept_until_a_leader_takes_it():
+    clock, leader, client, ledger = make()
+    replies = []
+    client.claim(claim(), 100).addCallback(replies.append)
+    leader.down = True
+    answer = StoredAnswer(200, 'text/plain', b'booked')
+    client.settle(claim(), replies[0].claim_number, Outcome.done, answer)
+    advance(clock, 5)
+    assert client.busy
+    leader.down = False
+    advance(clock, RESEND_SECONDS)
+    assert not client.busy
+    again = ledger.claim(claim('q2', entry='e2'))
+    assert (again.verdict, again.answer) == (ClaimVerdict.settled, answer)
+    assert ledger.settle(SettleRequest('q1', 'label', 'k1', 1, 'unknown')).accepted is False
--- /dev/null
+++ b/test/membership/test_leases.py
@@ -0,0 +1,84 @@
+"""A holder's lease never outlives the giver's, and ends at once on a newer refusal."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jackdawsail.membership.leases import Lease
+from jackdawsail.membership.zone_table import ZoneTable
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.membership_messages import (
+    Announce,
+    Heartbeat,
+    UpstreamKind,
+    UpstreamLoad,
+    UpstreamState,
+)
+
+LEASE_SECONDS = 2.5
+DELAYS = st.lists(st.tuples(st.floats(0, 10), st.floats(0, 10)), min_size=1, max_size=30)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(DELAYS)
+def test_late_and_crossed_answers_never_extend_the_lease(delays):
+    lease, given_until, answers, now = Lease(), 0.0, [], 0.0
+    for number, (there, back) in enumerate(delays, 1):
+        now += 0.5
+        sequence = lease.ask(now)
+        granted_at = now + there
+        answers.append((granted_at + back, sequence, number, granted_at))
+    for arrives, sequence, number, granted_at in sorted(answers):
+        given_until = max(given_until, granted_at + LEASE_SECONDS)
+        lease.answered(sequence, LEASE_SECONDS, number)
+        assert arrives + lease.left_seconds(arrives) <= max(arrives, given_until)
+
+
+def test_zone_taken_out_ends_the_lease_at_once():
+    lease = Lease()
+    lease.answered(lease.ask(0.0), 2.5, 10)
+    assert lease.is_live(1.0)
+    # An entry that has only lost its own lease repeats an old number.
+    lease.answered(lease.ask(1.0), 0, 10)
+    assert lease.is_live(1.1)
+    lease.answered(lease.ask(1.2), 0, 11)
+    assert not lease.is_live(1.2)
+    # A late grant from before the order changes nothing.
+    lease.answered(lease.ask(1.3), 2.5, 9)
+    assert not lease.is_live(1.3)
+
+
+def agent(incarnation):
+    return Identity(Role.agent, 'a1', 'z', 'r', incarnation)
+
+
+def beat(state=UpstreamState.serving):
+    return Heartbeat(1, UpstreamLoad(state, 'r1', 1, 0, 8, 0, 0.0), 5)
+
+
+ANNOUNCE = Announce(UpstreamKind.engine, 'b', '', 8, True)
+
+
+def test_former_run_of_an_agent_is_ignored():
+    table = ZoneTable()
+    table.announced(agent(1), ANNOUNCE, 0.0)
+    table.announced(agent(2), ANNOUNCE, 1.0)
+    assert not table.heartbeat(agent(1), beat(), 1.0)
+    table.lost(agent(1), 1.0)
+    assert table.heartbeat(agent(2), beat(), 1.0)
+    assert [record.name for record in table.serving('b', 1.1)] == ['a1']
+
+
+def test_silent_leaving_and_flapping_agents_get_no_new_work():
+    table = ZoneTable()
+    table.announced(agent(1), ANNOUNCE, 0.0)
+    table.heartbeat(agent(1), beat(), 0.0)
+    assert table.serving('b', 2.9)
+    assert not table.serving('b', 3.1)
+    for run in range(2, 6):
+        table.announced(agent(run), ANNOUNCE, 4.0)
+    table.heartbeat(agent(5), beat(), 4.0)
+    assert not table.serving('b', 4.0)
+    table.heartbeat(agent(5), beat(), 40.0)
+    assert table.serving('b', 40.0)
+    table.leaving(agent(5))
+    assert not table.serving('b', 40.0)
--- /dev/null
+++ b/test/routing/test_fairness.py
@@ -0,0 +1,86 @@
+"""The fair queue shares by weight, keeps live work first and saves up no idle time."""
+
+import random
+
+from jackdawsail.routing.fairness import FairQueue, Waiting
+from jackdawsail.routing.limits import Allowance, CustomerLimits
+from jackdawsail.routing.retries import BUDGET_MAX, RetryBudget
+
+
+def serve(queue, rounds, refill, places=4):
+    """Keeps some places busy; each customer always has work waiting."""
+    served, running, number = {}, [], 0
+    for _ in range(rounds):
+        for customer, tokens in refill.items():
+            while queue.queued_of(customer) < 5:
+                number += 1
+                queue.push(Waiting(f'{customer}{number}', customer, tokens, live=True))
+        while len(running) < places:
+            running.append(queue.pop())
+        done = running.pop(0)
+        queue.settle(done, done.tokens)
+        served[done.customer] = served.get(done.customer, 0) + done.tokens
+    return served
+
+
+def test_backlogged_customers_share_tokens_by_weight_whatever_the_size_of_requests():
+    weights = {'one': 1.0, 'two': 2.0, 'four': 4.0}
+    queue = FairQueue(weights.__getitem__)
+    served = serve(queue, 7000, {'one': 10, 'two': 300, 'four': 40})
+    shares = [served[name] / weight for name, weight in weights.items()]
+    assert max(shares) / min(shares) < 1.02
+
+
+def test_small_customer_goes_next_however_long_the_flood_has_waited():
+    queue = FairQueue(lambda customer: 1.0)
+    for number in range(1000):
+        queue.push(Waiting(f'flood{number}', 'flood', 50, live=True))
+    for _ in range(10):
+        queue.pop()
+    queue.push(Waiting('small', 'small', 50, live=True))
+    assert queue.pop().customer == 'small'
+
+
+def test_idle_time_is_not_saved_up():
+    queue = FairQueue(lambda customer: 1.0)
+    queue.push(Waiting('early', 'idle', 1, live=True))
+    queue.settle(queue.pop(), 1)
+    serve(queue, 500, {'busy': 100})
+    for number in range(20):
+        queue.push(Waiting(f'idle{number}', 'idle', 100, live=True))
+        queue.push(Waiting(f'busy{number}', 'busy', 100, live=True))
+    first = [queue.pop().customer for _ in range(10)]
+    assert 4 <= first.count('idle') <= 6
+
+
+def test_live_work_goes_before_batch_work_of_anyone():
+    queue = FairQueue(lambda customer: 1.0)
+    queue.push(Waiting('b', 'small', 1, live=False))
+    queue.push(Waiting('l', 'large', 1000, live=True))
+    assert [queue.pop().attempt_id, queue.pop().attempt_id] == ['l', 'b']
+
+
+def test_limits_refuse_at_once_with_the_time_to_come_again():
+    limits, allowance = CustomerLimits(), Allowance(10.0, 3)
+    assert all(limits.admit('c', allowance, 0.0).admitted for _ in range(3))
+    assert limits.admit('c', allowance, 0.0).reason == 'too-many-concurrent'
+    for _ in range(3):
+        limits.release('c')
+    verdicts = []
+    for _ in range(10):
+        verdicts.append(limits.admit('c', allowance, 0.0))
+        limits.release('c') if verdicts[-1].admitted else None
+    assert [verdict.admitted for verdict in verdicts] == [True] * 7 + [False] * 3
+    late = verdicts[-1]
+    assert late.reason == 'rate-exceeded'
+    assert limits.admit('c', allowance, late.retry_after_seconds + 0.001).admitted
+
+
+def test_retries_stay_within_a_share_of_first_tries():
+    budget = RetryBudget(random.Random(1))
+    while budget.take():
+        pass
+    for _ in range(1000):
+        budget.first_try()
+    assert sum(budget.take() for _ in range(1000)) <= BUDGET_MAX
+    assert max(budget.backoff_seconds(20) for _ in range(100)) <= 1.0
