--- a/jackdawsail/control/zone_leases.py
+++ b/jackdawsail/control/zone_leases.py
@@ -97,8 +97,9 @@
         """Forgets everything and waits out what an earlier leader may have granted."""
         self.entries.clear()
         self._zones.clear()
-        self._number = term << FENCE_TERM_SHIFT
-        self.directory_revision = self._number + 1
+        # A leader whose lease came back within one term must not repeat its numbers.
+        self._number = max(self._number, term << FENCE_TERM_SHIFT)
+        self.directory_revision = max(self.directory_revision + 1, self._number)
         self._settled_at_seconds = now_seconds + self.lease_seconds
 
     def grant(
--- a/test/control/test_zone_leases.py
+++ b/test/control/test_zone_leases.py
@@ -43,6 +43,10 @@
     numbers = [ask(leases, entry('e1'), 1).number, ask(leases, entry('e2'), 1).number]
     leases.become_leader(2, 5)
     numbers.append(ask(leases, entry('e1'), 5).number)
+    before = leases.directory_revision
+    leases.become_leader(2, 9)
+    numbers.append(ask(leases, entry('e1'), 9).number)
+    assert leases.directory_revision > before
     assert numbers == sorted(set(numbers))
 
 
--- a/test/state/test_machine.py
+++ b/test/state/test_machine.py
@@ -201,6 +201,21 @@
     assert ledger(driver, [claim(request_id='z')]).claims[0].verdict is ClaimVerdict.granted
 
 
+def test_no_decision_reads_the_stamp():
+    """A leader's wall clock may jump by years in either direction."""
+    ends = []
+    for stamps in ([1.0, 2.0, 3.0, 4.0], [4e9, -4e9, 0.0, 4e9]):
+        driver = Driver()
+        bodies = [BASE, release('r1'), c.ReleaseStart('r1'), c.LedgerBatch([claim()], [])]
+        for body, stamp in zip(bodies, stamps, strict=True):
+            driver.run(body, stamp=stamp)
+        assert ledger(driver, settles=[settle(1)]).settles[0].accepted
+        assert ledger(driver, [claim(request_id='z')]).claims[0].verdict is ClaimVerdict.settled
+        driver.state.tables.audit.encoded.clear()
+        ends.append(driver.state.snapshot())
+    assert ends[0] == ends[1]
+
+
 def test_retention_is_bounded_per_customer(driver, monkeypatch):
     monkeypatch.setattr('jackdawsail.state.ledger.MAX_SETTLED_PER_CUSTOMER', 3)
     for turn in range(6):
