Add the regional relay

Change: a stateless relay holds the leases of its region's data centres, reports who is alive as small numbers and only changed reports in full, fans the state out and passes claims on. An entry keeps to one relay of a term and falls back to the other. Lease numbers have 40 bits for their counter, since 32 would overflow into the next term after a month at the size. Slow test with three voters: an entry behind a relay gets leases, revisions and two bookings run once each, over the death of the leader.

--- a/jackdawsail/control/fanout.py
+++ b/jackdawsail/control/fanout.py
@@ -5,23 +5,27 @@
 an older revision.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from jackdawsail.state.history import DeltaHistory
 from jackdawsail.state.machine import Changes, ControlState
+from jackdawsail.state.replica import Record
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.membership_messages import Subscribe
 
 BATCH_SECONDS = 0.05
 
+ReadRecords = Callable[[], dict[str, Record]]
+
 
 class FanOut:
     """Owns the subscriptions of one control host."""
 
-    def __init__(self, reactor: Any, state: ControlState) -> None:
+    def __init__(self, reactor: Any, read_records: ReadRecords) -> None:
         self._reactor = reactor
-        self._state = state
+        self._read_records = read_records
         self._history = DeltaHistory()
         self._subscribers: set[Link] = set()
         self._sent: dict[Link, int] = {}
@@ -32,9 +36,9 @@
         self._history.record(revision, changes)
         self._flush_soon()
 
-    def was_reset(self) -> None:
+    def was_reset(self, revision: int) -> None:
         """Starts anew from a restored snapshot."""
-        self._history.reset(self._state.tables.revision)
+        self._history.reset(revision)
         self._flush_soon()
 
     def subscribe(self, link: Link, received: Subscribe) -> None:
@@ -64,15 +68,20 @@
             self._bring_up(link)
 
     def _bring_up(self, link: Link) -> None:
-        update = self._history.bring_up(self._sent[link], self._state.tables.records)
+        update = self._history.bring_up(self._sent[link], self._read_records())
         if update is not None and link.send(update):
             self._sent[link] = self._history.revision
 
 
 def make_fan_out(reactor: Any, switchboard: Switchboard, state: ControlState) -> FanOut:
     """Makes the fan-out of a control host and connects it to its links."""
-    fan_out = FanOut(reactor, state)
-    state.listen(fan_out.changed, fan_out.was_reset)
+    fan_out = connect_fan_out(FanOut(reactor, lambda: state.tables.records), switchboard)
+    state.listen(fan_out.changed, lambda: fan_out.was_reset(state.tables.revision))
+    return fan_out
+
+
+def connect_fan_out(fan_out: FanOut, switchboard: Switchboard) -> FanOut:
+    """Connects a fan-out to the links of its subscribers."""
     switchboard.on(Subscribe, fan_out.subscribe)
     switchboard.watch(lambda link: None, fan_out.link_closed)
     return fan_out
--- a/jackdawsail/control/lease_desk.py
+++ b/jackdawsail/control/lease_desk.py
@@ -16,6 +16,7 @@
     Directory,
     DirectoryRequest,
     LeaderNotice,
+    LeaseGrant,
     LeaseRequest,
     Leaving,
 )
@@ -49,11 +50,13 @@
         entry = link.peer
         if entry is None or not self.leads() or request.zone != entry.zone:
             return
-        rule = self._rule(entry)
-        now_seconds = self.reactor.seconds()
-        link.send(self.leases.grant(request, entry, rule, now_seconds))
+        link.send(self.grant(entry, request))
         self.fan_out.catch_up(link, request.in_force_revision)
 
+    def grant(self, entry: Identity, request: LeaseRequest) -> LeaseGrant:
+        """Decides the lease of an entry's zone; only called while this host leads."""
+        return self.leases.grant(request, entry, self._rule(entry), self.reactor.seconds())
+
     def request_directory(self, link: Link, request: DirectoryRequest) -> None:
         """Sends the directory of entries."""
         if self.leads() and request.revision != self.leases.directory_revision:
--- a/jackdawsail/control/parts.py
+++ b/jackdawsail/control/parts.py
@@ -10,12 +10,11 @@
 from jackdawsail.control.admin_resource import AdminResource
 from jackdawsail.control.admin_watch import Watchers, make_watchers
 from jackdawsail.control.claims import make_claim_desk
+from jackdawsail.control.desks import make_desks
 from jackdawsail.control.duties import LeaderDuties, start_duties
-from jackdawsail.control.fanout import make_fan_out
-from jackdawsail.control.lease_desk import LeaseDesk, make_lease_desk
+from jackdawsail.control.lease_desk import LeaseDesk
 from jackdawsail.control.proposer import Proposer
 from jackdawsail.control.replicator import make_replicator
-from jackdawsail.control.zone_leases import ZoneLeases
 from jackdawsail.errors import UserError
 from jackdawsail.process import ProcessContext
 from jackdawsail.settings.models import ControlSettings
@@ -52,7 +51,7 @@
     replicator = make_replicator(context, switchboard, state)
     proposer = Proposer(replicator, context.host.name, context.identity.incarnation, time.time)
     make_claim_desk(switchboard, proposer)
-    desk = _make_desk(context, switchboard, state, replicator)
+    desk = make_desks(context, settings, switchboard, state, replicator)
     duties = LeaderDuties(desk, proposer, seed_records(context.settings))
     watchers = make_watchers(context.reactor, state)
     queries = Queries(duties, replicator.status)
@@ -64,13 +63,3 @@
         watchers=watchers,
         resource=AdminResource(queries, proposer, watchers, settings.bootstrap_token),
     )
-
-
-def _make_desk(
-    context: ProcessContext, switchboard: Switchboard, state: ControlState, replicator: Any
-) -> LeaseDesk:
-    leases = ZoneLeases(read_control_settings(context).zone_lease_seconds)
-    fan_out = make_fan_out(context.reactor, switchboard, state)
-    desk = LeaseDesk(context.reactor, switchboard, replicator, state, leases, fan_out)
-    replicator.watch_leadership(desk.leadership_changed)
-    return make_lease_desk(desk)
--- a/jackdawsail/control/zone_leases.py
+++ b/jackdawsail/control/zone_leases.py
@@ -16,7 +16,7 @@
     LeaseRequest,
 )
 
-FENCE_TERM_SHIFT = 32
+FENCE_TERM_SHIFT = 40  # 2**40 grants last 20 years at 1,500 a second
 TRACKER_SETTLE_SECONDS = 2.0  # every agent has dialled a new tracker and sent a heartbeat
 
 
--- a/jackdawsail/entry/control_links.py
+++ b/jackdawsail/entry/control_links.py
@@ -131,10 +131,15 @@
 
 
 class _ControlTable:
-    """The connected control hosts, and who leads in the highest term heard of."""
+    """The connected control hosts or relays, and who leads in the highest term heard of.
+
+    Control hosts of one term name one leader. Relays each name themselves: the
+    first one stays while its link lives, then another takes its place.
+    """
 
     def __init__(self) -> None:
         self._links: dict[str, Link] = {}
+        self._heard: dict[str, LeaderNotice] = {}
         self._leader = ''
         self._term = -1
 
@@ -145,19 +150,32 @@
     def remove(self, link: Link) -> None:
         if link.peer and self._links.get(link.peer.name) is link:
             del self._links[link.peer.name]
+            self._heard.pop(link.peer.name, None)
 
     def leader(self) -> Link | None:
+        if self._leader not in self._links:
+            self._fall_back()
         return self._links.get(self._leader)
 
     def noticed(self, link: Link, notice: LeaderNotice) -> bool:
         """Takes a notice; tells whether the leader is another one now."""
         if notice.term < self._term or not notice.leader:
             return False
+        if link.peer:
+            self._heard[link.peer.name] = notice
+        if notice.term == self._term and self._leader in self._links:
+            return False
         changed = notice.leader != self._leader
         self._term = notice.term
         self._leader = notice.leader
         return changed
 
+    def _fall_back(self) -> None:
+        for notice in self._heard.values():
+            if notice.term >= self._term and notice.leader in self._links:
+                self._leader = notice.leader
+                return
+
 
 def _make_dialers(context: ProcessContext, switchboard: Switchboard) -> list[Any]:
     settings = context.settings.entry
--- /dev/null
+++ b/jackdawsail/relay/main.py
@@ -0,0 +1,120 @@
+"""The relay program: one link to the control hosts for all entries of a region.
+
+It keeps nothing on disk. Entries name relays in ``entry.control`` as they would
+name control hosts, best two relays of different hosts.
+"""
+
+import random
+from typing import Any
+
+import cyclopts
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import LoopingCall
+
+from jackdawsail import __version__, events
+from jackdawsail.control.fanout import FanOut, connect_fan_out
+from jackdawsail.errors import UserError
+from jackdawsail.process import ProcessContext, SettingsPaths, run_process
+from jackdawsail.relay.passing import make_passing
+from jackdawsail.relay.region_book import RegionBook
+from jackdawsail.relay.region_links import RegionLinks, connect_region_links
+from jackdawsail.settings.models import RelaySettings
+from jackdawsail.state.replica import StateReplica
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.dialer import Dialer
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.link import LinkServerFactory
+from jackdawsail.wire.tls import listen
+
+RENEW_SECONDS = 0.5
+
+app = cyclopts.App(name='jackdawsail-relay', version=__version__)
+
+
+class RelayProgram:
+    """Builds the parts of a relay and connects them."""
+
+    def __init__(self, context: ProcessContext, settings: RelaySettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._switchboard = Switchboard()
+        self._links = _make_links(context, settings, self._switchboard)
+        make_passing(self._switchboard, lambda: self._links.leader)
+        self._loop = LoopingCall(self._links.renew)
+        self._loop.clock = context.reactor
+        rng = random.Random(context.identity.incarnation)
+        self._dialers = [
+            Dialer(context.reactor, address, context.link_settings, self._switchboard, rng)
+            for address in settings.control
+        ]
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Listens for entries, dials the control hosts and reports ready."""
+        context = self._context
+        factory = LinkServerFactory(context.link_settings, self._switchboard, context.reactor)
+        address = context.host.address
+        self._port = listen(
+            context.reactor, self._settings.link_port, address, factory, context.tls
+        )
+        for dialer in self._dialers:
+            dialer.start()
+        self._loop.start(RENEW_SECONDS)
+        events.log(events.PROCESS_READY, role='relay', link_port=self._port.getHost().port)
+
+    def stop(self) -> 'Deferred[None]':
+        """Ends the links; entries turn to their other relay within a lease."""
+        self._loop.stop()
+        self._port.stopListening()
+        for link in list(self._switchboard.links):
+            link.close('relay stops')
+        for dialer in self._dialers:
+            dialer.stop()
+        return succeed(None)
+
+
+def _make_links(
+    context: ProcessContext, settings: RelaySettings, switchboard: Switchboard
+) -> RegionLinks:
+    replica = StateReplica()
+    fan_out = connect_fan_out(FanOut(context.reactor, lambda: replica.records), switchboard)
+
+    def pass_on(keys: set[str]) -> None:
+        fan_out.changed(replica.revision, {key: replica.records.get(key) for key in keys})
+
+    replica.watch(pass_on)
+    links = RegionLinks(
+        reactor=context.reactor,
+        switchboard=switchboard,
+        replica=replica,
+        book=RegionBook(),
+        own_name=context.identity.name,
+        lease_seconds=settings.zone_lease_seconds,
+        answered_at_seconds=context.reactor.seconds(),
+    )
+    return connect_region_links(links)
+
+
+def build(context: ProcessContext) -> Any:
+    """Builds the relay program and returns its stop function."""
+    settings = context.settings.relay
+    if settings is None:
+        raise UserError('settings have no relay section')
+    program = RelayProgram(context, settings)
+    program.start()
+    return program.stop
+
+
+@app.default
+def run(settings: SettingsPaths) -> int:
+    """Runs a relay from a base settings file and its overlays."""
+    return run_process(Role.relay, settings, build)
+
+
+def main() -> None:
+    """Starts the program."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -93,6 +93,14 @@
     drain_deadline_seconds: PositiveSeconds = 30.0
 
 
+class RelaySettings(Section):
+    """The relay program: stands between the entries of a region and the control hosts."""
+
+    link_port: int = 0
+    control: list[Address]
+    zone_lease_seconds: PositiveSeconds = 2.5
+
+
 class AgentSettings(Section):
     """The agent program."""
 
@@ -159,6 +167,7 @@
     security: SecuritySettings = SecuritySettings()
     control: ControlSettings | None = None
     entry: EntrySettings | None = None
+    relay: RelaySettings | None = None
     agent: AgentSettings | None = None
     zones: dict[Name, ZoneSettings] = {}
     backends: dict[Name, BackendSettings] = {}
