--- a/jackdawsail/entry/peers.py
+++ b/jackdawsail/entry/peers.py
@@ -91,14 +91,14 @@
         wanted = dict(self._chosen)
         if self._reaches_zones:
             wanted.update(self._far_entries(directory))
-        for name in self._dialers.keys() - wanted.keys():
-            self._retired[name] = self._dialers.pop(name)
+        for gone in self._dialers.keys() - wanted.keys():
+            self._retired[gone] = self._dialers.pop(gone)
         for name, address in wanted.items():
             if name not in self._dialers:
                 self._dial(name, address)
-        ended = [name for name, dialer in self._retired.items() if dialer.link is None]
-        for name in ended:
-            self._retired.pop(name).stop()
+        closed = [peer for peer, dialer in self._retired.items() if dialer.link is None]
+        for ended in closed:
+            self._retired.pop(ended).stop()
 
     def candidates(self, _backend: str) -> list[Candidate]:
         """Returns the connected peers."""
