Prefer the upstream that ran a prompt's prefix last, while it has room

Cause: with several engines a shared prefix is computed on each of them, again and again. Change: an entry remembers where each prefix ran last and asks that agent alone while it has a free place; a second one is asked if it does not grant within 0.15 s.

--- a/bench/fakes/engine.py
+++ b/bench/fakes/engine.py
@@ -34,7 +34,6 @@
 
 CONFLICT = 409
 REFUSED = 503
-PREFIX_CHARACTERS = 64
 PREFILL_CHARACTERS_PER_SECOND = 20000
 STARTS_KEPT = 50000
 
@@ -51,6 +50,7 @@
     tokens_per_step: int = 4
     slowdown_per_request: float = 0.05
     prefix_entries: int = 64
+    prefix_characters: int = 64
     load_seconds: float = 0.3
     cold_limit: int = 8
     warm_seconds: float = 0
@@ -151,14 +151,14 @@
             self.reactor.callLater(self._step_seconds(), self._tick)
 
     def _prefill_seconds(self, prompt: str) -> float:
-        prefix = prompt[:PREFIX_CHARACTERS]
+        prefix = prompt[: self.options.prefix_characters]
         cached = prefix in self.prefixes
         self.prefixes[prefix] = True
         self.prefixes.move_to_end(prefix)
         if len(self.prefixes) > self.options.prefix_entries:
             self.prefixes.popitem(last=False)
         self.count('prefix_hits' if cached else 'prefix_misses')
-        fresh = max(0, len(prompt) - PREFIX_CHARACTERS) if cached else len(prompt)
+        fresh = max(0, len(prompt) - self.options.prefix_characters) if cached else len(prompt)
         return fresh / PREFILL_CHARACTERS_PER_SECOND
 
     def _step_seconds(self) -> float:
--- a/jackdawsail/entry/stages/choose.py
+++ b/jackdawsail/entry/stages/choose.py
@@ -6,6 +6,7 @@
 
 from jackdawsail.membership.leases import Lease
 from jackdawsail.membership.zone_table import ZoneTable
+from jackdawsail.routing.affinity import PrefixAffinity
 from jackdawsail.routing.choice import Candidate, choose
 from jackdawsail.routing.orders import NeedCandidates, Order
 from jackdawsail.state.replica import StateReplica
@@ -33,11 +34,15 @@
         self._table = table
         self._lease = lease
         self._rng = rng
+        self.affinity = PrefixAffinity()
         self.peers: PeerNames = _no_peers
 
     def choose(self, order: Order, need: NeedCandidates, now_seconds: float) -> list[str]:
         """Returns the names to reserve at, none when nothing is left to try."""
         local = self._local(order, now_seconds)
+        preferred = self.affinity.preferred(order.backend, order.prefix_digest, local)
+        if preferred and preferred not in need.avoid:
+            return [preferred]
         names = choose(local, need.avoid, '', self._rng)
         if names:
             return names
--- a/jackdawsail/entry/stages/dispatch.py
+++ b/jackdawsail/entry/stages/dispatch.py
@@ -23,6 +23,7 @@
     CancelReserve,
     Granted,
     Refused,
+    Work,
     WorkRefused,
 )
 
@@ -134,7 +135,10 @@
         raise AssertionError(f'{effect!r} is no effect')
 
     @_do.register
-    def _do_send(self, effect: SendTo, _desk: Desk, _answering: Answering) -> None:
+    def _do_send(self, effect: SendTo, desk: Desk, _answering: Answering) -> None:
+        if isinstance(effect.message, Work):
+            order = desk.order
+            self._chooser.affinity.ran_at(order.backend, order.prefix_digest, effect.candidate)
         link = self._link_of(effect.candidate)
         if link is None or not link.send(effect.message):
             self._reactor.callLater(0, self.candidate_lost, effect.candidate)
--- a/jackdawsail/routing/desk.py
+++ b/jackdawsail/routing/desk.py
@@ -37,6 +37,8 @@
 
 # Longer than an agent's tick, so that it can first refuse work that has not started.
 BOUND_GRACE_SECONDS = 0.25
+# A candidate that has not granted by then may be frozen, or busier than it said.
+ALONE_SECONDS = 0.15
 
 
 class _Stage(Enum):
@@ -66,6 +68,7 @@
         self._bound: _Bound | None = None
         self._began = False
         self._maybe_run = False
+        self._alone_since_seconds: float | None = None
         self._passed_tokens = 0
         self._reason = 'no-upstream'
         self._retry_after_seconds: float = 0
@@ -84,6 +87,7 @@
         if self._stage is not _Stage.waiting:
             return []
         effects = self._reservations.ask(self.order, candidates, now_seconds)
+        self._alone_since_seconds = now_seconds if self._reservations.any_alone else None
         if self._reservations.any_open:
             return effects
         return self._give_up()
@@ -172,10 +176,14 @@
         return self._give_up()
 
     def tick(self, now_seconds: float) -> Effects:
-        """Gives the request up when its deadline has passed before its answer began.
+        """Asks a second candidate when the only one is slow to grant; ends late requests.
 
+        A request is late when its deadline has passed before its answer began.
         A claimed call that was handed over goes on, so that its true end is settled.
         """
+        if self._is_alone(now_seconds):
+            self._alone_since_seconds = None
+            return [NeedCandidates(frozenset(self._reservations.tried), is_retry=False)]
         grace_seconds = BOUND_GRACE_SECONDS if self._bound else 0
         late = now_seconds >= self.order.deadline_seconds + grace_seconds
         if self._began or not late:
@@ -195,6 +203,12 @@
         self._maybe_run = True
         return [SendTo(bound.candidate, CancelWork(bound.attempt_id)), *self._give_up()]
 
+    def _is_alone(self, now_seconds: float) -> bool:
+        since_seconds = self._alone_since_seconds
+        if self._stage is not _Stage.waiting or since_seconds is None:
+            return False
+        return now_seconds - since_seconds > ALONE_SECONDS
+
     def _bound_as(self, attempt_id: str) -> _Bound | None:
         bound = self._bound
         if self._stage is not _Stage.running or bound is None:
--- a/jackdawsail/routing/reservations.py
+++ b/jackdawsail/routing/reservations.py
@@ -21,6 +21,11 @@
         """Tells whether a candidate may still grant."""
         return bool(self._open)
 
+    @property
+    def any_alone(self) -> bool:
+        """Tells whether just one candidate may still grant."""
+        return len(self._open) == 1
+
     @property
     def exhausted(self) -> bool:
         """Tells whether the request has been tried often enough."""
