Let operators retire control hosts and set the number of voters

change_voters of the replicator was out of operators' reach. The command voters-change is audited by the state machine like every other; the leader then changes the group, and a resend does so again (it is idempotent). jackdawsail voters status, retire, take-back, count.

--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -16,6 +16,7 @@
 
 CAUGHT_UP_ENTRIES = 64
 INTRODUCTION_SECONDS = 10.0
+NOTHING_CHANGES = 'nothing changes'
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +70,7 @@
         if wanted.add_host:
             changed = changed.take_back(wanted.add_host)
         if changed == current:
-            return 'nothing changes'
+            return NOTHING_CHANGES
         self._write(changed)
         return ''
 
--- a/jackdawsail/control/admin_commands.py
+++ b/jackdawsail/control/admin_commands.py
@@ -15,6 +15,7 @@
 from jackdawsail.state import commands
 from jackdawsail.state.documents import records_of
 from jackdawsail.state.replies import Accepted, Conflict, Rejected
+from jackdawsail.state.voter_command import VotersChange
 from jackdawsail.wire.codec import as_plain, tag_of
 
 _OPERATE = (
@@ -34,6 +35,7 @@
     commands.SitePut,
     commands.SiteRemove,
     commands.OperatorPut,
+    VotersChange,
 )
 _STATUSES = {
     'not-found': HTTPStatus.NOT_FOUND,
--- a/jackdawsail/control/proposer.py
+++ b/jackdawsail/control/proposer.py
@@ -1,13 +1,16 @@
 """Wraps commands in their envelopes and proposes them to the other voters."""
 
 from collections.abc import Callable
+from typing import Any
 
-from returns.result import Result
+from returns.result import Result, Success
 from twisted.internet.defer import Deferred
 
 from jackdawsail.consensus.interfaces import ProposeError, Replicator
+from jackdawsail.consensus.membership import NOTHING_CHANGES
 from jackdawsail.state.commands import CommandEnvelope
-from jackdawsail.state.replies import Reply
+from jackdawsail.state.replies import Accepted, Reply
+from jackdawsail.state.voter_command import VotersChange
 from jackdawsail.wire.codec import encode
 
 ProposeResult = Deferred[Result[Reply, ProposeError]]
@@ -36,9 +39,26 @@
         envelope = CommandEnvelope(
             request_id, actor, self._wall_clock(), expected_revision, encode(body)
         )
-        return self.replicator.propose(encode(envelope))
+        proposed = self.replicator.propose(encode(envelope))
+        if isinstance(body, VotersChange):
+            proposed.addCallback(self._change_voters, body)
+        return proposed
 
     def own(self, body: object) -> ProposeResult:
         """Proposes a command of the leader itself under a fresh request id."""
         self._own_count += 1
         return self.submit(self._actor, f'{self._incarnation}-{self._own_count}', None, body)
+
+    def _change_voters(self, outcome: Any, body: VotersChange) -> Any:
+        """Changes the group once the command is audited; a resent one does so again."""
+        if not isinstance(outcome, Success) or not isinstance(outcome.unwrap(), Accepted):
+            return outcome
+        changed = self.replicator.change_voters(body.retire, body.take_back, body.count)
+        return changed.addCallback(_audited_or, outcome)
+
+
+def _audited_or(changed: Any, audited: Any) -> Any:
+    """Returns the audited answer, or why the group has not changed."""
+    if isinstance(changed, Success) or changed.failure().reason == NOTHING_CHANGES:
+        return audited
+    return changed
--- a/jackdawsail/state/machine.py
+++ b/jackdawsail/state/machine.py
@@ -32,7 +32,8 @@
     encode_tables,
 )
 from jackdawsail.state.topology import run_topology
-from jackdawsail.wire.codec import decode, encode, tag_of
+from jackdawsail.state.voter_command import VotersChange
+from jackdawsail.wire.codec import as_plain, decode, encode, tag_of
 
 MAX_DIFFERENCES_SHOWN = 50
 
@@ -118,7 +119,7 @@
             kind=tag_of(type(body)),
             from_revision=tables.revision,
             to_revision=tables.revision + 1,
-            changes=differences(tables.records, draft.changes) or describe_operator(body),
+            changes=differences(tables.records, draft.changes) or describe_unrecorded(body),
         )
         tables.revision += 1
         tables.ordinals = draft.ordinals
@@ -152,11 +153,21 @@
     if isinstance(body, OperatorPut):
         # Operators are no records: the change is made when the command is committed.
         return Success({'role': body.role})
+    if isinstance(body, VotersChange):
+        # The group of voters is no state of this machine either.
+        return Success(as_plain(body))
     return run_topology(body, draft)
 
 
-def describe_operator(body: object) -> list[dict[str, Any]]:
-    """Describes a change of an operator, which is no fanned-out record."""
+def describe_unrecorded(body: object) -> list[dict[str, Any]]:
+    """Describes a change of operators or voters, which are no fanned-out records."""
+    if isinstance(body, VotersChange):
+        wanted: dict[str, Any] = as_plain(body)
+        return [
+            {'key': 'control/voters', 'field': name, 'before': None, 'after': wanted[name]}
+            for name in wanted
+            if wanted[name]
+        ]
     if not isinstance(body, OperatorPut):
         return []
     shown = body.role if body.token_digest else None
--- a/jackdawsail/ui/main.py
+++ b/jackdawsail/ui/main.py
@@ -12,6 +12,7 @@
     customer_commands,
     release_commands,
     status_commands,
+    voter_commands,
     zone_commands,
 )
 from jackdawsail.ui.client import AdminError
@@ -25,6 +26,7 @@
     zone_commands.zone_app,
     zone_commands.host_app,
     status_commands.calls_app,
+    voter_commands.voters_app,
     config_commands.config_app,
 )
 COMMANDS = (status_commands.status, status_commands.audit, status_commands.apply)
--- a/test/ui/test_command_line.py
+++ b/test/ui/test_command_line.py
@@ -70,6 +70,17 @@
     assert token not in run('audit', '--json')[1]
 
 
+def test_voters_are_shown_changed_and_audited(run):
+    assert 'c1' in run('voters', 'status')[1]
+    assert run('voters', 'retire', 'c7')[0] == 0
+    assert run('voters', 'retire', 'c7')[0] == 0
+    assert json.loads(run('voters', 'status', '--json')[1])['retired'] == ['c7']
+    assert run('voters', 'take-back', 'c7')[0] == 0
+    assert json.loads(run('voters', 'status', '--json')[1])['retired'] == []
+    assert run('voters', 'count', '11')[0] == ExitCode.invalid
+    assert 'control/voters' in run('audit')[1]
+
+
 def test_last_zone_needs_force(run):
     code, _, error = run('zone', 'out', 'crete-a')
     assert (code, 'last-zone' in error) == (ExitCode.conflict, True)
