--- a/jackdawsail/control/admin_queries.py
+++ b/jackdawsail/control/admin_queries.py
@@ -108,7 +108,7 @@
 
     def call(self, customer: str, key: str) -> dict[str, Any] | None:
         """Describes one claimed call of a customer, without its answer's body."""
-        call = self.tables.ledger.calls.get((customer, key))
+        call = self.tables.ledger.find(customer, key)
         if call is None:
             return None
         described: dict[str, Any] = as_plain(call)
--- a/jackdawsail/control/call_queries.py
+++ b/jackdawsail/control/call_queries.py
@@ -17,7 +17,7 @@
     """Looks one call up; a host that does not lead cannot tell."""
     if not leads:
         return CallState(query.request_id, found=False, verdict=ClaimVerdict.unavailable)
-    call = state.tables.ledger.calls.get((query.customer, query.key))
+    call = state.tables.ledger.find(query.customer, query.key)
     if call is None:
         return CallState(query.request_id, found=False, verdict=ClaimVerdict.unknown)
     return CallState(query.request_id, True, _VERDICTS[call.status], call.answer)
--- a/jackdawsail/state/ledger.py
+++ b/jackdawsail/state/ledger.py
@@ -8,6 +8,9 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
+import cbor2
+from pydantic import TypeAdapter
+
 from jackdawsail.wire.claim_messages import (
     ClaimReply,
     ClaimRequest,
@@ -16,11 +19,16 @@
     SettleRequest,
     StoredAnswer,
 )
+from jackdawsail.wire.codec import as_plain
 
+MAX_SETTLED = 50_000
+MAX_SETTLED_BYTES = 24_000_000
 MAX_SETTLED_PER_CUSTOMER = 10_000
-MAX_ANSWER_BYTES_PER_CUSTOMER = 8_000_000
+MIN_SETTLED_PER_CUSTOMER = 50
+MAX_STORED_ANSWER_BYTES = 65_536
 
 CallKey = tuple[str, str]
+Process = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,34 +44,55 @@
     answer: StoredAnswer | None = None
 
     @property
-    def process(self) -> tuple[str, int]:
+    def process(self) -> Process:
         """The entry process that holds the claim."""
         return self.entry, self.entry_incarnation
 
 
+_CALL = TypeAdapter(LedgerCall)
+
+
+def encode_call(call: LedgerCall) -> bytes:
+    """Encodes a settled call; most of them are never read again."""
+    return cbor2.dumps(as_plain(call))
+
+
+def decode_call(encoded: bytes) -> LedgerCall:
+    """Decodes a settled call."""
+    return _CALL.validate_python(cbor2.loads(encoded))
+
+
 @dataclass(slots=True)
 class Ledger:
-    """Every running call, and the last settled ones of each customer."""
+    """Every running call, and the last settled ones of each customer in their order."""
 
     next_number: int = 1
-    calls: dict[CallKey, LedgerCall] = field(default_factory=dict)
-    settled: dict[str, dict[str, int]] = field(default_factory=dict)
+    running: dict[CallKey, LedgerCall] = field(default_factory=dict)
+    settled: dict[str, dict[str, bytes]] = field(default_factory=dict)
     settled_bytes: dict[str, int] = field(default_factory=dict)
-    running: Counter[tuple[str, int]] = field(default_factory=Counter)
+    processes: Counter[Process] = field(default_factory=Counter)
+
+    def find(self, customer: str, key: str) -> LedgerCall | None:
+        """Returns the call of a key, if it runs or is still kept."""
+        running = self.running.get((customer, key))
+        if running is not None:
+            return running
+        encoded = self.settled.get(customer, {}).get(key)
+        return None if encoded is None else decode_call(encoded)
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
         """Grants a call once; every other claim of its key hears how it stands."""
-        key = (request.customer, request.key)
-        call = self.calls.get(key)
+        call = self.find(request.customer, request.key)
         if call is None:
-            return self._grant(key, request)
+            return self._grant(request)
         verdict = _verdict(call, request)
-        return ClaimReply(request.request_id, verdict, call.number, _shown_answer(call, verdict))
+        answer = call.answer if verdict is ClaimVerdict.settled else None
+        return ClaimReply(request.request_id, verdict, call.number, answer)
 
     def settle(self, request: SettleRequest) -> SettleReply:
         """Records how a claimed call ended; a repeated settlement is accepted again."""
         key = (request.customer, request.key)
-        call = self.calls.get(key)
+        call = self.find(*key)
         if call is None or not _settles(request, call):
             was_cleared = request.outcome == 'not-run'
             return SettleReply(request.request_id, was_cleared)
@@ -74,29 +103,31 @@
 
     def lose_entry(self, entry: str, incarnation: int) -> int:
         """Makes the running calls of an ended entry process unknown; returns how many."""
-        lost = [
-            (key, call)
-            for key, call in self.calls.items()
-            if call.status == 'running' and call.process == (entry, incarnation)
-        ]
-        for key, call in lost:
-            self.store(key, replace(call, status='unknown'))
+        process = (entry, incarnation)
+        lost = [key for key, call in self.running.items() if call.process == process]
+        for key in lost:
+            self.store(key, replace(self.running[key], status='unknown'))
         return len(lost)
 
     def store(self, key: CallKey, call: LedgerCall) -> None:
-        """Sets a call and keeps the retention count of its customer."""
+        """Sets a call and keeps the retention of its customer."""
         self._forget(key)
-        self.calls[key] = call
         if call.status == 'running':
-            self.running[call.process] += 1
-            return
-        customer, name = key
-        size_bytes = len(call.answer.body) if call.answer else 0
-        self.settled.setdefault(customer, {})[name] = size_bytes
-        self.settled_bytes[customer] = self.settled_bytes.get(customer, 0) + size_bytes
-        self._retain(customer)
+            self.running[key] = call
+            self.processes[call.process] += 1
+        else:
+            self._add_settled(key, encode_call(call))
 
-    def _grant(self, key: CallKey, request: ClaimRequest) -> ClaimReply:
+    def _add_settled(self, key: CallKey, encoded: bytes) -> None:
+        customer, name = key
+        is_new = customer not in self.settled
+        self.settled.setdefault(customer, {})[name] = encoded
+        self.settled_bytes[customer] = self.settled_bytes.get(customer, 0) + len(encoded)
+        # One more customer leaves a smaller share to each of the others.
+        for affected in list(self.settled) if is_new else [customer]:
+            self._retain(affected)
+
+    def _grant(self, request: ClaimRequest) -> ClaimReply:
         number = self.next_number
         self.next_number += 1
         call = LedgerCall(
@@ -106,7 +137,7 @@
             request.entry,
             request.entry_incarnation,
         )
-        self.store(key, call)
+        self.store((request.customer, request.key), call)
         return ClaimReply(request.request_id, ClaimVerdict.granted, number)
 
     def _end(self, key: CallKey, call: LedgerCall, request: SettleRequest) -> None:
@@ -114,23 +145,25 @@
             self._forget(key)
             return
         status = 'done' if request.outcome == 'done' else 'unknown'
-        self.store(key, replace(call, status=status, answer=request.answer))
+        self.store(key, replace(call, status=status, answer=_kept(request.answer)))
 
     def _forget(self, key: CallKey) -> None:
-        call = self.calls.pop(key, None)
-        if call is not None and call.status == 'running':
-            self.running[call.process] -= 1
-            self.running += Counter()  # drops the processes that have none left
+        call = self.running.pop(key, None)
+        if call is not None:
+            self.processes[call.process] -= 1
+            self.processes += Counter()  # drops the processes that have none left
         customer, name = key
-        size_bytes = self.settled.get(customer, {}).pop(name, None)
-        if size_bytes is not None:
-            self.settled_bytes[customer] -= size_bytes
+        encoded = self.settled.get(customer, {}).pop(name, None)
+        if encoded is not None:
+            self.settled_bytes[customer] -= len(encoded)
 
     def _retain(self, customer: str) -> None:
         names = self.settled[customer]
-        while (
-            len(names) > MAX_SETTLED_PER_CUSTOMER
-            or self.settled_bytes[customer] > MAX_ANSWER_BYTES_PER_CUSTOMER
+        customers = len(self.settled)
+        max_calls = min(MAX_SETTLED_PER_CUSTOMER, MAX_SETTLED // customers)
+        max_bytes = MAX_SETTLED_BYTES // customers
+        while len(names) > MIN_SETTLED_PER_CUSTOMER and (
+            len(names) > max_calls or self.settled_bytes[customer] > max_bytes
         ):
             self._forget((customer, next(iter(names))))
 
@@ -143,18 +176,19 @@
     return call.number == request.claim_number
 
 
+def _kept(answer: StoredAnswer | None) -> StoredAnswer | None:
+    return None if answer and len(answer.body) > MAX_STORED_ANSWER_BYTES else answer
+
+
 def _verdict(call: LedgerCall, request: ClaimRequest) -> ClaimVerdict:
     if call.body_digest != request.body_digest:
         return ClaimVerdict.mismatch
-    if call.status == 'done':
+    if call.status == 'done' and call.answer is not None:
         return ClaimVerdict.settled
-    if call.status == 'unknown':
+    if call.status != 'running':
+        # An answer too large to keep is as good as unknown to who asks again.
         return ClaimVerdict.unknown
     same_process = call.process == (request.entry, request.entry_incarnation)
     if same_process and call.request_id == request.request_id:
         return ClaimVerdict.granted
     return ClaimVerdict.running
-
-
-def _shown_answer(call: LedgerCall, verdict: ClaimVerdict) -> StoredAnswer | None:
-    return call.answer if verdict is ClaimVerdict.settled else None
--- a/jackdawsail/state/tables.py
+++ b/jackdawsail/state/tables.py
@@ -9,18 +9,15 @@
 from typing import Any
 
 import cbor2
-from pydantic import TypeAdapter
 
 from jackdawsail.state.audit import AuditTrail
-from jackdawsail.state.ledger import Ledger, LedgerCall
+from jackdawsail.state.ledger import Ledger, decode_call, encode_call
 from jackdawsail.state.replica import Record
 from jackdawsail.wire.codec import as_plain
 
-SNAPSHOT_VERSION = 2
+SNAPSHOT_VERSION = 3
 MAX_ANSWERS_KEPT = 20_000
 
-_LEDGER_CALL = TypeAdapter(LedgerCall)
-
 
 @dataclass(frozen=True, slots=True)
 class Operator:
@@ -89,10 +86,8 @@
             ],
             'audit': list(tables.audit.encoded),
             'next_claim_number': ledger.next_number,
-            'calls': [[*key, as_plain(call)] for key, call in ledger.calls.items()],
-            'settled_order': [
-                [customer, name] for customer, names in ledger.settled.items() for name in names
-            ],
+            'running': [[*key, encode_call(call)] for key, call in ledger.running.items()],
+            'settled': ledger.settled,
         }
     )
 
@@ -103,8 +98,8 @@
     version = document['version']
     if version > SNAPSHOT_VERSION:
         raise AssertionError(f'snapshot version {version} is newer than {SNAPSHOT_VERSION}')
-    if version == 1:
-        document = _upgrade_from_1(document)
+    for upgrade in (_upgrade_from_1, _upgrade_from_2)[version - 1 :]:
+        document = upgrade(document)
     return Tables(
         revision=document['revision'],
         records=document['records'],
@@ -117,14 +112,19 @@
 
 
 def _decode_ledger(document: dict[str, Any]) -> Ledger:
-    ledger = Ledger(next_number=document['next_claim_number'])
-    calls = {(customer, key): plain for customer, key, plain in document['calls']}
-    # Settled calls come back in the order of their settlement, which decides who is
-    # evicted first; that order differs from the order of the claims.
-    for customer, key in document['settled_order']:
-        ledger.store((customer, key), _LEDGER_CALL.validate_python(calls.pop((customer, key))))
-    for place, plain in calls.items():
-        ledger.store(place, _LEDGER_CALL.validate_python(plain))
+    settled: dict[str, dict[str, bytes]] = document['settled']
+    # Taken as they are: deciding retention anew could evict other calls than the
+    # voters did that applied the commands.
+    ledger = Ledger(
+        next_number=document['next_claim_number'],
+        settled=settled,
+        settled_bytes={
+            customer: sum(len(encoded) for encoded in names.values())
+            for customer, names in settled.items()
+        },
+    )
+    for customer, name, encoded in document['running']:
+        ledger.store((customer, name), decode_call(encoded))
     return ledger
 
 
@@ -136,3 +136,13 @@
         if plain['status'] != 'running'
     ]
     return {**document, 'version': 2, 'settled_order': settled}
+
+
+def _upgrade_from_2(document: dict[str, Any]) -> dict[str, Any]:
+    # Version 2 kept every call in full, and the order of the settled ones beside them.
+    calls = {(customer, key): plain for customer, key, plain in document['calls']}
+    settled: dict[str, dict[str, bytes]] = {}
+    for customer, key in document['settled_order']:
+        settled.setdefault(customer, {})[key] = cbor2.dumps(calls.pop((customer, key)))
+    running = [[*place, cbor2.dumps(plain)] for place, plain in calls.items()]
+    return {**document, 'version': 3, 'settled': settled, 'running': running}
--- a/test/state/test_machine.py
+++ b/test/state/test_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from jackdawsail.state import commands as c
+from jackdawsail.state.ledger import MAX_STORED_ANSWER_BYTES
 from jackdawsail.state.machine import ControlState
 from jackdawsail.state.replica import apply_changes
 from jackdawsail.state.replies import Accepted, Conflict, Rejected
@@ -218,13 +219,21 @@
 
 def test_retention_is_bounded_per_customer(driver, monkeypatch):
     monkeypatch.setattr('jackdawsail.state.ledger.MAX_SETTLED_PER_CUSTOMER', 3)
+    monkeypatch.setattr('jackdawsail.state.ledger.MIN_SETTLED_PER_CUSTOMER', 1)
     for turn in range(6):
         number = ledger(driver, [claim(key=f'k{turn}')]).claims[0].claim_number
         ledger(driver, settles=[settle(number, key=f'k{turn}')])
-    assert sorted(key for _customer, key in driver.state.tables.ledger.calls) == ['k3', 'k4', 'k5']
+    assert list(driver.state.tables.ledger.settled['label']) == ['k3', 'k4', 'k5']
 
 
-@pytest.mark.parametrize('version', [1, 2])
+def test_too_large_an_answer_is_unknown_to_who_asks_again(driver):
+    ledger(driver, [claim()])
+    answer = StoredAnswer(200, 'text/plain', b'x' * (MAX_STORED_ANSWER_BYTES + 1))
+    ledger(driver, settles=[SettleRequest('q', 'label', 'k', 1, 'done', answer)])
+    assert ledger(driver, [claim(request_id='z')]).claims[0].verdict is ClaimVerdict.unknown
+
+
+@pytest.mark.parametrize('version', [1, 2, 3])
 def test_old_snapshot_still_loads(version):
     state = ControlState()
     state.restore((GOLDEN / f'snapshot-{version}.cbor').read_bytes())
@@ -283,3 +292,16 @@
         assert len(running) <= 1
     assert first.state.snapshot() == second.state.snapshot()
     assert followed == first.state.tables.records
+
+
+def test_customers_share_the_ledger_evenly(driver, monkeypatch):
+    monkeypatch.setattr('jackdawsail.state.ledger.MAX_SETTLED', 200)
+    for customer in ('a', 'b', 'c', 'd'):
+        for turn in range(150):
+            request = ClaimRequest('q', customer, f'k{turn}', 'd', 'e1', 1)
+            number = ledger(driver, [request]).claims[0].claim_number
+            answer = StoredAnswer(200, 'text/plain', b'ok')
+            done = SettleRequest('q', customer, f'k{turn}', number, 'done', answer)
+            ledger(driver, settles=[done])
+    kept = {name: len(calls) for name, calls in driver.state.tables.ledger.settled.items()}
+    assert kept == {'a': 50, 'b': 50, 'c': 50, 'd': 50}
