--- a/jackdawsail/entry/first_read.py
+++ b/jackdawsail/entry/first_read.py
@@ -23,7 +23,7 @@
 
 RETRY_SECONDS = 1.0
 MANIFEST_READ = events.define(540, 'info', 'manifest is made from the first read of the origin')
-MANIFEST_REFUSED = events.define(541, 'error', 'origin content has not the declared digest')
+MANIFEST_REFUSED = events.define(541, 'error', 'the first read of a release cannot be completed')
 
 Tell = Callable[[object], None]
 
@@ -86,7 +86,7 @@
             if drawn.end is None:
                 return drawn
             if drawn.end.outcome is FetchOutcome.changed:
-                self._tell(ReleaseProblem(manifest.release, drawn.end.reason))
+                self._fail(manifest.release, drawn.end.reason)
                 return None
             wait_seconds = max(RETRY_SECONDS, drawn.end.retry_after_seconds)
             yield deferLater(self._reactor, wait_seconds, lambda: None)
@@ -94,11 +94,15 @@
 
     def _close(self, manifest: Manifest, digest: str, digests: list[str]) -> None:
         release = manifest.release
-        # The state shows the answer only a round trip later; do not read again meanwhile.
-        self._told.add(release)
         if digest != manifest.digest:
-            events.log(MANIFEST_REFUSED, release=release)
-            self._tell(ReleaseProblem(release, 'origin content has not the declared digest'))
+            self._fail(release, 'origin content has not the declared digest')
             return
+        # The state shows the answer only a round trip later; do not read again meanwhile.
+        self._told.add(release)
         events.log(MANIFEST_READ, release=release)
         self._tell(ManifestReport(release, manifest.chunk_bytes, digest, digests))
+
+    def _fail(self, release: str, reason: str) -> None:
+        self._told.add(release)
+        events.log(MANIFEST_REFUSED, release=release, reason=reason)
+        self._tell(ReleaseProblem(release, reason))
--- a/jackdawsail/entry/tracker_part.py
+++ b/jackdawsail/entry/tracker_part.py
@@ -175,7 +175,7 @@
     def _share(self) -> None:
         if self._tracker is None:
             return
-        shares = list(self._tracker.shares())
+        shares = list(self._tracker.shares(self._now()))
         if shares:
             self._peers.reach_zones()
         for effect in shares:
--- a/jackdawsail/weights/swarm.py
+++ b/jackdawsail/weights/swarm.py
@@ -195,7 +195,7 @@
         fullest = sorted(self.members.values(), key=lambda member: -len(member.held))
         count = self.manifest.chunk_count
         holders = [
-            ZoneHolder(member.address, pack_chunks(member.held, count))
+            ZoneHolder(member.address, _pack_unless_whole(member.held, count))
             for member in fullest[:HOLDERS_SHARED_MAX]
             if member.held
         ]
@@ -222,6 +222,12 @@
             self.begin(agent, chunk, flight)
 
 
+def _pack_unless_whole(held: set[int], chunk_count: int) -> bytes:
+    return b'' if len(held) == chunk_count else pack_chunks(held, chunk_count)
+
+
 def _has(holder: ZoneHolder, chunk: int) -> bool:
+    if not holder.bitmap:
+        return True
     byte = chunk // 8
     return byte < len(holder.bitmap) and bool(holder.bitmap[byte] >> chunk % 8 & 1)
--- a/jackdawsail/weights/tracker.py
+++ b/jackdawsail/weights/tracker.py
@@ -28,6 +28,7 @@
 
 REPORT_ROUND_SECONDS = 2.0
 GATHER_SECONDS = 0.2
+SHARE_AGAIN_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,8 @@
     budget: OriginBudget
     scheduler: Scheduler
     ready_at_seconds: float
+    shared: ZoneHave | None = None
+    shared_at_seconds: float = 0
 
 
 class Tracker:
@@ -144,11 +147,15 @@
                 yield from self._order_fetches(tracked, now)
                 yield from self._permit_switches(tracked, now)
 
-    def shares(self) -> Iterator[Effect]:
-        """Yields what the other data centres should know; call it each second."""
+    def shares(self, now: float) -> Iterator[Effect]:
+        """Yields what is new to the other data centres, or due again; call it each second."""
         for tracked in self._tracked.values():
-            if tracked.swarm.members:
-                yield ShareWithZones(tracked.swarm.share(tracked.order.plan.zone))
+            share = tracked.swarm.share(tracked.order.plan.zone)
+            is_due = now - tracked.shared_at_seconds >= SHARE_AGAIN_SECONDS
+            if share.holders and (is_due or share != tracked.shared):
+                tracked.shared = share
+                tracked.shared_at_seconds = now
+                yield ShareWithZones(share)
 
     def is_drawing(self) -> bool:
         """Tells whether anything comes in from other data centres or the origin."""
--- a/jackdawsail/wire/weight_messages.py
+++ b/jackdawsail/wire/weight_messages.py
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneHolder:
-    """One agent that other data centres may draw from."""
+    """One agent that other data centres may draw from; no bitmap: it holds every chunk."""
 
     address: str
     bitmap: bytes
--- a/test/weights/test_tracker.py
+++ b/test/weights/test_tracker.py
@@ -10,6 +10,7 @@
 from jackdawsail.weights.origin_budget import ORIGIN_COPIES_MAX
 from jackdawsail.weights.schedule import SOURCE_WINDOW_CHUNKS
 from jackdawsail.weights.swarm import SOURCE_CORRUPT_MAX
+from jackdawsail.weights.tracker import SHARE_AGAIN_SECONDS
 from jackdawsail.wire.weight_messages import FetchOutcome
 from test.weights.zone_sim import Zone
 
@@ -147,6 +148,17 @@
     assert zone.remote_served >= 40
 
 
+def test_unchanged_account_is_shared_seldom_and_whole_holders_briefly():
+    zone = Zone(agents=3, chunks=20)
+    zone.run()
+    (share,) = zone.tracker.shares(zone.now)
+    assert [holder.bitmap for holder in share.sent.holders] == [b'', b'', b'']
+    assert not list(zone.tracker.shares(zone.now + SHARE_AGAIN_SECONDS - 1))
+    assert list(zone.tracker.shares(zone.now + SHARE_AGAIN_SECONDS))
+    zone.tracker.remote(share.sent, zone.now)
+    assert len(_swarm(zone).remote_addresses(7, 'a', zone.now)) == 3
+
+
 def test_switch_permits_keep_the_share():
     zone = Zone(agents=6, chunks=2)
     zone.run()
