Bound what is under way to a member, and the size of a command

A member that catches up over a link of ten megabits a second was sent up to 4096 entries at once, megabytes that heartbeats and acknowledgements wait behind; with three voters that could cost the leader its lease. Now at most 512 KiB of entries are under way to each member. A command over 4 MiB, which no link frame could carry and which would have blocked replication for good, is refused as not applied; settlements share a command up to 256 KiB of answers.

--- a/jackdawsail/consensus/core.py
+++ b/jackdawsail/consensus/core.py
@@ -33,7 +33,7 @@
     replace_voter_after_seconds: float = 30.0
     batch_bytes: int = 262_144
     piece_bytes: int = 65_536
-    window_entries: int = 4096
+    window_bytes: int = 524_288
 
     @property
     def lease_seconds(self) -> float:
--- a/jackdawsail/consensus/progress.py
+++ b/jackdawsail/consensus/progress.py
@@ -1,12 +1,13 @@
 """What a leader knows of each member, and what follows from it: commit and lease."""
 
 import math
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 from jackdawsail.consensus.configuration import Configuration
-from jackdawsail.consensus.log import Snapshot
+from jackdawsail.consensus.log import Entry, Snapshot
 
 NumberT = TypeVar('NumberT', int, float)
 
@@ -33,6 +34,30 @@
     acked_seconds: float = -math.inf
     joined_seconds: float = 0
     transfer: Transfer | None = None
+    under_way_bytes: int = 0
+    # Of each append under way: the index of its last entry and its size.
+    _under_way: deque[tuple[int, int]] = field(default_factory=deque)
+
+    def sent(self, entries: Sequence[Entry]) -> None:
+        """Notes entries that have been sent after the last ones."""
+        if entries:
+            size_bytes = sum(len(entry.body) for entry in entries)
+            self.following = entries[-1].index + 1
+            self.under_way_bytes += size_bytes
+            self._under_way.append((entries[-1].index, size_bytes))
+
+    def match(self, index: int) -> None:
+        """Notes up to which index the member holds the log."""
+        self.matched = max(self.matched, index)
+        self.following = max(self.following, self.matched + 1)
+        while self._under_way and self._under_way[0][0] <= self.matched:
+            self.under_way_bytes -= self._under_way.popleft()[1]
+
+    def go_back(self, following: int) -> None:
+        """Goes on from an index, because what was sent has been lost."""
+        self.following = following
+        self.under_way_bytes = 0
+        self._under_way.clear()
 
     def silent_seconds(self, now_seconds: float) -> float:
         """Returns for how long the member has acknowledged nothing."""
--- a/jackdawsail/consensus/replication.py
+++ b/jackdawsail/consensus/replication.py
@@ -92,7 +92,7 @@
         if reply.success:
             self._on_match(progress, reply)
         elif progress.transfer is None:
-            progress.following = self._after_conflict(progress, reply)
+            progress.go_back(self._after_conflict(progress, reply))
             self._send_append(reply.sender)
 
     def on_snapshot_reply(self, reply: SnapshotReply) -> None:
@@ -118,8 +118,7 @@
         return progress
 
     def _on_match(self, progress: Progress, reply: AppendReply) -> None:
-        progress.matched = max(progress.matched, reply.match_index)
-        progress.following = max(progress.following, progress.matched + 1)
+        progress.match(reply.match_index)
         transfer = progress.transfer
         if transfer is not None and transfer.snapshot.index <= progress.matched:
             progress.transfer = None
@@ -169,13 +168,13 @@
             sent_seconds=core.now_seconds,
             entries=entries,
         )
-        progress.following += len(entries)
+        progress.sent(entries)
         core.send(append)
 
     def _window(self, progress: Progress) -> list[Entry]:
         core = self._core
-        under_way = progress.following - 1 - progress.matched
-        if progress.matched and under_way > core.timing.window_entries:
+        # Heartbeats wait behind what is under way on a slow link, so it is bounded.
+        if progress.under_way_bytes >= core.timing.window_bytes:
             return []
         return core.log.batch(progress.following - 1, core.timing.batch_bytes)
 
--- a/jackdawsail/control/claims.py
+++ b/jackdawsail/control/claims.py
@@ -19,6 +19,7 @@
 from jackdawsail.wire.link import Link
 
 MAX_BATCH = 512
+MAX_BATCH_BYTES = 262_144
 MAX_BATCHES_IN_FLIGHT = 4
 
 _Waiting = tuple[Link, ClaimRequest | SettleRequest]
@@ -43,8 +44,9 @@
     def _propose_next(self) -> None:
         if not self.waiting or self.in_flight >= MAX_BATCHES_IN_FLIGHT:
             return
-        batch = self.waiting[:MAX_BATCH]
-        self.waiting = self.waiting[MAX_BATCH:]
+        taken = _count_within(self.waiting[:MAX_BATCH])
+        batch = self.waiting[:taken]
+        self.waiting = self.waiting[taken:]
         self.in_flight += 1
         # Claims go first in the reply lists, whatever the order of arrival; the two
         # kinds never concern the same attempt within one batch.
@@ -72,6 +74,17 @@
     return desk
 
 
+def _count_within(waiting: list[_Waiting]) -> int:
+    """Returns how many requests one command may hold; one at least."""
+    size_bytes = 0
+    for position, (_link, request) in enumerate(waiting):
+        answer = request.answer if isinstance(request, SettleRequest) else None
+        size_bytes += 0 if answer is None else len(answer.body)
+        if position and size_bytes > MAX_BATCH_BYTES:
+            return position
+    return len(waiting)
+
+
 def _send_replies(batch: list[_Waiting], replies: LedgerReplies) -> None:
     claims, settles = iter(replies.claims), iter(replies.settles)
     for link, request in batch:
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -33,6 +33,7 @@
 KEEP_SHARE = 0.1
 GREET_SECONDS = 1.0
 FLUSH_SECONDS = 0.1
+MAX_COMMAND_BYTES = 4 * 1024 * 1024  # half of the largest frame of a link
 Callback = Callable[[], None]
 
 
@@ -101,6 +102,8 @@
         """Fires with the state machine's reply once the command is applied here."""
         if self.host.halted:
             return refused_answer(self.host.halted, '')
+        if len(command) > MAX_COMMAND_BYTES:
+            return refused_answer(f'a command of {len(command)} bytes is too large', '')
         now_seconds = self.host.clock.seconds()
         if self._core.role is Role.leader:
             ticket, answer = self.host.proposals.open(now_seconds)
--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -8,7 +8,7 @@
 from jackdawsail.consensus.log import Entry, EntryKind
 from jackdawsail.consensus.membership import MemberChange
 from jackdawsail.consensus.messages import AppendReply, PreVote, PreVoteReply, VoteReply
-from jackdawsail.consensus.node import ChangeMembers, Durable, Tick, make_node
+from jackdawsail.consensus.node import ChangeMembers, Durable, Propose, Tick, make_node
 from test.consensus.cluster import Cluster
 
 VOTERS = ('a@1', 'b@1', 'c@1')
@@ -61,6 +61,19 @@
     ]
 
 
+def test_entries_under_way_to_a_member_are_bounded():
+    node = make_leader()
+    node.step(appended(3, 3), 3.1)
+    bodies = tuple(bytes(200_000) for _ in range(8))
+    node.step(Propose(tuple(range(8)), bodies), 3.2)
+    effects = [effect for at in (3.42, 3.64, 3.86) for effect in node.step(Tick(), at)]
+    sent = [effect.message for effect in effects if isinstance(effect, Send)]
+    to_b = [append.entries for append in sent if append.target == 'b@1']
+    assert [len(entries) for entries in to_b] == [1, 1, 0]
+    more = node.step(appended(4, 3.86), 3.9)
+    assert [len(effect.message.entries) for effect in more if isinstance(effect, Send)] == [1]
+
+
 def test_second_change_waits_for_the_first_to_commit():
     node = make_leader()
     node.step(appended(3, 3), 3.1)
--- a/test/control/test_raft_replicator.py
+++ b/test/control/test_raft_replicator.py
@@ -171,6 +171,12 @@
     assert group.machines[follower].commands == [b'one']
 
 
+def test_command_that_no_link_could_carry_is_refused(group):
+    large = bytes(5 * 1024 * 1024)
+    answer = outcome_of(group.replicators[group.leader()].propose(large))
+    assert not answer[0].failure().maybe_applied
+
+
 def test_resigning_leader_hands_over_at_once(group):
     old = group.leader()
     group.replicators[old].stop()
