Test the control group with real processes

Swapped disk repaired and a second loss right after it survived; a leader cut one way in each direction; a damaged log refused and left untouched; a frozen leader that answers nothing when it thaws.

--- /dev/null
+++ b/test/control/test_group_processes.py
@@ -0,0 +1,111 @@
+"""Real control processes: disks swapped, a second loss after the repair, one-way cuts."""
+
+import shutil
+import time
+
+import pytest
+
+from bench.harness.fleet import running
+from bench.harness.http import call
+from bench.harness.layout import Kind
+from bench.harness.plan import Deployment, Shaping
+from bench.harness.settings_files import BOOTSTRAP_TOKEN
+from bench.harness.waiting import wait_until
+from bench.proxy.rules import Rule
+
+pytestmark = pytest.mark.slow
+WAIT_SECONDS = 30
+
+
+@pytest.fixture
+def fleet():
+    plan = Deployment(
+        voters=3, engines_per_zone=0, services=0, entries_per_zone=0, shaping=Shaping()
+    )
+    with running(plan) as started:
+        started.wait_leader()
+        yield started
+
+
+def consensus(fleet):
+    reply = fleet.admin('GET', '/v1/status')
+    return reply.content['consensus'] if reply.status == 200 else {}
+
+
+def put(fleet, name):
+    def accepted():
+        return fleet.command('customer-put', name=name).status == 200
+
+    wait_until(accepted, WAIT_SECONDS, f'{name} accepted')
+
+
+def holds_lease(fleet, name):
+    """Asks one host past the proxy; only a leader with its lease answers 200."""
+    place = fleet.layout.places[name]
+    headers = {'Authorization': f'Bearer {BOOTSTRAP_TOKEN}'}
+    return call('GET', place.listens_at(1), '/v1/status', None, headers).status == 200
+
+
+def other_leads(fleet, old):
+    names = [name for name in fleet.names(Kind.control) if name != old]
+    return any(holds_lease(fleet, name) for name in names)
+
+
+def test_swapped_disk_is_repaired_and_a_second_loss_survived(fleet):
+    put(fleet, 'before')
+    swapped = next(name for name in fleet.names(Kind.control) if name != leader(fleet))
+    old = next(node for node in consensus(fleet)['voters'] if node.startswith(f'{swapped}@'))
+    fleet.kill(swapped)
+    shutil.rmtree(fleet.files.data_folder(fleet.layout.places[swapped]))
+    fleet.restart(swapped)
+
+    def repaired():
+        voters = consensus(fleet).get('voters', [])
+        return len(voters) == 3 and old not in voters
+
+    wait_until(repaired, WAIT_SECONDS, 'the swapped host votes under a new id')
+    fleet.kill(leader(fleet))
+    put(fleet, 'after')
+    names = [row['name'] for row in fleet.admin('GET', '/v1/customers').content['items']]
+    assert {'before', 'after'} <= set(names)
+
+
+@pytest.mark.parametrize('direction', ['from', 'to'])
+def test_leader_cut_one_way_gives_its_office_up(fleet, direction):
+    old = leader(fleet)
+    ends = (old, '*') if direction == 'from' else ('*', old)
+    fleet.proxy.add(Rule(source=ends[0], target=ends[1], stall=True))
+    wait_until(lambda: other_leads(fleet, old), WAIT_SECONDS, 'another host leads')
+    assert not holds_lease(fleet, old)
+    fleet.proxy.heal()
+    put(fleet, 'healed')
+
+
+def test_damaged_log_stops_the_host_and_is_left_as_it_is(fleet):
+    for number in range(5):
+        put(fleet, f'customer-{number}')
+    name = leader(fleet)
+    fleet.kill(name)
+    path = fleet.files.data_folder(fleet.layout.places[name]) / 'raft' / 'log-000000000001'
+    body = bytearray(path.read_bytes())
+    body[60] ^= 1
+    path.write_bytes(body)
+    child = fleet.children[name]
+    child.start()
+    wait_until(lambda: not child.is_running(), WAIT_SECONDS, 'the host refuses to start')
+    assert 'log-000000000001 at offset 19' in child.events(220)[0]['reason']
+    assert path.read_bytes() == bytes(body)
+    put(fleet, 'without-it')
+
+
+def leader(fleet):
+    return wait_until(lambda: consensus(fleet).get('leader'), WAIT_SECONDS, 'a leader')
+
+
+def test_frozen_leader_does_not_answer_when_it_thaws(fleet):
+    old = leader(fleet)
+    fleet.freeze(old)
+    wait_until(lambda: other_leads(fleet, old), WAIT_SECONDS, 'another host leads')
+    fleet.thaw(old)
+    time.sleep(0.05)
+    assert not holds_lease(fleet, old)
