Let who is back from idle pass what was granted ahead

Cause: grants ahead of the engine's places keep it busy, but a small customer beside a flood then waited behind two ready requests of the flood. Change: only a customer that holds nothing and that no other waiting one is before is granted beyond the bound, and the next place goes to the customer that holds the least places for its weight.

--- a/jackdawsail/agent/work_part.py
+++ b/jackdawsail/agent/work_part.py
@@ -193,7 +193,7 @@
         self._tools = tools
         self._seal = AnswerSeal(job.work.attempt_id)
         self._last_seconds = tools.reactor.seconds()
-        self._concurrency = tools.desk.running
+        self._concurrency = tools.desk.places.running
         self._tokens = 0
         self._run: UpstreamRun | None = None
 
--- a/jackdawsail/routing/agent_desk.py
+++ b/jackdawsail/routing/agent_desk.py
@@ -15,6 +15,7 @@
 
 from jackdawsail.routing.fairness import FairQueue, Waiting
 from jackdawsail.routing.pace import CompletionPace
+from jackdawsail.routing.places import Places
 from jackdawsail.routing.recent import RecentIds
 from jackdawsail.routing.window import StartupWindow
 from jackdawsail.wire.work_messages import Granted, Priority, Refused, Reserve, Work, WorkRefused
@@ -96,19 +97,7 @@
         self._handed_over = RecentIds(SEEN_ATTEMPTS)
         self._places_per_ahead = places_per_ahead
         self._grants = 0
-        self._held = 0
-        self._running = 0
-        self._ready: dict[str, Work] = {}
-
-    @property
-    def running(self) -> int:
-        """Counts the requests that the upstream works on."""
-        return self._running
-
-    @property
-    def held(self) -> int:
-        """Counts grants, work that is ready, and running requests together."""
-        return self._held
+        self.places = Places(weight_of)
 
     def reserve(self, peer: Peer, asked: Reserve, now_seconds: float) -> Effects:
         """Takes a reservation: grants it, queues it, or refuses it at once."""
@@ -149,7 +138,7 @@
             return self._refuse_work(peer, work, attempt, problem)
         self._handed_over.add(work.attempt_id)
         self._attempts[work.attempt_id] = replace(attempt, work=work)
-        self._ready[work.attempt_id] = work
+        self.places.make_ready(attempt.waiting)
         return self._hand_over_ready(now_seconds)
 
     def cancel_work(self, attempt_id: str, now_seconds: float) -> Effects:
@@ -165,8 +154,7 @@
     def ended(self, attempt_id: str, used_tokens: int, now_seconds: float) -> Effects:
         """Counts the end of running work, however it ended."""
         attempt = self._attempts.pop(attempt_id)
-        self._held -= 1
-        self._running -= 1
+        self.places.end(attempt.waiting)
         self.queue.settle(attempt.waiting, used_tokens)
         self.pace.completed(now_seconds, busy=len(self.queue) > 0)
         return self._hand_over_ready(now_seconds) + self.grant_ready(now_seconds)
@@ -197,26 +185,32 @@
         effects: Effects = []
         if self._blocked(now_seconds):
             return effects
-        limit = self._window.limit
-        ahead = limit // self._places_per_ahead if self._places_per_ahead else 0
-        while self._held < limit + ahead:
-            waiting = self.queue.pop()
-            if waiting is None:
-                break
+        waiting = self.queue.pop(self._may_hold)
+        while waiting is not None:
             effects.append(self._grant(waiting, now_seconds))
+            waiting = self.queue.pop(self._may_hold)
         return effects
 
+    def _may_hold(self, customer: str) -> bool:
+        """Bounds the grants ahead; who is back from idle may have its first beyond them."""
+        limit, held = self._window.limit, self.places.held
+        if not self._places_per_ahead:
+            return held < limit
+        if held < limit + limit // self._places_per_ahead:
+            return True
+        return held < 2 * limit and self.queue.is_back_from_idle(customer)
+
     def _hand_over_ready(self, now_seconds: float) -> Effects:
         effects: Effects = []
         if self._blocked(now_seconds):
             return effects
-        while self._ready and self._running < self._window.limit:
-            attempt_id = next(iter(self._ready))
-            work = self._ready.pop(attempt_id)
+        while self.places.any_ready and self.places.running < self._window.limit:
+            attempt_id = self.places.start_next()
             attempt = replace(self._attempts[attempt_id], running=True)
             self._attempts[attempt_id] = attempt
-            self._running += 1
-            effects.append(HandOver(attempt.peer, work, attempt.reserve))
+            if attempt.work is None:
+                raise AssertionError(f'{attempt_id} is ready without its work')
+            effects.append(HandOver(attempt.peer, attempt.work, attempt.reserve))
         return effects
 
     def _lapse(self, attempt: _Attempt, reason: str, now_seconds: float) -> Effects:
@@ -235,7 +229,7 @@
 
     def _grant(self, waiting: Waiting, now_seconds: float) -> Reply:
         self._grants += 1
-        self._held += 1
+        self.places.grant()
         attempt = replace(
             self._attempts[waiting.attempt_id],
             grant_number=self._grants,
@@ -268,7 +262,7 @@
         return None
 
     def _predicted_wait_seconds(self, queued: int) -> float:
-        if self._held < self._window.limit:
+        if self.places.held < self._window.limit:
             return 0
         sharers = max(1, self.queue.waiting_customers())
         return (queued + 1) * sharers * self.pace.seconds_between
@@ -289,9 +283,8 @@
 
     def _drop(self, attempt: _Attempt) -> None:
         del self._attempts[attempt.reserve.attempt_id]
-        self._ready.pop(attempt.reserve.attempt_id, None)
         if attempt.grant_number:
-            self._held -= 1
+            self.places.drop(attempt.waiting)
             self.queue.settle(attempt.waiting, 0)
         else:
             self.queue.remove(attempt.waiting)
--- a/jackdawsail/routing/fairness.py
+++ b/jackdawsail/routing/fairness.py
@@ -48,6 +48,10 @@
         return self.live if live else self.batch
 
 
+def _anyone(_customer: str) -> bool:
+    return True
+
+
 class FairQueue:
     """Orders the waiting requests of all customers of one upstream."""
 
@@ -63,6 +67,14 @@
         account = self._accounts.get(customer)
         return account.queued if account else 0
 
+    def is_back_from_idle(self, customer: str) -> bool:
+        """Tells whether a customer holds nothing and no other waiting one is before it."""
+        account = self._accounts.get(customer)
+        if account is None or account.running:
+            return False
+        waiting = (other.counter for other in self._accounts.values() if other.queued)
+        return account.counter <= min(waiting, default=0)
+
     def queued_tokens(self) -> int:
         """Adds up the estimates of all waiting requests."""
         return sum(waiting.tokens for waiting in self._all_waiting())
@@ -83,10 +95,13 @@
             account.counter = max(account.counter, self._least_active())
         account.lane(waiting.live).append(waiting)
 
-    def pop(self) -> Waiting | None:
-        """Takes the next request and charges its estimate; it now counts as running."""
+    def pop(self, allowed: Callable[[str], bool] = _anyone) -> Waiting | None:
+        """Takes the next request of an allowed customer and charges its estimate.
+
+        It counts as running from now on.
+        """
         for live in (True, False):
-            account = self._next_account(live)
+            account = self._next_account(live, allowed)
             if account is not None:
                 waiting = account.lane(live).popleft()
                 account.running += 1
@@ -123,8 +138,12 @@
         counters = (account.counter for account in self._accounts.values() if account.active)
         return min(counters, default=0)
 
-    def _next_account(self, live: bool) -> _Account | None:
-        ready = [account for account in self._accounts.values() if account.lane(live)]
+    def _next_account(self, live: bool, allowed: Callable[[str], bool]) -> _Account | None:
+        ready = [
+            account
+            for customer, account in self._accounts.items()
+            if account.lane(live) and allowed(customer)
+        ]
         return min(ready, key=_order, default=None)
 
     def _all_waiting(self) -> Iterator[Waiting]:
--- a/test/routing/test_fairness.py
+++ b/test/routing/test_fairness.py
@@ -2,9 +2,14 @@
 
 import random
 
+from jackdawsail.routing.agent_desk import AgentDesk
 from jackdawsail.routing.fairness import FairQueue, Waiting
 from jackdawsail.routing.limits import Allowance, CustomerLimits
 from jackdawsail.routing.retries import BUDGET_MAX, RetryBudget
+from jackdawsail.routing.window import StartupWindow, WindowSettings
+from jackdawsail.wire.work_messages import Priority, Reserve, Work
+
+LIVE = Priority.live
 
 
 def serve(queue, rounds, refill, places=4):
@@ -84,3 +89,25 @@
         budget.first_try()
     assert sum(budget.take() for _ in range(1000)) <= BUDGET_MAX
     assert max(budget.backoff_seconds(20) for _ in range(100)) <= 1.0
+
+
+def test_small_customer_takes_the_next_place_past_what_was_granted_ahead():
+    window = StartupWindow(WindowSettings(4, 4))
+    desk = AgentDesk(1, window, lambda customer: 1.0, lambda now: '', lambda: 'r1', 2)
+    grants = []
+
+    def reserve(number, customer):
+        asked = Reserve(f'{customer}.{number}', 'q', customer, 'b', '', 10, LIVE, 60.0, '')
+        return [effect.message for effect in desk.reserve('e', asked, 0.0)]
+
+    for number in range(20):
+        grants += reserve(number, 'flood')
+    assert len(grants) == 4 + 2
+    grants += reserve(0, 'small')
+    assert len(grants) == 4 + 2 + 1
+    for grant in grants:
+        work = Work(grant.attempt_id, grant.grant_number, 1, 'POST', '/', '', b'', 0)
+        desk.work('e', work, 0.0)
+    assert desk.places.running == 4
+    started = [effect.work.attempt_id for effect in desk.ended('flood.0', 10, 0.1)[:1]]
+    assert started == ['small.0']
