--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -237,7 +237,8 @@
 
     def _leader_status(self) -> Any:
         reply = self.admin('GET', '/v1/status')
-        return reply.content if reply.status == 200 else None
+        # Commands are answered "not-settled" until the empty state has taken its settings.
+        return reply.content if reply.status == 200 and reply.content['revision'] else None
 
     def _all_in_force(self) -> bool:
         status = self.wait_leader()
