--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -39,8 +39,10 @@
     node = make_leader()
     node.step(appended(2, 3), 3.1)
     assert node.core.commit_index == 0
+    assert not node.is_leader(3.1), 'it may lack commits of earlier leaders'
     node.step(appended(3, 3), 3.1)
     assert node.core.commit_index == 3
+    assert node.is_leader(3.1)
 
 
 def test_lease_counts_from_when_the_acknowledged_append_was_sent():
--- a/test/consensus/test_storage.py
+++ b/test/consensus/test_storage.py
@@ -166,6 +166,6 @@
     storage = open_disk(disk).storage
     disk.fail_at(0, OSError(28, 'No space left on device'))
     assert isinstance(storage.save([SaveEntries(entries(1, 1, 1))]), Failure)
-    assert isinstance(storage.save([SaveEntries(entries(1, 1, 1))]), Failure)
     disk.kill_process()
+    assert isinstance(storage.save([SaveEntries(entries(1, 1, 1))]), Failure)
     assert state_of(open_disk(disk))[2] == []
