Found a group only among hosts whose settings name the same voters

Two hosts with different lists could each have founded a group at term 1 whose first entries differ; the shared host would have taken one for the other. The hello carries the names, and founding needs them to be equal.

--- a/jackdawsail/control/raft_messages.py
+++ b/jackdawsail/control/raft_messages.py
@@ -7,11 +7,13 @@
 class RaftHello:
     """First on each link, and again while no leader is heard.
 
-    ``fresh`` tells that the host's disk is new and it has joined no group yet.
+    ``fresh`` tells that the host's disk is new and it has joined no group yet;
+    ``voters`` are the names in its settings, which must agree to found a group.
     """
 
     node: str
     fresh: bool
+    voters: list[str]
 
 
 @message('raft-forward')
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -162,7 +162,8 @@
     def _hello(self) -> RaftHello:
         core = self._core
         fresh = core.term == 0 and core.log.last_index == 0
-        return RaftHello(core.node, fresh)
+        names = sorted(voter.name for voter in self._settings.voters)
+        return RaftHello(core.node, fresh, names)
 
     def _greeted(self, _name: str, hello: RaftHello) -> None:
         self._found_if_allowed()
@@ -180,8 +181,7 @@
         own = self._hello()
         if not own.fresh or self.host.halted:
             return
-        names = [voter.name for voter in self._settings.voters]
-        voters = founding_voters(self._name, own, names, self._links.hellos())
+        voters = founding_voters(self._name, own, self._links.hellos())
         if not voters:
             return
         durable = founding_durable(voters)
