--- a/test/consensus/test_storage.py
+++ b/test/consensus/test_storage.py
@@ -1,6 +1,8 @@
 """Storage keeps what it has confirmed through any crash, and never hides damage."""
 
 import random
+import shutil
+from pathlib import Path
 
 import pytest
 from returns.result import Failure, Success
@@ -161,6 +163,14 @@
     assert isinstance(open_storage(files, 'x'), Failure)
 
 
+def test_folder_of_format_1_still_opens(tmp_path):
+    shutil.copytree(Path(__file__).parent / 'golden', tmp_path, dirs_exist_ok=True)
+    opened = open_storage(FolderFiles(tmp_path), 'x').unwrap()
+    assert opened.disk_id == 'disk-1'
+    assert state_of(opened) == (2, 4, [2, 2])
+    assert opened.durable.snapshot == snapshot(4, 2)
+
+
 def test_failed_write_is_never_followed_by_another(tmp_path):
     disk = Disk()
     storage = open_disk(disk).storage
