--- a/jackdawsail/ui/release_commands.py
+++ b/jackdawsail/ui/release_commands.py
@@ -1,6 +1,5 @@
 """``jackdawsail release``: create, list, show, start, pause, resume and abort."""
 
-import hashlib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -12,9 +11,9 @@
 from jackdawsail.ui.exit_codes import ExitCode
 from jackdawsail.ui.options import Options, make_table
 from jackdawsail.ui.waiting import Progressed, parse_seconds, wait_for
+from jackdawsail.weights.manifest import digest_file
 
 DEFAULT_CHUNK_BYTES = 262_144
-READ_BYTES = 1_048_576
 COLUMNS = ['name', 'backend', 'ordinal', 'status', 'on_release', 'upstreams', 'reason']
 ENDED = frozenset(('done', 'failed', 'aborted'))
 UNCHANGED = Options()
@@ -109,17 +108,16 @@
 
 
 def hash_file(path: Path, chunk_bytes: int) -> dict[str, Any]:
-    """Hashes a file and each of its chunks in one pass; memory stays at one read."""
-    whole, size_bytes, digests = hashlib.sha256(), 0, []
+    """Hashes a file and each of its chunks in one pass."""
     try:
-        with path.open('rb') as stream:
-            while (chunk := _hash_chunk(stream, chunk_bytes, whole)) is not None:
-                digest, length = chunk
-                digests.append(digest)
-                size_bytes += length
+        digests = digest_file(path, chunk_bytes)
     except OSError as error:
         raise UserError(f'{path}: {error.strerror}') from None
-    return {'size_bytes': size_bytes, 'digest': whole.hexdigest(), 'chunk_digests': digests}
+    return {
+        'size_bytes': digests.size_bytes,
+        'digest': digests.digest,
+        'chunk_digests': list(digests.chunk_digests),
+    }
 
 
 def _content_fields(content: Content) -> dict[str, Any]:
@@ -136,18 +134,6 @@
     raise UserError(text, ExitCode.invalid)
 
 
-def _hash_chunk(stream: Any, chunk_bytes: int, whole: Any) -> tuple[str, int] | None:
-    digest, length = hashlib.sha256(), 0
-    while length < chunk_bytes:
-        piece = stream.read(min(READ_BYTES, chunk_bytes - length))
-        if not piece:
-            break
-        whole.update(piece)
-        digest.update(piece)
-        length += len(piece)
-    return (digest.hexdigest(), length) if length else None
-
-
 def _progress(release: dict[str, Any]) -> Progressed:
     text = f'{release["status"]}, {release["on_release"]} of {release["upstreams"]} upstreams'
     failures = [f'{host}: {reason}' for host, reason in release['failed'].items()]
