--- /dev/null
+++ b/test/bench/test_rollout_orders.py
@@ -0,0 +1,78 @@
+"""Real processes: pause, resume, abort and roll back in the middle of a burst."""
+
+import time
+
+import pytest
+
+from bench.harness.fleet import running
+from bench.harness.plan import MEBIBYTE, Deployment
+from bench.harness.releases import create_release, must, replicas, start_release, wait_replicas
+from bench.harness.waiting import wait_until
+
+SIZE_BYTES = 4 * MEBIBYTE
+BITS_PER_SECOND = 20_000_000
+SETTLE_SECONDS = 2.0
+QUIET_SECONDS = 1.5
+
+
+@pytest.fixture
+def fleet():
+    weights = {
+        'inter_region_bits_per_second': BITS_PER_SECOND,
+        'origin_bits_per_second': BITS_PER_SECOND,
+    }
+    with running(Deployment(weights=weights)) as started:
+        started.wait_leader()
+        wait_until(lambda: 'critique-models' in backends(started), 20, 'settings')
+        create_release(started, 'one', MEBIBYTE)
+        start_release(started, 'one')
+        wait_replicas(started, 'one')
+        wait_status(started, 'one', 'done')
+        create_release(started, 'two', SIZE_BYTES)
+        start_release(started, 'two')
+        wait_until(lambda: drawn_bytes(started) > 0, 20, 'the burst begins')
+        yield started
+
+
+def backends(fleet):
+    return fleet.admin('GET', '/v1/status').body.decode()
+
+
+def drawn_bytes(fleet):
+    counts = fleet.ask_fake('origin', '/admin/counts')
+    return counts.get('bytes_by_path', {}).get('/two.bin', 0)
+
+
+def wait_status(fleet, name, status):
+    def is_in():
+        items = fleet.admin('GET', '/v1/releases').content['items']
+        return any(item['name'] == name and item['status'] == status for item in items)
+
+    wait_until(is_in, 30, f'{name} is {status}')
+
+
+@pytest.mark.slow
+def test_paused_burst_rests_and_goes_on(fleet):
+    must(fleet.command('release-pause', name='two'))
+    time.sleep(SETTLE_SECONDS)
+    rested_bytes = drawn_bytes(fleet)
+    time.sleep(QUIET_SECONDS)
+    assert drawn_bytes(fleet) == rested_bytes < 3 * SIZE_BYTES
+    assert len(replicas(fleet, 'one')) == 3
+    must(fleet.command('release-resume', name='two'))
+    wait_replicas(fleet, 'two')
+    assert drawn_bytes(fleet) <= 3.2 * SIZE_BYTES
+
+
+@pytest.mark.slow
+def test_aborted_burst_leaves_the_old_release_and_a_finished_one_rolls_back(fleet):
+    must(fleet.command('release-abort', name='two', reason='wrong model'))
+    time.sleep(SETTLE_SECONDS)
+    assert len(replicas(fleet, 'one')) == 3
+    start_release(fleet, 'two')
+    wait_replicas(fleet, 'two')
+    wait_status(fleet, 'two', 'done')
+    before = fleet.ask_fake('origin', '/admin/counts')['bytes']
+    must(fleet.command('release-abort', name='two', reason='worse'))
+    wait_replicas(fleet, 'one')
+    assert fleet.ask_fake('origin', '/admin/counts')['bytes'] == before
