Make the corrupt origin of the scenarios strike by range, not by chance

Cause: with 3 of 10 answers corrupt one chunk could be corrupt three times, at which the tracker rightly stops the release, and the scenario failed (seen once in a landing). Now the first answer of each range is corrupt; a second scenario has every answer corrupt and asks that the release stops with its reason and the old one goes on serving.

--- a/bench/fakes/origin.py
+++ b/bench/fakes/origin.py
@@ -1,9 +1,9 @@
 """A fake origin of weights: files by Range with ETag, a shared rate, and faults.
 
 ``GET /admin/counts`` gives the bytes and requests served; ``POST /admin/fault``
-takes ``{kind, share, retry_after_seconds}`` with the kinds ``none``, ``slow``,
+takes ``{kind, share, first, retry_after_seconds}`` with the kinds ``none``, ``slow``,
 ``stall``, ``429``, ``503``, ``cut``, ``lie-length``, ``corrupt`` and ``change``. A fault
-strikes the given share of requests.
+strikes the given share of requests, or the ``first`` requests of each range.
 """
 
 import hashlib
@@ -53,18 +53,27 @@
     counts: dict[str, int] = field(default_factory=dict)
     bytes_by_path: dict[str, int] = field(default_factory=dict)
     files: dict[str, bytes] = field(default_factory=dict)
+    asked: dict[str, int] = field(default_factory=dict)
 
     def count(self, name: str, amount: int = 1) -> None:
         self.counts[name] = self.counts.get(name, 0) + amount
 
-    def strikes(self) -> str:
+    def strikes(self, request: Request) -> str:
         """Returns the kind of fault that strikes this request, or an empty text."""
         kind = str(self.fault.get('kind', 'none'))
-        if kind == 'none' or self.rng.random() >= float(self.fault.get('share', 1)):
+        if kind == 'none' or not self._is_struck(request):
             return ''
         self.count(f'fault_{kind}')
         return kind
 
+    def _is_struck(self, request: Request) -> bool:
+        first = int(self.fault.get('first', 0))
+        if not first:
+            return self.rng.random() < float(self.fault.get('share', 1))
+        wanted = f'{request.path.decode()} {request.getHeader("Range")}'
+        self.asked[wanted] = self.asked.get(wanted, 0) + 1
+        return self.asked[wanted] <= first
+
     def wait_seconds(self, size_bytes: int, slow: bool) -> float:
         """Takes room on the shared link and returns how long to wait for it."""
         rate = self.options.bits_per_second
@@ -103,7 +112,7 @@
         content = origin.read(request.path.decode())
         if content is None:
             return answer_json(request, {'problem': 'no such file'}, NOT_FOUND)
-        kind = origin.strikes()
+        kind = origin.strikes(request)
         if kind in REFUSALS:
             request.setHeader('Retry-After', str(origin.fault.get('retry_after_seconds', 1)))
             return answer_json(request, {'problem': 'busy'}, int(kind))
--- a/test/scenarios/releases.feature
+++ b/test/scenarios/releases.feature
@@ -2,11 +2,20 @@
 
   Scenario: An origin that corrupts chunks
     Given a deployment with 1 control host, 1 entry and 2 engines a data centre
-    When the origin corrupts 3 of 10 answers
+    When the origin corrupts the first answer for each chunk
     And release critique-1 is started
     Then every engine serves release critique-1 within 30 seconds
     And no engine ever loaded other weights
 
+  Scenario: An origin that only has corrupt chunks stops its release
+    Given a deployment with 1 control host, 1 entry and 1 engine a data centre
+    And every engine serves release critique-1
+    When the origin corrupts every answer
+    And release critique-2 is started
+    Then release critique-2 has failed within 30 seconds
+    And every engine serves release critique-1 within 5 seconds
+    And no engine ever loaded other weights
+
   Scenario: An agent dies in the middle of a burst
     Given a deployment with 1 control host, 1 entry and 2 engines a data centre
     And every engine serves release critique-1
--- a/test/scenarios/test_scenarios.py
+++ b/test/scenarios/test_scenarios.py
@@ -106,9 +106,14 @@
     world.remove_customer(name)
 
 
-@when(parsers.parse('the origin corrupts {tenths:d} of 10 answers'))
-def corrupt_origin(world: World, tenths: int) -> None:
-    world.fleet.tell_fake('origin', '/admin/fault', {'kind': 'corrupt', 'share': tenths / 10})
+@when('the origin corrupts the first answer for each chunk')
+def corrupt_first(world: World) -> None:
+    world.fleet.tell_fake('origin', '/admin/fault', {'kind': 'corrupt', 'first': 1})
+
+
+@when('the origin corrupts every answer')
+def corrupt_all(world: World) -> None:
+    world.fleet.tell_fake('origin', '/admin/fault', {'kind': 'corrupt'})
 
 
 @when(parsers.parse('release {release} is started'))
@@ -187,6 +192,12 @@
     world.wait_release(release, seconds)
 
 
+@then(parsers.parse('release {release} has failed within {seconds:g} seconds'))
+def failed(world: World, release: str, seconds: float) -> None:
+    shown = wait_until(lambda: world.failed_release(release), seconds, f'{release} has failed')
+    assert shown['reason']
+
+
 @then('no engine ever loaded other weights')
 def right_weights(world: World) -> None:
     loads = world.fleet.all_records(world.engines(), 'load')
--- a/test/scenarios/world.py
+++ b/test/scenarios/world.py
@@ -116,6 +116,10 @@
     def wait_release(self, release: str, timeout_seconds: float) -> None:
         wait_replicas(self.fleet, release, timeout_seconds=timeout_seconds)
 
+    def failed_release(self, name: str) -> Any:
+        shown = self.fleet.admin('GET', f'/v1/releases/{name}').content
+        return shown if shown.get('status') == 'failed' else None
+
     def run_counts(self) -> Counter[str]:
         return Counter(run['slot'] for run in self.fleet.all_records(['service-1']))
 
