--- a/bench/harness/child.py
+++ b/bench/harness/child.py
@@ -165,6 +165,13 @@
         """Asks for a graceful stop without waiting for it."""
         self.send(signal.SIGTERM)
 
+    def wait_ended(self, timeout_seconds: float) -> int | None:
+        """Waits for the end without another signal; None when it does not come in time."""
+        deadline = time.monotonic() + timeout_seconds
+        while self.is_running() and time.monotonic() < deadline:
+            time.sleep(REAP_POLL_SECONDS)
+        return self.exit_code
+
     def usage(self) -> Usage:
         """Reads /proc."""
         fields = Path(f'/proc/{self.pid}/stat').read_text().rpartition(')')[2].split()
--- a/jackdawsail/settings/faults.py
+++ b/jackdawsail/settings/faults.py
@@ -15,9 +15,8 @@
 
 
 def describe_faults(error: ValidationError, document: Document) -> list[Fault]:
-    """Returns one fault for each error that the models found, in the order of the files."""
-    found = [_describe(each, document) for each in error.errors()]
-    return sorted(found, key=lambda fault: (fault.source, fault.path))
+    """Returns one fault for each error that the models found."""
+    return [_describe(each, document) for each in error.errors()]
 
 
 def cross_faults(document: Document) -> list[Fault]:
--- a/jackdawsail/settings/loader.py
+++ b/jackdawsail/settings/loader.py
@@ -57,7 +57,7 @@
     try:
         settings = Settings.model_validate(document.content)
     except ValidationError as error:
-        return Failure([*describe_faults(error, document), *faults])
+        return Failure(sorted([*describe_faults(error, document), *faults]))
     if faults:
         return Failure(faults)
     return Success(Loaded(settings, document))
--- a/jackdawsail/settings/sources.py
+++ b/jackdawsail/settings/sources.py
@@ -26,7 +26,7 @@
         return f'{self.file}:{self.line}'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Fault:
     """One thing wrong in a settings file."""
 
