--- a/jackdawsail/control/zone_leases.py
+++ b/jackdawsail/control/zone_leases.py
@@ -16,7 +16,7 @@
     LeaseRequest,
 )
 
-FENCE_TERM_SHIFT = 32
+FENCE_TERM_SHIFT = 40  # 2**40 grants last 20 years at 1,500 a second
 TRACKER_SETTLE_SECONDS = 2.0  # every agent has dialled a new tracker and sent a heartbeat
 
 
@@ -97,8 +97,9 @@
         """Forgets everything and waits out what an earlier leader may have granted."""
         self.entries.clear()
         self._zones.clear()
-        self._number = term << FENCE_TERM_SHIFT
-        self.directory_revision = self._number + 1
+        # A leader whose lease came back within one term must not repeat its numbers.
+        self._number = max(self._number, term << FENCE_TERM_SHIFT)
+        self.directory_revision = max(self.directory_revision + 1, self._number)
         self._settled_at_seconds = now_seconds + self.lease_seconds
 
     def grant(
