Tracker: keep the sets of present and drawn chunks instead of scanning all

Change: the swarm keeps present chunks and each member's draws as sets, and differences run in C; bitmaps decode by byte table. The choices stay the same.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,11 +26,13 @@
 from bench.slopes_links import measure_control_links, measure_entry_links, measure_rest
 from bench.slopes_requests import measure_requests
 from bench.slopes_state import measure_state
+from bench.slopes_tracker import measure_tracker
 
 COMMAND = 'python -m bench slopes'
 Measured = dict[str, Slope]
 PARTS: dict[str, Callable[[], Measured]] = {
     'state': measure_state,
+    'tracker': measure_tracker,
     'entry-links': measure_entry_links,
     'control-links': measure_control_links,
     'changes': measure_changes,
--- /dev/null
+++ b/bench/slopes_tracker.py
@@ -0,0 +1,143 @@
+"""Slopes of the pure tracker: a whole burst in one data centre, in simulated time."""
+
+import hashlib
+import random
+import time
+import tracemalloc
+from dataclasses import dataclass, field
+
+from bench.capacity_slopes import Slope
+from bench.slopes_sampling import make_slope
+from jackdawsail.weights.bitmap import pack_chunks
+from jackdawsail.weights.manifest import Manifest
+from jackdawsail.weights.schedule import ZonePlan
+from jackdawsail.weights.tracker import ReleaseOrder, SendToAgent, Tracker
+from jackdawsail.wire.weight_messages import ChunkReport, FetchOrder, FetchOutcome, FetchResult
+
+AGENT_COUNTS = (10, 20, 40)
+CHUNKS = 2000
+CHUNK_BYTES = 64 * 2**20
+STEP_SECONDS = 0.25
+REPORT_EVERY_STEPS = 4
+FETCHES_PER_STEP = 2
+MAX_STEPS = 20_000
+RELEASE = 'slopes'
+
+
+@dataclass(slots=True)
+class Burst:
+    """What one simulated burst took."""
+
+    agents: int
+    messages: int
+    processor_seconds: float
+    simulated_seconds: float
+    state_bytes: float
+
+
+@dataclass(slots=True)
+class _Agent:
+    held: set[int] = field(default_factory=set)
+    queue: list[FetchResult] = field(default_factory=list)
+
+
+def measure_tracker() -> dict[str, Slope]:
+    """Measures processor time and messages by agents, and memory by agents."""
+    bursts = [run_burst(count) for count in AGENT_COUNTS]
+    # Tracing allocations slows the tracker several times: never in the timed runs.
+    traced = [run_burst(count, trace=True) for count in AGENT_COUNTS]
+    return {
+        'tracker_processor_per_message': make_slope(
+            [(burst.messages, burst.processor_seconds) for burst in bursts],
+            's',
+            'message of a burst',
+            'tracker',
+        ),
+        'tracker_messages_per_agent': make_slope(
+            [(burst.agents, burst.messages / burst.simulated_seconds) for burst in bursts],
+            'messages/s',
+            'agent in a burst',
+            'tracker',
+        ),
+        'tracker_bytes_per_chunk': make_slope(
+            [(burst.agents * CHUNKS, burst.state_bytes) for burst in traced],
+            'B',
+            'agent and chunk',
+            'tracker',
+        ),
+    }
+
+
+def run_burst(agents: int, trace: bool = False) -> Burst:
+    """Runs a burst until every agent holds every chunk."""
+    manifest = _make_manifest()
+    plan = ZonePlan('a', ('a', 'b', 'c'), 3, 10**12)
+    fleet = {f'agent-{number}': _Agent() for number in range(agents)}
+    if trace:
+        tracemalloc.start()
+    tracker = Tracker(random.Random(1), 0)
+    tracker.set_orders({RELEASE: ReleaseOrder(manifest, 0.5, plan)}, 0)
+    steps, messages, spent_seconds = 0, 0, 0.0
+    state_bytes = 0.0
+    while steps < MAX_STEPS and any(len(agent.held) < CHUNKS for agent in fleet.values()):
+        steps += 1
+        inbox = _collect(fleet, steps)
+        messages += len(inbox)
+        spent_seconds += _drive(tracker, fleet, inbox, steps * STEP_SECONDS)
+        if trace and steps % 100 == 0:
+            state_bytes = max(state_bytes, tracemalloc.get_traced_memory()[0])
+    tracemalloc.stop()
+    if steps == MAX_STEPS:
+        raise AssertionError('the simulated burst did not end')
+    return Burst(agents, messages, spent_seconds, steps * STEP_SECONDS, state_bytes)
+
+
+def _drive(
+    tracker: Tracker,
+    fleet: dict[str, _Agent],
+    inbox: list[tuple[str, ChunkReport | FetchResult]],
+    now: float,
+) -> float:
+    started = time.process_time()
+    for name, sent in inbox:
+        if isinstance(sent, ChunkReport):
+            tracker.report(name, sent, now)
+        else:
+            tracker.result(name, sent, now)
+    effects = list(tracker.tick(now))
+    spent_seconds = time.process_time() - started
+    for effect in effects:
+        if isinstance(effect, SendToAgent) and isinstance(effect.sent, FetchOrder):
+            fleet[effect.agent].queue.extend(_results(effect.sent))
+    return spent_seconds
+
+
+def _results(order: FetchOrder) -> list[FetchResult]:
+    return [
+        FetchResult(order.release, item.chunk, item.source, item.address, FetchOutcome.done)
+        for item in order.fetches
+    ]
+
+
+def _collect(fleet: dict[str, _Agent], step: int) -> list[tuple[str, ChunkReport | FetchResult]]:
+    inbox: list[tuple[str, ChunkReport | FetchResult]] = []
+    for name, agent in fleet.items():
+        ended, agent.queue = agent.queue[:FETCHES_PER_STEP], agent.queue[FETCHES_PER_STEP:]
+        agent.held.update(result.chunk for result in ended)
+        inbox.extend((name, result) for result in ended)
+        if step % REPORT_EVERY_STEPS == 0 or step == 1:
+            inbox.append((name, _report(name, agent)))
+    return inbox
+
+
+def _report(name: str, agent: _Agent) -> ChunkReport:
+    waiting = [result.chunk for result in agent.queue]
+    bitmap = pack_chunks(agent.held, CHUNKS)
+    return ChunkReport(RELEASE, bitmap, waiting, 'fetching', chunk_address=f'10.0.0.1:{name}')
+
+
+def _make_manifest() -> Manifest:
+    digests = tuple(hashlib.sha256(str(chunk).encode()).hexdigest() for chunk in range(CHUNKS))
+    size_bytes = CHUNKS * CHUNK_BYTES
+    whole = hashlib.sha256(b'whole').hexdigest()
+    return Manifest(RELEASE, 'quill', 1, RELEASE, size_bytes, CHUNK_BYTES, digests, whole)
--- a/jackdawsail/weights/bitmap.py
+++ b/jackdawsail/weights/bitmap.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterable
 
 BITS_PER_BYTE = 8
+_BITS_OF_BYTE = tuple(
+    tuple(bit for bit in range(BITS_PER_BYTE) if byte >> bit & 1) for byte in range(256)
+)
 
 
 def pack_chunks(chunks: Iterable[int], chunk_count: int) -> bytes:
@@ -15,9 +18,11 @@
 
 def unpack_chunks(bitmap: bytes, chunk_count: int) -> set[int]:
     """Decodes a bitmap; bits beyond ``chunk_count`` are ignored."""
-    limit = min(chunk_count, len(bitmap) * BITS_PER_BYTE)
-    return {chunk for chunk in range(limit) if _is_set(bitmap, chunk)}
-
-
-def _is_set(bitmap: bytes, chunk: int) -> bool:
-    return bool(bitmap[chunk // BITS_PER_BYTE] >> chunk % BITS_PER_BYTE & 1)
+    chunks: set[int] = set()
+    for position, byte in enumerate(bitmap):
+        if byte:
+            first = position * BITS_PER_BYTE
+            chunks.update(first + bit for bit in _BITS_OF_BYTE[byte])
+    if len(bitmap) * BITS_PER_BYTE > chunk_count:
+        chunks.difference_update(range(chunk_count, len(bitmap) * BITS_PER_BYTE))
+    return chunks
--- a/jackdawsail/weights/schedule.py
+++ b/jackdawsail/weights/schedule.py
@@ -145,7 +145,7 @@
         free = LOCAL_WINDOW_CHUNKS - self._local_flights(agent)
         if free <= 0:
             return
-        for chunk in self._rarest(self._swarm.missing(agent)):
+        for chunk in self._rarest(self._swarm.obtainable(agent)):
             source = self._local_source(agent, chunk, now)
             if source is None:
                 continue
@@ -168,9 +168,10 @@
 
     def _rarest(self, chunks: Iterable[int]) -> list[int]:
         holders = self._swarm.holders
-        held = [chunk for chunk in chunks if holders.get(chunk)]
+        held = sorted(chunks)
         self._rng.shuffle(held)
-        return sorted(held, key=lambda chunk: len(holders[chunk]))
+        held.sort(key=lambda chunk: len(holders[chunk]))
+        return held
 
     def _local_source(self, agent: str, chunk: int, now: float) -> str | None:
         """Picks the holder that has uploaded least; waits rather than overuse one."""
--- a/jackdawsail/weights/swarm.py
+++ b/jackdawsail/weights/swarm.py
@@ -31,6 +31,7 @@
     stage: str = ''
     problem: str = ''
     origin_bytes: int = 0
+    drawing: set[int] = field(default_factory=set)
     draws: int = 0
     uploads: int = 0
 
@@ -68,6 +69,7 @@
     uploading: Counter[str] = field(default_factory=Counter)
     fetching: Counter[str] = field(default_factory=Counter)
     crossing: set[int] = field(default_factory=set)
+    present: set[int] = field(default_factory=set)
 
     def report(self, agent: str, report: ChunkReport, now: float) -> None:
         """Takes an agent's own account of its chunks, which replaces what was known."""
@@ -87,11 +89,14 @@
         """Notes that an agent has a verified chunk."""
         self.members[agent].held.add(chunk)
         self.holders.setdefault(chunk, set()).add(agent)
+        self.present.add(chunk)
 
     def begin(self, agent: str, chunk: int, flight: Flight) -> None:
         """Notes a transfer that is ordered."""
         self.end(agent, chunk)
         self.flights[(agent, chunk)] = flight
+        if agent in self.members:
+            self.members[agent].drawing.add(chunk)
         if flight.is_cross:
             self.crossing.add(chunk)
         else:
@@ -103,6 +108,8 @@
         flight = self.flights.pop((agent, chunk), None)
         if flight is None:
             return None
+        if agent in self.members:
+            self.members[agent].drawing.discard(chunk)
         if flight.is_cross:
             self.crossing.discard(chunk)
         else:
@@ -176,19 +183,19 @@
             not member.problem and chunk not in member.held and (agent, chunk) not in self.flights
         )
 
-    def missing(self, agent: str) -> list[int]:
-        """Returns the chunks that an agent neither has nor is drawing, in order."""
-        held = self.members[agent].held
-        chunks = range(self.manifest.chunk_count)
-        return [each for each in chunks if each not in held and (agent, each) not in self.flights]
+    def obtainable(self, agent: str) -> set[int]:
+        """Returns the chunks held here that an agent neither has nor is drawing."""
+        member = self.members[agent]
+        return self.present.difference(member.held, member.drawing)
 
     def absent_chunks(self, now: float) -> list[int]:
         """Returns the chunks that no good holder has here and nobody draws from elsewhere."""
+        absent = set(range(self.manifest.chunk_count)).difference(self.present)
         members = self.members.items()
         lost = {name for name, each in members if self.is_lost(each.address, now)}
-        chunks = range(self.manifest.chunk_count)
-        absent = (each for each in chunks if not self.holders.get(each, set()) - lost)
-        return [each for each in absent if each not in self.crossing]
+        if lost:
+            absent.update(chunk for chunk in self.present if self.holders[chunk] <= lost)
+        return sorted(absent.difference(self.crossing))
 
     def share(self, zone: str) -> ZoneHave:
         """Makes the account that the other data centres get; fullest holders first."""
@@ -207,8 +214,11 @@
             return
         for lost in member.held - held:
             self.holders[lost].discard(agent)
+            if not self.holders[lost]:
+                self.present.discard(lost)
         for gained in held - member.held:
             self.holders.setdefault(gained, set()).add(agent)
+        self.present.update(held)
         member.held = held
 
     def _adopt_flights(self, agent: str, in_flight: Iterable[int], now: float) -> None:
