--- a/bench/slopes_tracker.py
+++ b/bench/slopes_tracker.py
@@ -77,8 +77,9 @@
         tracemalloc.start()
     tracker = Tracker(random.Random(1), 0)
     tracker.set_orders({RELEASE: ReleaseOrder(manifest, 0.5, plan)}, 0)
-    steps, messages, spent_seconds = 0, 0, 0.0
-    state_bytes = 0.0
+    steps, messages = 0, 0
+    spent_seconds = float(0)
+    state_bytes = float(0)
     while steps < MAX_STEPS and any(len(agent.held) < CHUNKS for agent in fleet.values()):
         steps += 1
         inbox = _collect(fleet, steps)
@@ -122,7 +123,8 @@
 def _collect(fleet: dict[str, _Agent], step: int) -> list[tuple[str, ChunkReport | FetchResult]]:
     inbox: list[tuple[str, ChunkReport | FetchResult]] = []
     for name, agent in fleet.items():
-        ended, agent.queue = agent.queue[:FETCHES_PER_STEP], agent.queue[FETCHES_PER_STEP:]
+        ended = agent.queue[:FETCHES_PER_STEP]
+        agent.queue = agent.queue[FETCHES_PER_STEP:]
         agent.held.update(result.chunk for result in ended)
         inbox.extend((name, result) for result in ended)
         if step % REPORT_EVERY_STEPS == 0 or step == 1:
