--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     'capacity',
     'report',
     'size',
+    'start',
 )
 
 
