--- a/jackdawsail/entry/stages/dispatch.py
+++ b/jackdawsail/entry/stages/dispatch.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.task import LoopingCall
 
+from jackdawsail.entry.metrics import LATENCY
 from jackdawsail.entry.stages.choose import Chooser
 from jackdawsail.routing.desk import Desk, deliver
 from jackdawsail.routing.orders import Begin, Effects, Finish, NeedCandidates, Order, Pass, SendTo
@@ -22,6 +23,7 @@
     CancelReserve,
     Granted,
     Refused,
+    Work,
     WorkRefused,
 )
 
@@ -82,7 +84,7 @@
 
     def submit(self, order: Order, answering: Answering) -> None:
         """Starts a request."""
-        desk = Desk(order)
+        desk = Desk(order, self._reactor.seconds())
         self._desks[order.request_id] = (desk, answering)
         self._budget.first_try()
         self._perform(desk, answering, desk.start())
@@ -133,7 +135,10 @@
         raise AssertionError(f'{effect!r} is no effect')
 
     @_do.register
-    def _do_send(self, effect: SendTo, _desk: Desk, _answering: Answering) -> None:
+    def _do_send(self, effect: SendTo, desk: Desk, _answering: Answering) -> None:
+        if isinstance(effect.message, Work):
+            order = desk.order
+            self._chooser.affinity.ran_at(order.backend, order.prefix_digest, effect.candidate)
         link = self._link_of(effect.candidate)
         if link is None or not link.send(effect.message):
             self._reactor.callLater(0, self.candidate_lost, effect.candidate)
@@ -146,7 +151,10 @@
             self._choose_and_offer(desk, answering, need)
 
     @_do.register
-    def _do_begin(self, begun: Begin, _desk: Desk, answering: Answering) -> None:
+    def _do_begin(self, begun: Begin, desk: Desk, answering: Answering) -> None:
+        order = desk.order
+        waited_seconds = self._reactor.seconds() - desk.began_seconds
+        LATENCY.labels(order.backend, order.customer).observe(waited_seconds)
         answering.begin(begun)
 
     @_do.register
--- a/jackdawsail/routing/agent_desk.py
+++ b/jackdawsail/routing/agent_desk.py
@@ -4,14 +4,19 @@
 the time; effects come out. It keeps these promises: work is handed over only
 for a live grant of this run of the agent, once, while the gate is open and the
 lease holds; an attempt id is never served twice; a refusal is final.
+
+The upstream never has more than the window's limit. A few grants ahead of it
+let work wait here, ready for the next free place, so that a place is not empty
+for the time that a grant and its work need on the way.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, replace
 
 from jackdawsail.routing.fairness import FairQueue, Waiting
 from jackdawsail.routing.pace import CompletionPace
+from jackdawsail.routing.places import Places
+from jackdawsail.routing.recent import RecentIds
 from jackdawsail.routing.window import StartupWindow
 from jackdawsail.wire.work_messages import Granted, Priority, Refused, Reserve, Work, WorkRefused
 
@@ -59,7 +64,9 @@
     reserve: Reserve
     waiting: Waiting
     deadline_seconds: float
+    start_by_seconds: float
     grant_number: int = 0
+    work: Work | None = None
     running: bool = False
 
 
@@ -77,6 +84,7 @@
         weight_of: Callable[[str], float],
         blocked: Callable[[float], str],
         release_of: Callable[[], str],
+        places_per_ahead: int = 0,
     ) -> None:
         self.queue = FairQueue(weight_of)
         self.pace = CompletionPace()
@@ -85,62 +93,71 @@
         self._blocked = blocked
         self._release_of = release_of
         self._attempts: dict[str, _Attempt] = {}
-        self._seen: OrderedDict[str, None] = OrderedDict()
+        self._seen = RecentIds(SEEN_ATTEMPTS)
+        self._handed_over = RecentIds(SEEN_ATTEMPTS)
+        self._places_per_ahead = places_per_ahead
         self._grants = 0
-        self._held = 0
-
-    @property
-    def running(self) -> int:
-        """Counts the requests that the upstream works on."""
-        return sum(1 for attempt in self._attempts.values() if attempt.running)
-
-    @property
-    def held(self) -> int:
-        """Counts grants and running requests together."""
-        return self._held
+        self.places = Places(weight_of)
 
     def reserve(self, peer: Peer, asked: Reserve, now_seconds: float) -> Effects:
         """Takes a reservation: grants it, queues it, or refuses it at once."""
         if asked.attempt_id in self._seen:
             return []
-        self._remember(asked.attempt_id)
+        self._seen.add(asked.attempt_id)
         refusal = self._refusal(asked, now_seconds)
         if refusal is not None:
             return [Reply(peer, refusal)]
         live = asked.priority is Priority.live
         waiting = Waiting(asked.attempt_id, asked.customer, max(1, asked.tokens_estimate), live)
         deadline_seconds = now_seconds + asked.wait_seconds
-        self._attempts[asked.attempt_id] = _Attempt(peer, asked, waiting, deadline_seconds)
+        self._attempts[asked.attempt_id] = _Attempt(
+            peer, asked, waiting, deadline_seconds, deadline_seconds
+        )
         self.queue.push(waiting)
         return self.grant_ready(now_seconds)
 
     def cancel(self, attempt_id: str, now_seconds: float) -> Effects:
-        """Gives a waiting or granted reservation up; running work is left alone."""
+        """Gives a waiting or granted reservation up; its work is left alone."""
         attempt = self._attempts.get(attempt_id)
-        if attempt is None or attempt.running:
+        if attempt is None or attempt.work is not None:
             return []
         self._drop(attempt)
         return self.grant_ready(now_seconds)
 
     def work(self, peer: Peer, work: Work, now_seconds: float) -> Effects:
-        """Hands work over when it matches a live grant; else refuses it for good."""
+        """Hands work over when it matches a live grant; else refuses it for good.
+
+        Work that was handed over already is passed over in silence: a refusal
+        would tell the entry that it never ran.
+        """
+        if work.attempt_id in self._handed_over:
+            return []
         attempt = self._attempts.get(work.attempt_id)
         problem = self._work_problem(attempt, work, now_seconds)
-        if attempt is None or attempt.running:
-            return [Reply(peer, WorkRefused(work.attempt_id, problem))]
-        if problem:
-            self._drop(attempt)
-            return [Reply(peer, WorkRefused(work.attempt_id, problem))]
-        self._attempts[work.attempt_id] = replace(attempt, running=True)
-        return [HandOver(peer, work, attempt.reserve)]
+        if problem or attempt is None:
+            return self._refuse_work(peer, work, attempt, problem)
+        self._handed_over.add(work.attempt_id)
+        self._attempts[work.attempt_id] = replace(attempt, work=work)
+        self.places.make_ready(attempt.waiting)
+        return self._hand_over_ready(now_seconds)
+
+    def cancel_work(self, attempt_id: str, now_seconds: float) -> Effects:
+        """Gives work up: drops it while it is only ready, else stops the upstream."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.work is None:
+            return []
+        if attempt.running:
+            return [StopWork(attempt_id)]
+        self._drop(attempt)
+        return self.grant_ready(now_seconds)
 
     def ended(self, attempt_id: str, used_tokens: int, now_seconds: float) -> Effects:
         """Counts the end of running work, however it ended."""
         attempt = self._attempts.pop(attempt_id)
-        self._held -= 1
+        self.places.end(attempt.waiting)
         self.queue.settle(attempt.waiting, used_tokens)
         self.pace.completed(now_seconds, busy=len(self.queue) > 0)
-        return self.grant_ready(now_seconds)
+        return self._hand_over_ready(now_seconds) + self.grant_ready(now_seconds)
 
     def peer_lost(self, peer: Peer, now_seconds: float) -> Effects:
         """Drops everything of an entry whose link has ended."""
@@ -159,29 +176,60 @@
         effects: Effects = []
         unused = [kept for kept in self._attempts.values() if not kept.running]
         for attempt in unused:
-            if attempt.grant_number:
-                self._end_unused_grant(attempt, now_seconds)
-            elif reason or attempt.deadline_seconds <= now_seconds:
-                self._drop(attempt)
-                effects.append(self._refuse(attempt, reason or 'deadline', now_seconds))
+            effects += self._lapse(attempt, reason, now_seconds)
         self.queue.forget_idle(IDLE_ACCOUNTS)
-        return effects + self.grant_ready(now_seconds)
+        return effects + self._hand_over_ready(now_seconds) + self.grant_ready(now_seconds)
 
     def grant_ready(self, now_seconds: float) -> Effects:
         """Grants waiting requests while there are free places."""
         effects: Effects = []
         if self._blocked(now_seconds):
             return effects
-        while self._held < self._window.limit:
-            waiting = self.queue.pop()
-            if waiting is None:
-                break
+        waiting = self.queue.pop(self._may_hold)
+        while waiting is not None:
             effects.append(self._grant(waiting, now_seconds))
+            waiting = self.queue.pop(self._may_hold)
         return effects
 
+    def _may_hold(self, customer: str) -> bool:
+        """Bounds the grants ahead; who is back from idle may have its first beyond them."""
+        limit, held = self._window.limit, self.places.held
+        if not self._places_per_ahead:
+            return held < limit
+        if held < limit + limit // self._places_per_ahead:
+            return True
+        return held < 2 * limit and self.queue.is_back_from_idle(customer)
+
+    def _hand_over_ready(self, now_seconds: float) -> Effects:
+        effects: Effects = []
+        if self._blocked(now_seconds):
+            return effects
+        while self.places.any_ready and self.places.running < self._window.limit:
+            attempt_id = self.places.start_next()
+            attempt = replace(self._attempts[attempt_id], running=True)
+            self._attempts[attempt_id] = attempt
+            if attempt.work is None:
+                raise AssertionError(f'{attempt_id} is ready without its work')
+            effects.append(HandOver(attempt.peer, attempt.work, attempt.reserve))
+        return effects
+
+    def _lapse(self, attempt: _Attempt, reason: str, now_seconds: float) -> Effects:
+        attempt_id = attempt.reserve.attempt_id
+        late = attempt.deadline_seconds <= now_seconds
+        if attempt.work is not None:
+            if not reason and now_seconds < attempt.start_by_seconds:
+                return []
+            return self._refuse_work(attempt.peer, attempt.work, attempt, reason or 'deadline')
+        if attempt.grant_number:
+            return self.cancel(attempt_id, now_seconds) if late else []
+        if not reason and not late:
+            return []
+        self._drop(attempt)
+        return [self._refuse(attempt, reason or 'deadline', now_seconds)]
+
     def _grant(self, waiting: Waiting, now_seconds: float) -> Reply:
         self._grants += 1
-        self._held += 1
+        self.places.grant()
         attempt = replace(
             self._attempts[waiting.attempt_id],
             grant_number=self._grants,
@@ -214,7 +262,7 @@
         return None
 
     def _predicted_wait_seconds(self, queued: int) -> float:
-        if self._held < self._window.limit:
+        if self.places.held < self._window.limit:
             return 0
         sharers = max(1, self.queue.waiting_customers())
         return (queued + 1) * sharers * self.pace.seconds_between
@@ -224,16 +272,10 @@
             return 'other-incarnation'
         if attempt is None or attempt.grant_number != work.grant_number or not work.grant_number:
             return 'no-such-grant'
-        if attempt.running:
-            return 'attempt-already-run'
         if attempt.deadline_seconds <= now_seconds:
             return 'grant-expired'
         return self._blocked(now_seconds)
 
-    def _end_unused_grant(self, attempt: _Attempt, now_seconds: float) -> None:
-        if attempt.deadline_seconds <= now_seconds:
-            self._drop(attempt)
-
     def _refuse(self, attempt: _Attempt, reason: str, now_seconds: float) -> Reply:
         queued = self.queue.queued_of(attempt.reserve.customer)
         retry_seconds = max(CLOSED_RETRY_SECONDS, self._predicted_wait_seconds(queued))
@@ -242,12 +284,15 @@
     def _drop(self, attempt: _Attempt) -> None:
         del self._attempts[attempt.reserve.attempt_id]
         if attempt.grant_number:
-            self._held -= 1
+            self.places.drop(attempt.waiting)
             self.queue.settle(attempt.waiting, 0)
         else:
             self.queue.remove(attempt.waiting)
 
-    def _remember(self, attempt_id: str) -> None:
-        self._seen[attempt_id] = None
-        if len(self._seen) > SEEN_ATTEMPTS:
-            self._seen.popitem(last=False)
+    def _refuse_work(
+        self, peer: Peer, work: Work, attempt: _Attempt | None, problem: str
+    ) -> Effects:
+        self._seen.add(work.attempt_id)
+        if attempt is not None:
+            self._drop(attempt)
+        return [Reply(peer, WorkRefused(work.attempt_id, problem))]
