--- a/test/scenarios/world.py
+++ b/test/scenarios/world.py
@@ -20,6 +20,7 @@
 MODEL_BYTES = 512 * 1024
 LOAD_SECONDS = 60.0
 RELEASE_SECONDS = 30
+STOP_SECONDS = 20
 NOT_RUN = 'not-run'
 
 
@@ -85,7 +86,8 @@
         self.mark()
         for name in names:
             self.fleet.children[name].terminate()
-        self.exit_codes = [self.fleet.stop(name) for name in names]
+        children = [self.fleet.children[name] for name in names]
+        self.exit_codes = [child.wait_ended(STOP_SECONDS) for child in children]
 
     def runs_since(self, engines: list[str], after_seconds: float) -> list[dict[str, Any]]:
         limit = self.mark_seconds + after_seconds
@@ -116,6 +118,10 @@
     def wait_release(self, release: str, timeout_seconds: float) -> None:
         wait_replicas(self.fleet, release, timeout_seconds=timeout_seconds)
 
+    def failed_release(self, name: str) -> Any:
+        shown = self.fleet.admin('GET', f'/v1/releases/{name}').content
+        return shown if shown.get('status') == 'failed' else None
+
     def run_counts(self) -> Counter[str]:
         return Counter(run['slot'] for run in self.fleet.all_records(['service-1']))
 
