--- a/bench/harness/callers.py
+++ b/bench/harness/callers.py
@@ -28,6 +28,7 @@
 class Load:
     """The load of one customer, in the words of ``CallerOptions``.
 
+    With ``token_of`` it is sent in another customer's name, under its own label.
     A caller in a zone asks the entries of that zone first.
     """
 
@@ -36,6 +37,7 @@
     kind: str = 'generate'
     options: dict[str, Any] = dataclasses.field(default_factory=dict)
     zone: str = ''
+    token_of: str = ''
 
 
 class Callers:
@@ -99,7 +101,7 @@
     backend = deployment.service_backend if books else deployment.engine_backend
     caller = CallerOptions(
         name=load.customer,
-        token=customer_token(load.customer),
+        token=customer_token(load.token_of or load.customer),
         backend=backend,
         kind=load.kind,
         requests_per_second=load.requests_per_second,
--- a/jackdawsail/routing/desk.py
+++ b/jackdawsail/routing/desk.py
@@ -35,6 +35,11 @@
     WorkRefused,
 )
 
+# Longer than an agent's tick, so that it can first refuse work that has not started.
+BOUND_GRACE_SECONDS = 0.25
+# A candidate that has not granted by then may be frozen, or busier than it said.
+ALONE_SECONDS = 0.15
+
 
 class _Stage(Enum):
     waiting = 1
@@ -55,13 +60,15 @@
 class Desk:
     """Decides for one request; the shell performs the effects in their order."""
 
-    def __init__(self, order: Order) -> None:
+    def __init__(self, order: Order, began_seconds: float = 0) -> None:
         self.order = order
+        self.began_seconds = began_seconds
         self._stage = _Stage.waiting
         self._reservations = Reservations(order.request_id)
         self._bound: _Bound | None = None
         self._began = False
         self._maybe_run = False
+        self._alone_since_seconds: float | None = None
         self._passed_tokens = 0
         self._reason = 'no-upstream'
         self._retry_after_seconds: float = 0
@@ -80,6 +87,7 @@
         if self._stage is not _Stage.waiting:
             return []
         effects = self._reservations.ask(self.order, candidates, now_seconds)
+        self._alone_since_seconds = now_seconds if self._reservations.any_alone else None
         if self._reservations.any_open:
             return effects
         return self._give_up()
@@ -168,11 +176,17 @@
         return self._give_up()
 
     def tick(self, now_seconds: float) -> Effects:
-        """Gives the request up when its deadline has passed before its answer began.
+        """Asks a second candidate when the only one is slow to grant; ends late requests.
 
+        A request is late when its deadline has passed before its answer began.
         A claimed call that was handed over goes on, so that its true end is settled.
         """
-        if now_seconds < self.order.deadline_seconds or self._began:
+        if self._is_alone(now_seconds):
+            self._alone_since_seconds = None
+            return [NeedCandidates(frozenset(self._reservations.tried), is_retry=False)]
+        grace_seconds = BOUND_GRACE_SECONDS if self._bound else 0
+        late = now_seconds >= self.order.deadline_seconds + grace_seconds
+        if self._began or not late:
             return []
         if self.order.claim_number and self._bound is not None:
             return []
@@ -189,6 +203,12 @@
         self._maybe_run = True
         return [SendTo(bound.candidate, CancelWork(bound.attempt_id)), *self._give_up()]
 
+    def _is_alone(self, now_seconds: float) -> bool:
+        since_seconds = self._alone_since_seconds
+        if self._stage is not _Stage.waiting or since_seconds is None:
+            return False
+        return now_seconds - since_seconds > ALONE_SECONDS
+
     def _bound_as(self, attempt_id: str) -> _Bound | None:
         bound = self._bound
         if self._stage is not _Stage.running or bound is None:
