--- a/jackdawsail/control/main.py
+++ b/jackdawsail/control/main.py
@@ -3,21 +3,19 @@
 from dataclasses import dataclass
 from typing import Any
 
-import cyclopts
 from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 
-from jackdawsail import __version__, events
+from jackdawsail import events
 from jackdawsail.control.admin_http import make_site
 from jackdawsail.control.parts import ControlParts, make_parts, read_control_settings
 from jackdawsail.metrics import MetricsResource
-from jackdawsail.process import ProcessContext, SettingsPaths, run_process
+from jackdawsail.process import ProcessContext
+from jackdawsail.program import run_program
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import LinkServerFactory
 from jackdawsail.wire.tls import listen
 
-app = cyclopts.App(name='jackdawsail-control', version=__version__)
-
 
 @dataclass(frozen=True, slots=True)
 class ControlProgram:
@@ -55,15 +53,9 @@
     return ControlProgram(parts, [link_port, admin_port]).stop
 
 
-@app.default
-def run(settings: SettingsPaths) -> int:
-    """Runs a control host from a base settings file and its overlays."""
-    return run_process(Role.control, settings, build)
-
-
 def main() -> None:
-    """Starts the program."""
-    app()
+    """Runs the command line."""
+    run_program(Role.control, build, __doc__)
 
 
 if __name__ == '__main__':
--- a/jackdawsail/control/parts.py
+++ b/jackdawsail/control/parts.py
@@ -15,8 +15,8 @@
 from jackdawsail.control.lease_desk import LeaseDesk
 from jackdawsail.control.proposer import Proposer
 from jackdawsail.control.replicator import make_replicator
-from jackdawsail.errors import UserError
 from jackdawsail.process import ProcessContext
+from jackdawsail.program import require_section
 from jackdawsail.settings.models import ControlSettings
 from jackdawsail.state.documents import seed_records
 from jackdawsail.state.machine import ControlState
@@ -37,10 +37,7 @@
 
 def read_control_settings(context: ProcessContext) -> ControlSettings:
     """Returns the control section, which this program needs."""
-    settings = context.settings.control
-    if settings is None:
-        raise UserError('settings have no control section')
-    return settings
+    return require_section(context.settings.control, 'control')
 
 
 def make_parts(context: ProcessContext) -> ControlParts:
--- a/jackdawsail/events.py
+++ b/jackdawsail/events.py
@@ -38,6 +38,7 @@
 
 PROCESS_READY = define(100, 'info', 'process is ready')
 PROCESS_STOPPING = define(101, 'info', 'process begins a graceful stop')
+PROCESS_FAILED = define(103, 'error', 'process cannot start')
 PROCESS_STOPPED = define(102, 'info', 'process has stopped')
 LINK_OPENED = define(110, 'info', 'link opened')
 LINK_CLOSED = define(111, 'info', 'link closed')
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -13,6 +13,7 @@
 
 from cyclopts import Parameter
 from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 from twisted.web.client import Agent
 
 from jackdawsail import events
@@ -24,6 +25,7 @@
 from jackdawsail.wire.tls import TlsFiles, make_context
 
 HTTP_CONNECT_SECONDS = 2.0
+START_FAILED = 2
 
 SettingsPaths = Annotated[
     list[Path],
@@ -122,6 +124,11 @@
 def _start(context: ProcessContext, build: BuildFunction, stopper: '_Stopper') -> None:
     try:
         stopper.stop = build(context)
+    except (UserError, CannotListenError) as error:
+        events.log(events.PROCESS_FAILED, reason=str(error))
+        stopper.exit_code = START_FAILED
+        context.reactor.stop()
+        return
     except Exception:
         stopper.exit_code = 1
         context.reactor.stop()
--- a/jackdawsail/relay/main.py
+++ b/jackdawsail/relay/main.py
@@ -7,14 +7,13 @@
 import random
 from typing import Any
 
-import cyclopts
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall
 
-from jackdawsail import __version__, events
+from jackdawsail import events
 from jackdawsail.control.fanout import FanOut, connect_fan_out
-from jackdawsail.errors import UserError
-from jackdawsail.process import ProcessContext, SettingsPaths, run_process
+from jackdawsail.process import ProcessContext
+from jackdawsail.program import require_section, run_program
 from jackdawsail.relay.passing import make_passing
 from jackdawsail.relay.region_book import RegionBook
 from jackdawsail.relay.region_links import RegionLinks, connect_region_links
@@ -28,8 +27,6 @@
 
 RENEW_SECONDS = 0.5
 
-app = cyclopts.App(name='jackdawsail-relay', version=__version__)
-
 
 class RelayProgram:
     """Builds the parts of a relay and connects them."""
@@ -96,24 +93,16 @@
 
 
 def build(context: ProcessContext) -> Any:
-    """Builds the relay program and returns its stop function."""
-    settings = context.settings.relay
-    if settings is None:
-        raise UserError('settings have no relay section')
+    """Builds and starts the relay; returns its stop function."""
+    settings = require_section(context.settings.relay, 'relay')
     program = RelayProgram(context, settings)
     program.start()
     return program.stop
 
 
-@app.default
-def run(settings: SettingsPaths) -> int:
-    """Runs a relay from a base settings file and its overlays."""
-    return run_process(Role.relay, settings, build)
-
-
 def main() -> None:
-    """Starts the program."""
-    app()
+    """Runs the command line."""
+    run_program(Role.relay, build, __doc__)
 
 
 if __name__ == '__main__':
