--- a/test/consensus/cluster.py
+++ b/test/consensus/cluster.py
@@ -1,10 +1,8 @@
 """Consensus hosts on simulated clocks, links and disks, with the checks of Raft's promises."""
 
 import contextlib
-import hashlib
 import heapq
 import random
-from dataclasses import dataclass, field
 
 from returns.result import Success
 
@@ -22,6 +20,7 @@
 from jackdawsail.consensus.recovery import open_storage
 from jackdawsail.control.consensus_host import ConsensusHost
 from test.consensus.disks import Crash, Disk
+from test.consensus.machines import Digest, LocalClock, Member, Watched
 
 STEP_SECONDS = 0.02
 TICK_SECONDS = 0.1
@@ -31,50 +30,6 @@
 KEEP_ENTRIES = 4
 
 
-class Digest:
-    """A state machine whose state is a digest of everything applied."""
-
-    def __init__(self):
-        self.state = b''
-
-    def apply(self, index, command):
-        self.state = hashlib.sha256(self.state + command).digest() * 4
-        return command
-
-    def snapshot(self):
-        return self.state
-
-    def restore(self, snapshot):
-        self.state = snapshot
-
-
-@dataclass
-class LocalClock:
-    """A host's monotonic clock, which runs a little fast or slow."""
-
-    cluster: 'Cluster'
-    rate: float
-    offset_seconds: float
-
-    def seconds(self):
-        return self.offset_seconds + self.cluster.now_seconds * self.rate
-
-    def callLater(self, delay, callable, *args, **kw):
-        return None
-
-
-@dataclass
-class Member:
-    """One simulated machine; ``host`` is None while it is down."""
-
-    name: str
-    clock: LocalClock
-    disk: Disk = field(default_factory=Disk)
-    host: ConsensusHost | None = None
-    machine: Digest = field(default_factory=Digest)
-    disks: int = 0
-
-
 class Cluster:
     """Runs members and checks after every step what must always hold."""
 
@@ -113,7 +68,7 @@
         node = make_node(
             node_id(name, opened.disk_id), TIMING, self.rng, opened.durable, member.clock.seconds()
         )
-        machine = _Watched(member, self)
+        machine = Watched(member, self)
         member.host = ConsensusHost(member.clock, node, opened.storage, machine, self._send)
         self._check_snapshot(snapshot)
 
@@ -374,25 +329,6 @@
             assert self._states[snapshot.index] == snapshot.state
 
 
-class _Watched:
-    """Passes commands to a member's machine and compares the state after each."""
-
-    def __init__(self, member, cluster):
-        self._member = member
-        self._cluster = cluster
-
-    def apply(self, index, command):
-        reply = self._member.machine.apply(index, command)
-        self._cluster.on_applied(index, command, self._member.machine.state)
-        return reply
-
-    def snapshot(self):
-        return self._member.machine.snapshot()
-
-    def restore(self, snapshot):
-        self._member.machine.restore(snapshot)
-
-
 def _check_matching(one, other):
     start = max(one.base_index, other.base_index)
     last = min(one.last_index, other.last_index)
