Capacity tables from slopes measured on a quiet machine

Cause: docs/CAPACITY.md had no tables; the slopes bench lost everything when it was cut short. Change: slopes are written part by part; the tables are computed from them and a test checks that they are current; the share at rest counts too.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -73,8 +73,10 @@
     work_share = requests * slopes.of('entry_processor_per_request') + tokens * slopes.of(
         'entry_processor_per_token'
     )
+    at_rest = slopes.base('entry_processor_per_agent')
     control_share = (
-        agents * slopes.of('entry_processor_per_agent')
+        at_rest
+        + agents * slopes.of('entry_processor_per_agent')
         + slopes.of('entry_processor_per_change') * size.changes_per_second
     )
     return [
@@ -94,7 +96,8 @@
         Line(
             'entry',
             'processor for control',
-            f'{agents:.1f} agents × {slopes.of("entry_processor_per_agent") * 100:.4f} % + '
+            f'at rest {at_rest * 100:.2f} % + {agents:.1f} agents × '
+            f'{slopes.of("entry_processor_per_agent") * 100:.4f} % + '
             f'{size.changes_per_second:.2f} changes/s × '
             f'{slopes.of("entry_processor_per_change") * 1000:.2f} ms',
             control_share * 100,
@@ -246,8 +249,11 @@
     lease_kib = size.entries * relayed / KIBIBYTE
     commands = size.changes_per_second + size.claims_per_second / 10
     raft_kib = commands * slopes.of('raft_bytes_per_command') * (size.voters - 1) / KIBIBYTE
-    share = commands * slopes.of('control_processor_per_change') + links * slopes.of(
-        'control_processor_per_entry'
+    at_rest = slopes.base('control_processor_per_entry')
+    share = (
+        at_rest
+        + commands * slopes.of('control_processor_per_change')
+        + links * slopes.of('control_processor_per_entry')
     )
     return [
         Line(
@@ -265,7 +271,7 @@
         Line(
             'control leader',
             'processor',
-            f'{commands:.1f} commands/s × '
+            f'at rest {at_rest * 100:.2f} % + {commands:.1f} commands/s × '
             f'{slopes.of("control_processor_per_change") * 1000:.2f} ms + {links} links × '
             f'{slopes.of("control_processor_per_entry") * 100:.3f} %',
             share * 100,
@@ -326,8 +332,13 @@
         Line(
             'regional relay',
             'processor',
-            f'{entries:.1f} entries × {slopes.of("relay_processor_per_entry") * 100:.3f} %',
-            entries * slopes.of('relay_processor_per_entry') * 100,
+            f'at rest {slopes.base("relay_processor_per_entry") * 100:.2f} % + {entries:.1f} '
+            f'entries × {slopes.of("relay_processor_per_entry") * 100:.3f} %',
+            (
+                slopes.base('relay_processor_per_entry')
+                + entries * slopes.of('relay_processor_per_entry')
+            )
+            * 100,
             '% of a core',
             BUDGET.processor_share * 100,
             'one aggregated request a region each half second',
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -41,6 +41,10 @@
         """Returns the slope of a name; an unknown name is a broken file."""
         return self.by_name[name].slope
 
+    def base(self, name: str) -> float:
+        """Returns the value of a slope's line at zero, never below zero."""
+        return max(0, self.by_name[name].intercept)
+
 
 def read_slopes(path: Path) -> Slopes:
     """Reads the file that ``python -m bench slopes`` writes."""
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,6 +15,7 @@
 import json
 import os
 import platform
+import sys
 from collections.abc import Callable
 from typing import Annotated, Any
 
@@ -55,13 +56,19 @@
             content['rest'].update(_plain(measure_rest()))
         else:
             content['slopes'].update(_plain(PARTS[part]()))
+        _write(content)
+        print(f'measured {part}', file=sys.stderr, flush=True)
+    print(json.dumps(content) if as_json else f'wrote {SLOPES_FILE.name}')
+    return 0
+
+
+def _write(content: dict[str, Any]) -> None:
     content['machine'] = (
         f'{os.cpu_count()} cores, {platform.machine()}, {platform.python_version()}'
     )
     content['measured_on'] = datetime.datetime.now(datetime.UTC).date().isoformat()
+    SLOPES_FILE.parent.mkdir(parents=True, exist_ok=True)
     SLOPES_FILE.write_text(json.dumps(content, indent=1, sort_keys=True) + '\n', 'utf8')
-    print(json.dumps(content) if as_json else f'measured {", ".join(chosen)}')
-    return 0
 
 
 def _read() -> dict[str, Any]:
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bench import capacity
 from jackdawsail.events_page import make_page
 
 ROOT = Path(__file__).parent.parent
@@ -14,6 +15,10 @@
     assert (ROOT / 'docs/events.md').read_text('utf8') == make_page()
 
 
+def test_capacity_tables_are_computed():
+    assert capacity.run(check=True) == 0
+
+
 @pytest.mark.parametrize('page', sorted(ROOT.glob('docs/**/*.md')) + [ROOT / 'README.md'])
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r'\]\(([^)#:]+?)(?:#[^)]*)?\)', page.read_text('utf8')):
