--- a/Makefile
+++ b/Makefile
@@ -12,17 +12,17 @@
 test: lint types check
 
 $(STAMP): requirements.txt requirements-dev.txt
-	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
-	touch $(STAMP) $(STAMP_RUN)
+	@test -x $(PY) || python3 -m venv $(VENV)
+	@$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	@touch $(STAMP) $(STAMP_RUN)
 
 $(STAMP_RUN): requirements.txt
-	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install -q --disable-pip-version-check -r requirements.txt
-	touch $(STAMP_RUN)
+	@test -x $(PY) || python3 -m venv $(VENV)
+	@$(PY) -m pip install -q --disable-pip-version-check -r requirements.txt
+	@touch $(STAMP_RUN)
 
 install: $(STAMP)
-	$(PY) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	@$(PY) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
 
 format: $(STAMP)
 	$(PY) -m ruff format $(SOURCES)
