--- a/jackdawsail/agent/weights_part.py
+++ b/jackdawsail/agent/weights_part.py
@@ -18,7 +18,7 @@
 from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.switcher import AskPermit, Authority, Phase, ReadyRelease, Switcher
 from jackdawsail.process import ProcessContext
-from jackdawsail.settings.models import AgentSettings
+from jackdawsail.program import require_section
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.weights.chunk_store import make_chunk_store
 from jackdawsail.weights.draw import Drawer
@@ -49,7 +49,7 @@
         engine: EngineTask,
     ) -> None:
         self._context = context
-        self._settings = settings_of(context)
+        self._settings = require_section(context.settings.agent, 'agent')
         self._replica = replica
         self._status = status
         self._engine = engine
@@ -204,14 +204,6 @@
         return 'verified' if switcher.phase is Phase.serving else 'switching'
 
 
-def settings_of(context: ProcessContext) -> AgentSettings:
-    """Returns the agent section, which an agent always has."""
-    settings = context.settings.agent
-    if settings is None:
-        raise AssertionError('an agent has no agent settings')
-    return settings
-
-
 def make_weights_part(
     context: ProcessContext,
     switchboard: Switchboard,
@@ -220,7 +212,7 @@
     gate: WorkGate,
 ) -> WeightsPart:
     """Builds the part and registers its messages; ``start`` sets it to work."""
-    settings = settings_of(context)
+    settings = require_section(context.settings.agent, 'agent')
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
     orders = EngineOrders(context.make_http_agent(), clock, settings.upstream_url)
--- a/jackdawsail/entry/stages/parse.py
+++ b/jackdawsail/entry/stages/parse.py
@@ -12,7 +12,6 @@
 from jackdawsail.entry.call import DEADLINE_SECONDS, Call, CallKind, Problem
 from jackdawsail.wire.work_messages import Priority
 
-MAX_KEY_CHARACTERS = 200
 MAX_DEADLINE_SECONDS = 600.0
 MAX_TOKENS = 1_000_000
 BYTES_PER_TOKEN = 4
