--- a/jackdawsail/agent/chunk_server.py
+++ b/jackdawsail/agent/chunk_server.py
@@ -6,7 +6,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from jackdawsail import events, metrics
+from jackdawsail import events, metrics_text
 from jackdawsail.clocks import Clock
 from jackdawsail.metrics import MetricsResource
 from jackdawsail.process import ProcessContext
@@ -25,7 +25,7 @@
 SENT_BYTES = Counter(
     'jackdawsail_chunk_sent_bytes',
     'Bytes of chunks that this agent has sent to others',
-    registry=metrics.REGISTRY,
+    registry=metrics_text.REGISTRY,
 )
 
 
--- a/jackdawsail/control/raft_links.py
+++ b/jackdawsail/control/raft_links.py
@@ -19,11 +19,10 @@
     ForwardRefused,
     RaftHello,
 )
-from jackdawsail.process import ProcessContext
 from jackdawsail.switchboard import Switchboard
 from jackdawsail.wire.dialer import Dialer
 from jackdawsail.wire.identity import Role
-from jackdawsail.wire.link import Link
+from jackdawsail.wire.link import Link, LinkSettings
 
 PEER_UNKNOWN = events.define(210, 'warning', 'control host is not in the settings')
 HostHandler = Callable[[str, Any], None]
@@ -50,14 +49,19 @@
     """The links of one control host to all others in its settings."""
 
     def __init__(
-        self, context: ProcessContext, switchboard: Switchboard, hosts: dict[str, str]
+        self,
+        reactor: Any,
+        link_settings: LinkSettings,
+        switchboard: Switchboard,
+        hosts: dict[str, str],
     ) -> None:
-        rng = random.Random(context.identity.incarnation)
-        self._dialers = {
-            name: Dialer(context.reactor, address, context.link_settings, switchboard, rng)
-            for name, address in hosts.items()
-        }
+        self._rng = random.Random(link_settings.identity.incarnation)
+        self._reactor = reactor
+        self._link_settings = link_settings
         self._switchboard = switchboard
+        self._dialers: dict[str, Dialer] = {}
+        for name, address in hosts.items():
+            self._dialers[name] = self._make_dialer(address)
         self._peers: dict[str, _Peer] = {}
         self._handlers: LinkHandlers | None = None
 
@@ -73,6 +77,23 @@
         for dialer in self._dialers.values():
             dialer.start()
 
+    def add_host(self, name: str, address: str) -> None:
+        """Dials one more control host; without effect if it is known."""
+        if name not in self._dialers and name != self._link_settings.identity.name:
+            self._dialers[name] = self._make_dialer(address)
+            if self._handlers is not None:
+                self._dialers[name].start()
+
+    def drop_host(self, name: str) -> None:
+        """Ends the link to a control host and dials it no more."""
+        dialer = self._dialers.pop(name, None)
+        if dialer is not None:
+            dialer.stop()
+
+    def hosts(self) -> list[str]:
+        """Returns the names of the control hosts that are dialled."""
+        return sorted(self._dialers)
+
     def stop(self) -> None:
         """Ends every link."""
         for dialer in self._dialers.values():
@@ -100,6 +121,9 @@
         """Returns the last hello of each host that is linked now."""
         return {name: peer.hello for name, peer in self._peers.items()}
 
+    def _make_dialer(self, address: str) -> Dialer:
+        return Dialer(self._reactor, address, self._link_settings, self._switchboard, self._rng)
+
     def _opened(self, link: Link) -> None:
         dialed = any(dialer.link is link for dialer in self._dialers.values())
         if dialed and self._handlers is not None:
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -1,7 +1,7 @@
 """The replicator itself: timers and links around a consensus host."""
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 from returns.result import Result
 from twisted.internet.defer import Deferred
@@ -26,7 +26,6 @@
 from jackdawsail.control.founding import founding_voters
 from jackdawsail.control.raft_links import LinkHandlers, RaftLinks
 from jackdawsail.control.raft_messages import RaftHello
-from jackdawsail.settings.models import ControlSettings
 
 LEADERSHIP_CHANGED = events.define(201, 'info', 'leader, term or leader lease changed')
 GROUP_FOUNDED = events.define(222, 'info', 'new consensus group founded')
@@ -37,11 +36,31 @@
 Callback = Callable[[], None]
 
 
+class NamedHost(Protocol):
+    """A control host of the settings."""
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+
+
+class GroupSettings(Protocol):
+    """What a replicator needs of the settings; ``voters`` found the group together."""
+
+    @property
+    def voters(self) -> Sequence[NamedHost]:
+        """The first voters; empty where this host may not found a group."""
+
+    @property
+    def snapshot_every_entries(self) -> int:
+        """After how many applied entries the log is shortened."""
+
+
 class RaftReplicator:
     """Implements ``Replicator`` over links; see ``consensus/interfaces.py``."""
 
     def __init__(
-        self, name: str, settings: ControlSettings, host: ConsensusHost, links: RaftLinks
+        self, name: str, settings: GroupSettings, host: ConsensusHost, links: RaftLinks
     ) -> None:
         self.host = host
         self._name = name
--- a/jackdawsail/control/replicator.py
+++ b/jackdawsail/control/replicator.py
@@ -49,7 +49,9 @@
     """
     control = _control(context)
     own_name = context.identity.name
-    links = RaftLinks(context, switchboard, _peers(control, own_name))
+    links = RaftLinks(
+        context.reactor, context.link_settings, switchboard, _peers(control, own_name)
+    )
     folder = Path(control.data_folder) / RAFT_FOLDER
     opened = open_folder(files or FolderFiles(folder), folder)
     host = make_host(context, opened, state_machine, links.send)
--- a/jackdawsail/events.py
+++ b/jackdawsail/events.py
@@ -7,11 +7,14 @@
 
 import logging
 import sys
+import time
 from dataclasses import dataclass
 from typing import Any
 
 import structlog
 
+from jackdawsail.log_output import LineLimiter
+
 SECRET_WORDS = ('token', 'secret', 'password', 'authorization')
 
 
@@ -42,11 +45,20 @@
 PROCESS_STOPPED = define(102, 'info', 'process has stopped')
 LINK_OPENED = define(110, 'info', 'link opened')
 LINK_CLOSED = define(111, 'info', 'link closed')
+TASK_FAILED = define(112, 'error', 'task ended with an unexpected error')
+DISK_REFUSES = define(113, 'warning', 'disk still refuses writes')
+
+_LIMITERS: list[LineLimiter] = []
+
 
+def configure_logging(program: str, name: str, level: str = 'info', output: Any = None) -> None:
+    """Sets structlog up: human form on a terminal, one JSON object a line otherwise.
 
-def configure_logging(program: str, name: str, level: str = 'info') -> None:
-    """Sets structlog up: human form on a terminal, one JSON object a line otherwise."""
-    terminal = sys.stderr.isatty()
+    Lines go to standard error, or to ``output``, for which their number is bounded.
+    """
+    terminal = output is None and sys.stderr.isatty()
+    if output is not None:
+        _LIMITERS.append(LineLimiter())
     renderer: Any = (
         structlog.dev.ConsoleRenderer() if terminal else structlog.processors.JSONRenderer()
     )
@@ -59,7 +71,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(program=program, host=name)
@@ -67,10 +79,21 @@
 
 def log(event: Event, **fields: Any) -> None:
     """Writes one numbered event with its fields (customer, release, request id ...)."""
+    for limiter in _LIMITERS:
+        suppressed = limiter.admit(event.number, time.monotonic())
+        if suppressed is None:
+            return
+        if suppressed:
+            fields['suppressed_lines'] = suppressed
     writer = getattr(structlog.get_logger(), event.level)
     writer(event.text, number=event.number, **fields)
 
 
+def log_failure(failure: Any) -> None:
+    """Logs the unexpected error that ended a deferred or a loop."""
+    log(TASK_FAILED, error=repr(failure.value), trace=failure.getTraceback()[-2000:])
+
+
 def _hide_secrets(_logger: Any, _method: str, fields: Any) -> Any:
     for key in fields:
         if any(word in key.lower() for word in SECRET_WORDS):
--- /dev/null
+++ b/jackdawsail/group/consensus_part.py
@@ -0,0 +1,102 @@
+"""Makes the consensus part of a control host from its settings and its folder."""
+
+import random
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure
+
+from jackdawsail import events
+from jackdawsail.consensus.configuration import node_id
+from jackdawsail.consensus.core import Timing
+from jackdawsail.consensus.files import FolderFiles
+from jackdawsail.consensus.interfaces import StateMachine
+from jackdawsail.consensus.node import make_node
+from jackdawsail.consensus.recovery import Opened, open_storage
+from jackdawsail.control.consensus_host import ConsensusHost
+from jackdawsail.control.raft_links import RaftLinks
+from jackdawsail.control.raft_replicator import RaftReplicator
+from jackdawsail.errors import UserError
+from jackdawsail.site.node import NodeSettings
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.link import LinkSettings
+
+ELECTION_TIMEOUT_SECONDS = 0.9  # three changes of leader fit into the time for an acknowledgement
+HEARTBEAT_SECONDS = 0.15  # five fit into the leader's lease
+REPLACE_VOTER_SECONDS = 2.5  # a successor must vote within the time to catch up
+SNAPSHOT_EVERY_ENTRIES = 200  # a log of whole documents stays far below the disk's size
+DISK_ID_BYTES = 8
+
+STORAGE_READY = events.define(244, 'info', 'folder of the consensus log opened')
+
+
+@dataclass(frozen=True, slots=True)
+class FoundingHost:
+    """A host that founds the group."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class SiteGroup:
+    """The group settings of a control host; ``voters`` is empty where it may not found."""
+
+    voters: tuple[FoundingHost, ...]
+    snapshot_every_entries: int = SNAPSHOT_EVERY_ENTRIES
+
+
+@dataclass(frozen=True, slots=True)
+class ConsensusPart:
+    """The replicator of a control host and the links that it uses."""
+
+    replicator: RaftReplicator
+    links: RaftLinks
+
+
+def make_consensus_part(
+    reactor: Any,
+    settings: NodeSettings,
+    link_settings: LinkSettings,
+    switchboard: Switchboard,
+    machine: StateMachine,
+) -> ConsensusPart:
+    """Opens the folder and makes the replicator; raises UserError for a damaged folder."""
+    opened = _open(Path(settings.data_folder))
+    hosts = {host: f'{host}:{settings.link_port}' for host in settings.seed_hosts}
+    hosts.pop(settings.address, None)
+    links = RaftLinks(reactor, link_settings, switchboard, hosts)
+    timing = Timing(
+        election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
+        heartbeat_seconds=HEARTBEAT_SECONDS,
+        replace_voter_after_seconds=REPLACE_VOTER_SECONDS,
+    )
+    own = node_id(settings.address, opened.disk_id)
+    rng = random.Random(link_settings.identity.incarnation)
+    node = make_node(own, timing, rng, opened.durable, reactor.seconds())
+    host = ConsensusHost(reactor, node, opened.storage, machine, links.send)
+    group = SiteGroup(_founders(settings))
+    return ConsensusPart(RaftReplicator(settings.address, group, host, links), links)
+
+
+def _founders(settings: NodeSettings) -> tuple[FoundingHost, ...]:
+    if not settings.may_found:
+        return ()
+    return tuple(FoundingHost(host) for host in settings.seed_hosts)
+
+
+def _open(folder: Path) -> Opened:
+    outcome = open_storage(FolderFiles(folder), secrets.token_hex(DISK_ID_BYTES))
+    if isinstance(outcome, Failure):
+        raise UserError(f'{folder}: {outcome.failure()}')
+    opened = outcome.unwrap()
+    events.log(
+        STORAGE_READY,
+        folder=str(folder),
+        disk_id=opened.disk_id,
+        term=opened.durable.term,
+        entries=len(opened.durable.entries),
+        cut_bytes=opened.cut_bytes,
+    )
+    return opened
--- /dev/null
+++ b/jackdawsail/group/linked.py
@@ -0,0 +1,62 @@
+"""Which processes are linked to a control host, and what they say of themselves."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from jackdawsail import events
+from jackdawsail.group.directory import KnownEntry
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.link import Link
+from jackdawsail.wire.site_messages import EntryStatus, MemberHost, Members
+
+ENTRY_CHANGED = events.define(243, 'info', 'entry takes callers, or no longer')
+
+
+@dataclass(slots=True)
+class LinkedProcesses:
+    """Owns the list of linked entries and agents of one control host."""
+
+    own_name: str
+    switchboard: Switchboard
+    _statuses: dict[Link, EntryStatus] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Begins to listen to links."""
+        self.switchboard.watch(lambda link: None, self._closed)
+        self.switchboard.on(EntryStatus, self._on_status)
+
+    def entries(self) -> Iterator[KnownEntry]:
+        """Yields the entries that take callers."""
+        for link, status in self._statuses.items():
+            if link.peer is not None and status.accepts:
+                yield KnownEntry(status.callers_address, link.peer.zone, link.peer.region)
+
+    def members(self, controls: list[str]) -> Members:
+        """Returns every linked process, for those that must find them."""
+        return Members(
+            controls=sorted({*controls, self.own_name}),
+            entries=self._hosts(Role.entry),
+            agents=self._hosts(Role.agent),
+        )
+
+    def _hosts(self, role: Role) -> list[MemberHost]:
+        peers = {link.peer for link in self.switchboard.links if link.peer is not None}
+        found = {_as_host(peer) for peer in peers if peer.role is role}
+        return sorted(found, key=lambda host: host.address)
+
+    def _on_status(self, link: Link, status: EntryStatus) -> None:
+        if self._statuses.get(link) != status:
+            name = link.peer.name if link.peer else ''
+            events.log(ENTRY_CHANGED, entry=name, accepts=status.accepts)
+        self._statuses[link] = status
+
+    def _closed(self, link: Link) -> None:
+        status = self._statuses.pop(link, None)
+        if status is not None:
+            name = link.peer.name if link.peer else ''
+            events.log(ENTRY_CHANGED, entry=name, accepts=False)
+
+
+def _as_host(peer: Identity) -> MemberHost:
+    return MemberHost(peer.name, peer.zone, peer.region)
--- a/jackdawsail/metrics.py
+++ b/jackdawsail/metrics.py
@@ -4,11 +4,10 @@
 engine, an agent or a request.
 """
 
-from prometheus_client import CollectorRegistry, generate_latest
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
-REGISTRY = CollectorRegistry()
+from jackdawsail.metrics_text import metrics_text
 
 
 class MetricsResource(Resource):
@@ -19,4 +18,4 @@
     def render_GET(self, request: Request) -> bytes:  # noqa: N802
         """Renders every metric of the process."""
         request.setHeader('Content-Type', 'text/plain; version=0.0.4')
-        return generate_latest(REGISTRY)
+        return metrics_text()
--- /dev/null
+++ b/jackdawsail/platform/calls.py
@@ -0,0 +1,144 @@
+"""Decodes calls to the system's own interfaces, and encodes the answers."""
+
+from functools import singledispatchmethod
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+from returns.result import Failure
+
+from jackdawsail.group import calls
+from jackdawsail.http1.messages import HttpAnswer, HttpRequest
+from jackdawsail.platform.documents import content_digest, decode_document
+from jackdawsail.platform.registrations import decode_registration
+from jackdawsail.site.document import document_faults
+
+_JSON = ((b'Content-Type', b'application/json'),)
+_INSTANCES = '/api/instances/'
+_EVACUATION = '/api/evacuation/'
+
+
+class _Weights(msgspec.Struct):
+    model: str
+    # Of the weights; not the version of the configuration.
+    version: int
+
+
+def decode_call(request: HttpRequest) -> calls.Call:
+    """Decodes one call; one that cannot be read becomes ``BadCall``."""
+    split = urlsplit(request.target.decode('latin-1'))
+    path = split.path
+    method = request.method.decode('latin-1')
+    plain = _PLAIN_CALLS.get((method, path))
+    if plain is not None:
+        return plain(request, split.query)
+    if path.startswith(_INSTANCES):
+        return _instance_call(method, unquote(path.removeprefix(_INSTANCES)), request.body)
+    if path.startswith(_EVACUATION) and method in {'POST', 'DELETE'}:
+        zone = unquote(path.removeprefix(_EVACUATION))
+        return calls.EmptyZone(zone, emptied=method == 'POST')
+    return calls.UnknownCall()
+
+
+def _instance_call(method: str, upstream: str, body: bytes) -> calls.Call:
+    if method == 'DELETE':
+        return calls.Goodbye(upstream)
+    if method != 'PUT':
+        return calls.UnknownCall()
+    outcome = decode_registration(upstream, body)
+    if isinstance(outcome, Failure):
+        return calls.BadCall(outcome.failure())
+    return calls.Heartbeat(outcome.unwrap())
+
+
+def _put_config(request: HttpRequest, _query: str) -> calls.Call:
+    outcome = decode_document(request.body)
+    if isinstance(outcome, Failure):
+        return calls.BadCall(outcome.failure())
+    document = outcome.unwrap()
+    faults = document_faults(document)
+    if faults:
+        return calls.BadCall('; '.join(faults[:3]))
+    return calls.PutDocument(document, content_digest(request.body), request.body)
+
+
+def _get_config(_request: HttpRequest, _query: str) -> calls.Call:
+    return calls.ReadDocument()
+
+
+def _put_version(request: HttpRequest, _query: str) -> calls.Call:
+    try:
+        found = msgspec.json.decode(request.body, type=_Weights)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return calls.BadCall(str(error))
+    return calls.NameWeights(found.model, found.version)
+
+
+def _resolve(_request: HttpRequest, query: str) -> calls.Call:
+    asked = parse_qs(query)
+    return calls.FindEntries(asked.get('region', [''])[0], asked.get('zone', [''])[0])
+
+
+def _ready(_request: HttpRequest, _query: str) -> calls.Call:
+    return calls.AskReadiness()
+
+
+_PLAIN_CALLS = {
+    ('PUT', '/api/config'): _put_config,
+    ('GET', '/api/config'): _get_config,
+    ('POST', '/api/version-put'): _put_version,
+    ('GET', '/api/resolve'): _resolve,
+    ('GET', '/api/ready'): _ready,
+}
+
+
+class AnswerEncoder:
+    """Encodes answers; ``control_port`` is the same on all control hosts."""
+
+    def __init__(self, control_port: int = 0) -> None:
+        self._control_port = control_port
+
+    def encode(self, answer: calls.Answer, target: bytes) -> HttpAnswer:
+        """Encodes the answer to a call that was made to ``target``."""
+        return self._encode(answer, target)
+
+    @singledispatchmethod
+    def _encode(self, answer: calls.Answer, _target: bytes) -> HttpAnswer:
+        raise AssertionError(f'{type(answer).__name__} has no encoding')
+
+    @_encode.register
+    def _done(self, _answer: calls.Done, _target: bytes) -> HttpAnswer:
+        return _json(200, {})
+
+    @_encode.register
+    def _invalid(self, answer: calls.Invalid, _target: bytes) -> HttpAnswer:
+        return _json(400, {'error': answer.reason})
+
+    @_encode.register
+    def _conflict(self, answer: calls.Conflict, _target: bytes) -> HttpAnswer:
+        return _json(409, {'error': answer.reason})
+
+    @_encode.register
+    def _unavailable(self, answer: calls.Unavailable, _target: bytes) -> HttpAnswer:
+        return _json(503, {'error': answer.reason})
+
+    @_encode.register
+    def _not_found(self, _answer: calls.NotFound, _target: bytes) -> HttpAnswer:
+        return _json(404, {'error': 'no such call'})
+
+    @_encode.register
+    def _ask_host(self, answer: calls.AskHost, target: bytes) -> HttpAnswer:
+        location = f'http://{answer.host}:{self._control_port}'.encode() + target
+        return HttpAnswer(307, b'{}', (*_JSON, (b'Location', location)))
+
+    @_encode.register
+    def _document(self, answer: calls.DocumentFound, _target: bytes) -> HttpAnswer:
+        return HttpAnswer(200, answer.body, _JSON)
+
+    @_encode.register
+    def _entries(self, answer: calls.EntriesFound, _target: bytes) -> HttpAnswer:
+        found = {'addresses': list(answer.addresses), 'ttl_s': answer.valid_seconds}
+        return _json(200, found)
+
+
+def _json(status: int, content: object) -> HttpAnswer:
+    return HttpAnswer(status, msgspec.json.encode(content), _JSON)
--- /dev/null
+++ b/jackdawsail/platform/programs.py
@@ -0,0 +1,82 @@
+"""Starts the programs of a site on the platform.
+
+Example::
+
+    python -m jackdawsail.platform.programs entry
+"""
+
+import sys
+
+from jackdawsail.platform.settings import decode_settings, settings_path
+from jackdawsail.site.process import NodeProcess, NodeProgram, SettingsSource, run_node
+from jackdawsail.wire.identity import Role
+
+
+def make_control(process: NodeProcess) -> NodeProgram:
+    """Builds the control program with the platform's formats."""
+    from jackdawsail.group.calls import CallBorder
+    from jackdawsail.group.program import make_control_program
+    from jackdawsail.platform.calls import AnswerEncoder, decode_call
+
+    port = int(process.settings.listening.control.rpartition(':')[2])
+    return make_control_program(process, CallBorder(decode_call, AnswerEncoder(port).encode))
+
+
+def make_entry(process: NodeProcess) -> NodeProgram:
+    """Builds the entry program with the platform's formats."""
+    from jackdawsail.group.calls import CallBorder
+    from jackdawsail.platform import engines, traffic
+    from jackdawsail.platform.calls import AnswerEncoder, decode_call
+    from jackdawsail.platform.documents import decode_document
+    from jackdawsail.proxy.parts import TrafficBorder
+    from jackdawsail.proxy.program import EntryBorders, make_entry_program
+    from jackdawsail.staging.sources import OriginBorder
+
+    origin = OriginBorder(engines.manifest_target, engines.decode_manifest, engines.piece_target)
+    border = TrafficBorder(
+        decode_call=traffic.decode_caller_call,
+        upstream_headers=traffic.upstream_headers,
+        decode_head=traffic.decode_upstream_head,
+        retry_after=traffic.retry_after,
+    )
+    calls = CallBorder(decode_call, AnswerEncoder().encode)
+    return make_entry_program(process, EntryBorders(border, calls, decode_document, origin))
+
+
+def make_agent(process: NodeProcess) -> NodeProgram:
+    """Builds the agent program with the platform's formats."""
+    from jackdawsail.platform import engines
+    from jackdawsail.platform.documents import decode_document
+    from jackdawsail.staging.engine_calls import EngineBorder
+    from jackdawsail.staging.program import AgentBorders, make_agent_program
+    from jackdawsail.staging.sources import OriginBorder
+
+    origin = OriginBorder(engines.manifest_target, engines.decode_manifest, engines.piece_target)
+    engine = EngineBorder(
+        report_target=engines.REPORT_TARGET,
+        decode_report=engines.decode_report,
+        order_target=engines.ORDER_TARGET,
+        encode_start=engines.encode_start,
+        stage_write_target=engines.stage_write_target,
+        stage_read_target=engines.stage_read_target,
+        stage_list_target=engines.stage_list_target,
+        decode_held=engines.decode_held,
+    )
+    return make_agent_program(process, AgentBorders(decode_document, engine, origin))
+
+
+_PROGRAMS = {'control': make_control, 'entry': make_entry, 'agent': make_agent}
+
+
+def main() -> int:
+    """Runs the program that the first argument names."""
+    name = sys.argv[1] if len(sys.argv) == 2 else ''
+    if name not in _PROGRAMS:
+        print(f'usage: programs {"|".join(_PROGRAMS)}', file=sys.stderr)  # noqa: T201
+        return 2
+    source = SettingsSource(settings_path(), decode_settings)
+    return run_node(Role(name), source, _PROGRAMS[name])
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/jackdawsail/proxy/calls.py
@@ -0,0 +1,56 @@
+"""What a call and an answer say of themselves, independent of any wire names."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerCall:
+    """One attempt of a caller.
+
+    ``patience_seconds`` is how long the caller waits; 0 when it does not say.
+    ``prompt_tokens`` and ``answer_tokens`` (the most it may generate) are 0 for
+    calls that are not for a model. ``last_event`` is the last event of a stream
+    that the caller has received before.
+    """
+
+    attempt: str
+    host: str
+    key: str
+    patience_seconds: float
+    model: str = ''
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    likely_answer_tokens: int = 0
+    last_event: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """What an upstream is told beside the request itself.
+
+    ``upstream`` is the incarnation that is meant, ``weight_version`` the only
+    version that may run the call (0: any). ``engine_rank`` orders the engine's
+    own queue, 0 first; None leaves it to the engine.
+    """
+
+    upstream: str
+    left_seconds: float
+    customer: str = ''
+    last_event: str = ''
+    weight_version: int = 0
+    engine_rank: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamHead:
+    """What the head of an upstream's answer says.
+
+    ``not_run`` means that the upstream did not run the call and never will.
+    ``weight_version`` is 0 when it is not told.
+    """
+
+    status: int
+    attempt: str
+    not_run: bool
+    weight_version: int
+    cold_seconds: float
--- /dev/null
+++ b/jackdawsail/proxy/metrics.py
@@ -0,0 +1,25 @@
+"""Counters and histograms of the proxy; labels are service, outcome and kind only."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+from jackdawsail.metrics_text import REGISTRY
+
+CALLS = Counter(
+    'jackdawsail_proxy_calls',
+    'Calls that have ended, by outcome.',
+    ['outcome'],
+    registry=REGISTRY,
+)
+HANDOVERS = Counter(
+    'jackdawsail_proxy_handovers',
+    'Calls handed to an upstream, first sends and repeats.',
+    ['kind'],
+    registry=REGISTRY,
+)
+FIRST_SECONDS = Histogram(
+    'jackdawsail_proxy_first_seconds',
+    'Seconds from a call to the first byte of its answer.',
+    registry=REGISTRY,
+    buckets=(0.03, 0.06, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8),
+)
+RUNNING = Gauge('jackdawsail_proxy_running', 'Calls that are being served.', registry=REGISTRY)
--- /dev/null
+++ b/jackdawsail/proxy/parts.py
@@ -0,0 +1,58 @@
+"""What all calls of an entry share: the site view, upstreams, channels and limits."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from jackdawsail.http1.dial import ChannelPool
+from jackdawsail.http1.messages import AnswerHead, Headers, HttpRequest
+from jackdawsail.proxy.calls import CallerCall, Handover, UpstreamHead
+from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.site.node import NodeSettings
+from jackdawsail.site.view import SiteView
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficBorder:
+    """How callers' requests and upstreams' answers are read and written on this site."""
+
+    decode_call: Callable[[HttpRequest], CallerCall]
+    upstream_headers: Callable[[HttpRequest, Handover], Headers]
+    decode_head: Callable[[AnswerHead], UpstreamHead]
+    retry_after: Callable[[float], Headers]
+
+
+@dataclass(slots=True)
+class ProxyParts:
+    """Owned by the entry program; calls read it and note what they did."""
+
+    clock: Any
+    settings: NodeSettings
+    border: TrafficBorder
+    view: SiteView
+    upstreams: UpstreamTable
+    pool: ChannelPool
+    rng: random.Random
+    running: int = 0
+    _retries: dict[str, RetryShare] = field(default_factory=dict)
+
+    @property
+    def entries(self) -> int:
+        """Returns how many entries share the site's limits, as far as known."""
+        return max(1, len(self.view.entries()))
+
+    @property
+    def cold_bound(self) -> ColdBound:
+        """Returns the bound on calls to an upstream that has just started."""
+        bounds = self.settings.bounds
+        return ColdBound(bounds.cold_ratio, bounds.cold_slack)
+
+    def retry_share(self, service: str) -> RetryShare:
+        """Returns this entry's part of a service's retry budget."""
+        if service not in self._retries:
+            bounds = self.settings.bounds
+            share = RetryShare(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds)
+            self._retries[service] = share
+        return self._retries[service]
--- /dev/null
+++ b/jackdawsail/proxy/selection.py
@@ -0,0 +1,116 @@
+"""Gathers what placement needs for one call and asks it."""
+
+from dataclasses import dataclass
+
+from jackdawsail.proxy.calls import CallerCall
+from jackdawsail.proxy.parts import ProxyParts
+from jackdawsail.routing.placement import (
+    Choice,
+    PlacedCall,
+    Refusal,
+    choose_engine,
+    choose_service,
+    refusal,
+)
+from jackdawsail.routing.upstreams import Upstream
+from jackdawsail.routing.weight_rules import WeightRule, weight_rule
+from jackdawsail.site.document import Customer, Route, Service
+
+FRESH_RANK = 3  # before the engines' default of 5, so that others' calls do not delay ours
+RETURNING_RANK = 8  # late already, so they go behind calls that can still be in time
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """A call that needs an upstream, and those that it has tried."""
+
+    service: str
+    route: Route
+    customer: Customer | None
+    call: CallerCall
+    tried: tuple[str, ...] = ()
+    pinned_version: int = 0
+    returning: bool = False
+
+    @property
+    def engine_rank(self) -> int | None:
+        """Returns the rank in the engine's own queue."""
+        if not self.call.model:
+            return None
+        return RETURNING_RANK if self.returning else FRESH_RANK
+
+    def expected_version(self, parts: ProxyParts) -> int:
+        """Returns the weight version that the engine must check; 0 leaves it open."""
+        return self.rule(parts).expected_version if self.call.model else 0
+
+    def rule(self, parts: ProxyParts) -> WeightRule:
+        """Returns which weight versions may run the call now."""
+        target = parts.view.weights.get(self.call.model)
+        within_seconds = parts.settings.bounds.weights_seconds
+        now_seconds = parts.clock.seconds()
+        return weight_rule(
+            self.call.model, target, within_seconds, now_seconds, self.pinned_version
+        )
+
+    def allowed_regions(self) -> set[str] | None:
+        """Returns the regions that may serve the call; None means all."""
+        allowed = set(self.route.home_regions) or None
+        own = set(self.customer.home_regions) if self.customer else set()
+        if not own:
+            return allowed
+        return own if allowed is None else allowed & own
+
+
+def select_upstream(parts: ProxyParts, selection: Selection) -> Choice | Refusal:
+    """Chooses an upstream that the call has not tried, or refuses the call."""
+    service = _service_of(parts, selection.service)
+    if service is None:
+        return refusal('service is not configured', parts.rng)
+    candidates = _candidates(parts, selection, service)
+    placed = PlacedCall(
+        target_seconds=selection.route.target_seconds,
+        prompt_tokens=selection.call.prompt_tokens,
+        region=parts.settings.region,
+        returning=selection.returning,
+    )
+    if service.engine is None:
+        return choose_service(placed, candidates, parts.rng)
+    now_seconds = parts.clock.seconds()
+    return choose_engine(placed, service.engine, candidates, now_seconds, parts.rng)
+
+
+def _service_of(parts: ProxyParts, name: str) -> Service | None:
+    table = parts.view.table
+    services = table.document.services if table else ()
+    return next((service for service in services if service.name == name), None)
+
+
+def _candidates(parts: ProxyParts, selection: Selection, service: Service) -> list[Upstream]:
+    now_seconds = parts.clock.seconds()
+    heard_seconds = parts.view.heard_control_seconds
+    found = [
+        upstream
+        for upstream in parts.upstreams.usable(service.name, heard_seconds)
+        if _is_allowed(parts, selection, service, upstream)
+    ]
+    rested = [one for one in found if not one.is_suspended(now_seconds)]
+    untried = [one for one in rested if one.name not in selection.tried]
+    if untried:
+        return untried
+    # Every other one rests after a failure: one of them may be back.
+    return [one for one in found if one.name not in selection.tried]
+
+
+def _is_allowed(
+    parts: ProxyParts, selection: Selection, service: Service, upstream: Upstream
+) -> bool:
+    now_seconds = parts.clock.seconds()
+    if upstream.registration.zone in parts.view.emptied_zones:
+        return False
+    regions = selection.allowed_regions()
+    if regions is not None and upstream.region not in regions:
+        return False
+    if service.engine is not None and not selection.rule(parts).allows(upstream, now_seconds):
+        return False
+    rate = service.cold_requests_per_second
+    return parts.cold_bound.allows(upstream, rate, parts.entries, now_seconds)
--- /dev/null
+++ b/jackdawsail/routing/placement.py
@@ -0,0 +1,144 @@
+"""Chooses the upstream of a call, or refuses it at once.
+
+Load: more streams than the engines have places, arriving unevenly; a queue at an
+engine that is longer than the latency objective makes every stream behind it
+late, while the engines generate no more. So a call that would wait longer than a
+part of its objective is refused at once and told when to come back.
+
+Plain services have few places and uneven speeds; there the upstream with the
+lowest expected time is taken.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from jackdawsail.routing.upstreams import Upstream
+from jackdawsail.site.document import EngineClass
+
+FAR_SECONDS = 0.03  # what a call to another region must gain to be worth the bytes on the link
+JITTER_SECONDS = 0.01  # spreads the choices of entries that see the same reports
+WAIT_SHARE = 0.5  # of the objective; the other half is the prompt and the first pass
+DEFAULT_CALL_SECONDS = 0.05  # expected of a plain service that has not answered yet
+FAILURE_COST = 10.0  # how much a share of failures lengthens the expected time
+RETURN_MIN_SECONDS = 0.5  # a refused caller comes back after some streams have ended
+RETURN_MAX_SECONDS = 1.6  # under a third of the patience that the callers have
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedCall:
+    """What placement needs to know of a call."""
+
+    target_seconds: float
+    prompt_tokens: int
+    region: str
+    returning: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The upstream to use, and the wait that is expected there."""
+
+    upstream: Upstream
+    wait_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """No upstream can serve the call in time; come back after ``return_seconds``."""
+
+    reason: str
+    return_seconds: float
+
+
+def choose_engine(
+    call: PlacedCall,
+    engine: EngineClass,
+    candidates: Sequence[Upstream],
+    now_seconds: float,
+    rng: random.Random,
+) -> Choice | Refusal:
+    """Takes the engine with the earliest first event, unless all queues are too long."""
+    if not candidates:
+        return refusal('no engine', rng)
+    best: Choice | None = None
+    best_seconds = float('inf')
+    for upstream in candidates:
+        wait_seconds = expected_wait_seconds(upstream, engine, now_seconds)
+        total_seconds = wait_seconds + _distance_seconds(upstream, call.region)
+        total_seconds += rng.uniform(0, JITTER_SECONDS)
+        total_seconds *= 1 + FAILURE_COST * upstream.failure_share / 2
+        if total_seconds < best_seconds:
+            best = Choice(upstream, wait_seconds)
+            best_seconds = total_seconds
+    if best is None or best.wait_seconds > call.target_seconds * WAIT_SHARE:
+        return refusal('queues are too long', rng)
+    return best
+
+
+def choose_service(
+    call: PlacedCall, candidates: Sequence[Upstream], rng: random.Random
+) -> Choice | Refusal:
+    """Takes the upstream of a plain service with the lowest expected time."""
+    if not candidates:
+        return refusal('no upstream', rng)
+    best = min(candidates, key=lambda one: _service_seconds(one, call.region, rng))
+    return Choice(best, 0)
+
+
+def refusal(reason: str, rng: random.Random) -> Refusal:
+    """Refuses with a time to come back that spreads the callers."""
+    return Refusal(reason, rng.uniform(RETURN_MIN_SECONDS, RETURN_MAX_SECONDS))
+
+
+def expected_wait_seconds(upstream: Upstream, engine: EngineClass, now_seconds: float) -> float:
+    """Predicts how long a call waits at an engine before its prompt is read.
+
+    A place frees up once for each stream that ends; a stream stays for as many
+    passes as its answer has events.
+    """
+    active = active_calls(upstream, now_seconds)
+    places = max(1, upstream.registration.places or engine.places)
+    running = min(active, places)
+    pass_seconds = pass_length_seconds(engine, running)
+    ahead = max(0, active + 1 - places)
+    events = engine.usual_answer_tokens / engine.steps_per_pass
+    stay_seconds = events * pass_seconds
+    load = upstream.load_at(now_seconds)
+    pace = max(1.0, load.pace) if load is not None else 1.0
+    # Within the places a fuller engine is slower, which decides between free ones.
+    return pace * (ahead * stay_seconds / places + pass_seconds * running / places / 2)
+
+
+def pass_length_seconds(engine: EngineClass, running: float) -> float:
+    """Returns the length of an engine's pass with a number of running streams.
+
+    Each stream that ends makes room for one whose prompt is read between passes.
+    """
+    step_seconds = engine.step_seconds + engine.step_per_request_seconds * running
+    writing_seconds = engine.steps_per_pass * step_seconds
+    events = max(1.0, engine.usual_answer_tokens / engine.steps_per_pass)
+    if not engine.prompt_tokens_per_second:
+        return writing_seconds
+    reading_seconds = engine.usual_prompt_tokens / engine.prompt_tokens_per_second
+    return writing_seconds + reading_seconds * running / events
+
+
+def active_calls(upstream: Upstream, now_seconds: float) -> float:
+    """Estimates the calls at an engine: its last report and what was sent since."""
+    load = upstream.load_at(now_seconds)
+    if load is None or upstream.seen is None:
+        return upstream.calls
+    since = upstream.sends_since(upstream.seen.received_seconds)
+    return load.running + load.waiting + since
+
+
+def _distance_seconds(upstream: Upstream, region: str) -> float:
+    return 0 if upstream.region == region else FAR_SECONDS
+
+
+def _service_seconds(upstream: Upstream, region: str, rng: random.Random) -> float:
+    expected_seconds = upstream.mean_seconds or DEFAULT_CALL_SECONDS
+    expected_seconds *= 1 + upstream.calls / max(1, upstream.registration.places)
+    expected_seconds *= 1 + FAILURE_COST * upstream.failure_share
+    return expected_seconds + _distance_seconds(upstream, region) / 4 + rng.uniform(0, 0.002)
--- /dev/null
+++ b/jackdawsail/routing/weight_rules.py
@@ -0,0 +1,59 @@
+"""Which weight version may run a call while engines change over.
+
+Load: every engine of a service loads new weights within some seconds. Until
+shortly before the time in which the new version must be everywhere, engines on
+the old one go on serving; then only the new one does.
+"""
+
+from dataclasses import dataclass
+
+from jackdawsail.routing.upstreams import Upstream
+from jackdawsail.site.view import WeightTarget
+
+CHANGEOVER_MARGIN_SECONDS = 1.5  # longest stay in an engine's queue before a call begins
+
+
+@dataclass(frozen=True, slots=True)
+class WeightRule:
+    """The versions that may run a call now.
+
+    ``least_version`` must be met; ``pinned_version`` (0: none) is that of a
+    stream which goes on and must not mix versions.
+    """
+
+    model: str
+    least_version: int = 0
+    pinned_version: int = 0
+
+    def allows(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Tells whether an engine may be used, by what is known of it."""
+        load = upstream.load_at(now_seconds)
+        if load is not None and load.switching:
+            return False
+        version = upstream.version_of(self.model, now_seconds)
+        if not version:
+            return False
+        if self.pinned_version and version != self.pinned_version:
+            return False
+        return version >= self.least_version
+
+    @property
+    def expected_version(self) -> int:
+        """Returns the version that the engine must check; 0 leaves it open."""
+        return self.pinned_version or self.least_version
+
+
+def weight_rule(
+    model: str,
+    target: WeightTarget | None,
+    within_seconds: float,
+    now_seconds: float,
+    pinned_version: int = 0,
+) -> WeightRule:
+    """Makes the rule for a call that is placed now."""
+    least_version = 0
+    if target is not None:
+        age_seconds = now_seconds - target.named_seconds
+        if age_seconds >= within_seconds - CHANGEOVER_MARGIN_SECONDS:
+            least_version = target.version
+    return WeightRule(model, least_version, pinned_version)
--- /dev/null
+++ b/jackdawsail/site/client.py
@@ -0,0 +1,145 @@
+"""Links of an entry or agent to all control hosts, and the site view that they feed."""
+
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Result
+
+from jackdawsail import events
+from jackdawsail.site.document import SiteDocument
+from jackdawsail.site.process import NodeProcess
+from jackdawsail.site.view import SiteView
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.dialer import Dialer
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.link import Link
+from jackdawsail.wire.site_messages import (
+    DocumentPushed,
+    DocumentWanted,
+    Members,
+    Registrations,
+    SiteSummary,
+    UpstreamLeft,
+)
+
+ASK_AGAIN_SECONDS = 0.3  # a document takes a few round trips; another control is asked then
+
+DOCUMENT_IN_FORCE = events.define(320, 'info', 'site document in force in this process')
+DOCUMENT_UNREADABLE = events.define(321, 'error', 'site document from a control cannot be read')
+REVISION_IN_FORCE = events.define(322, 'info', 'site revision in force in this process')
+CONTROL_REGAINED = events.define(323, 'info', 'control host linked')
+CONTROL_LOST = events.define(324, 'warning', 'control host lost')
+
+DecodeDocument = Callable[[bytes], Result[SiteDocument, str]]
+
+
+@dataclass(slots=True)
+class SiteClient:
+    """Owns the links to the control hosts."""
+
+    process: NodeProcess
+    view: SiteView
+    decode_document: DecodeDocument
+    switchboard: Switchboard = field(default_factory=Switchboard)
+    greet: Callable[[Link], None] = lambda link: None
+    _dialers: dict[str, Dialer] = field(default_factory=dict)
+    _asked: tuple[int, float] = (0, 0)
+    _summaries: dict[Link, SiteSummary] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Begins to dial the seeds."""
+        board = self.switchboard
+        board.watch(self._opened, self._closed)
+        board.on(SiteSummary, self._on_summary)
+        board.on(DocumentPushed, self._on_document)
+        board.on(Registrations, self._on_registrations)
+        board.on(UpstreamLeft, self._on_left)
+        board.on(Members, self._on_members)
+        self.dial_known()
+
+    def stop(self) -> None:
+        """Ends every link."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+
+    def links(self) -> list[Link]:
+        """Returns the open links to control hosts."""
+        found = list(self.switchboard.links)
+        return [link for link in found if link.peer and link.peer.role is Role.control]
+
+    def dial_known(self) -> None:
+        """Dials every control host that the settings or another control names."""
+        settings = self.process.settings
+        for host in {*settings.seed_hosts, *self.view.controls()} - self._dialers.keys():
+            rng = random.Random(self.process.incarnation)
+            address = f'{host}:{settings.link_port}'
+            link_settings = self.process.link_settings
+            reactor = self.process.reactor
+            self._dialers[host] = Dialer(reactor, address, link_settings, self.switchboard, rng)
+            self._dialers[host].start()
+
+    def _opened(self, link: Link) -> None:
+        events.log(CONTROL_REGAINED, control=_name(link))
+        self.greet(link)
+
+    def _closed(self, link: Link) -> None:
+        events.log(CONTROL_LOST, control=_name(link))
+        self._summaries.pop(link, None)
+        self.view.forget_control(_name(link))
+
+    def _on_summary(self, link: Link, summary: SiteSummary) -> None:
+        now_seconds = self.process.reactor.seconds()
+        self._summaries[link] = summary
+        if self.view.wants_document(summary):
+            self._ask(link, summary.revision, now_seconds)
+        elif self.view.take_summary(summary, now_seconds):
+            self._log_revision(link, summary)
+
+    def _ask(self, link: Link, revision: int, now_seconds: float) -> None:
+        asked_revision, asked_seconds = self._asked
+        waiting = now_seconds - asked_seconds < ASK_AGAIN_SECONDS
+        if asked_revision >= revision and waiting:
+            return
+        self._asked = (revision, now_seconds)
+        link.send(DocumentWanted(revision))
+
+    def _on_document(self, link: Link, pushed: DocumentPushed) -> None:
+        outcome = self.decode_document(zlib.decompress(pushed.compressed))
+        if isinstance(outcome, Failure):
+            events.log(DOCUMENT_UNREADABLE, control=_name(link), reason=outcome.failure())
+            return
+        if self.view.take_document(outcome.unwrap()):
+            events.log(DOCUMENT_IN_FORCE, version=pushed.version, control=_name(link))
+        for sender, summary in list(self._summaries.items()):
+            self._on_summary(sender, summary)
+
+    def _on_registrations(self, _link: Link, message: Registrations) -> None:
+        now_seconds = self.process.reactor.seconds()
+        for aged in message.heard:
+            self.view.book.update(aged.registration, now_seconds - aged.age_seconds)
+        self.view.registrations_changed()
+
+    def _on_left(self, _link: Link, message: UpstreamLeft) -> None:
+        self.view.book.leave(message.upstream, self.process.reactor.seconds())
+        self.view.registrations_changed()
+
+    def _on_members(self, link: Link, members: Members) -> None:
+        self.view.take_members(_name(link), members)
+        self.dial_known()
+
+    def _log_revision(self, link: Link, summary: SiteSummary) -> None:
+        events.log(
+            REVISION_IN_FORCE,
+            revision=summary.revision,
+            document=summary.document_version,
+            emptied_zones=summary.emptied_zones,
+            weights={named.model: named.version for named in summary.weights},
+            control=_name(link),
+        )
+
+
+def _name(link: Any) -> str:
+    return link.peer.name if link.peer else ''
--- /dev/null
+++ b/jackdawsail/site/document.py
@@ -0,0 +1,179 @@
+"""The site document: routes, services, customers and limits under one version.
+
+Operators replace it as a whole. It is a value: each process holds the newest
+one that it has received and never goes back to a lower version.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class CallKind(StrEnum):
+    """What may be done with a call a second time."""
+
+    idempotent = 'idempotent'
+    non_idempotent = 'non_idempotent'
+    stream = 'stream'
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its weight in a route's traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the calls of one host and path prefix go, and what is promised to them.
+
+    ``time_limit_seconds`` bounds a whole call, ``target_seconds`` is the latency
+    objective (of a stream: until its first event). ``urgency_rank`` 0 is the most
+    urgent. A stream that is ``resumable`` may be run again from its last event.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: CallKind
+    time_limit_seconds: float
+    target_seconds: float
+    urgency_rank: int
+    shares: tuple[Share, ...]
+    max_upstreams: int = 1
+    is_public: bool = False
+    resumable: bool = False
+    longest_pause_seconds: float = 0
+    home_regions: tuple[str, ...] = ()
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tells whether a call may run more than once."""
+        if self.kind is CallKind.stream:
+            return self.resumable
+        return self.kind is CallKind.idempotent
+
+
+@dataclass(frozen=True, slots=True)
+class EngineClass:
+    """What the model engines of a service are like, as far as decisions need it.
+
+    A pass of an engine makes ``steps_per_pass`` tokens for each running request;
+    prompts are read between passes. Memory is counted in tokens.
+    """
+
+    places: int
+    memory_tokens: int
+    step_seconds: float
+    step_per_request_seconds: float
+    prompt_tokens_per_second: float
+    steps_per_pass: int
+    usual_prompt_tokens: float
+    usual_answer_tokens: float
+    layers: int
+    layer_megabytes: float
+    memory_megabytes: float
+    chunks: int
+    chunk_bytes: int
+    models: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of upstreams that can serve the same calls; or an origin of weights."""
+
+    name: str
+    max_channels: int = 0
+    cold_seconds: float = 0
+    cold_requests_per_second: float = 0
+    engine: EngineClass | None = None
+    origin_address: str = ''
+    origin_zone: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send and how long it may take; zero means no limit."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, its keys, and its own rank where that goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    urgency_rank: int | None = None
+    home_regions: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SiteDocument:
+    """The whole configuration of a site."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    customers: tuple[Customer, ...] = ()
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    @property
+    def origins(self) -> tuple[Service, ...]:
+        """Returns the services that are origins of weights."""
+        return tuple(one for one in self.services if one.origin_address)
+
+
+def document_faults(document: SiteDocument) -> list[str]:
+    """Lists what forbids putting a document in force; empty when it is sound.
+
+    Example::
+
+        document_faults(SiteDocument(version=1)) == []
+    """
+    return [
+        *_route_faults(document),
+        *_repeated_places(document.routes),
+        *_shared_keys(document.customers),
+    ]
+
+
+def _route_faults(document: SiteDocument) -> list[str]:
+    known = {service.name for service in document.services}
+    faults = []
+    for route in document.routes:
+        unknown = sorted({share.service for share in route.shares} - known)
+        if unknown:
+            faults.append(f'route {route.name} names unknown services {unknown}')
+        if sum(share.weight for share in route.shares) <= 0:
+            faults.append(f'the weights of route {route.name} add up to nothing')
+        if any(share.weight < 0 for share in route.shares):
+            faults.append(f'route {route.name} has a negative weight')
+        if route.time_limit_seconds <= 0:
+            faults.append(f'route {route.name} has no time limit')
+    return faults
+
+
+def _repeated_places(routes: tuple[Route, ...]) -> list[str]:
+    seen: set[tuple[str, str]] = set()
+    faults = []
+    for route in routes:
+        place = (route.host, route.path_prefix)
+        if place in seen:
+            faults.append(f'two routes share {route.host}{route.path_prefix}')
+        seen.add(place)
+    return faults
+
+
+def _shared_keys(customers: tuple[Customer, ...]) -> list[str]:
+    owners: dict[str, str] = {}
+    faults = []
+    for customer in customers:
+        for key in customer.keys:
+            if owners.setdefault(key, customer.name) != customer.name:
+                faults.append(f'customers {owners[key]} and {customer.name} share a key')
+    return faults
--- /dev/null
+++ b/jackdawsail/site/machine.py
@@ -0,0 +1,130 @@
+"""The replicated state of a site: document, emptied zones, named weight versions.
+
+Commands and snapshots are CBOR. The document is kept as the operator sent it,
+so that it can be read back unchanged; equality of content is decided by the
+digest that the border computed over its canonical form.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Any
+
+import cbor2
+
+SNAPSHOT_FORMAT = 1
+
+
+class Verdict(StrEnum):
+    """What has become of a command."""
+
+    accepted = 'accepted'
+    unchanged = 'unchanged'
+    conflict = 'conflict'
+
+
+@dataclass(frozen=True, slots=True)
+class StoredDocument:
+    """A document as it was sent; version 0 means that there is none yet."""
+
+    version: int = 0
+    digest: str = ''
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class SiteState:
+    """Everything that was acknowledged to operators; ``revision`` grows with each change."""
+
+    revision: int = 0
+    document: StoredDocument = StoredDocument()
+    emptied_zones: tuple[str, ...] = ()
+    weight_versions: tuple[tuple[str, int], ...] = ()
+
+
+def put_document(document: StoredDocument) -> bytes:
+    """Encodes the command that replaces the document by a higher version."""
+    return cbor2.dumps(['document', document.version, document.digest, document.body])
+
+
+def empty_zone(zone: str, *, emptied: bool) -> bytes:
+    """Encodes the command that takes a data centre out or back."""
+    return cbor2.dumps(['zone', zone, emptied])
+
+
+def name_weights(model: str, version: int) -> bytes:
+    """Encodes the command that names a model's new weight version."""
+    return cbor2.dumps(['weights', model, version])
+
+
+class SiteMachine:
+    """Applies commands in the order of the log; a deterministic state machine."""
+
+    def __init__(self) -> None:
+        self.state = SiteState()
+        self.on_change: Callable[[], None] = lambda: None
+
+    def apply(self, index: int, command: bytes) -> Verdict:
+        """Applies one committed command and tells what it has changed."""
+        name, *arguments = cbor2.loads(command)
+        changed, verdict = _CHANGES[name](self.state, *arguments)
+        if verdict is Verdict.accepted:
+            self.state = replace(changed, revision=index)
+            self.on_change()
+        return verdict
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state in its versioned encoding."""
+        state = self.state
+        document = state.document
+        parts = [document.version, document.digest, document.body]
+        zones = list(state.emptied_zones)
+        weights = [list(pair) for pair in state.weight_versions]
+        return cbor2.dumps([SNAPSHOT_FORMAT, state.revision, parts, zones, weights])
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replaces the state by a snapshot."""
+        _format, revision, parts, zones, weights = cbor2.loads(snapshot)
+        versions = tuple((model, version) for model, version in weights)
+        self.state = SiteState(revision, StoredDocument(*parts), tuple(zones), versions)
+        self.on_change()
+
+
+Change = tuple[SiteState, Verdict]
+
+
+def _change_document(state: SiteState, version: int, digest: str, body: bytes) -> Change:
+    held = state.document
+    if version < held.version:
+        return state, Verdict.unchanged
+    if version == held.version:
+        return state, Verdict.unchanged if digest == held.digest else Verdict.conflict
+    return replace(state, document=StoredDocument(version, digest, body)), Verdict.accepted
+
+
+def _change_zone(state: SiteState, zone: str, emptied: bool) -> Change:
+    if emptied == (zone in state.emptied_zones):
+        return state, Verdict.unchanged
+    others = {one for one in state.emptied_zones if one != zone}
+    zones = sorted(others | {zone}) if emptied else sorted(others)
+    return replace(state, emptied_zones=tuple(zones)), Verdict.accepted
+
+
+def _change_weights(state: SiteState, model: str, version: int) -> Change:
+    held = dict(state.weight_versions)
+    if version <= held.get(model, 0):
+        return state, Verdict.unchanged
+    held[model] = version
+    return replace(state, weight_versions=tuple(sorted(held.items()))), Verdict.accepted
+
+
+_CHANGES: dict[str, Callable[..., Change]] = {
+    'document': _change_document,
+    'zone': _change_zone,
+    'weights': _change_weights,
+}
+
+
+def weight_version_of(state: Any, model: str) -> int:
+    """Returns the newest named version of a model's weights; 0 when none was named."""
+    return dict(state.weight_versions).get(model, 0)
--- /dev/null
+++ b/jackdawsail/site/node.py
@@ -0,0 +1,63 @@
+"""What a process is told about itself: its place, its ports, its seeds, its bounds."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """The addresses that a process serves, ``host:port``; empty where it does not."""
+
+    callers: str = ''
+    readiness: str = ''
+    control: str = ''
+    directory: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class NodeBounds:
+    """Bounds that the operators of the site have set for every process.
+
+    ``tolerated_hosts`` is how many voters may be lost at once. ``weights_seconds``
+    is the time in which every engine must be on newly named weights.
+    """
+
+    tolerated_hosts: int = 0
+    stop_seconds: float = 8.0
+    retry_ratio: float = 0.2
+    retry_window_seconds: float = 10.0
+    retry_slack: float = 0
+    cold_ratio: float = 1.0
+    cold_slack: float = 0
+    weights_seconds: float = 8.0
+    addresses_max_seconds: float = 5.0
+    link_megabits_per_second: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """The settings of one process.
+
+    ``seeds`` are control addresses of some control hosts; ``link_port`` is the
+    port for links between processes, the same on all hosts. ``may_found`` holds
+    only when the whole site starts for the first time.
+    """
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    region_by_zone: dict[str, str] = field(default_factory=dict)
+    link_port: int = 0
+    seeds: tuple[str, ...] = ()
+    may_found: bool = False
+    data_folder: str = ''
+    heartbeat_seconds: float = 1.2
+    engine_address: str = ''
+    engine_service: str = ''
+    listening: Listening = field(default_factory=Listening)
+    bounds: NodeBounds = field(default_factory=NodeBounds)
+
+    @property
+    def seed_hosts(self) -> tuple[str, ...]:
+        """Returns the seeds without their ports."""
+        return tuple(seed.rpartition(':')[0] for seed in self.seeds)
--- /dev/null
+++ b/jackdawsail/site/view.py
@@ -0,0 +1,93 @@
+"""What an entry or agent holds of the site: pure, it never goes back to an older revision."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jackdawsail.registry.registration import RegistrationBook
+from jackdawsail.site.document import SiteDocument
+from jackdawsail.site.routes import RouteTable, make_route_table
+from jackdawsail.wire.site_messages import MemberHost, Members, SiteSummary
+
+
+@dataclass(frozen=True, slots=True)
+class WeightTarget:
+    """The newest weight version of a model and when it was named, by the own clock."""
+
+    version: int
+    named_seconds: float
+
+
+@dataclass(slots=True)
+class SiteView:
+    """The newest state of the site that has reached this process."""
+
+    revision: int = 0
+    table: RouteTable | None = None
+    emptied_zones: frozenset[str] = frozenset()
+    weights: dict[str, WeightTarget] = field(default_factory=dict)
+    book: RegistrationBook = field(default_factory=RegistrationBook)
+    heard_control_seconds: float = 0
+    on_change: list[Callable[[], None]] = field(default_factory=list)
+    on_registrations: list[Callable[[], None]] = field(default_factory=list)
+    _members_by_control: dict[str, Members] = field(default_factory=dict)
+
+    @property
+    def document_version(self) -> int:
+        """Returns the version of the document held; 0 without one."""
+        return self.table.document.version if self.table else 0
+
+    def wants_document(self, summary: SiteSummary) -> bool:
+        """Tells whether a summary speaks of a document that is not held yet."""
+        return summary.document_version > self.document_version
+
+    def take_summary(self, summary: SiteSummary, now_seconds: float) -> bool:
+        """Takes a summary whose document is held; tells whether anything changed."""
+        self.heard_control_seconds = now_seconds
+        if summary.revision <= self.revision or self.wants_document(summary):
+            return False
+        self.revision = summary.revision
+        self.emptied_zones = frozenset(summary.emptied_zones)
+        for named in summary.weights:
+            self._name_weights(named.model, named.version, now_seconds - named.age_seconds)
+        self._changed()
+        return True
+
+    def take_document(self, document: SiteDocument) -> bool:
+        """Puts a document in force if it is newer than the one held."""
+        if document.version <= self.document_version:
+            return False
+        self.table = make_route_table(document)
+        self._changed()
+        return True
+
+    def take_members(self, control: str, members: Members) -> None:
+        """Notes which processes a control host sees."""
+        self._members_by_control[control] = members
+        self._changed()
+
+    def forget_control(self, control: str) -> None:
+        """Drops what a control host saw, as its link has ended."""
+        self._members_by_control.pop(control, None)
+
+    def registrations_changed(self) -> None:
+        """Tells the listeners that the book holds something new."""
+        for listener in self.on_registrations:
+            listener()
+
+    def controls(self) -> set[str]:
+        """Returns every control host that is known."""
+        return {name for seen in self._members_by_control.values() for name in seen.controls}
+
+    def entries(self) -> list[MemberHost]:
+        """Returns the entries that any control host sees, in a fixed order."""
+        found = {one for seen in self._members_by_control.values() for one in seen.entries}
+        return sorted(found, key=lambda host: host.address)
+
+    def _name_weights(self, model: str, version: int, named_seconds: float) -> None:
+        held = self.weights.get(model)
+        if held is None or version > held.version:
+            self.weights[model] = WeightTarget(version, named_seconds)
+
+    def _changed(self) -> None:
+        for listener in self.on_change:
+            listener()
--- /dev/null
+++ b/jackdawsail/staging/changeover.py
@@ -0,0 +1,197 @@
+"""Brings the engine on this host to the newest named weights.
+
+Pieces are drawn, staged and marked; right before the order to load them every
+staged piece is read back and checked, since what lies at an engine may go bad.
+The old weights serve until the order; an engine finishes its running streams and
+takes nothing new meanwhile, which entries are told shortly before.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred, gatherResults
+
+from jackdawsail import events
+from jackdawsail.site.document import EngineClass
+from jackdawsail.site.view import SiteView
+from jackdawsail.staging.drawing import Drawing, is_sound
+from jackdawsail.staging.engine import EngineReport, PieceList, StartOrder
+from jackdawsail.staging.engine_calls import EngineCalls
+
+DRAWS_AT_ONCE = 3  # fills this host's link over its round trip, and no more
+RETRY_SECONDS = 0.4  # after a failure that may pass: a source or the engine is away
+STATE_SECONDS = 1.0
+
+STAGING = events.define(542, 'info', 'staging of weights begins')
+STAGED = events.define(543, 'info', 'all pieces are staged')
+PIECE_SPOILT = events.define(544, 'warning', 'staged piece is missing or spoilt, drawn again')
+START_ORDERED = events.define(545, 'info', 'engine ordered to load the staged weights')
+START_REFUSED = events.define(546, 'warning', 'engine refused or lost the order to load')
+WEIGHTS_LOADED = events.define(547, 'info', 'engine holds the wanted weights')
+STAGING_FAILED = events.define(548, 'warning', 'staging of weights failed, tried again later')
+
+
+@dataclass(slots=True)
+class StagedPieces:
+    """Which pieces of a version lie at the engine, as far as known."""
+
+    pieces: PieceList
+    marked: set[int] = field(default_factory=set)
+
+    def missing(self) -> list[int]:
+        """Returns the pieces that are not known to be staged."""
+        return [index for index in range(len(self.pieces.digests)) if index not in self.marked]
+
+
+@dataclass(slots=True)
+class Changeover:
+    """Owns what is staged at the engine and the orders to it."""
+
+    clock: Any
+    view: SiteView
+    calls: EngineCalls
+    drawing: Drawing
+    model: str = ''
+    switching: bool = False
+    _staged: StagedPieces | None = None
+    _working: bool = False
+    _retry_seconds: float = 0
+    _report: EngineReport | None = None
+    _confirmed: int = 0
+
+    def look(self, report: EngineReport, engine: EngineClass) -> None:
+        """Takes a fresh report and begins work that is due."""
+        self._report = report
+        if not engine.models:
+            return
+        self.model = engine.models[0]
+        loaded = report.version_of(self.model)
+        if loaded and report.layers >= engine.layers and self._is_current(loaded):
+            self._confirm(loaded)
+            return
+        fits = engine.layers * engine.layer_megabytes <= engine.memory_megabytes
+        due = self.clock.seconds() >= self._retry_seconds
+        if fits and due and not self._working and not report.busy:
+            self._working = True
+            work: Any = Deferred.fromCoroutine(self._bring_up())
+            work.addErrback(events.log_failure).addBoth(self._worked)
+
+    def engine_lost(self) -> None:
+        """Forgets what the engine held, as it may start again with something else."""
+        self._confirmed = 0
+
+    @property
+    def wanted_version(self) -> int:
+        """Returns the newest named version; 0 when none was named, then the origin decides."""
+        target = self.view.weights.get(self.model)
+        return target.version if target else 0
+
+    def _is_current(self, loaded: int) -> bool:
+        return loaded >= self.wanted_version
+
+    def _confirm(self, loaded: int) -> None:
+        self.switching = False
+        if self._confirmed != loaded:
+            self._confirmed = loaded
+            events.log(WEIGHTS_LOADED, model=self.model, version=loaded)
+
+    def _worked(self, _outcome: Any) -> None:
+        self._working = False
+
+    async def _bring_up(self) -> None:
+        """Stages what is missing, checks all of it and orders the engine to load it."""
+        staged = await self._staged_version()
+        if staged is None or not await self._stage(staged):
+            self._fail_for_now('a source or the engine does not answer')
+            return
+        self.switching = True
+        if not await self._verify(staged):
+            self._fail_for_now('staged pieces were spoilt')
+            return
+        await self._order(staged.pieces)
+
+    async def _staged_version(self) -> StagedPieces | None:
+        wanted = self.wanted_version
+        staged = self._staged
+        if staged is not None and (not wanted or staged.pieces.version == wanted):
+            return staged
+        outcome = await self.drawing.draw_list(self.model, wanted)
+        if isinstance(outcome, Failure):
+            return None
+        pieces = outcome.unwrap()
+        fresh = StagedPieces(pieces)
+        if staged is None:
+            # After a start of this process the engine may hold the pieces already.
+            await self._mark_sound(fresh)
+        self._staged = fresh
+        missing = len(fresh.missing())
+        events.log(STAGING, model=self.model, version=pieces.version, missing=missing)
+        return fresh
+
+    async def _mark_sound(self, staged: StagedPieces) -> None:
+        outcome = await self.calls.held(self.model)
+        held = outcome.unwrap() if isinstance(outcome, Success) else ()
+        for position, index in enumerate(held):
+            if await self._is_staged(staged.pieces, index):
+                staged.marked.add(index)
+            elif position == 0:
+                # The first one is of another version, then so are the others.
+                return
+
+    async def _stage(self, staged: StagedPieces) -> bool:
+        left = deque(staged.missing())
+        workers = [
+            Deferred.fromCoroutine(self._stage_some(staged, left)) for _ in range(DRAWS_AT_ONCE)
+        ]
+        await gatherResults(workers)
+        whole = not staged.missing()
+        if whole and staged is self._staged:
+            events.log(STAGED, model=self.model, version=staged.pieces.version)
+        return whole
+
+    async def _stage_some(self, staged: StagedPieces, left: deque[int]) -> None:
+        while left and staged is self._staged and not self._is_outdated(staged):
+            index = left.popleft()
+            drawn = await self.drawing.draw_piece(staged.pieces, index)
+            if isinstance(drawn, Failure):
+                return
+            outcome = await self.calls.write_piece(self.model, index, drawn.unwrap())
+            if isinstance(outcome, Failure):
+                return
+            staged.marked.add(index)
+
+    def _is_outdated(self, staged: StagedPieces) -> bool:
+        return staged.pieces.version < self.wanted_version
+
+    async def _verify(self, staged: StagedPieces) -> bool:
+        for index in range(len(staged.pieces.digests)):
+            if not await self._is_staged(staged.pieces, index):
+                staged.marked.discard(index)
+                events.log(PIECE_SPOILT, model=self.model, piece=index)
+        return not staged.missing()
+
+    async def _is_staged(self, pieces: PieceList, index: int) -> bool:
+        outcome = await self.calls.read_piece(self.model, index)
+        return isinstance(outcome, Success) and is_sound(pieces, index, outcome.unwrap())
+
+    async def _order(self, pieces: PieceList) -> None:
+        report = self._report
+        if report is None or self._is_outdated(StagedPieces(pieces)):
+            self.switching = False
+            return
+        order = StartOrder(self.model, pieces.version, report.orders)
+        outcome = await self.calls.start(order)
+        details = {'version': pieces.version, 'running': report.running, 'orders': report.orders}
+        if isinstance(outcome, Failure):
+            events.log(START_REFUSED, reason=outcome.failure(), **details)
+        else:
+            events.log(START_ORDERED, **details)
+        # The next reports tell whether it loads; until then nothing is ordered again.
+        self._retry_seconds = self.clock.seconds() + STATE_SECONDS
+
+    def _fail_for_now(self, reason: str) -> None:
+        self.switching = False
+        self._retry_seconds = self.clock.seconds() + RETRY_SECONDS
+        events.log(STAGING_FAILED, model=self.model, reason=reason)
--- /dev/null
+++ b/jackdawsail/staging/drawing.py
@@ -0,0 +1,104 @@
+"""Draws piece lists and pieces from the nearest source that has them, verified.
+
+A piece whose SHA-256 is not the listed one is drawn again from the next source.
+"""
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from returns.result import Failure, Result, Success
+
+from jackdawsail import events
+from jackdawsail.http1.dial import ChannelPool
+from jackdawsail.http1.whole import fetch, make_request
+from jackdawsail.staging.engine import PieceList
+from jackdawsail.staging.sources import OriginBorder, Source
+
+SILENT_SECONDS = 1.5  # a narrow link that three pieces share still moves within it
+LIST_SILENT_SECONDS = 1.0
+OK = 200
+
+DRAW_FAILED = events.define(530, 'warning', 'piece or piece list could not be drawn from a source')
+
+
+@dataclass(frozen=True, slots=True)
+class Drawing:
+    """Draws for one process; ``sources`` lists where from, the nearest first."""
+
+    pool: ChannelPool
+    border: OriginBorder
+    sources: Callable[[str], list[Source]]
+
+    async def draw_list(self, model: str, version: int) -> Result[PieceList, str]:
+        """Draws the digests of a version (0: the newest)."""
+        reason = 'no source is known'
+        for source in self.sources(model):
+            outcome = await self._list_from(source, model, version)
+            if isinstance(outcome, Success):
+                return outcome
+            reason = outcome.failure()
+            self._log(source, f'list of {model} {version}', reason)
+        return Failure(reason)
+
+    async def draw_piece(self, pieces: PieceList, index: int) -> Result[bytes, str]:
+        """Draws one piece and checks it."""
+        reason = 'no source is known'
+        for source in self.sources(pieces.model):
+            target = self._piece_target(source, pieces, index)
+            outcome = await self._get(source, target, SILENT_SECONDS)
+            if isinstance(outcome, Success):
+                if is_sound(pieces, index, outcome.unwrap()):
+                    return outcome
+                outcome = Failure('digest differs')
+            reason = outcome.failure()
+            self._log(source, f'piece {index} of {pieces.model} {pieces.version}', reason)
+        return Failure(reason)
+
+    async def _list_from(self, source: Source, model: str, version: int) -> Result[PieceList, str]:
+        if source.is_origin:
+            target = self.border.list_target(model, version)
+        else:
+            target = relay_list_target(model, version)
+        outcome = await self._get(source, target, LIST_SILENT_SECONDS)
+        if isinstance(outcome, Failure):
+            return outcome
+        decoded = self.border.decode_list(outcome.unwrap())
+        if isinstance(decoded, Success) and version not in {0, decoded.unwrap().version}:
+            return Failure('list is of another version')
+        return decoded
+
+    async def _get(self, source: Source, target: bytes, silent_seconds: float) -> Any:
+        request = make_request(b'GET', source.address, target)
+        outcome = await fetch(self.pool, source.address, request, silent_seconds)
+        if isinstance(outcome, Failure):
+            return outcome
+        answer = outcome.unwrap()
+        if answer.status != OK:
+            return Failure(f'status {answer.status}')
+        return Success(answer.body)
+
+    def _piece_target(self, source: Source, pieces: PieceList, index: int) -> bytes:
+        if source.is_origin:
+            return self.border.piece_target(pieces.model, pieces.version, index)
+        return relay_piece_target(pieces.model, pieces.version, index)
+
+    def _log(self, source: Source, what: str, reason: str) -> None:
+        events.log(DRAW_FAILED, source=source.address, what=what, reason=reason)
+
+
+def is_sound(pieces: PieceList, index: int, body: bytes) -> bool:
+    """Tells whether a piece has the listed digest."""
+    return hashlib.sha256(body).hexdigest() == pieces.digests[index]
+
+
+def relay_list_target(model: str, version: int) -> bytes:
+    """Returns a relay's path of a piece list."""
+    return f'/weights/{quote(model)}/{version}/list'.encode()
+
+
+def relay_piece_target(model: str, version: int, index: int) -> bytes:
+    """Returns a relay's path of a piece."""
+    return f'/weights/{quote(model)}/{version}/{index}'.encode()
--- /dev/null
+++ b/jackdawsail/staging/program.py
@@ -0,0 +1,150 @@
+"""The agent program of a site: the weights and the orders of the engine on its host."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Result
+from twisted.internet import protocol
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import LoopingCall
+
+from jackdawsail import events
+from jackdawsail.http1.dial import ChannelPool
+from jackdawsail.site.client import DecodeDocument, SiteClient
+from jackdawsail.site.document import EngineClass
+from jackdawsail.site.node import NodeSettings
+from jackdawsail.site.process import NodeProcess
+from jackdawsail.site.view import SiteView
+from jackdawsail.staging.changeover import Changeover
+from jackdawsail.staging.drawing import Drawing
+from jackdawsail.staging.engine import EngineReport
+from jackdawsail.staging.engine_calls import EngineBorder, EngineCalls
+from jackdawsail.staging.sources import OriginBorder, sources_for
+from jackdawsail.wire.codec import encode
+from jackdawsail.wire.site_messages import EngineLoad
+
+REPORT_SECONDS = 0.1  # half of the lag of an engine's report to others
+FAR_EVERY_REPORTS = 2  # entries of other regions get every second report
+SOURCE_CONNECT_SECONDS = 0.6
+DOWN_REPORTS = 3  # failed reports in a row after which an engine counts as down
+
+ENGINE_LOST = events.define(540, 'warning', 'engine on this host does not answer')
+ENGINE_REGAINED = events.define(541, 'info', 'engine on this host answers')
+
+
+@dataclass(frozen=True, slots=True)
+class AgentBorders:
+    """Everything that an agent reads and writes in the site's own formats."""
+
+    decode_document: DecodeDocument
+    engine: EngineBorder
+    origin: OriginBorder
+
+
+@dataclass(slots=True)
+class AgentProgram:
+    """Owns the reports of one engine, and its changeover to new weights."""
+
+    process: NodeProcess
+    client: SiteClient
+    calls: EngineCalls
+    changeover: Changeover
+    _socket: Any = None
+    _sequence: int = 0
+    _failed_reports: int = 0
+    _asking: bool = False
+    _loop: Any = None
+
+    def start(self) -> None:
+        """Dials the control hosts and begins to look at the engine."""
+        self.client.start()
+        settings = self.process.settings
+        self._socket = self.process.reactor.listenUDP(
+            0, protocol.DatagramProtocol(), settings.address
+        )
+        self._loop = LoopingCall(self._look)
+        self._loop.clock = self.process.reactor
+        self._loop.start(REPORT_SECONDS, now=True).addErrback(events.log_failure)
+
+    def stop(self) -> Deferred[None]:
+        """Ends the links; the engine serves on."""
+        self._loop.stop()
+        self.client.stop()
+        return succeed(None)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Takes new seeds."""
+        self.client.dial_known()
+
+    def _look(self) -> None:
+        if self._asking:
+            return
+        self._asking = True
+        asked: Any = self.calls.report()
+        asked.addCallback(self._reported)
+        asked.addErrback(events.log_failure)
+
+    def _reported(self, outcome: Result[EngineReport, str]) -> None:
+        self._asking = False
+        if isinstance(outcome, Failure):
+            self._report_failed(outcome.failure())
+            return
+        if self._failed_reports >= DOWN_REPORTS:
+            events.log(ENGINE_REGAINED, engine=self.process.settings.engine_address)
+        self._failed_reports = 0
+        report = outcome.unwrap()
+        engine = self._engine_class()
+        if engine is not None:
+            self.changeover.look(report, engine)
+        self._send(report)
+
+    def _report_failed(self, reason: str) -> None:
+        self._failed_reports += 1
+        if self._failed_reports == DOWN_REPORTS:
+            address = self.process.settings.engine_address
+            events.log(ENGINE_LOST, engine=address, reason=reason)
+            self.changeover.engine_lost()
+        if self._failed_reports >= DOWN_REPORTS:
+            # Version 0: entries send nothing here until the engine answers again.
+            self._send(EngineReport((), 0, False, 0, 0, 0, 0, 1.0, 0))
+
+    def _engine_class(self) -> EngineClass | None:
+        table = self.client.view.table
+        name = self.process.settings.engine_service
+        services = table.document.services if table else ()
+        return next((service.engine for service in services if service.name == name), None)
+
+    def _send(self, report: EngineReport) -> None:
+        self._sequence += 1
+        settings = self.process.settings
+        load = EngineLoad(
+            engine_address=settings.engine_address,
+            incarnation=self.process.incarnation,
+            sequence=self._sequence,
+            weight_version=report.version_of(self.changeover.model),
+            switching=self.changeover.switching,
+            waiting=report.waiting,
+            running=report.running,
+            memory_share=round(report.memory_share, 3),
+            pace=report.pace,
+        )
+        datagram = encode(load)
+        far = self._sequence % FAR_EVERY_REPORTS == 0
+        for entry in self.client.view.entries():
+            if far or entry.region == settings.region:
+                self._socket.write(datagram, (entry.address, settings.link_port))
+
+
+def make_agent_program(process: NodeProcess, borders: AgentBorders) -> AgentProgram:
+    """Builds the agent of a host."""
+    reactor = process.reactor
+    settings = process.settings
+    view = SiteView()
+    pool = ChannelPool(reactor, reactor, settings.address, SOURCE_CONNECT_SECONDS)
+    drawing = Drawing(
+        pool, borders.origin, lambda model: sources_for(process.settings, view, model)
+    )
+    calls = EngineCalls(pool, borders.engine, settings.engine_address)
+    changeover = Changeover(reactor, view, calls, drawing)
+    client = SiteClient(process, view, borders.decode_document)
+    return AgentProgram(process, client, calls, changeover)
--- a/jackdawsail/weights/placement.py
+++ b/jackdawsail/weights/placement.py
@@ -12,7 +12,7 @@
 
 
 def rank_zones(chunk_digest: str, zones: Sequence[str]) -> list[str]:
-    """Orders the zones for one chunk; every process finds the same order."""
+    """Orders the zones (or hosts) for one chunk; every process finds the same order."""
     return sorted(zones, key=lambda zone: _score(chunk_digest, zone), reverse=True)
 
 
--- a/jackdawsail/wire/dialer.py
+++ b/jackdawsail/wire/dialer.py
@@ -3,14 +3,13 @@
 import random
 from typing import Any
 
+from twisted.internet.abstract import isIPAddress
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
 
 from jackdawsail.wire.link import Link, LinkClientFactory, LinkOwner, LinkSettings
-from jackdawsail.wire.tls import make_client_endpoint
 
-CONNECT_TIMEOUT_SECONDS = 2
 BACKOFF_FIRST_SECONDS = 0.1
-BACKOFF_MAX_SECONDS = 2.0
 
 
 class Dialer:
@@ -31,7 +30,7 @@
         self.address = address
         self.link: Link | None = None
         self._reactor = reactor
-        self._tls = settings.tls
+        self._settings = settings
         self._owner = owner
         self._rng = rng
         self._bind = (settings.bind_address, 0) if settings.bind_address else None
@@ -42,11 +41,7 @@
 
     def start(self) -> None:
         """Begins to connect."""
-        host, port = split_address(self.address)
-        endpoint = make_client_endpoint(
-            self._reactor, (host, port), CONNECT_TIMEOUT_SECONDS, self._bind, self._tls
-        )
-        attempt: Any = endpoint.connect(self._factory)
+        attempt: Any = self._endpoint().connect(self._factory)
         attempt.addCallbacks(self._connected, self._failed)
 
     def stop(self) -> None:
@@ -72,6 +67,21 @@
         self.link = None
         self._owner.link_closed(link, reason)
 
+    def _endpoint(self) -> Any:
+        host, port = split_address(self.address)
+        timeout_seconds = self._settings.connect_seconds
+        if self._settings.tls is not None:
+            # Imported late: the TLS libraries are a large part of a small process.
+            from jackdawsail.wire.tls import make_client_endpoint
+
+            options = (timeout_seconds, self._bind, self._settings.tls)
+            return make_client_endpoint(self._reactor, (host, port), *options)
+        if isIPAddress(host):
+            return TCP4ClientEndpoint(self._reactor, host, port, timeout_seconds, self._bind)
+        return HostnameEndpoint(
+            self._reactor, host, port, timeout=timeout_seconds, bindAddress=self._bind
+        )
+
     def _connected(self, link: Link) -> None:
         lost = link.connectionLost
 
@@ -91,7 +101,8 @@
         if self._stopped:
             return
         delay_seconds = self._rng.uniform(0.5, 1) * self._backoff_seconds
-        self._backoff_seconds = min(BACKOFF_MAX_SECONDS, self._backoff_seconds * 2)
+        longest_seconds = self._settings.redial_max_seconds
+        self._backoff_seconds = min(longest_seconds, self._backoff_seconds * 2)
         self._retry = self._reactor.callLater(delay_seconds, self.start)
 
 
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -31,6 +31,8 @@
 HANDSHAKE_SECONDS = 5.0
 KEEPALIVE_SECONDS = 2.0
 SILENCE_SECONDS = 7.0
+CONNECT_SECONDS = 2.0
+REDIAL_MAX_SECONDS = 2.0
 
 
 class LinkOwner(Protocol):
@@ -51,13 +53,19 @@
     """What every link of a process shares: its identity, the site secret, the TLS context.
 
     Links are dialled from ``bind_address``; empty lets the kernel choose. ``tls``
-    is None without certificates.
+    is None without certificates. A peer that stays silent is probed after
+    ``keepalive_seconds`` and given up after ``silence_seconds``; a lost link is
+    dialled again after at most ``redial_max_seconds``.
     """
 
     identity: Identity
     secret: bytes
     bind_address: str = ''
     tls: Any = None
+    keepalive_seconds: float = KEEPALIVE_SECONDS
+    silence_seconds: float = SILENCE_SECONDS
+    connect_seconds: float = CONNECT_SECONDS
+    redial_max_seconds: float = REDIAL_MAX_SECONDS
 
 
 class Link(protocol.Protocol):
@@ -76,7 +84,7 @@
         self.received_bytes = 0
         self.backlog = Backlog()
         self._core = core
-        self._tls = settings.tls
+        self._settings = settings
         self._owner = owner
         self._clock = clock
         self._handshake = Handshake(settings.identity, settings.secret)
@@ -190,7 +198,9 @@
             self._send_frame(encode(step.reply))
         if step.peer is None:
             return
-        if self._tls is not None and not _certificate_names(self.transport, step.peer.name):
+        if self._settings.tls is not None and not _certificate_names(
+            self.transport, step.peer.name
+        ):
             self.close('certificate is of another host')
             return
         self._open(step.peer)
@@ -200,14 +210,14 @@
         self._deadline.cancel()
         self._keepalive = LoopingCall(self._probe)
         self._keepalive.clock = self._clock
-        self._keepalive.start(KEEPALIVE_SECONDS, now=False)
+        self._keepalive.start(self._settings.keepalive_seconds, now=False)
         self._owner.link_opened(self)
 
     def _probe(self) -> None:
         silent_seconds = self._clock.seconds() - self._silent_since_seconds
-        if silent_seconds > SILENCE_SECONDS:
+        if silent_seconds > self._settings.silence_seconds:
             self.abort('peer is silent')
-        elif silent_seconds > KEEPALIVE_SECONDS and self._core.state is State.OPEN:
+        elif silent_seconds > self._settings.keepalive_seconds and self._core.state is State.OPEN:
             self._core.send_ping(b'')
             self._flush()
 
--- a/jackdawsail/wire/tls.py
+++ b/jackdawsail/wire/tls.py
@@ -11,7 +11,7 @@
 
 from cryptography.x509 import NameOID
 from twisted.internet import ssl
-from twisted.internet.endpoints import HostnameEndpoint, SSL4ClientEndpoint
+from twisted.internet.endpoints import SSL4ClientEndpoint
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,10 +52,8 @@
     bind: tuple[str, int] | None,
     tls: Any,
 ) -> Any:
-    """Makes the endpoint that a dialer connects through; ``tls`` None means plain TCP."""
+    """Makes the endpoint that a dialer with certificates connects through."""
     host, port = address
-    if tls is None:
-        return HostnameEndpoint(reactor, host, port, timeout=timeout_seconds, bindAddress=bind)
     return SSL4ClientEndpoint(reactor, host, port, tls, timeout=timeout_seconds, bindAddress=bind)
 
 
