Engines change over in two waves, pieces are drawn one at a time

Cause: three draws at once queued 160 ms before prompts on a 3.65 Mbit/s link, and all engines stopped taking calls together at 23.7 s. Ruled out: slow verification (50 ms).

--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -160,9 +160,11 @@
             self._read_next_answer()
             return
         self._owner = None
-        self.reusable = self._may_be_kept()
+        kept = self._may_be_kept()
+        self.reusable = kept
+        # The owner may send the next request on this channel before it returns.
         owner.answer_whole()
-        if not self.reusable:
+        if not kept:
             self._drop()
 
     def _read_next_answer(self) -> None:
--- a/jackdawsail/routing/weight_rules.py
+++ b/jackdawsail/routing/weight_rules.py
@@ -10,7 +10,7 @@
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.site.view import WeightTarget
 
-CHANGEOVER_MARGIN_SECONDS = 1.5  # longest stay in an engine's queue before a call begins
+CHANGEOVER_MARGIN_SECONDS = 0.8  # longest admitted wait at an engine, four times over
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -83,6 +83,11 @@
         found = {one for seen in self._members_by_control.values() for one in seen.entries}
         return sorted(found, key=lambda host: host.address)
 
+    def agents(self) -> list[str]:
+        """Returns the addresses of the agents that any control host sees."""
+        seen = self._members_by_control.values()
+        return sorted({one.address for members in seen for one in members.agents})
+
     def _name_weights(self, model: str, version: int, named_seconds: float) -> None:
         held = self.weights.get(model)
         if held is None or version > held.version:
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -15,12 +15,14 @@
 
 from jackdawsail import events
 from jackdawsail.site.document import EngineClass
+from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.drawing import Drawing, is_sound
 from jackdawsail.staging.engine import EngineReport, PieceList, StartOrder
 from jackdawsail.staging.engine_calls import EngineCalls
+from jackdawsail.staging.waves import may_change_over
 
-DRAWS_AT_ONCE = 3  # fills this host's link over its round trip, and no more
+DRAWS_AT_ONCE = 1  # more would queue on this host's link before the prompts of live calls
 RETRY_SECONDS = 0.4  # after a failure that may pass: a source or the engine is away
 STATE_SECONDS = 1.0
 
@@ -53,6 +55,7 @@
     view: SiteView
     calls: EngineCalls
     drawing: Drawing
+    settings: NodeSettings
     model: str = ''
     switching: bool = False
     _staged: StagedPieces | None = None
@@ -106,6 +109,8 @@
         if staged is None or not await self._stage(staged):
             self._fail_for_now('a source or the engine does not answer')
             return
+        if not self._is_turn():
+            return
         self.switching = True
         if not await self._verify(staged):
             self._fail_for_now('staged pieces were spoilt')
@@ -141,13 +146,14 @@
                 return
 
     async def _stage(self, staged: StagedPieces) -> bool:
-        left = deque(staged.missing())
+        missing = staged.missing()
+        left = deque(missing)
         workers = [
             Deferred.fromCoroutine(self._stage_some(staged, left)) for _ in range(DRAWS_AT_ONCE)
         ]
         await gatherResults(workers)
         whole = not staged.missing()
-        if whole and staged is self._staged:
+        if whole and missing:
             events.log(STAGED, model=self.model, version=staged.pieces.version)
         return whole
 
@@ -191,6 +197,17 @@
         # The next reports tell whether it loads; until then nothing is ordered again.
         self._retry_seconds = self.clock.seconds() + STATE_SECONDS
 
+    def _is_turn(self) -> bool:
+        """Tells whether this engine may stop serving old weights now."""
+        target = self.view.weights.get(self.model)
+        serving = self._report is not None and self._report.version_of(self.model)
+        if target is None or not serving:
+            return True
+        age_seconds = self.clock.seconds() - target.named_seconds
+        within_seconds = self.settings.bounds.weights_seconds
+        own_address = self.settings.address
+        return may_change_over(own_address, self.view.agents(), age_seconds, within_seconds)
+
     def _fail_for_now(self, reason: str) -> None:
         self.switching = False
         self._retry_seconds = self.clock.seconds() + RETRY_SECONDS
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -145,6 +145,6 @@
         pool, borders.origin, lambda model: sources_for(process.settings, view, model)
     )
     calls = EngineCalls(pool, borders.engine, settings.engine_address)
-    changeover = Changeover(reactor, view, calls, drawing)
+    changeover = Changeover(reactor, view, calls, drawing, settings)
     client = SiteClient(process, view, borders.decode_document)
     return AgentProgram(process, client, calls, changeover)
