--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -28,6 +28,7 @@
 )
 
 GATHER_SECONDS = 0.1  # a twelfth of the interval of heartbeats
+NAMED_KEPT_SECONDS = 60.0  # several times the longest time for a changeover
 LONG_AGO_SECONDS = 3600.0  # weights named before this process started
 UPSTREAM_CHANGED = events.define(240, 'info', 'upstream registered, changed or left')
 
@@ -56,8 +57,16 @@
 
     def site_changed(self) -> None:
         """Sends the summary of a state that has changed."""
-        for name_version in self.machine.state.weight_versions:
+        newest = self.machine.state.weight_versions
+        for name_version in newest:
             self._named_seconds.setdefault(name_version, self.clock.seconds())
+        # An older version keeps its own bound for a while beside a newer one.
+        oldest_seconds = self.clock.seconds() - NAMED_KEPT_SECONDS
+        self._named_seconds = {
+            name_version: named_seconds
+            for name_version, named_seconds in self._named_seconds.items()
+            if name_version in newest or named_seconds > oldest_seconds
+        }
         self.send_summary()
 
     def send_summary(self) -> None:
@@ -139,8 +148,8 @@
         state = self.machine.state
         now_seconds = self.clock.seconds()
         weights = [
-            NamedWeights(model, version, now_seconds - self._named_seconds[model, version])
-            for model, version in state.weight_versions
+            NamedWeights(model, version, now_seconds - named_seconds)
+            for (model, version), named_seconds in self._named_seconds.items()
         ]
         zones = list(state.emptied_zones)
         return SiteSummary(state.revision, state.document.version, zones, weights)
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -45,11 +45,11 @@
 
     def rule(self, parts: ProxyParts) -> WeightRule:
         """Returns which weight versions may run the call now."""
-        target = parts.view.weights.get(self.call.model)
+        named = parts.view.weights.get(self.call.model, ())
         within_seconds = parts.settings.bounds.weights_seconds
         now_seconds = parts.clock.seconds()
         return weight_rule(
-            self.call.model, target, within_seconds, now_seconds, self.pinned_version
+            self.call.model, named, within_seconds, now_seconds, self.pinned_version
         )
 
     def allowed_regions(self) -> set[str] | None:
--- a/jackdawsail/routing/weight_rules.py
+++ b/jackdawsail/routing/weight_rules.py
@@ -5,6 +5,7 @@
 the old one go on serving; then only the new one does.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from jackdawsail.routing.upstreams import Upstream
@@ -45,15 +46,12 @@
 
 def weight_rule(
     model: str,
-    target: WeightTarget | None,
+    named: Sequence[WeightTarget],
     within_seconds: float,
     now_seconds: float,
     pinned_version: int = 0,
 ) -> WeightRule:
-    """Makes the rule for a call that is placed now."""
-    least_version = 0
-    if target is not None:
-        age_seconds = now_seconds - target.named_seconds
-        if age_seconds >= within_seconds - CHANGEOVER_MARGIN_SECONDS:
-            least_version = target.version
-    return WeightRule(model, least_version, pinned_version)
+    """Makes the rule for a call that is placed now; each named version has its own bound."""
+    due_seconds = now_seconds - within_seconds + CHANGEOVER_MARGIN_SECONDS
+    due = [target.version for target in named if target.named_seconds <= due_seconds]
+    return WeightRule(model, max(due, default=0), pinned_version)
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightTarget:
-    """The newest weight version of a model and when it was named, by the own clock."""
+    """A weight version of a model and when it was named, by the own clock."""
 
     version: int
     named_seconds: float
@@ -24,7 +24,7 @@
     revision: int = 0
     table: RouteTable | None = None
     emptied_zones: frozenset[str] = frozenset()
-    weights: dict[str, WeightTarget] = field(default_factory=dict)
+    weights: dict[str, tuple[WeightTarget, ...]] = field(default_factory=dict)
     book: RegistrationBook = field(default_factory=RegistrationBook)
     heard_control_seconds: float = 0
     on_change: list[Callable[[], None]] = field(default_factory=list)
@@ -83,15 +83,21 @@
         found = {one for seen in self._members_by_control.values() for one in seen.entries}
         return sorted(found, key=lambda host: host.address)
 
+    def newest_weights(self, model: str) -> WeightTarget | None:
+        """Returns the highest version of a model that was named; None when none was."""
+        named = self.weights.get(model, ())
+        return named[-1] if named else None
+
     def agents(self) -> list[str]:
         """Returns the addresses of the agents that any control host sees."""
         seen = self._members_by_control.values()
         return sorted({one.address for members in seen for one in members.agents})
 
     def _name_weights(self, model: str, version: int, named_seconds: float) -> None:
-        held = self.weights.get(model)
-        if held is None or version > held.version:
-            self.weights[model] = WeightTarget(version, named_seconds)
+        held = self.weights.get(model, ())
+        if all(one.version != version for one in held):
+            named = [*held, WeightTarget(version, named_seconds)]
+            self.weights[model] = tuple(sorted(named, key=lambda one: one.version))
 
     def _changed(self) -> None:
         for listener in self.on_change:
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -88,7 +88,7 @@
     @property
     def wanted_version(self) -> int:
         """Returns the newest named version; 0 when none was named, then the origin decides."""
-        target = self.view.weights.get(self.model)
+        target = self.view.newest_weights(self.model)
         return target.version if target else 0
 
     def _is_current(self, loaded: int) -> bool:
@@ -199,7 +199,7 @@
 
     def _is_turn(self) -> bool:
         """Tells whether this engine may stop serving old weights now."""
-        target = self.view.weights.get(self.model)
+        target = self.view.newest_weights(self.model)
         serving = self._report is not None and self._report.version_of(self.model)
         if target is None or not serving:
             return True
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -66,11 +66,11 @@
 
     def site_changed(self) -> None:
         """Draws newly named weights if this relay is the first of its region."""
-        for model, target in self._view.weights.items():
-            key = (model, target.version)
-            if key not in self._filled and self._is_first(model):
-                self._filled.add(key)
-                self._run(self._fill(model, target.version))
+        for model, named in self._view.weights.items():
+            newest = named[-1].version
+            if (model, newest) not in self._filled and self._is_first(model):
+                self._filled.add((model, newest))
+                self._run(self._fill(model, newest))
 
     def _is_first(self, model: str) -> bool:
         settings = self._process.settings
