--- a/jackdawsail/group/consensus_part.py
+++ b/jackdawsail/group/consensus_part.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from jackdawsail import events
-from jackdawsail.consensus.configuration import node_id
+from jackdawsail.consensus.configuration import host_of, node_id
 from jackdawsail.consensus.core import Timing
 from jackdawsail.consensus.files import FolderFiles
 from jackdawsail.consensus.interfaces import StateMachine
@@ -29,6 +29,7 @@
 SNAPSHOT_EVERY_ENTRIES = 200  # a log of whole documents stays far below the disk's size
 DISK_ID_BYTES = 8
 
+TARGET_CHANGED = events.define(246, 'info', 'number of voters to aim for changed')
 STORAGE_READY = events.define(244, 'info', 'folder of the consensus log opened')
 
 
@@ -54,6 +55,19 @@
     replicator: RaftReplicator
     links: RaftLinks
 
+    def aim_for(self, tolerated_hosts: int) -> list[str]:
+        """Lets a leader aim for the voters that the tolerated losses need.
+
+        Returns the other members' hosts, which must be dialled.
+        """
+        configuration = self.replicator.host.node.core.configuration
+        wanted = 2 * tolerated_hosts + 1
+        short = configuration.target_voters < wanted <= len(configuration.members)
+        if short and self.replicator.is_leader():
+            events.log(TARGET_CHANGED, voters=wanted, members=list(configuration.members))
+            self.replicator.change_voters(target_voters=wanted)
+        return [host_of(member) for member in configuration.members]
+
 
 def make_consensus_part(
     reactor: Any,
--- /dev/null
+++ b/jackdawsail/group/disk_probe.py
@@ -0,0 +1,39 @@
+"""Tells when a disk that has refused a write takes writes again."""
+
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from jackdawsail import events
+
+PROBE_BYTES = 4096  # one block, which a full disk refuses
+
+DISK_WORKS_AGAIN = events.define(245, 'info', 'disk takes writes again, process restarts')
+
+
+def takes_writes(folder: str) -> bool:
+    """Tries a synced write in a folder and logs the outcome."""
+    try:
+        _write_probe(Path(folder) / 'probe')
+    except OSError as error:
+        events.log(events.DISK_REFUSES, folder=folder, reason=str(error))
+        return False
+    events.log(DISK_WORKS_AGAIN, folder=folder)
+    return True
+
+
+def _write_probe(path: Path) -> None:
+    with _opened(path) as descriptor:
+        os.write(descriptor, bytes(PROBE_BYTES))
+        os.fsync(descriptor)
+    path.unlink()
+
+
+@contextmanager
+def _opened(path: Path) -> Iterator[int]:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -51,22 +51,22 @@
         self.switchboard.on(DocumentWanted, self._on_wanted)
         self.switchboard.on(Registrations, self._on_registrations)
         self.switchboard.on(UpstreamLeft, self._on_left)
-        for name_version in self.machine.state.weight_versions:
-            self._named_seconds[name_version] = self.clock.seconds() - LONG_AGO_SECONDS
+        long_ago_seconds = self.clock.seconds() - LONG_AGO_SECONDS
+        held = self.machine.state.weight_versions
+        self._named_seconds = dict.fromkeys(held, long_ago_seconds)
         self.machine.on_change = self.site_changed
 
     def site_changed(self) -> None:
         """Sends the summary of a state that has changed."""
-        newest = self.machine.state.weight_versions
-        for name_version in newest:
-            self._named_seconds.setdefault(name_version, self.clock.seconds())
+        now_seconds = self.clock.seconds()
+        fresh = dict.fromkeys(self.machine.state.weight_versions, now_seconds)
         # An older version keeps its own bound for a while beside a newer one.
-        oldest_seconds = self.clock.seconds() - NAMED_KEPT_SECONDS
-        self._named_seconds = {
-            name_version: named_seconds
-            for name_version, named_seconds in self._named_seconds.items()
-            if name_version in newest or named_seconds > oldest_seconds
+        kept = {
+            named: named_seconds
+            for named, named_seconds in self._named_seconds.items()
+            if named in fresh or now_seconds - named_seconds < NAMED_KEPT_SECONDS
         }
+        self._named_seconds = {**fresh, **kept}
         self.send_summary()
 
     def send_summary(self) -> None:
@@ -90,11 +90,10 @@
         if held is None or _differs(held.registration, registration):
             self._log(registration, source)
             self._send_registrations([heard])
-        elif not self._gathered:
+            return True
+        if not self._gathered:
             self.clock.callLater(GATHER_SECONDS, self._send_gathered)
-            self._gathered[registration.upstream] = heard
-        else:
-            self._gathered[registration.upstream] = heard
+        self._gathered[registration.upstream] = heard
         return True
 
     def left(self, upstream: str) -> None:
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -1,23 +1,21 @@
 """The control program of a site that is run by a site document."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
-from jackdawsail.consensus.configuration import host_of
 from jackdawsail.group import calls
 from jackdawsail.group.calls import CallBorder
 from jackdawsail.group.consensus_part import ConsensusPart, make_consensus_part
 from jackdawsail.group.desk import Desk
+from jackdawsail.group.disk_probe import takes_writes
 from jackdawsail.group.fanout import Fanout
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.site.document import CallerLimits
+from jackdawsail.site.loops import start_loop
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http, listen_links
@@ -31,9 +29,6 @@
     head_bytes=65_536, body_bytes=16_777_216, head_seconds=10.0, idle_seconds=20.0
 )  # documents of thousands of routes fit, whatever the callers' limits
 
-DISK_WORKS_AGAIN = events.define(245, 'info', 'disk takes writes again, restarting')
-TARGET_CHANGED = events.define(246, 'info', 'number of voters to aim for changed')
-
 
 @dataclass(slots=True)
 class ControlProgram:
@@ -60,8 +55,10 @@
         for address in (settings.listening.control, settings.listening.directory):
             listen_http(self.process, address, factory)
         listen_links(self.process, self.fanout.switchboard)
-        self._loop(self._summarize, SUMMARY_SECONDS)
-        self._loop(self._check_disk, PROBE_SECONDS)
+        self._loops = [
+            start_loop(self.process.reactor, self._summarize, SUMMARY_SECONDS),
+            start_loop(self.process.reactor, self._check_disk, PROBE_SECONDS),
+        ]
 
     def stop(self) -> Deferred[None]:
         """Hands leadership over and ends the links."""
@@ -86,12 +83,6 @@
         if not exchange.ended:
             exchange.answer(self.border.encode(answer, exchange.request.target))
 
-    def _loop(self, action: Callable[[], None], seconds: float) -> None:
-        loop: Any = LoopingCall(action)
-        loop.clock = self.process.reactor
-        loop.start(seconds, now=False).addErrback(events.log_failure)
-        self._loops.append(loop)
-
     def _summarize(self) -> None:
         self.fanout.send_summary()
         members = self.linked.members(self._live_controls())
@@ -99,7 +90,9 @@
             self._members = members
             self.fanout.send_members(members)
         self.fanout.book.forget_old(self.process.reactor.seconds())
-        self._set_target()
+        tolerated_hosts = self.process.settings.bounds.tolerated_hosts
+        for host in self.consensus.aim_for(tolerated_hosts):
+            self._add_control(host)
 
     def _live_controls(self) -> list[str]:
         links = self.fanout.switchboard.links
@@ -117,43 +110,13 @@
         port = self.process.settings.link_port
         self.consensus.links.add_host(host, f'{host}:{port}')
 
-    def _set_target(self) -> None:
-        """Lets the leader aim for as many voters as the tolerated losses need."""
-        replicator = self.consensus.replicator
-        if not replicator.is_leader():
-            return
-        configuration = replicator.host.node.core.configuration
-        for member in configuration.members:
-            if host_of(member) != self.linked.own_name:
-                self._add_control(host_of(member))
-        wanted = 2 * self.process.settings.bounds.tolerated_hosts + 1
-        if configuration.target_voters < wanted <= len(configuration.members):
-            events.log(TARGET_CHANGED, voters=wanted, members=list(configuration.members))
-            replicator.change_voters(target_voters=wanted)
-
     def _check_disk(self) -> None:
         """Ends the process for a clean start once a failed disk takes writes again."""
-        if not self.consensus.replicator.host.halted or self.desk.stopping:
-            return
-        probe = Path(self.process.settings.data_folder) / 'probe'
-        try:
-            _write_probe(probe)
-        except OSError as error:
-            events.log(events.DISK_REFUSES, reason=str(error))
-            return
-        events.log(DISK_WORKS_AGAIN)
-        self.process.end(1)
-
-
-def _write_probe(path: Path) -> None:
-    import os
-
-    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
-    try:
-        os.write(descriptor, b'probe' * 1024)
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+        halted = bool(self.consensus.replicator.host.halted)
+        if halted and not self.desk.stopping:
+            folder = self.process.settings.data_folder
+            if takes_writes(folder):
+                self.process.end(1)
 
 
 def make_control_program(process: NodeProcess, border: CallBorder) -> ControlProgram:
--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -62,7 +62,6 @@
         self.reusable = False
         self.requests = 0
         self.lost = False
-        self.on_lost = lambda channel: None
         self._core = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._owner: AnswerOwner | None = None
         self._request: HttpRequest | None = None
@@ -105,7 +104,6 @@
         """Ends an answer without a length, or breaks a waiting one off."""
         self.lost = True
         self.reusable = False
-        self.on_lost(self)
         if self._owner is None:
             return
         if not reason.check(ConnectionDone):
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
@@ -30,7 +30,7 @@
 
     handler: Callable[['Exchange'], None]
     clock: Clock
-    limits: CallerLimits
+    limits: CallerLimits = field(default_factory=CallerLimits)
     closing: bool = False
 
 
@@ -95,6 +95,26 @@
         return connection
 
 
+class _Patience:
+    """Calls back when nothing has come for too long; each wait replaces the last."""
+
+    def __init__(self, clock: Clock, over: Callable[[], None]) -> None:
+        self._clock = clock
+        self._over = over
+        self._timer: Any = None
+
+    def wait(self, seconds: float) -> None:
+        """Begins to wait; zero means for ever."""
+        self.stop()
+        if seconds > 0:
+            self._timer = self._clock.callLater(seconds, self._over)
+
+    def stop(self) -> None:
+        """Ends the wait."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
 class ServerConnection(protocol.Protocol):
     """One connection of a caller."""
 
@@ -107,25 +127,24 @@
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
-        self._timer: Any = None
-        self._answers = 0
+        self._patience = _Patience(options.clock, self._waited)
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Waits for the first request."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self.backlog, True)
-        self._wait(self.options.limits.idle_seconds)
+        self._patience.wait(self.options.limits.idle_seconds)
 
     def dataReceived(self, received: bytes) -> None:  # noqa: N802
         """Reads on."""
         if self._exchange is None and not self._is_reading():
-            self._wait(self.options.limits.head_seconds)
+            self._patience.wait(self.options.limits.head_seconds)
         self._core.receive_data(received)
         self._read()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Tells the task of a running exchange that its caller has left."""
-        self._stop_waiting()
+        self._patience.stop()
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
@@ -137,7 +156,7 @@
 
     def close(self) -> None:
         """Closes the connection once what was written is sent."""
-        self._stop_waiting()
+        self._patience.stop()
         self.transport.loseConnection()
 
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
@@ -156,7 +175,6 @@
     def end_answer(self) -> None:
         """Ends the answer and goes on to the next request."""
         self._exchange = None
-        self._answers += 1
         try:
             self._send(h11.EndOfMessage())
         except h11.LocalProtocolError:
@@ -167,7 +185,7 @@
             self.close()
             return
         self._core.start_next_cycle()
-        self._wait(self.options.limits.idle_seconds)
+        self._patience.wait(self.options.limits.idle_seconds)
         self._read()
 
     def _read(self) -> None:
@@ -199,19 +217,21 @@
         names = {name for name, _value in head.headers}
         if b'transfer-encoding' in names and b'content-length' in names:
             self._refuse(400, b'both a length and chunks')
-        elif int(dict(head.headers).get(b'content-length', b'0')) > self._body_limit():
+        elif int(dict(head.headers).get(b'content-length', b'0')) > _body_limit(
+            self.options.limits
+        ):
             self._refuse(413, READ_LIMIT_REASONS[413])
 
     def _collect(self, piece: bytes) -> None:
         self._body.append(piece)
-        if sum(map(len, self._body)) > self._body_limit():
+        if sum(map(len, self._body)) > _body_limit(self.options.limits):
             self._refuse(413, READ_LIMIT_REASONS[413])
 
     def _handle(self) -> None:
         head = self._head
         if head is None:
             return
-        self._stop_waiting()
+        self._patience.stop()
         headers = tuple(head.headers.raw_items())
         request = HttpRequest(head.method, head.target, headers, b''.join(self._body))
         self._head = None
@@ -220,7 +240,7 @@
 
     def _refuse(self, status: int, reason: bytes) -> None:
         """Answers what cannot be read, and closes the connection."""
-        self._stop_waiting()
+        self._patience.stop()
         self._exchange = Exchange(self, HttpRequest(b'', b''))
         if self._core.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             self._exchange.abort()
@@ -237,27 +257,15 @@
         if sent:
             self.transport.write(sent)
 
-    def _body_limit(self) -> float:
-        return self.options.limits.body_bytes or float('inf')
-
     def _is_reading(self) -> bool:
         return self._head is not None or bool(self._core.trailing_data[0])
 
-    def _wait(self, seconds: float) -> None:
-        self._stop_waiting()
-        if seconds > 0:
-            self._timer = self.options.clock.callLater(seconds, self._waited)
-
     def _waited(self) -> None:
         if self._is_reading():
             self._refuse(408, READ_LIMIT_REASONS[408])
         else:
             self.close()
 
-    def _stop_waiting(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
 
 class ServerFactory(protocol.Factory):
     """Accepts connections and knows those that are open."""
@@ -297,3 +305,7 @@
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         self._opened.discard(self)
         super().connectionLost(reason)
+
+
+def _body_limit(limits: CallerLimits) -> float:
+    return limits.body_bytes or float('inf')
--- a/jackdawsail/http1/whole.py
+++ b/jackdawsail/http1/whole.py
@@ -91,10 +91,10 @@
     """Sends a request to ``host:port`` and returns its whole answer, or why there is none."""
     collector = _Collector(pool, silent_seconds)
     channel = pool.take_idle(address)
-    if channel is not None:
-        collector.send(channel, request)
-    else:
+    if channel is None:
         pool.connect(address, lambda made: collector.send(made, request))
+    else:
+        collector.send(channel, request)
     return collector.done
 
 
--- a/jackdawsail/log_output.py
+++ b/jackdawsail/log_output.py
@@ -61,8 +61,8 @@
             self._scheduled = True
             self._clock.callLater(FLUSH_SECONDS, self.flush_waiting)
         elif self._dropped:
-            dropped, self._dropped = self._dropped, 0
-            self.write(f'{{"number":106,"event":"log lines dropped","lines":{dropped}}}\n')
+            self.write(_dropped_line(self._dropped))
+            self._dropped = 0
 
     def _write_some(self, whole: bytes) -> int:
         try:
@@ -71,6 +71,10 @@
             return 0
 
 
+def _dropped_line(lines: int) -> str:
+    return f'{{"number":106,"event":"log lines dropped","lines":{lines}}}\n'
+
+
 class LineLimiter:
     """Bounds the lines of each event number in a second; the rest are counted."""
 
--- a/jackdawsail/platform/programs.py
+++ b/jackdawsail/platform/programs.py
@@ -8,7 +8,8 @@
 import sys
 
 from jackdawsail.platform.settings import decode_settings, settings_path
-from jackdawsail.site.process import NodeProcess, NodeProgram, SettingsSource, run_node
+from jackdawsail.site.process import NodeProcess
+from jackdawsail.site.running import NodeProgram, SettingsSource, run_node
 from jackdawsail.wire.identity import Role
 
 
@@ -28,8 +29,8 @@
     from jackdawsail.platform import engines, traffic
     from jackdawsail.platform.calls import AnswerEncoder, decode_call
     from jackdawsail.platform.documents import decode_document
-    from jackdawsail.proxy.parts import TrafficBorder
-    from jackdawsail.proxy.program import EntryBorders, make_entry_program
+    from jackdawsail.proxy.parts import EntryBorders, TrafficBorder
+    from jackdawsail.proxy.program import make_entry_program
     from jackdawsail.staging.sources import OriginBorder
 
     origin = OriginBorder(engines.manifest_target, engines.decode_manifest, engines.piece_target)
--- a/jackdawsail/platform/settings.py
+++ b/jackdawsail/platform/settings.py
@@ -88,7 +88,7 @@
 
     Example::
 
-        decode_settings('node_name=a\\nip=10.0.0.1\\nzone=z\\nregion=r')
+        decode_settings(path.read_text('utf8')).unwrap().zone
     """
     try:
         return Success(_as_settings(msgspec.convert(_as_tree(text), _File, strict=False)))
--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -93,6 +93,6 @@
 def _number(value: bytes) -> float:
     """Reads a number; what is none counts as not given."""
     try:
-        return max(0.0, float(value))
+        return max(0, float(value))
     except ValueError:
-        return 0.0
+        return 0
--- a/jackdawsail/proxy/event_frames.py
+++ b/jackdawsail/proxy/event_frames.py
@@ -3,7 +3,8 @@
 Example::
 
     frames = EventFrames()
-    frames.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda') == [EventFrame(b'id: 1\\ndata: a\\n\\n', 1)]
+    for frame in frames.feed(received):
+        caller.write(frame.body)
 """
 
 import re
--- a/jackdawsail/proxy/parts.py
+++ b/jackdawsail/proxy/parts.py
@@ -5,13 +5,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from jackdawsail.group.calls import CallBorder
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.http1.messages import AnswerHead, Headers, HttpRequest
 from jackdawsail.proxy.calls import CallerCall, Handover, UpstreamHead
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
 from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.site.client import DecodeDocument
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
+from jackdawsail.staging.sources import OriginBorder
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +27,16 @@
     retry_after: Callable[[float], Headers]
 
 
+@dataclass(frozen=True, slots=True)
+class EntryBorders:
+    """Everything that an entry reads and writes in the site's own formats."""
+
+    traffic: TrafficBorder
+    calls: CallBorder
+    decode_document: DecodeDocument
+    origin: OriginBorder
+
+
 @dataclass(slots=True)
 class ProxyParts:
     """Owned by the entry program; calls read it and note what they did."""
--- /dev/null
+++ b/jackdawsail/proxy/sends.py
@@ -0,0 +1,52 @@
+"""Where a call has been sent, and whether it may have run: what decides on repeats."""
+
+from dataclasses import dataclass, field
+
+from jackdawsail.proxy import metrics
+from jackdawsail.proxy.parts import ProxyParts
+from jackdawsail.site.document import Route
+
+MOST_SENDS = 4  # of one call, counting those that upstreams refused unread
+
+
+@dataclass(slots=True)
+class Sends:
+    """The sends of one call; ``ran_on`` are the upstreams that may have run it."""
+
+    parts: ProxyParts
+    route: Route
+    service: str
+    count: int = 0
+    tried: list[str] = field(default_factory=list)
+    ran_on: set[str] = field(default_factory=set)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tells whether any upstream may have run the call."""
+        return bool(self.ran_on)
+
+    def sent(self, upstream: str) -> None:
+        """Notes that the call is being written to an upstream."""
+        if not self.count:
+            share = self.parts.retry_share(self.service)
+            share.note_first(self.parts.clock.seconds())
+        metrics.HANDOVERS.labels('repeat' if self.count else 'first').inc()
+        self.count += 1
+        self.ran_on.add(upstream)
+
+    def not_run(self, upstream: str) -> None:
+        """Notes an upstream's own word that it did not run the call."""
+        self.ran_on.discard(upstream)
+
+    def take_repeat(self) -> bool:
+        """Takes another send from the budget; False when there is none."""
+        if self.count >= MOST_SENDS:
+            return False
+        share = self.parts.retry_share(self.service)
+        return share.take(self.parts.entries, self.parts.clock.seconds())
+
+    def may_run_again(self) -> bool:
+        """Tells whether the call may run at one more upstream, and takes it from the budget."""
+        if not self.route.may_repeat or len(self.ran_on) >= self.route.max_upstreams:
+            return False
+        return self.take_repeat()
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -105,7 +105,7 @@
     events = engine.usual_answer_tokens / engine.steps_per_pass
     stay_seconds = events * pass_seconds
     load = upstream.load_at(now_seconds)
-    pace = max(1.0, load.pace) if load is not None else 1.0
+    pace = 1.0 if load is None else max(1.0, load.pace)
     # Within the places a fuller engine is slower, which decides between free ones.
     return pace * (ahead * stay_seconds / places + pass_seconds * running / places / 2)
 
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -138,10 +138,10 @@
     async def _mark_sound(self, staged: StagedPieces) -> None:
         outcome = await self.calls.held(self.model)
         held = outcome.unwrap() if isinstance(outcome, Success) else ()
-        for position, index in enumerate(held):
+        for index in held:
             if await self._is_staged(staged.pieces, index):
                 staged.marked.add(index)
-            elif position == 0:
+            elif not staged.marked:
                 # The first one is of another version, then so are the others.
                 return
 
@@ -172,7 +172,7 @@
         return staged.pieces.version < self.wanted_version
 
     async def _verify(self, staged: StagedPieces) -> bool:
-        for index in range(len(staged.pieces.digests)):
+        for index in sorted(staged.marked):
             if not await self._is_staged(staged.pieces, index):
                 staged.marked.discard(index)
                 events.log(PIECE_SPOILT, model=self.model, piece=index)
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -6,12 +6,12 @@
 from returns.result import Failure, Result
 from twisted.internet import protocol
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.site.client import DecodeDocument, SiteClient
 from jackdawsail.site.document import EngineClass
+from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
@@ -62,9 +62,7 @@
         self._socket = self.process.reactor.listenUDP(
             0, protocol.DatagramProtocol(), settings.address
         )
-        self._loop = LoopingCall(self._look)
-        self._loop.clock = self.process.reactor
-        self._loop.start(REPORT_SECONDS, now=True).addErrback(events.log_failure)
+        self._loop = start_loop(self.process.reactor, self._look, REPORT_SECONDS)
 
     def stop(self) -> Deferred[None]:
         """Ends the links; the engine serves on."""
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -17,7 +17,6 @@
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
-from jackdawsail.site.document import CallerLimits
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.drawing import Drawing
@@ -61,7 +60,7 @@
         """Listens for agents and other relays."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
-        options = ServerOptions(self._handle, self._process.reactor, CallerLimits())
+        options = ServerOptions(self._handle, self._process.reactor)
         listen_http(self._process, address, ServerFactory(options))
 
     def site_changed(self) -> None:
