--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -219,7 +219,7 @@
         names = {name for name, _value in head.headers}
         if b'transfer-encoding' in names and b'content-length' in names:
             self._refuse(400, b'both a length and chunks')
-        elif _head_bytes(head) > self.options.limits.head_bytes > 0:
+        elif 0 < self.options.limits.head_bytes < _head_bytes(head):
             self._refuse(431, b'head is too large')
         elif int(dict(head.headers).get(b'content-length', b'0')) > _body_limit(
             self.options.limits
--- /dev/null
+++ b/test/proxy/world.py
@@ -0,0 +1,148 @@
+"""An entry without a network: callers, upstreams and the clock are driven by the test."""
+
+import random
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from jackdawsail.http1.dial import ChannelPool
+from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.platform import traffic
+from jackdawsail.proxy.gate import Gate
+from jackdawsail.proxy.parts import ProxyParts, TrafficBorder
+from jackdawsail.registry.registration import ModelVersion, Registration
+from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.site.document import CallKind, Service
+from jackdawsail.site.node import NodeBounds, NodeSettings
+from jackdawsail.site.view import SiteView
+from jackdawsail.wire.site_messages import NamedWeights, SiteSummary
+from test.http1.ends import Transport
+from test.site.documents import ENGINE, make_document, make_route
+
+BORDER = TrafficBorder(
+    decode_call=traffic.decode_caller_call,
+    upstream_headers=traffic.upstream_headers,
+    decode_head=traffic.decode_upstream_head,
+    retry_after=traffic.retry_after,
+)
+PLAIN = make_route('plain')
+ONCE = make_route('once', path_prefix='/once/', kind=CallKind.non_idempotent, max_upstreams=1)
+STREAM = make_route(
+    'stream',
+    path_prefix='/stream/',
+    kind=CallKind.stream,
+    resumable=True,
+    target_seconds=0.4,
+    time_limit_seconds=6.0,
+    shares=make_route().shares,
+)
+MODEL_SERVICE = Service('s', engine=ENGINE, cold_requests_per_second=26)
+
+
+class Reactor(Clock):
+    """Connects nothing by itself: the test opens or refuses each connection."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = []
+
+    def connectTCP(self, host, port, factory, timeout, bind):
+        self.asked.append((f'{host}:{port}', factory))
+        return self
+
+    def disconnect(self):
+        pass
+
+
+class World:
+    """One entry with its upstreams i-1, i-2, ... at 10.0.0.1:80, 10.0.0.2:80, ..."""
+
+    def __init__(self, upstreams=2, service=None, bounds=None, routes=None):
+        self.reactor = Reactor()
+        self.reactor.advance(100)
+        view = SiteView()
+        settings = NodeSettings('e', '10.9.9.9', 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50))
+        table = UpstreamTable(1.2, {'z': 'r'})
+        pool = ChannelPool(self.reactor, self.reactor)
+        rng = random.Random(1)
+        self.parts = ProxyParts(self.reactor, settings, BORDER, view, table, pool, rng)
+        document = make_document(
+            routes=routes or [PLAIN, ONCE, STREAM], services=[service or Service('s')]
+        )
+        view.take_document(document)
+        self.summarize()
+        for number in range(1, upstreams + 1):
+            self.register(number)
+        self.channels = []
+        options = ServerOptions(Gate(self.parts).handle, self.reactor, document.limits)
+        self.factory = ServerFactory(options)
+
+    def summarize(self, revision=1, zones=(), weights=()):
+        named = [NamedWeights(*one) for one in weights]
+        summary = SiteSummary(revision, 1, list(zones), named)
+        self.parts.view.take_summary(summary, self.reactor.seconds())
+
+    def register(self, number, version=1, **changes):
+        fields = {
+            'upstream': f'i-{number}',
+            'service': 's',
+            'address': f'10.0.0.{number}:80',
+            'zone': 'z',
+            'places': 16,
+            'leaving': False,
+            'cold_seconds': 0,
+            'born_milliseconds': number,
+            'sequence': 1,
+            'models': (ModelVersion('m', version),) if version else (),
+        }
+        registration = Registration(**{**fields, **changes})
+        self.parts.view.book.update(registration, self.reactor.seconds())
+        self.parts.upstreams.refresh(self.parts.view.book)
+
+    def call(self, path='/p/x', attempt='a1', headers='', method='GET', body=''):
+        """Sends a caller's request on a new connection; returns the caller's transport."""
+        connection = self.factory.buildProtocol(None)
+        transport = Transport()
+        connection.makeConnection(transport)
+        transport.connection = connection
+        head = f'{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n{headers}'
+        if body:
+            head += f'Content-Length: {len(body)}\r\n'
+        connection.dataReceived(f'{head}\r\n{body}'.encode())
+        return transport
+
+    def accept(self):
+        """Lets the oldest connection that is asked for open; returns the channel."""
+        _address, factory = self.reactor.asked.pop(0)
+        channel = factory.buildProtocol(None)
+        channel.makeConnection(Transport())
+        self.channels.append(channel)
+        return channel
+
+    def refuse(self):
+        _address, factory = self.reactor.asked.pop(0)
+        factory.clientConnectionFailed(None, None)
+
+
+def answer(channel, status=200, attempt='a1', body=b'ok', headers=''):
+    head = f'HTTP/1.1 {status} X\r\nAttempt-Id: {attempt}\r\nServer-Stamp: s\r\n{headers}'
+    channel.dataReceived(f'{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body)
+
+
+def begin_stream(channel, attempt='a1', version=1):
+    head = f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nWeight-Versions: {version}\r\n'
+    channel.dataReceived(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+
+
+def event(number):
+    body = f'id: {number}\ndata: x{number}\n\n'.encode()
+    return f'{len(body):x}\r\n'.encode() + body + b'\r\n'
+
+
+def reset(channel):
+    channel.connectionLost(Failure(ConnectionLost()))
+
+
+def close(channel):
+    channel.connectionLost(Failure(ConnectionDone()))
