Relays never ask each other for weights; tests of placement, shares and changeover

Cause: a relay that left itself out of its list still asked the ones ranked behind it, which asked it: both waited until the silence limit.

--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -54,12 +54,11 @@
     found: list[Source] = []
     for region in regions:
         ranked = rank_relays(entries, region, model)
-        for relay in ranked[:RELAYS_TRIED]:
-            if relay.address == settings.address:
-                # A relay draws from what lies behind it, never from one ranked after it.
-                found.clear()
-                continue
-            found.append(_relay_source(settings, relay))
+        addresses = [relay.address for relay in ranked]
+        if settings.address in addresses:
+            # A relay asks only those ranked before it, so that two never ask each other.
+            ranked = ranked[: addresses.index(settings.address)]
+        found.extend(_relay_source(settings, relay) for relay in ranked[:RELAYS_TRIED])
     return [*found, *origin_sources(view)]
 
 
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -62,7 +62,9 @@
         self.reactor = Reactor()
         self.reactor.advance(100)
         view = SiteView()
-        settings = NodeSettings('e', '10.9.9.9', 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50))
+        settings = NodeSettings(
+            'e', '10.9.9.9', 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50)
+        )
         table = UpstreamTable(1.2, {'z': 'r'})
         pool = ChannelPool(self.reactor, self.reactor)
         rng = random.Random(1)
--- /dev/null
+++ b/test/routing/test_placement.py
@@ -0,0 +1,214 @@
+"""Placement on the loads that it names: full engines, uneven services, many entries."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from jackdawsail.registry.registration import ModelVersion, Registration
+from jackdawsail.routing.placement import (
+    RETURN_MAX_SECONDS,
+    RETURN_MIN_SECONDS,
+    Choice,
+    PlacedCall,
+    Refusal,
+    choose_engine,
+    choose_service,
+    expected_wait_seconds,
+)
+from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.upstreams import LoadSeen, Upstream
+from jackdawsail.routing.weight_rules import weight_rule
+from jackdawsail.site.view import WeightTarget
+from jackdawsail.wire.site_messages import EngineLoad
+from test.site.documents import ENGINE
+
+NOW = 100.0
+CALL = PlacedCall(target_seconds=0.4, prompt_tokens=900, region='r')
+
+
+def make_upstream(number=1, running=None, waiting=0, region='r', version=1, switching=False):
+    registration = Registration(
+        upstream=f'i-{number}',
+        service='s',
+        address=f'10.0.0.{number}:80',
+        zone='z',
+        places=16,
+        leaving=False,
+        cold_seconds=0,
+        born_milliseconds=1,
+        sequence=1,
+        models=(ModelVersion('m', version),),
+    )
+    upstream = Upstream(registration, NOW, region)
+    if running is not None:
+        load = EngineLoad(
+            engine_address=registration.address,
+            incarnation=1,
+            sequence=1,
+            weight_version=version,
+            switching=switching,
+            waiting=waiting,
+            running=running,
+            memory_share=0,
+            pace=1.0,
+        )
+        upstream.seen = LoadSeen(load, NOW)
+    return upstream
+
+
+def choose(candidates, seed=1):
+    return choose_engine(CALL, ENGINE, candidates, NOW, random.Random(seed))
+
+
+def test_the_emptier_engine_is_chosen():
+    busy, idle = make_upstream(1, running=14), make_upstream(2, running=3)
+    assert choose([busy, idle]).upstream is idle
+
+
+def test_an_engine_near_by_is_chosen_unless_the_far_one_is_much_emptier():
+    near, far = make_upstream(1, running=6), make_upstream(2, running=5, region='other')
+    assert choose([near, far]).upstream is near
+    full = make_upstream(3, running=16, waiting=1)
+    assert choose([full, far]).upstream is far
+
+
+def test_own_calls_since_the_report_count():
+    one, other = make_upstream(1, running=5), make_upstream(2, running=5)
+    for _ in range(8):
+        one.sent(NOW + 0.01)
+    assert all(choose([one, other], seed).upstream is other for seed in range(5))
+
+
+def test_a_call_is_refused_at_once_when_every_queue_is_too_long():
+    refused = choose([make_upstream(1, running=16, waiting=9)])
+    assert isinstance(refused, Refusal)
+    assert RETURN_MIN_SECONDS <= refused.return_seconds <= RETURN_MAX_SECONDS
+
+
+@pytest.mark.parametrize('running', range(16))
+def test_no_call_is_refused_while_a_place_is_free(running):
+    assert isinstance(choose([make_upstream(1, running=running)]), Choice)
+
+
+def test_refused_callers_do_not_come_back_together():
+    rng = random.Random(3)
+    full = make_upstream(1, running=16, waiting=20)
+    times = [choose_engine(CALL, ENGINE, [full], NOW, rng).return_seconds for _ in range(200)]
+    slots = Counter(int(seconds * 5) for seconds in times)
+    assert max(slots.values()) < 80
+
+
+def test_a_longer_queue_means_a_longer_wait():
+    waits = [
+        expected_wait_seconds(make_upstream(1, running=16, waiting=waiting), ENGINE, NOW)
+        for waiting in range(6)
+    ]
+    assert waits == sorted(waits)
+    assert waits[0] < waits[-1]
+
+
+def test_a_slow_or_failing_service_is_avoided():
+    rng = random.Random(2)
+    good, slow, failing = (make_upstream(number) for number in (1, 2, 3))
+    good.mean_seconds, slow.mean_seconds, failing.mean_seconds = 0.05, 0.2, 0.05
+    failing.failure_share = 0.5
+    chosen = Counter(
+        choose_service(CALL, [good, slow, failing], rng).upstream.name for _ in range(20)
+    )
+    assert chosen == {'i-1': 20}
+
+
+def test_a_failed_upstream_rests_longer_each_time_and_recovers():
+    upstream = make_upstream()
+    upstream.broken(NOW)
+    first = upstream.suspended_until_seconds - NOW
+    upstream.broken(NOW)
+    assert upstream.suspended_until_seconds - NOW > first
+    for _ in range(10):
+        upstream.broken(NOW)
+    assert upstream.suspended_until_seconds - NOW <= 4.0
+    upstream.answered(0.1, NOW, failed=False)
+    assert upstream.suspensions == 0
+
+
+class TestShares:
+    """Sums over all entries stay under their bounds."""
+
+    @pytest.mark.parametrize('entries', [1, 3, 7, 38])
+    def test_retries_of_all_entries_stay_in_the_budget(self, entries):
+        shares = [RetryShare(0.2, 102, 10.0) for _ in range(entries)]
+        rng = random.Random(5)
+        repeats, firsts = [], []
+        for step in range(20_000):
+            now = step * 0.002
+            share = rng.choice(shares)
+            if rng.random() < 0.3:
+                share.note_first(now)
+                firsts.append(now)
+            elif share.take(entries, now):
+                repeats.append(now)
+        for start in range(0, 30, 3):
+            span = [time for time in repeats if start <= time < start + 10]
+            asked = [time for time in firsts if start <= time < start + 10]
+            assert len(span) <= 0.2 * len(asked) + 102
+
+    @pytest.mark.parametrize('entries', [1, 5, 7, 9])
+    def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_bound(self, entries):
+        bound = ColdBound(1.5, 5)
+        views = [make_upstream() for _ in range(entries)]
+        rng = random.Random(7)
+        sent = []
+        for step in range(6000):
+            now = NOW + step * 0.001
+            view = rng.choice(views)
+            if bound.allows(view, 26, entries, now):
+                view.sent(now)
+                sent.append(now)
+        for start in range(0, 5000, 100):
+            begin = NOW + start * 0.001
+            assert sum(begin <= time < begin + 1 for time in sent) <= 26 * 1.5 + 5
+
+    def test_an_engine_that_says_it_is_cold_gets_no_more_than_it_tolerates(self):
+        upstream = make_upstream()
+        upstream.cold_until_seconds = NOW + 3
+        allowed = 0
+        while ColdBound(1.5, 5).allows(upstream, 26, 1, NOW):
+            upstream.sent(NOW)
+            allowed += 1
+        assert 0 < allowed <= 26
+
+
+class TestWeights:
+    """Old weights serve until shortly before the bound, then only new ones do."""
+
+    def rule(self, *named, now=NOW, pinned=0):
+        targets = [WeightTarget(version, named_at) for version, named_at in named]
+        return weight_rule('m', targets, 8.0, now, pinned)
+
+    def test_both_versions_may_serve_at_first(self):
+        rule = self.rule((2, NOW - 3))
+        assert rule.allows(make_upstream(version=1), NOW)
+        assert rule.allows(make_upstream(version=2), NOW)
+        assert rule.expected_version == 0
+
+    def test_only_the_new_one_may_before_the_bound_is_reached(self):
+        rule = self.rule((2, NOW - 7.5))
+        assert not rule.allows(make_upstream(version=1), NOW)
+        assert rule.allows(make_upstream(version=2), NOW)
+        assert rule.expected_version == 2
+
+    def test_a_later_version_does_not_put_the_bound_of_an_earlier_one_off(self):
+        rule = self.rule((2, NOW - 7.9), (3, NOW - 4.9))
+        assert not rule.allows(make_upstream(version=1), NOW)
+        assert rule.allows(make_upstream(version=2), NOW)
+
+    def test_a_stream_that_goes_on_stays_on_its_version(self):
+        rule = self.rule((2, NOW - 1), pinned=1)
+        assert rule.allows(make_upstream(version=1), NOW)
+        assert not rule.allows(make_upstream(version=2), NOW)
+
+    def test_an_engine_that_changes_over_or_holds_nothing_gets_no_calls(self):
+        rule = self.rule()
+        assert not rule.allows(make_upstream(running=1, switching=True), NOW)
+        assert not rule.allows(make_upstream(version=0), NOW)
--- /dev/null
+++ b/test/routing/test_upstreams.py
@@ -0,0 +1,84 @@
+"""An entry's table of upstreams follows the book, the reports, and its own calls."""
+
+from dataclasses import replace
+
+from jackdawsail.registry.registration import RegistrationBook
+from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.wire.site_messages import EngineLoad
+from test.registry.test_registration import BEAT
+
+LOAD = EngineLoad(
+    engine_address=BEAT.address,
+    incarnation=1,
+    sequence=5,
+    weight_version=2,
+    switching=False,
+    waiting=0,
+    running=3,
+    memory_share=0,
+    pace=1.0,
+)
+
+
+def make_table(*beats, heard_seconds=10.0):
+    book = RegistrationBook()
+    for beat in beats:
+        book.update(beat, heard_seconds)
+    table = UpstreamTable(1.2, {'z': 'r'})
+    table.refresh(book)
+    return book, table
+
+
+def names(table, heard_control_seconds=10.0):
+    return [upstream.name for upstream in table.usable('s', heard_control_seconds)]
+
+
+def test_only_upstreams_of_the_service_that_stay_are_usable():
+    _book, table = make_table(
+        BEAT,
+        replace(BEAT, upstream='i-2', address='10.0.0.2:80', service='other'),
+        replace(BEAT, upstream='i-3', address='10.0.0.3:80', leaving=True),
+    )
+    assert names(table) == ['i-1']
+
+
+def test_an_address_that_another_service_has_taken_over_is_not_used():
+    _book, table = make_table(
+        BEAT, replace(BEAT, upstream='i-9', service='other', born_milliseconds=9000)
+    )
+    assert names(table) == []
+
+
+def test_silence_counts_only_while_a_control_is_heard_and_against_no_answers():
+    _book, table = make_table(BEAT)
+    assert names(table, heard_control_seconds=14.0) == ['i-1']
+    assert names(table, heard_control_seconds=15.0) == []
+    table.get('i-1').answered(0.1, 14.5, failed=False)
+    assert names(table, heard_control_seconds=15.0) == ['i-1']
+
+
+def test_reports_that_come_late_are_passed_over():
+    _book, table = make_table(BEAT)
+    table.take_load(LOAD, 10.0)
+    table.take_load(replace(LOAD, sequence=4, running=9), 10.1)
+    assert table.get('i-1').load_at(10.2).running == 3
+    table.take_load(replace(LOAD, incarnation=2, sequence=1, running=9), 10.3)
+    assert table.get('i-1').load_at(10.4).running == 9
+    assert table.get('i-1').load_at(12.0) is None
+
+
+def test_own_calls_survive_a_heartbeat_and_end_with_the_incarnation():
+    book, table = make_table(BEAT)
+    table.get('i-1').sent(10.0)
+    book.update(replace(BEAT, sequence=2), 11.0)
+    table.refresh(book)
+    assert table.get('i-1').calls == 1
+    book.update(replace(BEAT, born_milliseconds=2000, sequence=1), 12.0)
+    table.refresh(book)
+    assert table.get('i-1').calls == 0
+
+
+def test_a_cold_upstream_is_cold_until_the_time_it_told():
+    _book, table = make_table(replace(BEAT, cold_seconds=2.0))
+    assert table.get('i-1').is_cold(11.9)
+    assert not table.get('i-1').is_cold(12.1)
--- /dev/null
+++ b/test/staging/test_changeover.py
@@ -0,0 +1,217 @@
+"""An engine is ordered to load only what was read back whole right before."""
+
+import hashlib
+
+import pytest
+from returns.result import Failure, Success
+from twisted.internet.task import Clock
+
+from jackdawsail.registry.registration import ModelVersion
+from jackdawsail.site.node import NodeSettings
+from jackdawsail.site.view import SiteView
+from jackdawsail.staging.changeover import Changeover
+from jackdawsail.staging.engine import EngineReport, PieceList
+from jackdawsail.staging.waves import may_change_over
+from jackdawsail.wire.site_messages import MemberHost, Members, NamedWeights, SiteSummary
+from test.site.documents import ENGINE
+
+PIECES = 4
+
+
+def piece(version, index):
+    return f'{version}-{index}'.encode() * 4
+
+
+def listing(version):
+    digests = [hashlib.sha256(piece(version, index)).hexdigest() for index in range(PIECES)]
+    return PieceList('m', version, tuple(digests))
+
+
+class Engine:
+    """Stores staged pieces, may spoil them, and takes orders."""
+
+    def __init__(self, version=0):
+        self.staged = {}
+        self.spoil = []
+        self.orders = []
+        self.loaded = version
+        self.refuses = False
+        self.checked = []
+
+    async def write_piece(self, model, index, body):
+        self.staged[index] = body
+        return Success(None)
+
+    async def read_piece(self, model, index):
+        if index in self.spoil:
+            self.spoil.remove(index)
+            self.staged[index] = b'rotten'
+        self.checked.append(index)
+        return Success(self.staged[index]) if index in self.staged else Failure('404')
+
+    async def held(self, model):
+        return Success(tuple(sorted(self.staged)))
+
+    async def start(self, order):
+        self.orders.append((order, dict(self.staged)))
+        if self.refuses:
+            return Failure('status 409')
+        self.loaded = order.version
+        return Success(None)
+
+    def report(self):
+        models = (ModelVersion('m', self.loaded),) if self.loaded else ()
+        return EngineReport(models, 16 if self.loaded else 0, False, 3, 0, 2, 0, 1.0, 1)
+
+
+class Source:
+    """Hands out lists and pieces; ``down`` makes it fail."""
+
+    def __init__(self):
+        self.down = False
+        self.drawn = []
+        self.newest = 1
+
+    async def draw_list(self, model, version):
+        return Failure('down') if self.down else Success(listing(version or self.newest))
+
+    async def draw_piece(self, pieces, index):
+        self.drawn.append(index)
+        return Failure('down') if self.down else Success(piece(pieces.version, index))
+
+
+class World:
+    """An agent with its engine; ``name_weights`` is the operators' order."""
+
+    def __init__(self, loaded=0, address='10.0.0.1', others=()):
+        self.clock = Clock()
+        self.clock.advance(100)
+        self.view = SiteView()
+        hosts = [MemberHost(one, 'z', 'r') for one in (address, *others)]
+        self.view.take_members('c', Members(['c'], [], hosts))
+        self.engine, self.source = Engine(loaded), Source()
+        settings = NodeSettings('a', address, 'z', 'r')
+        self.changeover = Changeover(self.clock, self.view, self.engine, self.source, settings)
+        self.revision = 0
+
+    def name_weights(self, version):
+        self.revision += 1
+        summary = SiteSummary(self.revision, 0, [], [NamedWeights('m', version, 0.0)])
+        self.view.take_summary(summary, self.clock.seconds())
+
+    def look(self, seconds=1.1):
+        self.clock.advance(seconds)
+        self.changeover.look(self.engine.report(), ENGINE)
+
+
+def test_an_empty_engine_gets_the_newest_weights():
+    world = World()
+    world.look()
+    (order, staged) = world.engine.orders[0]
+    assert (order.version, order.expected_orders, order.finish_running) == (1, 3, True)
+    assert staged == {index: piece(1, index) for index in range(PIECES)}
+
+
+def test_an_engine_with_the_named_weights_is_left_alone():
+    world = World(loaded=2)
+    world.name_weights(2)
+    world.look()
+    assert world.engine.orders == []
+    assert world.source.drawn == []
+
+
+def test_every_staged_piece_is_read_back_before_the_order():
+    world = World(loaded=1)
+    world.name_weights(2)
+    world.look()
+    assert sorted(set(world.engine.checked)) == list(range(PIECES))
+    assert world.engine.loaded == 2
+
+
+@pytest.mark.parametrize('index', range(PIECES))
+def test_a_piece_that_rots_is_drawn_again_and_nothing_is_ordered_with_it(index):
+    world = World(loaded=1)
+    world.engine.spoil = [index]
+    world.name_weights(2)
+    world.look()
+    assert world.engine.orders == []
+    assert not world.changeover.switching
+    world.look()
+    (order, staged) = world.engine.orders[0]
+    assert staged == {one: piece(2, one) for one in range(PIECES)}
+    assert order.version == 2
+
+
+def test_pieces_of_an_engine_that_restarted_are_checked_and_only_bad_ones_drawn():
+    world = World()
+    world.engine.staged = {index: piece(1, index) for index in range(PIECES)}
+    world.engine.staged[2] = b'rotten'
+    world.look()
+    assert world.source.drawn == [2]
+    assert world.engine.loaded == 1
+
+
+def test_a_version_named_during_another_is_loaded_instead():
+    world = World(loaded=1)
+    world.source.down = True
+    world.name_weights(2)
+    world.look()
+    world.source.down = False
+    world.name_weights(3)
+    world.look()
+    assert [order.version for order, _staged in world.engine.orders] == [3]
+
+
+def test_a_source_that_is_away_is_asked_again_later():
+    world = World(loaded=1)
+    world.source.down = True
+    world.name_weights(2)
+    world.look()
+    asked = len(world.source.drawn)
+    world.changeover.look(world.engine.report(), ENGINE)
+    assert len(world.source.drawn) == asked
+    world.source.down = False
+    world.look()
+    assert world.engine.loaded == 2
+
+
+def test_a_refused_order_is_given_again_with_a_fresh_check():
+    world = World(loaded=1)
+    world.engine.refuses = True
+    world.name_weights(2)
+    world.look()
+    checked = len(world.engine.checked)
+    world.engine.refuses = False
+    world.look()
+    assert len(world.engine.checked) == checked + PIECES
+    assert world.engine.loaded == 2
+
+
+def test_layers_that_do_not_fit_are_not_ordered():
+    from dataclasses import replace
+
+    world = World()
+    world.clock.advance(1)
+    world.changeover.look(world.engine.report(), replace(ENGINE, memory_megabytes=1000))
+    assert world.engine.orders == []
+
+
+def test_the_second_half_of_the_engines_waits_for_the_first():
+    first = World(loaded=1, address='10.0.0.1', others=['10.0.0.2'])
+    second = World(loaded=1, address='10.0.0.2', others=['10.0.0.1'])
+    for world in (first, second):
+        world.name_weights(2)
+        world.look(5.5)
+    assert first.engine.loaded == 2
+    assert second.engine.loaded == 1
+    assert not second.changeover.switching
+    second.look(1.7)
+    assert second.engine.loaded == 2
+
+
+@pytest.mark.parametrize('age', [0.0, 5.5, 7.0])
+def test_half_of_the_engines_serve_until_shortly_before_the_bound(age):
+    agents = [f'10.0.0.{number}' for number in range(1, 9)]
+    turns = [may_change_over(agent, agents, age, 8.0) for agent in agents]
+    assert sum(turns) == 4
+    assert all(may_change_over(agent, agents, 7.2, 8.0) for agent in agents)
