--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -16,9 +16,9 @@
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.site.document import EngineClass
 
-FAR_SECONDS = 0.03  # what a call to another region must gain to be worth the bytes on the link
+FAR_SECONDS = 0.05  # a call to another region must gain a pass to be worth the bytes on the link
 JITTER_SECONDS = 0.01  # spreads the choices of entries that see the same reports
-WAIT_SHARE = 0.5  # of the objective; the other half is the prompt and the first pass
+WAIT_SHARE = 0.25  # of the objective; the rest is for the prompt, the first passes and the way
 DEFAULT_CALL_SECONDS = 0.05  # expected of a plain service that has not answered yet
 FAILURE_COST = 10.0  # how much a share of failures lengthens the expected time
 RETURN_MIN_SECONDS = 0.5  # a refused caller comes back after some streams have ended
