--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -76,7 +76,7 @@
     if service.engine is None:
         return choose_service(placed, candidates, parts.rng)
     now_seconds = parts.clock.seconds()
-    return choose_engine(placed, service.engine, candidates, now_seconds, parts.rng)
+    return choose_engine(placed, service.engine, candidates, now_seconds, parts.rng, parts.entries)
 
 
 def _service_of(parts: ProxyParts, name: str) -> Service | None:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -57,6 +57,7 @@
     deadline: Deadline
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
+    first_seconds: float = 0
     _limit: Any = None
     _watch: Any = None
     _ended: bool = field(default=False)
@@ -86,10 +87,10 @@
         """Passes on what may be passed on."""
         if self.relay is None or attempt.head is None or attempt.head.meaning.not_run:
             return
-        if not self.relay.started:
-            took_seconds = self.parts.clock.seconds() - self.exchange.received_seconds
-            metrics.FIRST_SECONDS.observe(took_seconds)
+        begun = self.relay.started
         self.relay.take(piece)
+        if self.relay.started and not begun:
+            _note_first(self, attempt)
 
     def attempt_whole(self, attempt: Attempt) -> None:
         """Ends the call, or tries another upstream."""
@@ -122,7 +123,10 @@
         if self.relay is not None:
             self.relay.finish()
         outcome = 'served' if status in SUCCESS else 'upstream failure'
-        self.log.write(call_log.CALL_ENDED, outcome=outcome, status=status)
+        first_seconds = round(self.first_seconds, 4)
+        self.log.write(
+            call_log.CALL_ENDED, outcome=outcome, status=status, first_seconds=first_seconds
+        )
         self._end(outcome)
 
     def _place(self) -> None:
@@ -254,6 +258,13 @@
         metrics.CALLS.labels(outcome).inc()
 
 
+def _note_first(task: CallTask, attempt: Attempt) -> None:
+    now_seconds = task.parts.clock.seconds()
+    task.first_seconds = now_seconds - task.exchange.received_seconds
+    metrics.FIRST_SECONDS.observe(task.first_seconds)
+    attempt.upstream.first_event(now_seconds - attempt.begun_seconds, now_seconds)
+
+
 def make_call_task(
     parts: ProxyParts,
     exchange: Exchange,
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -17,6 +17,7 @@
 from jackdawsail.site.document import EngineClass
 
 FAR_SECONDS = 0.05  # a call to another region must gain a pass to be worth the bytes on the link
+USUAL_FIRST_SECONDS = 0.25  # until a first event at a sound engine; what is beyond it is a lag
 JITTER_SECONDS = 0.01  # spreads the choices of entries that see the same reports
 WAIT_SHARE = 0.25  # of the objective; the rest is for the prompt, the first passes and the way
 DEFAULT_CALL_SECONDS = 0.05  # expected of a plain service that has not answered yet
@@ -57,6 +58,7 @@
     candidates: Sequence[Upstream],
     now_seconds: float,
     rng: random.Random,
+    entries: int = 1,
 ) -> Choice | Refusal:
     """Takes the engine with the earliest first event, unless all queues are too long."""
     if not candidates:
@@ -64,8 +66,9 @@
     best: Choice | None = None
     best_seconds = float('inf')
     for upstream in candidates:
-        wait_seconds = expected_wait_seconds(upstream, engine, now_seconds)
+        wait_seconds = expected_wait_seconds(upstream, engine, now_seconds, entries)
         total_seconds = wait_seconds + _distance_seconds(upstream, call.region)
+        total_seconds += max(0, upstream.first_mean_at(now_seconds) - USUAL_FIRST_SECONDS)
         total_seconds += rng.uniform(0, JITTER_SECONDS)
         total_seconds *= 1 + FAILURE_COST * upstream.failure_share / 2
         if total_seconds < best_seconds:
@@ -91,13 +94,15 @@
     return Refusal(reason, rng.uniform(RETURN_MIN_SECONDS, RETURN_MAX_SECONDS))
 
 
-def expected_wait_seconds(upstream: Upstream, engine: EngineClass, now_seconds: float) -> float:
+def expected_wait_seconds(
+    upstream: Upstream, engine: EngineClass, now_seconds: float, entries: int = 1
+) -> float:
     """Predicts how long a call waits at an engine before its prompt is read.
 
     A place frees up once for each stream that ends; a stream stays for as many
     passes as its answer has events.
     """
-    active = active_calls(upstream, now_seconds)
+    active = active_calls(upstream, now_seconds, entries)
     places = max(1, upstream.registration.places or engine.places)
     running = min(active, places)
     pass_seconds = pass_length_seconds(engine, running)
@@ -124,11 +129,14 @@
     return writing_seconds + reading_seconds * running / events
 
 
-def active_calls(upstream: Upstream, now_seconds: float) -> float:
-    """Estimates the calls at an engine: its last report and what was sent since."""
+def active_calls(upstream: Upstream, now_seconds: float, entries: int = 1) -> float:
+    """Estimates the calls at an engine: its last report and what was sent since.
+
+    Without a report the other ``entries`` are taken to send as much as this one.
+    """
     load = upstream.load_at(now_seconds)
     if load is None or upstream.seen is None:
-        return upstream.calls
+        return upstream.calls * entries
     since = upstream.sends_since(upstream.seen.received_seconds)
     return load.running + load.waiting + since
 
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -13,6 +13,8 @@
 
 LATENCY_WEIGHT = 0.2  # of the newest answer in the running mean
 FAILURE_WEIGHT = 0.15
+FIRST_WEIGHT = 0.3
+FIRST_FADE_SECONDS = 2.0  # a slow engine is tried again after a few of these
 FIRST_SUSPENSION_SECONDS = 0.5  # an upstream that restarts is back after about a second
 LONGEST_SUSPENSION_SECONDS = 4.0
 REPORT_VALID_SECONDS = 1.0  # ten reports of an agent
@@ -31,9 +33,9 @@
 class Upstream:
     """One incarnation of an upstream as this entry sees it.
 
-    ``calls`` are this entry's own calls that are running there now, and
-    ``prompt_tokens`` the tokens of their prompts. ``sent_seconds`` holds when
-    the last calls were sent.
+    ``calls`` are this entry's own calls that are running there now,
+    ``sent_seconds`` when the last calls were sent, and ``first_mean_seconds``
+    how long first events have taken lately.
     """
 
     registration: Registration
@@ -48,6 +50,8 @@
     failure_share: float = 0
     suspensions: int = 0
     sent_seconds: deque[float] = field(default_factory=deque)
+    first_mean_seconds: float = 0
+    first_noted_seconds: float = 0
 
     @property
     def name(self) -> str:
@@ -81,6 +85,17 @@
         before = self.mean_seconds or took_seconds
         self.mean_seconds = before + LATENCY_WEIGHT * (took_seconds - before)
 
+    def first_event(self, took_seconds: float, now_seconds: float) -> None:
+        """Notes how long the first event of a stream took."""
+        before = self.first_mean_at(now_seconds) or took_seconds
+        self.first_mean_seconds = before + FIRST_WEIGHT * (took_seconds - before)
+        self.first_noted_seconds = now_seconds
+
+    def first_mean_at(self, now_seconds: float) -> float:
+        """Returns the recent time to a first event; it fades while none is noted."""
+        faded = 0.5 ** ((now_seconds - self.first_noted_seconds) / FIRST_FADE_SECONDS)
+        return self.first_mean_seconds * faded
+
     def broken(self, now_seconds: float) -> None:
         """Notes that a call has failed without a whole answer: it rests for a while."""
         self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -99,6 +99,23 @@
     assert max(slots.values()) < 80
 
 
+def test_an_engine_without_reports_is_taken_to_get_as_much_from_every_entry():
+    silent, told = make_upstream(1), make_upstream(2, running=9)
+    silent.calls = 3
+    rng = random.Random(1)
+    chosen = choose_engine(CALL, ENGINE, [silent, told], NOW, rng, entries=9)
+    assert chosen.upstream is told
+
+
+def test_an_engine_whose_first_events_lag_is_avoided_for_a_while():
+    lagging, sound = make_upstream(1, running=2), make_upstream(2, running=9)
+    lagging.first_event(0.9, NOW)
+    assert choose([lagging, sound]).upstream is sound
+    lagging.seen = LoadSeen(lagging.seen.load, NOW + 8)
+    later = choose_engine(CALL, ENGINE, [lagging, sound], NOW + 8, random.Random(1))
+    assert later.upstream is lagging
+
+
 def test_a_longer_queue_means_a_longer_wait():
     waits = [
         expected_wait_seconds(make_upstream(1, running=16, waiting=waiting), ENGINE, NOW)
