--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     'report',
     'size',
     'start',
+    'startup',
 )
 
 
--- /dev/null
+++ b/jackdawsail/ui/explain_command.py
@@ -0,0 +1,61 @@
+"""``jackdawsail explain``: the log lines of one request from several processes, in order."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+from rich.console import Console
+
+from jackdawsail.errors import UserError
+
+SKIPPED = ('request', 'event', 'number', 'level', 'timestamp', 'program', 'host')
+NOT_FOUND = 1
+
+
+def explain(
+    request_id: Annotated[str, Parameter(help='The id of the request, as the caller sent it.')],
+    *logs: Annotated[Path, Parameter(help='Log files of entries, agents and control hosts.')],
+) -> None:
+    """Print the decisions about one request, with their inputs, in the order of time."""
+    lines = sorted(find_lines(request_id, _read(logs)), key=lambda line: str(line['timestamp']))
+    if not lines:
+        raise UserError(f'no log line names request {request_id}', NOT_FOUND)
+    console = Console(highlight=False, markup=False, soft_wrap=True)
+    for line in lines:
+        console.print(format_line(line))
+
+
+def find_lines(request_id: str, lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the events of a request; text before the JSON of a line is passed over."""
+    for line in lines:
+        if request_id not in line or '{' not in line:
+            continue
+        try:
+            found = json.loads(line[line.index('{') :])
+        except ValueError:
+            continue
+        if isinstance(found, dict) and found.get('request') == request_id:
+            yield {'timestamp': '', **found}
+
+
+def format_line(line: dict[str, Any]) -> str:
+    """Writes one event: when, where, what, and the inputs of the decision.
+
+    Example::
+
+        12:00:01.5 front-1 420 call handed to an upstream: upstream=i-7 running=3
+    """
+    details = ' '.join(f'{key}={line[key]}' for key in line if key not in SKIPPED)
+    place = f'{line["timestamp"]} {line.get("host", "?")} {line.get("number", "?")}'
+    return f'{place} {line.get("event", "")}: {details}'
+
+
+def _read(logs: Iterable[Path]) -> Iterator[str]:
+    for path in logs:
+        try:
+            text = path.read_text('utf8', 'replace')
+        except OSError as error:
+            raise UserError(f'{path}: {error}') from None
+        yield from text.splitlines()
--- a/jackdawsail/ui/main.py
+++ b/jackdawsail/ui/main.py
@@ -10,6 +10,7 @@
 from jackdawsail.ui import (
     config_commands,
     customer_commands,
+    explain_command,
     release_commands,
     status_commands,
     voter_commands,
@@ -29,7 +30,12 @@
     voter_commands.voters_app,
     config_commands.config_app,
 )
-COMMANDS = (status_commands.status, status_commands.audit, status_commands.apply)
+COMMANDS = (
+    status_commands.status,
+    status_commands.audit,
+    status_commands.apply,
+    explain_command.explain,
+)
 
 
 def make_app() -> cyclopts.App:
--- /dev/null
+++ b/test/group/test_desk.py
@@ -0,0 +1,206 @@
+"""Operators, upstreams and callers get true answers from every control host."""
+
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from jackdawsail.consensus.interfaces import ProposeError
+from jackdawsail.group import calls
+from jackdawsail.group.desk import Desk
+from jackdawsail.group.directory import KnownEntry, addresses_for
+from jackdawsail.group.fanout import Fanout
+from jackdawsail.group.linked import LinkedProcesses
+from jackdawsail.site.machine import SiteMachine
+from jackdawsail.switchboard import Switchboard
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.site_messages import (
+    DocumentPushed,
+    DocumentWanted,
+    EntryStatus,
+    Registrations,
+    SiteSummary,
+    UpstreamLeft,
+)
+from test.registry.test_registration import BEAT
+from test.site.documents import make_document
+
+DOCUMENT = calls.PutDocument(make_document(7), 'digest', b'{"version":7}')
+
+
+class Replicator:
+    """Commits at once while it leads; ``lost`` proposals are not confirmed."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.leads, self.leader, self.lost, self.index = True, 'own', False, 0
+
+    def is_leader(self):
+        return self.leads
+
+    def leader_name(self):
+        return self.leader
+
+    def propose(self, command):
+        if self.lost:
+            return succeed(Failure(ProposeError('not confirmed in time', '', True)))
+        self.index += 1
+        return succeed(Success(self.machine.apply(self.index, command)))
+
+
+class Link:
+    """Records what is sent to one peer."""
+
+    def __init__(self, role, name='peer'):
+        self.peer = Identity(role, name, 'z', 'r', 1)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+    def of(self, message_type):
+        return [one for one in self.sent if isinstance(one, message_type)]
+
+
+class Host:
+    """One control host with its desk and linked processes."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.machine = SiteMachine()
+        self.switchboard = Switchboard()
+        self.linked = LinkedProcesses('own', self.switchboard)
+        self.fanout = Fanout(self.clock, self.switchboard, self.machine)
+        self.replicator = Replicator(self.machine)
+        self.desk = Desk(self.replicator, self.fanout, self.linked)
+        self.linked.start()
+        self.fanout.start()
+
+    def ask(self, call):
+        answers = []
+        answered = self.desk.handle(call)
+        assert isinstance(answered, Deferred)
+        answered.addCallback(answers.append)
+        return answers[0]
+
+    def link(self, role=Role.entry, name='10.0.0.5'):
+        link = Link(role, name)
+        self.switchboard.link_opened(link)
+        return link
+
+
+def test_a_document_is_acknowledged_read_back_and_may_be_sent_again():
+    host = Host()
+    assert isinstance(host.ask(calls.ReadDocument()), calls.Unavailable)
+    assert host.ask(DOCUMENT) == calls.Done()
+    assert host.ask(DOCUMENT) == calls.Done()
+    assert host.ask(calls.ReadDocument()) == calls.DocumentFound(b'{"version":7}')
+
+
+def test_other_content_under_the_held_version_is_refused():
+    host = Host()
+    host.ask(DOCUMENT)
+    other = calls.PutDocument(make_document(7), 'other', b'{}')
+    assert isinstance(host.ask(other), calls.Conflict)
+    assert host.ask(calls.ReadDocument()) == calls.DocumentFound(b'{"version":7}')
+
+
+def test_an_invalid_call_is_refused_whoever_leads():
+    host = Host()
+    host.replicator.leads = False
+    assert host.ask(calls.BadCall('cut short')) == calls.Invalid('cut short')
+
+
+def test_a_host_that_does_not_lead_names_the_leader_and_answers_nothing_itself():
+    host = Host()
+    host.ask(DOCUMENT)
+    host.replicator.leads, host.replicator.leader = False, 'other'
+    for call in (DOCUMENT, calls.ReadDocument(), calls.EmptyZone('z', emptied=True)):
+        assert host.ask(call) == calls.AskHost('other')
+    host.replicator.leader = ''
+    assert isinstance(host.ask(calls.ReadDocument()), calls.Unavailable)
+
+
+def test_a_leader_whose_lease_has_lapsed_does_not_send_callers_to_itself():
+    host = Host()
+    host.replicator.leads = False
+    assert isinstance(host.ask(calls.ReadDocument()), calls.Unavailable)
+
+
+def test_a_change_that_is_not_confirmed_is_not_acknowledged():
+    host = Host()
+    host.replicator.lost = True
+    assert isinstance(host.ask(DOCUMENT), calls.Unavailable)
+
+
+def test_news_of_an_upstream_reach_every_process_before_the_acknowledgement():
+    host = Host()
+    entry, other_control = host.link(), host.link(Role.control, '10.0.0.2')
+    assert host.ask(calls.Heartbeat(BEAT)) == calls.Done()
+    for link in (entry, other_control):
+        assert link.of(Registrations)[-1].heard[0].registration == BEAT
+    assert host.ask(calls.Goodbye('i-1')) == calls.Done()
+    assert entry.of(UpstreamLeft) == [UpstreamLeft('i-1')]
+
+
+def test_that_an_upstream_leaves_is_not_acknowledged_without_a_leader():
+    from dataclasses import replace
+
+    host = Host()
+    host.replicator.leader = ''
+    assert host.ask(calls.Heartbeat(BEAT)) == calls.Done()
+    leaving = replace(BEAT, sequence=2, leaving=True)
+    assert isinstance(host.ask(calls.Heartbeat(leaving)), calls.Unavailable)
+    assert isinstance(host.ask(calls.Goodbye('i-1')), calls.Unavailable)
+
+
+def test_a_process_that_links_later_learns_everything():
+    host = Host()
+    host.ask(calls.Heartbeat(BEAT))
+    host.ask(DOCUMENT)
+    host.ask(calls.NameWeights('m', 2))
+    late = host.link()
+    assert late.of(Registrations)[0].heard[0].registration == BEAT
+    summary = late.of(SiteSummary)[0]
+    assert (summary.document_version, summary.weights[0].version) == (7, 2)
+    host.switchboard.link_received(late, DocumentWanted(summary.revision))
+    assert late.of(DocumentPushed)[0].version == 7
+
+
+def test_an_older_weight_version_is_told_beside_a_newer_one():
+    host = Host()
+    host.ask(calls.NameWeights('m', 2))
+    host.clock.advance(3)
+    host.ask(calls.NameWeights('m', 3))
+    named = host.link().of(SiteSummary)[0].weights
+    assert {one.version: one.age_seconds for one in named} == {2: 3.0, 3: 0.0}
+
+
+def test_callers_are_sent_to_entries_that_accept_and_are_linked():
+    host = Host()
+    assert isinstance(host.ask(calls.FindEntries('r', 'z')), calls.Unavailable)
+    first, second = host.link(name='10.0.0.5'), host.link(name='10.0.0.6')
+    host.switchboard.link_received(first, EntryStatus('10.0.0.5:80', True))
+    host.switchboard.link_received(second, EntryStatus('10.0.0.6:80', True))
+    assert host.ask(calls.FindEntries('r', 'z')).addresses == ('10.0.0.5:80', '10.0.0.6:80')
+    host.switchboard.link_received(second, EntryStatus('10.0.0.6:80', False))
+    assert host.ask(calls.FindEntries('r', 'z')).addresses == ('10.0.0.5:80',)
+    host.switchboard.link_closed(first, 'peer is silent')
+    assert isinstance(host.ask(calls.FindEntries('r', 'z')), calls.Unavailable)
+
+
+def entry(number, zone, region):
+    return KnownEntry(f'10.0.0.{number}:80', zone, region)
+
+
+def test_the_nearest_circle_with_two_entries_is_named():
+    known = [entry(1, 'a', 'r'), entry(2, 'a', 'r'), entry(3, 'b', 'r'), entry(4, 'c', 's')]
+    assert addresses_for(known, 'r', 'a') == ('10.0.0.1:80', '10.0.0.2:80')
+    assert len(addresses_for(known, 'r', 'b')) == 3
+    assert len(addresses_for(known, 's', 'c')) == 4
+    assert len(addresses_for(known, 'unknown', 'unknown')) == 4
+
+
+def test_no_more_addresses_than_callers_take_are_named():
+    known = [entry(number, 'a', 'r') for number in range(100)]
+    assert len(addresses_for(known, 'r', 'a')) == 64
