--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := jackdawsail bench test
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: test lint format types check demo slow install clean size
+.PHONY: test lint format types check demo slow install clean size mutants
 
 test: lint types check
 
@@ -46,6 +46,9 @@
 demo: $(STAMP_RUN)
 	@$(PY) -m bench demo $(if $(JSON),--json)
 
+mutants: $(STAMP)
+	$(PY) -m test.mutants
+
 size: $(STAMP)
 	$(PY) -m bench size
 
--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -7,7 +7,7 @@
 from jackdawsail.consensus.effects import Refused, Send
 from jackdawsail.consensus.log import Entry, EntryKind
 from jackdawsail.consensus.membership import MemberChange
-from jackdawsail.consensus.messages import AppendReply, PreVote, PreVoteReply, VoteReply
+from jackdawsail.consensus.messages import AppendReply, PreVote, PreVoteReply, Vote, VoteReply
 from jackdawsail.consensus.node import ChangeMembers, Durable, Propose, Tick, make_node
 from test.consensus.cluster import Cluster
 
@@ -63,6 +63,24 @@
     ]
 
 
+def test_only_one_candidate_gets_the_vote_of_a_term():
+    durable = Durable(term=3, entries=make_leader().core.log.between(0, 2))
+    node = make_node('b@1', Timing(), random.Random(1), durable, now_seconds=50)
+    granted = []
+    for candidate in ('a@1', 'c@1', 'a@1'):
+        effects = node.step(Vote(candidate, 'b@1', 4, 9, 3, transfer=False), 60)
+        granted += [effect.message.granted for effect in effects if isinstance(effect, Send)]
+    assert granted == [True, False, True]
+
+
+def test_a_restarted_voter_keeps_to_the_vote_that_it_has_given():
+    entries = make_leader().core.log.between(0, 2)
+    durable = Durable(term=4, voted_for='a@1', entries=entries)
+    node = make_node('b@1', Timing(), random.Random(1), durable, now_seconds=50)
+    effects = node.step(Vote('c@1', 'b@1', 4, 9, 3, transfer=False), 60)
+    assert [effect.message.granted for effect in effects if isinstance(effect, Send)] == [False]
+
+
 def test_entries_under_way_to_a_member_are_bounded():
     node = make_leader()
     node.step(appended(3, 3), 3.1)
--- /dev/null
+++ b/test/mutants.py
@@ -0,0 +1,154 @@
+"""Breaks one safety condition at a time and reports whether any test notices.
+
+Run by ``make mutants``. Each mutant is a file, a text that stands in it once, its
+replacement, and the tests that should fail; the file is restored afterwards.
+"""
+
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One broken condition."""
+
+    path: str
+    text: str
+    replacement: str
+    tests: str
+
+
+CONSENSUS, PROXY, ROUTING = 'test/consensus', 'test/proxy', 'test/routing'
+MUTANTS = (
+    Mutant('consensus/election.py', "core.voted_for in {'', asked.sender}", 'True', CONSENSUS),
+    Mutant(
+        'consensus/election.py',
+        'and self._up_to_date(asked)\n        if',
+        '\n        if',
+        CONSENSUS,
+    ),
+    Mutant('consensus/replication.py', 'committed >= self._lead_index and ', '', CONSENSUS),
+    Mutant('agent/lease.py', 'if not self.lease.is_live(now_seconds):', 'if False:', 'test/agent'),
+    Mutant('agent/lease.py', "record.get('mode') == OUT", 'False', 'test/agent'),
+    Mutant('routing/desk.py', "self.order.release not in {'', grant.release}", 'False', ROUTING),
+    Mutant('site/machine.py', 'if version < held.version:', 'if False:', 'test/site'),
+    Mutant('site/machine.py', 'if digest == held.digest else Verdict.conflict', '', 'test/site'),
+    Mutant('site/view.py', 'summary.revision <= self.revision or ', '', 'test/site'),
+    Mutant(
+        'site/view.py', 'if document.version <= self.document_version:', 'if False:', 'test/site'
+    ),
+    Mutant(
+        'registry/registration.py',
+        'registration.order <= held.registration.order',
+        'False',
+        'test/registry',
+    ),
+    Mutant(
+        'registry/registration.py',
+        'one.born_milliseconds > other.born_milliseconds',
+        'True',
+        'test/registry',
+    ),
+    Mutant('proxy/sends.py', 'not self.route.may_repeat or ', '', PROXY),
+    Mutant('proxy/sends.py', 'self.ran_on.add(upstream)', 'pass', PROXY),
+    Mutant('proxy/attempt.py', 'if foreign or unnamed:', 'if unnamed:', PROXY),
+    Mutant('proxy/attempt.py', 'if foreign or unnamed:', 'if foreign:', PROXY),
+    Mutant(
+        'proxy/relaying.py',
+        'if frame.number and frame.number <= self.last_event:',
+        'if False:',
+        PROXY,
+    ),
+    Mutant(
+        'proxy/selection.py',
+        'if upstream.registration.zone in parts.view.emptied_zones:',
+        'if False:',
+        PROXY,
+    ),
+    Mutant(
+        'proxy/watch.py',
+        'if not begun and call.selection()',
+        'if False and call.selection()',
+        PROXY,
+    ),
+    Mutant(
+        'routing/weight_rules.py',
+        'if self.pinned_version and version != self.pinned_version:',
+        'if False:',
+        ROUTING,
+    ),
+    Mutant(
+        'routing/weight_rules.py', 'return version >= self.least_version', 'return True', ROUTING
+    ),
+    Mutant(
+        'routing/shared_limits.py', 'if len(self._repeats) + 1 > allowed:', 'if False:', ROUTING
+    ),
+    Mutant('routing/shared_limits.py', 'return recent + 1 <= own_share', 'return True', ROUTING),
+    Mutant('routing/upstreams.py', 'and not one.leaving', '', ROUTING),
+    Mutant(
+        'staging/changeover.py', 'if not await self._verify(staged):', 'if False:', 'test/staging'
+    ),
+    Mutant('staging/changeover.py', 'fits and due and', 'due and', 'test/staging'),
+    Mutant('http1/client.py', 'len(core.trailing_data[0]) != behind', 'False', 'test/http1'),
+    Mutant(
+        'http1/server.py',
+        "b'transfer-encoding' in names and b'content-length' in names",
+        'False',
+        'test/http1',
+    ),
+    Mutant('http1/server.py', ' and not self._refused', '', 'test/http1'),
+    Mutant('platform/traffic.py', "b'tenant',", '', 'test/platform'),
+    Mutant(
+        'group/desk.py',
+        'if call.registration.leaving and not self.replicator.leader_name():',
+        'if False:',
+        'test/group',
+    ),
+)
+
+
+@contextmanager
+def broken(mutant: Mutant) -> Iterator[None]:
+    """Writes the broken file and restores it."""
+    path = ROOT / 'jackdawsail' / mutant.path
+    sound = path.read_text('utf8')
+    if sound.count(mutant.text) != 1:
+        raise AssertionError(
+            f'{mutant.path}: {mutant.text!r} stands there {sound.count(mutant.text)} times'
+        )
+    path.write_text(sound.replace(mutant.text, mutant.replacement), 'utf8')
+    try:
+        yield
+    finally:
+        path.write_text(sound, 'utf8')
+
+
+def is_noticed(mutant: Mutant) -> bool:
+    """Tells whether the tests fail with the mutant in place."""
+    command = [sys.executable, '-m', 'pytest', '-q', '-x', '-m', 'not slow', mutant.tests]
+    with broken(mutant):
+        return subprocess.run(command, cwd=ROOT, capture_output=True, check=False).returncode == 1
+
+
+def main() -> int:
+    """Tries every mutant; the exit status is the number that nobody noticed."""
+    missed = 0
+    for mutant in MUTANTS:
+        noticed = is_noticed(mutant)
+        missed += not noticed
+        print(
+            f'{"noticed" if noticed else "MISSED "} {mutant.path}: {mutant.text[:70]!r}',
+            flush=True,
+        )
+    print(f'{len(MUTANTS) - missed} of {len(MUTANTS)} noticed')
+    return missed
+
+
+if __name__ == '__main__':
+    sys.exit(main())
