--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -73,6 +73,16 @@
     assert granted == [True, False, True]
 
 
+def test_no_vote_goes_to_a_candidate_that_may_lack_committed_entries():
+    durable = Durable(term=3, entries=make_leader().core.log.between(0, 2))
+    node = make_node('b@1', Timing(), random.Random(1), durable, now_seconds=50)
+    granted = []
+    for last_index, last_term in ((1, OLD_TERM), (9, OLD_TERM - 1), (2, OLD_TERM)):
+        effects = node.step(Vote('a@1', 'b@1', 4, last_index, last_term, transfer=False), 60)
+        granted += [effect.message.granted for effect in effects if isinstance(effect, Send)]
+    assert granted == [False, False, True]
+
+
 def test_a_restarted_voter_keeps_to_the_vote_that_it_has_given():
     entries = make_leader().core.log.between(0, 2)
     durable = Durable(term=4, voted_for='a@1', entries=entries)
