--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -1,11 +1,14 @@
 """What callers get, and how often upstreams may run their calls, when upstreams fail."""
 
+from dataclasses import replace
+
 import pytest
 
 from jackdawsail.http1.client import ClientChannel
 from jackdawsail.site.node import NodeBounds
 from test.proxy.world import (
     MODEL_SERVICE,
+    ONCE,
     World,
     answer,
     begin_stream,
@@ -113,6 +116,17 @@
         assert b'server-stamp' not in caller.value().lower()
 
 
+def test_once_holds_even_where_the_route_allows_several_upstreams():
+    world = World(routes=[replace(ONCE, max_upstreams=3)])
+    failed = world.call('/once/x', method='POST')
+    answer(world.accept(), 500)
+    assert status_of(failed) == 500
+    lost = world.call('/once/x', attempt='a2', method='POST')
+    reset(world.accept())
+    assert status_of(lost) == 502
+    assert world.reactor.asked == []
+
+
 class TestIdempotent:
     """A call that may run more than once."""
 
