--- a/jackdawsail/control/raft_links.py
+++ b/jackdawsail/control/raft_links.py
@@ -84,16 +84,6 @@
             if self._handlers is not None:
                 self._dialers[name].start()
 
-    def drop_host(self, name: str) -> None:
-        """Ends the link to a control host and dials it no more."""
-        dialer = self._dialers.pop(name, None)
-        if dialer is not None:
-            dialer.stop()
-
-    def hosts(self) -> list[str]:
-        """Returns the names of the control hosts that are dialled."""
-        return sorted(self._dialers)
-
     def stop(self) -> None:
         """Ends every link."""
         for dialer in self._dialers.values():
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -75,9 +75,7 @@
     candidates = _candidates(parts, selection, service)
     placed = PlacedCall(
         target_seconds=selection.route.target_seconds,
-        prompt_tokens=selection.call.prompt_tokens,
         region=parts.settings.region,
-        returning=selection.returning,
     )
     if service.engine is None:
         return choose_service(placed, candidates, parts.rng)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -65,6 +65,7 @@
         self._watch = EngineWatch(self)
         self.exchange.on_gone = self._caller_left
         self.parts.running += 1
+        metrics.RUNNING.inc()
         self._limit = self.parts.clock.callLater(self.deadline.left_seconds, self._out_of_time)
         self._place()
 
@@ -245,6 +246,7 @@
         if self._limit is not None and self._limit.active():
             self._limit.cancel()
         self.parts.running -= 1
+        metrics.RUNNING.dec()
         metrics.CALLS.labels(outcome).inc()
 
 
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -31,9 +31,7 @@
     """What placement needs to know of a call."""
 
     target_seconds: float
-    prompt_tokens: int
     region: str
-    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
-from typing import Any
 
 import cbor2
 
@@ -123,8 +122,3 @@
     'zone': _change_zone,
     'weights': _change_weights,
 }
-
-
-def weight_version_of(state: Any, model: str) -> int:
-    """Returns the newest named version of a model's weights; 0 when none was named."""
-    return dict(state.weight_versions).get(model, 0)
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -64,7 +64,11 @@
         listen_http(self._process, address, ServerFactory(options))
 
     def site_changed(self) -> None:
-        """Draws newly named weights if this relay is the first of its region."""
+        """Draws newly named weights if this relay is the first of its region.
+
+        Called at each change and now and then, so that a draw that has failed is
+        begun again.
+        """
         for model, named in self._view.weights.items():
             newest = named[-1].version
             if (model, newest) not in self._filled and self._is_first(model):
@@ -93,7 +97,9 @@
 
     async def _fill_some(self, pieces: PieceList, left: deque[int]) -> None:
         while left:
-            await self._piece(pieces, left.popleft())
+            if await self._piece(pieces, left.popleft()) is None:
+                # The sources are away; the rest is drawn at the next look.
+                left.clear()
 
     async def _list(self, model: str, version: int) -> PieceList | None:
         held = self._version(model, version)
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -24,7 +24,7 @@
 from test.site.documents import ENGINE
 
 NOW = 100.0
-CALL = PlacedCall(target_seconds=0.4, prompt_tokens=900, region='r')
+CALL = PlacedCall(target_seconds=0.4, region='r')
 
 
 def make_upstream(number=1, running=None, waiting=0, region='r', version=1, switching=False):
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -1,13 +1,14 @@
 """Weights cross a link between regions once, and a source that fails is passed over."""
 
 import hashlib
+from types import SimpleNamespace
 
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeSettings
-from jackdawsail.site.view import SiteView
+from jackdawsail.site.view import SiteView, WeightTarget
 from jackdawsail.staging.drawing import is_sound
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.relay import PieceRelay
@@ -99,6 +100,23 @@
     assert len(drawing.waiting) == 1
 
 
+def test_a_relay_whose_sources_were_away_fills_itself_later():
+    view, drawing = make_view(), Drawing()
+    own = first_of('r2')
+    view.weights['m'] = (WeightTarget(2, 0.0),)
+    process = SimpleNamespace(settings=NodeSettings('n', own, 'z2', 'r2', REGIONS))
+    relay = PieceRelay(process, view, drawing)
+    relay.site_changed()
+    relay.site_changed()
+    assert len(drawing.waiting) == 1
+    drawing.waiting[0].callback(Failure('reset'))
+    relay.site_changed()
+    assert len(drawing.waiting) == 2
+    drawing.waiting[1].callback(Success(b'body'))
+    relay.site_changed()
+    assert len(drawing.waiting) == 2
+
+
 def test_a_relay_tries_again_after_a_failed_draw():
     drawing = Drawing()
     relay = PieceRelay(None, make_view(), drawing)
