Entries that are leaving relay no weights

Ruled out: the origin, which answered throughout. Control hosts now tell which entries are leaving; they still count in the shares of limits, since they still serve. Tests failed first.

--- a/jackdawsail/group/linked.py
+++ b/jackdawsail/group/linked.py
@@ -6,7 +6,7 @@
 from jackdawsail import events
 from jackdawsail.group.directory import KnownEntry
 from jackdawsail.switchboard import Switchboard
-from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import EntryStatus, MemberHost, Members
 
@@ -41,9 +41,17 @@
         )
 
     def _hosts(self, role: Role) -> list[MemberHost]:
-        peers = {link.peer for link in self.switchboard.links if link.peer is not None}
-        found = {_as_host(peer) for peer in peers if peer.role is role}
-        return sorted(found, key=lambda host: host.address)
+        links = [link for link in self.switchboard.links if link.peer and link.peer.role is role]
+        found = {host.address: host for host in map(self._as_host, links)}
+        return [found[address] for address in sorted(found)]
+
+    def _as_host(self, link: Link) -> MemberHost:
+        status = self._statuses.get(link)
+        peer = link.peer
+        if peer is None:
+            raise AssertionError('only links of known peers are listed')
+        leaving = status is not None and not status.accepts
+        return MemberHost(peer.name, peer.zone, peer.region, leaving)
 
     def _on_status(self, link: Link, status: EntryStatus) -> None:
         if self._statuses.get(link) != status:
@@ -56,7 +64,3 @@
         if status is not None:
             name = link.peer.name if link.peer else ''
             events.log(ENTRY_CHANGED, entry=name, accepts=False)
-
-
-def _as_host(peer: Identity) -> MemberHost:
-    return MemberHost(peer.name, peer.zone, peer.region)
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -79,9 +79,13 @@
         return {name for seen in self._members_by_control.values() for name in seen.controls}
 
     def entries(self) -> list[MemberHost]:
-        """Returns the entries that any control host sees, in a fixed order."""
-        found = {one for seen in self._members_by_control.values() for one in seen.entries}
-        return sorted(found, key=lambda host: host.address)
+        """Returns the entries that any control host sees, in a fixed order.
+
+        One that any of them knows to be leaving is leaving.
+        """
+        seen = [one for members in self._members_by_control.values() for one in members.entries]
+        found = {one.address: one for one in sorted(seen, key=lambda host: host.leaving)}
+        return [found[address] for address in sorted(found)]
 
     def newest_weights(self, model: str) -> WeightTarget | None:
         """Returns the highest version of a model that was named; None when none was."""
--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -40,9 +40,11 @@
 def rank_relays(entries: Sequence[MemberHost], region: str, model: str) -> list[MemberHost]:
     """Orders the entries of a region by their claim to relay a model's weights.
 
-    Every process that knows the same entries gets the same order.
+    Every process that knows the same entries gets the same order. One that is
+    leaving would take its pieces with it.
     """
-    own = {entry.address: entry for entry in entries if entry.region == region}
+    staying = [entry for entry in entries if entry.region == region and not entry.leaving]
+    own = {entry.address: entry for entry in staying}
     return [own[address] for address in rank_zones(model, sorted(own))]
 
 
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -68,11 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberHost:
-    """A host on which a process of the site runs; ``address`` is its IP address."""
+    """A host on which a process of the site runs; ``address`` is its IP address.
+
+    ``leaving`` is true of an entry that callers should no longer use.
+    """
 
     address: str
     zone: str
     region: str
+    leaving: bool = False
 
 
 @message('site-members')
--- a/test/group/test_desk.py
+++ b/test/group/test_desk.py
@@ -189,6 +189,14 @@
     assert isinstance(host.ask(calls.FindEntries('r', 'z')), calls.Unavailable)
 
 
+def test_an_entry_that_no_longer_accepts_is_listed_as_leaving():
+    host = Host()
+    link = host.link(name='10.0.0.5')
+    assert [one.leaving for one in host.linked.members([]).entries] == [False]
+    host.switchboard.link_received(link, EntryStatus('10.0.0.5:80', False))
+    assert [one.leaving for one in host.linked.members([]).entries] == [True]
+
+
 def entry(number, zone, region):
     return KnownEntry(f'10.0.0.{number}:80', zone, region)
 
--- a/test/site/test_view.py
+++ b/test/site/test_view.py
@@ -1,5 +1,7 @@
 """A process never goes back to an older state of the site, whoever tells it."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -61,6 +63,10 @@
     view.take_members('c2', Members(['c1', 'c2'], [one, other], [other]))
     assert view.entries() == [one, other]
     assert view.controls() == {'c1', 'c2'}
+    gone = replace(other, leaving=True)
+    view.take_members('c3', Members(['c3'], [gone], []))
+    assert view.entries() == [one, gone]
+    view.forget_control('c3')
     view.forget_control('c2')
     assert view.entries() == [one]
     assert view.agents() == []
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -1,6 +1,7 @@
 """Weights cross a link between regions once, and a source that fails is passed over."""
 
 import hashlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
@@ -68,6 +69,13 @@
             assert not set(found) & set(behind)
 
 
+def test_an_entry_that_is_leaving_relays_nothing():
+    first = rank_relays(ENTRIES, 'r1', 'm')[0]
+    leaving = [replace(one, leaving=one == first) for one in ENTRIES]
+    assert first.address not in [one.address for one in rank_relays(leaving, 'r1', 'm')]
+    assert len(rank_relays(leaving, 'r1', 'm')) == 2
+
+
 def test_a_spoilt_piece_is_told_from_a_sound_one():
     assert is_sound(PIECES, 0, b'body')
     assert not is_sound(PIECES, 0, b'bodY')
