A stopping entry takes no call that might not end in time

From 2.8 s on it closes its port and refuses calls on connections that are still open, unread. Ruled out: a lost answer of the engine, it was cut by our end. Tests failed first.

--- a/jackdawsail/proxy/gate.py
+++ b/jackdawsail/proxy/gate.py
@@ -9,8 +9,10 @@
 from jackdawsail.proxy.task import make_call_task
 from jackdawsail.site.routes import pick_service
 
+LEAVING_RETURN_SECONDS = 0.05  # another entry takes the call at once
 NOT_READY_RETURN_SECONDS = 1.0  # a restarted entry has its document after about so long
 
+CALL_TURNED_AWAY = events.define(429, 'info', 'call refused, the entry is stopping')
 CALL_DENIED = events.define(426, 'warning', 'call denied: no route or no such key')
 
 
@@ -28,6 +30,11 @@
             exchange.answer(HttpAnswer(503, b'no configuration yet', headers))
             return
         call = self.parts.border.decode_call(exchange.request)
+        if self.parts.refusing:
+            events.log(CALL_TURNED_AWAY, request=call.attempt)
+            headers = self.parts.border.retry_after(LEAVING_RETURN_SECONDS)
+            exchange.answer(HttpAnswer(503, b'entry is stopping', headers))
+            return
         path = exchange.request.target.decode('latin-1')
         route = table.find(call.host, path)
         if route is None:
--- a/jackdawsail/proxy/parts.py
+++ b/jackdawsail/proxy/parts.py
@@ -39,7 +39,10 @@
 
 @dataclass(slots=True)
 class ProxyParts:
-    """Owned by the entry program; calls read it and note what they did."""
+    """Owned by the entry program; calls read it and note what they did.
+
+    ``refusing`` is true once the entry stops and takes no more calls.
+    """
 
     clock: Any
     settings: NodeSettings
@@ -49,6 +52,7 @@
     pool: ChannelPool
     rng: random.Random
     running: int = 0
+    refusing: bool = False
     _retries: dict[str, RetryShare] = field(default_factory=dict)
 
     @property
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -47,7 +47,8 @@
         view.on_registrations.append(self._registrations_changed)
         self.client.start()
         settings = self.process.settings
-        listen_http(self.process, settings.listening.callers, self.leaving.callers)
+        callers = settings.listening.callers
+        self.leaving.port = listen_http(self.process, callers, self.leaving.callers)
         options = ServerOptions(self._answer_readiness, self.process.reactor)
         listen_http(self.process, settings.listening.readiness, ServerFactory(options))
         listener = LoadListener(self._take_load)
--- /dev/null
+++ b/test/proxy/test_leaving.py
@@ -0,0 +1,62 @@
+"""An entry that stops serves its callers for a while, and cuts none of them off."""
+
+from jackdawsail.proxy.leaving import Leaving
+from test.proxy.test_calls import status_of
+from test.proxy.world import World, answer, close
+
+
+class Port:
+    """A listening port that remembers that it was closed."""
+
+    closed = False
+
+    def stopListening(self):
+        self.closed = True
+
+
+class Stopping:
+    """An entry that has just been told to stop."""
+
+    def __init__(self):
+        self.world = World()
+        self.port = Port()
+        self.ended = []
+        self.leaving = Leaving(self.world.parts, self.world.factory, port=self.port)
+        self.leaving.begin().addCallback(self.ended.append)
+
+    def wait(self, seconds):
+        for _ in range(round(seconds * 10)):
+            self.world.reactor.advance(0.1)
+
+
+def test_calls_are_served_at_first_and_each_answer_is_the_last_of_its_connection():
+    stopping = Stopping()
+    stopping.wait(2)
+    caller = stopping.world.call()
+    answer(stopping.world.accept())
+    assert status_of(caller) == 200
+    assert caller.closed
+    assert not stopping.port.closed
+
+
+def test_a_call_that_might_not_end_in_time_is_refused_unread():
+    stopping = Stopping()
+    stopping.wait(3)
+    assert stopping.port.closed
+    late = stopping.world.call(attempt='a2')
+    assert status_of(late) == 503
+    assert b'retry-after' in late.value().lower()
+    assert stopping.world.reactor.asked == []
+
+
+def test_the_entry_ends_when_its_last_call_has_ended():
+    stopping = Stopping()
+    stopping.wait(2)
+    caller = stopping.world.call('/once/x', method='POST')
+    channel = stopping.world.accept()
+    stopping.wait(1.5)
+    assert stopping.ended == []
+    answer(channel)
+    close(caller.connection)
+    stopping.wait(0.2)
+    assert stopping.ended == [None]
