What holds for a call at every upstream is gathered once

The weight rule, the allowed regions and the number of entries (a sorted merge of what all control hosts see) were made anew for each candidate of each call. Behaviour is as it was: tests of proxy, routing, group and staging, formatter, linter and types pass.

--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -67,6 +67,15 @@
         return own if allowed is None else allowed & own
 
 
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    """What holds for a call at every upstream; ``regions`` None means all."""
+
+    weights: WeightRule
+    regions: set[str] | None
+    entries: int
+
+
 def select_upstream(parts: ProxyParts, selection: Selection) -> Choice | Refusal:
     """Chooses an upstream that the call has not tried, or refuses the call."""
     service = _service_of(parts, selection.service)
@@ -92,10 +101,12 @@
 def _candidates(parts: ProxyParts, selection: Selection, service: Service) -> list[Upstream]:
     now_seconds = parts.clock.seconds()
     heard_seconds = parts.view.heard_control_seconds
+    # Alike for all upstreams, so made once for each call.
+    limits = _Limits(selection.rule(parts), selection.allowed_regions(), parts.entries)
     found = [
         upstream
         for upstream in parts.upstreams.usable(service.name, heard_seconds)
-        if _is_allowed(parts, selection, service, upstream)
+        if _is_allowed(parts, limits, service, upstream)
     ]
     rested = [one for one in found if not one.is_suspended(now_seconds)]
     untried = [one for one in rested if one.name not in selection.tried]
@@ -105,16 +116,13 @@
     return [one for one in found if one.name not in selection.tried]
 
 
-def _is_allowed(
-    parts: ProxyParts, selection: Selection, service: Service, upstream: Upstream
-) -> bool:
+def _is_allowed(parts: ProxyParts, limits: _Limits, service: Service, upstream: Upstream) -> bool:
     now_seconds = parts.clock.seconds()
     if upstream.registration.zone in parts.view.emptied_zones:
         return False
-    regions = selection.allowed_regions()
-    if regions is not None and upstream.region not in regions:
+    if limits.regions is not None and upstream.region not in limits.regions:
         return False
-    if service.engine is not None and not selection.rule(parts).allows(upstream, now_seconds):
+    if service.engine is not None and not limits.weights.allows(upstream, now_seconds):
         return False
     rate = service.cold_requests_per_second
-    return parts.cold_bound.allows(upstream, rate, parts.entries, now_seconds)
+    return parts.cold_bound.allows(upstream, rate, limits.entries, now_seconds)
