Relays draw a version ahead of the agents, and once at the first start of a site

Cause: a relay drew a piece only when an agent asked for it, so each piece crossed the origin's link, the link between regions and the agent's link one after the other: 99 ms a piece, 9.5 s for an engine that was added (5.2 s is what its link allows). Where the origin was away from 8.5 s on, added engines had no weights until 14.5 s. Ruled out: the width of the agents' links, and the number of draws an agent has under way. Each failing source is now logged once until it answers again; there were 1,892 lines in 6 s. Tests failed first.

--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -102,11 +102,11 @@
 
     def _tend(self) -> None:
         self.parts.pool.close_stale()
-        self.relay.site_changed()
         self.parts.view.book.forget_old(self.process.reactor.seconds())
 
     def _left(self, _outcome: None) -> None:
         self._tending.stop()
+        self.relay.stop()
         self.client.stop()
 
 
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -92,6 +92,12 @@
         named = self.weights.get(model, ())
         return named[-1] if named else None
 
+    def models(self) -> list[str]:
+        """Returns the models that engines of the document in force serve."""
+        services = self.table.document.services if self.table else ()
+        engines = [service.engine for service in services if service.engine is not None]
+        return sorted({model for engine in engines for model in engine.models})
+
     def agents(self) -> list[str]:
         """Returns the addresses of the agents that any control host sees."""
         seen = self._members_by_control.values()
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -23,7 +23,7 @@
 from jackdawsail.staging.waves import may_change_over
 
 DRAWS_AT_ONCE = 1  # more would queue on this host's link before the prompts of live calls
-RETRY_SECONDS = 0.4  # after a failure that may pass: a source or the engine is away
+RETRY_SECONDS = 0.25  # after a failure that may pass: a source or the engine is away
 STATE_SECONDS = 1.0
 
 STAGING = events.define(565, 'info', 'staging of weights begins')
--- a/jackdawsail/staging/drawing.py
+++ b/jackdawsail/staging/drawing.py
@@ -5,7 +5,7 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
@@ -22,6 +22,7 @@
 OK = 200
 
 DRAW_FAILED = events.define(560, 'warning', 'piece or piece list could not be drawn from a source')
+SOURCE_REGAINED = events.define(572, 'info', 'source of weights answers again')
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,7 @@
     pool: ChannelPool
     border: OriginBorder
     sources: Callable[[str], list[Source]]
+    _failing: set[str] = field(default_factory=set)
 
     async def draw_list(self, model: str, version: int) -> Result[PieceList, str]:
         """Draws the digests of a version (0: the newest)."""
@@ -38,6 +40,7 @@
         for source in self.sources(model):
             outcome = await self._list_from(source, model, version)
             if isinstance(outcome, Success):
+                self._answers(source)
                 return outcome
             reason = outcome.failure()
             self._log(source, f'list of {model} {version}', reason)
@@ -51,6 +54,7 @@
             outcome = await self._get(source, target, SILENT_SECONDS)
             if isinstance(outcome, Success):
                 if is_sound(pieces, index, outcome.unwrap()):
+                    self._answers(source)
                     return outcome
                 outcome = Failure('digest differs')
             reason = outcome.failure()
@@ -86,7 +90,15 @@
         return relay_piece_target(pieces.model, pieces.version, index)
 
     def _log(self, source: Source, what: str, reason: str) -> None:
-        events.log(DRAW_FAILED, source=source.address, what=what, reason=reason)
+        """Writes one line when a source begins to fail, however many draws fail after it."""
+        if source.address not in self._failing:
+            self._failing.add(source.address)
+            events.log(DRAW_FAILED, source=source.address, what=what, reason=reason)
+
+    def _answers(self, source: Source) -> None:
+        if source.address in self._failing:
+            self._failing.discard(source.address)
+            events.log(SOURCE_REGAINED, source=source.address)
 
 
 def is_sound(pieces: PieceList, index: int, body: bytes) -> bool:
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -1,7 +1,11 @@
 """Keeps the newest weights on an entry and hands them to the agents near by.
 
-A piece is drawn once, however many ask for it at the same time. When a new
-version is named, the relay that is first in its region draws all of it at once.
+A piece is drawn once, however many ask for it at the same time. The relay that is
+first in its region draws all of a version ahead of the agents, when the version
+is named and, at the first start of a site, what the origin holds: engines that
+are added later then do not depend on the origin. Any relay that is asked for a
+piece draws the rest of that version ahead as well, since a piece that is drawn
+only once an agent asks for it crosses each link on the way one after the other.
 """
 
 import json
@@ -17,6 +21,7 @@
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.site.loops import start_loop
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.drawing import Drawing
@@ -28,9 +33,12 @@
     sources_for,
 )
 
-DRAWS_AT_ONCE = 4  # keeps the link between regions busy over its round trip
+DRAWS_AT_ONCE = 6  # keeps the origin's link busy over the round trip of each draw
+AHEAD_SECONDS = 60.0  # after a version was named; later it is drawn when an agent asks for it
+RETRY_SECONDS = 0.15  # between looks at whether the sources are back; one draw a look
 VERSIONS_KEPT = 2  # the one in force and the one that is coming
 SOURCE_CONNECT_SECONDS = 0.6  # twice that of calls: a draw waits for a squeezed link
+NEWEST = 0  # the version that the origin holds, whatever its number
 Key = tuple[str, int]
 
 RELAY_FILLED = events.define(561, 'info', 'relay holds all pieces of a version')
@@ -44,6 +52,7 @@
     pieces: PieceList | None = None
     bodies: dict[int, bytes] = field(default_factory=dict)
     waiting: dict[int, list[Deferred[Any]]] = field(default_factory=dict)
+    incomplete: bool = False
 
 
 class PieceRelay:
@@ -55,25 +64,54 @@
         self._drawing = drawing
         self._held: dict[Key, HeldVersion] = {}
         self._filled: set[Key] = set()
+        self._asked: set[Key] = set()
+        self._looking: Any = None
 
     def start(self) -> None:
-        """Listens for agents and other relays."""
+        """Listens for agents and other relays, and begins to draw ahead."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
         options = ServerOptions(self._handle, self._process.reactor)
         listen_http(self._process, address, ServerFactory(options))
+        self._looking = start_loop(self._process.reactor, self.site_changed, RETRY_SECONDS)
+
+    def stop(self) -> None:
+        """Draws nothing more; what is held is handed on until the process ends."""
+        self._looking.stop()
 
     def site_changed(self) -> None:
-        """Draws newly named weights if this relay is the first of its region.
+        """Draws ahead what is due if this relay is the first of its region.
 
         Called at each change and now and then, so that a draw that has failed is
         begun again.
         """
-        for model, named in self._view.weights.items():
-            newest = named[-1].version
-            if (model, newest) not in self._filled and self._is_first(model):
-                self._filled.add((model, newest))
-                self._run(self._fill(model, newest))
+        for model, version in self._due():
+            if self._is_first(model):
+                self._begin_fill(model, version)
+        for model, version in list(self._asked):
+            newest = self._view.newest_weights(model)
+            if newest is not None and newest.version > version:
+                self._asked.discard((model, version))
+            else:
+                self._begin_fill(model, version)
+
+    def _due(self) -> list[Key]:
+        """Lists what the first relay of a region draws before any agent asks for it."""
+        named = self._view.weights
+        now_seconds = self._process.reactor.seconds()
+        due = [
+            (model, targets[-1].version)
+            for model, targets in named.items()
+            if now_seconds - targets[-1].named_seconds < AHEAD_SECONDS
+        ]
+        if self._process.settings.may_found:
+            due.extend((model, NEWEST) for model in self._view.models() if model not in named)
+        return due
+
+    def _begin_fill(self, model: str, version: int) -> None:
+        if (model, version) not in self._filled:
+            self._filled.add((model, version))
+            self._run(self._fill(model, version))
 
     def _is_first(self, model: str) -> bool:
         settings = self._process.settings
@@ -85,15 +123,29 @@
         if pieces is None:
             self._filled.discard((model, version))
             return
-        left = deque(range(len(pieces.digests)))
-        workers = [self._as_deferred(self._fill_some(pieces, left)) for _ in range(DRAWS_AT_ONCE)]
-        await gatherResults(workers)
-        held = len(self._version(pieces.model, pieces.version).bodies)
-        whole = held == len(pieces.digests)
-        event = RELAY_FILLED if whole else RELAY_INCOMPLETE
-        events.log(event, model=model, version=version, pieces=held)
-        if not whole:
-            self._filled.discard((model, version))
+        held = self._version(pieces.model, pieces.version)
+        left = deque(index for index in range(len(pieces.digests)) if index not in held.bodies)
+        # One draw tells whether the sources are there.
+        if left and await self._piece(pieces, left.popleft()) is not None:
+            workers = [
+                self._as_deferred(self._fill_some(pieces, left)) for _ in range(DRAWS_AT_ONCE)
+            ]
+            await gatherResults(workers)
+        self._note_filled(model, version, pieces)
+
+    def _note_filled(self, model: str, version: int, pieces: PieceList) -> None:
+        held = self._version(pieces.model, pieces.version)
+        whole = len(held.bodies) == len(pieces.digests)
+        if whole:
+            self._asked.discard((model, version))
+            details = {'version': pieces.version, 'pieces': len(held.bodies)}
+            events.log(RELAY_FILLED, model=model, **details)
+            return
+        self._filled.discard((model, version))
+        if not held.incomplete:
+            held.incomplete = True
+            details = {'version': pieces.version, 'pieces': len(held.bodies)}
+            events.log(RELAY_INCOMPLETE, model=model, **details)
 
     async def _fill_some(self, pieces: PieceList, left: deque[int]) -> None:
         while left:
@@ -108,6 +160,8 @@
             if isinstance(outcome, Failure):
                 return None
             held.pieces = outcome.unwrap()
+            # The newest one of the origin is also held under its number.
+            self._held[model, held.pieces.version] = held
         return held.pieces
 
     async def _piece(self, pieces: PieceList, index: int) -> bytes | None:
@@ -135,6 +189,7 @@
             self._held = {
                 one: held for one, held in self._held.items() if one in kept or one == key
             }
+            self._filled.intersection_update(self._held)
         return self._held[key]
 
     def _handle(self, exchange: Exchange) -> None:
@@ -147,6 +202,8 @@
 
     async def _serve(self, exchange: Exchange, model: str, version: int, wanted: str) -> None:
         pieces = await self._list(model, version)
+        if pieces is not None:
+            self._ask(model, pieces.version)
         body: bytes | None = None
         if pieces is not None and wanted == 'list':
             body = _encode_list(pieces)
@@ -155,6 +212,12 @@
         if not exchange.ended:
             exchange.answer(HttpAnswer(404) if body is None else HttpAnswer(200, body))
 
+    def _ask(self, model: str, version: int) -> None:
+        """Draws the rest of a version that an agent has begun to draw."""
+        if (model, version) not in self._filled:
+            self._asked = {(model, version)}
+            self._begin_fill(model, version)
+
     def _run(self, work: Any) -> None:
         self._as_deferred(work).addErrback(events.log_failure)
 
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -5,17 +5,20 @@
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
 
+from jackdawsail.http1.whole import WholeAnswer
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView, WeightTarget
+from jackdawsail.staging import drawing as drawing_module
 from jackdawsail.staging.drawing import is_sound
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.relay import PieceRelay
-from jackdawsail.staging.sources import rank_relays, sources_for
+from jackdawsail.staging.sources import Source, rank_relays, sources_for
 from jackdawsail.wire.site_messages import MemberHost, Members
-from test.site.documents import make_document
+from test.site.documents import ENGINE, make_document
 
 ENTRIES = [
     MemberHost(f'10.{region}.0.{host}', f'z{region}', f'r{region}')
@@ -24,12 +27,13 @@
 ]
 REGIONS = {f'z{region}': f'r{region}' for region in (1, 2, 3)}
 ORIGIN = Service('o', origin_address='1.2.3.4:9', origin_zone='z2')
+
 PIECES = PieceList('m', 2, (hashlib.sha256(b'body').hexdigest(),))
 
 
 def make_view():
     view = SiteView()
-    view.take_document(make_document(services=[Service('s'), ORIGIN]))
+    view.take_document(make_document(services=[Service('s', engine=ENGINE), ORIGIN]))
     view.take_members('c', Members(['c'], ENTRIES, []))
     return view
 
@@ -81,14 +85,35 @@
     assert not is_sound(PIECES, 0, b'bodY')
 
 
+def make_process(address, *, may_found=False):
+    zone, region = 'z2', 'r2'
+    settings = NodeSettings('n', address, zone, region, REGIONS, may_found=may_found)
+    return SimpleNamespace(settings=settings, reactor=Clock())
+
+
+class Exchange:
+    """One request of an agent for a piece."""
+
+    def __init__(self, target):
+        self.request = SimpleNamespace(target=target)
+        self.ended = False
+        self.answers = []
+
+    def answer(self, answer):
+        self.answers.append(answer)
+
+
 class Drawing:
     """Counts draws; each waits until the test answers it."""
 
-    def __init__(self):
+    def __init__(self, pieces=PIECES):
         self.waiting = []
+        self.lists = []
+        self.pieces = pieces
 
     async def draw_list(self, model, version):
-        return Success(PIECES)
+        self.lists.append(version)
+        return Success(self.pieces)
 
     async def draw_piece(self, pieces, index):
         answer = Deferred()
@@ -112,8 +137,7 @@
     view, drawing = make_view(), Drawing()
     own = first_of('r2')
     view.weights['m'] = (WeightTarget(2, 0.0),)
-    process = SimpleNamespace(settings=NodeSettings('n', own, 'z2', 'r2', REGIONS))
-    relay = PieceRelay(process, view, drawing)
+    relay = PieceRelay(make_process(own), view, drawing)
     relay.site_changed()
     relay.site_changed()
     assert len(drawing.waiting) == 1
@@ -133,3 +157,78 @@
     assert first.result is None
     Deferred.fromCoroutine(relay._piece(PIECES, 0))
     assert len(drawing.waiting) == 2
+
+
+MANY = PieceList('m', 1, tuple(hashlib.sha256(b'body').hexdigest() for _ in range(20)))
+
+
+def answer_all(drawing):
+    answered = 0
+    while len(drawing.waiting) > answered:
+        drawing.waiting[answered].callback(Success(b'body'))
+        answered += 1
+    return answered
+
+
+def test_a_relay_that_is_asked_for_one_piece_draws_the_others_ahead():
+    drawing = Drawing(MANY)
+    relay = PieceRelay(make_process('10.2.0.9'), make_view(), drawing)
+    exchange = Exchange(b'/weights/m/1/0')
+    relay._handle(exchange)
+    assert answer_all(drawing) == 20
+    assert [answer.status for answer in exchange.answers] == [200]
+
+
+def test_what_the_origin_holds_is_drawn_at_the_first_start_by_the_first_relay_alone():
+    first = first_of('r2')
+    for entry in (one for one in ENTRIES if one.region == 'r2'):
+        drawing = Drawing(MANY)
+        relay = PieceRelay(make_process(entry.address, may_found=True), make_view(), drawing)
+        relay.site_changed()
+        relay.site_changed()
+        assert answer_all(drawing) == (20 if entry.address == first else 0)
+        # An agent that asks by the number finds the pieces there.
+        if entry.address == first:
+            relay._handle(Exchange(b'/weights/m/1/3'))
+            assert len(drawing.waiting) == 20
+            assert drawing.lists == [0]
+
+
+def test_a_relay_that_is_started_again_draws_nothing_before_it_is_asked():
+    drawing = Drawing(MANY)
+    relay = PieceRelay(make_process(first_of('r2')), make_view(), drawing)
+    relay.site_changed()
+    assert not drawing.waiting
+
+
+def test_while_the_sources_are_away_one_draw_a_look_is_tried():
+    drawing = Drawing(MANY)
+    relay = PieceRelay(make_process(first_of('r2'), may_found=True), make_view(), drawing)
+    for look in range(5):
+        relay.site_changed()
+        assert len(drawing.waiting) == look + 1
+        drawing.waiting[look].callback(Failure('reset'))
+
+
+class Pool:
+    """Answers each draw as the test wants."""
+
+    def __init__(self):
+        self.outcome = Failure('no connection')
+
+
+def test_a_source_that_fails_is_logged_once_until_it_answers_again(monkeypatch):
+    pool, written = Pool(), []
+    monkeypatch.setattr(drawing_module, 'fetch', lambda *_: succeed(pool.outcome))
+    monkeypatch.setattr(
+        drawing_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    border = SimpleNamespace(piece_target=lambda *_: b'/p')
+    source = Source('1.2.3.4:9', is_origin=True)
+    drawing = drawing_module.Drawing(pool, border, lambda model: [source])
+    for _ in range(10):
+        Deferred.fromCoroutine(drawing.draw_piece(PIECES, 0))
+    pool.outcome = Success(WholeAnswer(200, b'body'))
+    for _ in range(3):
+        Deferred.fromCoroutine(drawing.draw_piece(PIECES, 0))
+    assert written == [560, 572]
