The origin is asked by one relay; what is nearly staged is finished if it is of use

When version 3 was named while the origin was away, version 2 was dropped though all of it was at hand. Ruled out: more draws at once; what is under way when the origin goes is lost.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -25,6 +25,9 @@
 DRAWS_AT_ONCE = 1  # more would queue on this host's link before the prompts of live calls
 RETRY_SECONDS = 0.25  # after a failure that may pass: a source or the engine is away
 STATE_SECONDS = 1.0
+LIST_AGAIN_SECONDS = 1.0  # until a newer version whose list could not be drawn is tried again
+NEARLY_STAGED_SHARE = 0.1  # of the pieces; so few are drawn before a newer version is begun
+WORTH_LOADING_SECONDS = 3.0  # of use before a newer version is due; less costs the newer one more
 
 STAGING = events.define(565, 'info', 'staging of weights begins')
 STAGED = events.define(566, 'info', 'all pieces are staged')
@@ -63,6 +66,9 @@
     _retry_seconds: float = 0
     _report: EngineReport | None = None
     _confirmed: int = 0
+    _unavailable: int = 0
+    _list_again_seconds: float = 0
+    _failing: bool = False
 
     def look(self, report: EngineReport, engine: EngineClass) -> None:
         """Takes a fresh report and begins work that is due."""
@@ -94,6 +100,13 @@
     def _is_current(self, loaded: int) -> bool:
         return loaded >= self.wanted_version
 
+    def _use_seconds(self) -> float:
+        """Returns for how long an older version may still be used."""
+        target = self.view.newest_weights(self.model)
+        if target is None:
+            return 0
+        return target.named_seconds + self.settings.bounds.weights_seconds - self.clock.seconds()
+
     def _confirm(self, loaded: int) -> None:
         self.switching = False
         if self._confirmed != loaded:
@@ -109,22 +122,27 @@
         if staged is None or not await self._stage(staged):
             self._fail_for_now('a source or the engine does not answer')
             return
-        if not self._is_turn():
+        if not self._is_turn(staged.pieces.version):
             return
         self.switching = True
         if not await self._verify(staged):
             self._fail_for_now('staged pieces were spoilt')
             return
-        await self._order(staged.pieces)
+        await self._order(staged)
 
     async def _staged_version(self) -> StagedPieces | None:
         wanted = self.wanted_version
         staged = self._staged
         if staged is not None and (not wanted or staged.pieces.version == wanted):
             return staged
+        if staged is not None and not self._is_outdated(staged):
+            return staged
         outcome = await self.drawing.draw_list(self.model, wanted)
         if isinstance(outcome, Failure):
-            return None
+            # The version that is staged already may be in place long before the newer one.
+            self._unavailable = wanted
+            self._list_again_seconds = self.clock.seconds() + LIST_AGAIN_SECONDS
+            return staged
         pieces = outcome.unwrap()
         fresh = StagedPieces(pieces)
         if staged is None:
@@ -153,6 +171,7 @@
         ]
         await gatherResults(workers)
         whole = not staged.missing()
+        self._failing = self._failing and not whole
         if whole and missing:
             events.log(STAGED, model=self.model, version=staged.pieces.version)
         return whole
@@ -169,7 +188,23 @@
             staged.marked.add(index)
 
     def _is_outdated(self, staged: StagedPieces) -> bool:
-        return staged.pieces.version < self.wanted_version
+        """Tells whether a newer version should be staged instead.
+
+        One that is nearly staged is finished first if it will be of use for a while,
+        and so is one while the list of the newer one cannot be drawn, unless the
+        engine holds it already.
+        """
+        wanted = self.wanted_version
+        version = staged.pieces.version
+        if version >= wanted:
+            return False
+        if self._report is not None and self._report.version_of(self.model) >= version:
+            return True
+        nearly = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
+        if nearly and self._use_seconds() > WORTH_LOADING_SECONDS:
+            return False
+        away = self._unavailable == wanted and self.clock.seconds() < self._list_again_seconds
+        return not away
 
     async def _verify(self, staged: StagedPieces) -> bool:
         for index in sorted(staged.marked):
@@ -182,14 +217,15 @@
         outcome = await self.calls.read_piece(self.model, index)
         return isinstance(outcome, Success) and is_sound(pieces, index, outcome.unwrap())
 
-    async def _order(self, pieces: PieceList) -> None:
+    async def _order(self, staged: StagedPieces) -> None:
         report = self._report
-        if report is None or self._is_outdated(StagedPieces(pieces)):
+        if report is None or self._is_outdated(staged):
             self.switching = False
             return
-        order = StartOrder(self.model, pieces.version, report.orders)
+        version = staged.pieces.version
+        order = StartOrder(self.model, version, report.orders)
         outcome = await self.calls.start(order)
-        details = {'version': pieces.version, 'running': report.running, 'orders': report.orders}
+        details = {'version': version, 'running': report.running, 'orders': report.orders}
         if isinstance(outcome, Failure):
             events.log(START_REFUSED, reason=outcome.failure(), **details)
         else:
@@ -197,9 +233,10 @@
         # The next reports tell whether it loads; until then nothing is ordered again.
         self._retry_seconds = self.clock.seconds() + STATE_SECONDS
 
-    def _is_turn(self) -> bool:
+    def _is_turn(self, version: int) -> bool:
         """Tells whether this engine may stop serving old weights now."""
-        target = self.view.newest_weights(self.model)
+        named = self.view.weights.get(self.model, ())
+        target = next((one for one in named if one.version == version), None)
         serving = self._report is not None and self._report.version_of(self.model)
         if target is None or not serving:
             return True
@@ -211,4 +248,6 @@
     def _fail_for_now(self, reason: str) -> None:
         self.switching = False
         self._retry_seconds = self.clock.seconds() + RETRY_SECONDS
-        events.log(STAGING_FAILED, model=self.model, reason=reason)
+        if not self._failing:
+            self._failing = True
+            events.log(STAGING_FAILED, model=self.model, reason=reason)
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -23,10 +23,11 @@
 from jackdawsail.wire.codec import encode
 from jackdawsail.wire.site_messages import EngineLoad
 
-REPORT_SECONDS = 0.1  # half of the lag of an engine's report to others
-FAR_EVERY_REPORTS = 2  # entries of other regions get every second report
+LOOK_SECONDS = 0.03  # under half of an engine's pass, between which its state does not change
+REPEAT_SECONDS = 0.1  # between reports of an unchanged state, since a datagram may be lost
+FAR_EVERY_REPEATS = 2  # entries of other regions get every second one of these
 SOURCE_CONNECT_SECONDS = 0.6
-DOWN_REPORTS = 3  # failed reports in a row after which an engine counts as down
+DOWN_SECONDS = 0.3  # without an answer after the first failure; then an engine counts as down
 
 ENGINE_LOST = events.define(563, 'warning', 'engine on this host does not answer')
 ENGINE_REGAINED = events.define(564, 'info', 'engine on this host answers')
@@ -51,8 +52,12 @@
     changeover: Changeover
     _socket: Any = None
     _sequence: int = 0
-    _failed_reports: int = 0
+    _failing_since_seconds: float | None = None
+    _down: bool = False
     _asking: bool = False
+    _sent: tuple[Any, ...] = ()
+    _sent_seconds: float = 0
+    _repeats: int = 0
     _loop: Any = None
 
     def start(self) -> None:
@@ -62,7 +67,7 @@
         self._socket = self.process.reactor.listenUDP(
             0, protocol.DatagramProtocol(), settings.address
         )
-        self._loop = start_loop(self.process.reactor, self._look, REPORT_SECONDS)
+        self._loop = start_loop(self.process.reactor, self._look, LOOK_SECONDS)
 
     def stop(self) -> Deferred[None]:
         """Ends the links; the engine serves on."""
@@ -87,9 +92,10 @@
         if isinstance(outcome, Failure):
             self._report_failed(outcome.failure())
             return
-        if self._failed_reports >= DOWN_REPORTS:
+        if self._down:
             events.log(ENGINE_REGAINED, engine=self.process.settings.engine_address)
-        self._failed_reports = 0
+        self._failing_since_seconds = None
+        self._down = False
         report = outcome.unwrap()
         engine = self._engine_class()
         if engine is not None:
@@ -97,14 +103,18 @@
         self._send(report)
 
     def _report_failed(self, reason: str) -> None:
-        self._failed_reports += 1
-        if self._failed_reports == DOWN_REPORTS:
+        now_seconds = self.process.reactor.seconds()
+        if self._failing_since_seconds is None:
+            self._failing_since_seconds = now_seconds
+        if now_seconds - self._failing_since_seconds < DOWN_SECONDS:
+            return
+        if not self._down:
+            self._down = True
             address = self.process.settings.engine_address
             events.log(ENGINE_LOST, engine=address, reason=reason)
             self.changeover.engine_lost()
-        if self._failed_reports >= DOWN_REPORTS:
-            # Version 0: entries send nothing here until the engine answers again.
-            self._send(EngineReport((), 0, False, 0, 0, 0, 0, 1.0, 0))
+        # Version 0: entries send nothing here until the engine answers again.
+        self._send(EngineReport((), 0, False, 0, 0, 0, 0, 1.0, 0))
 
     def _engine_class(self) -> EngineClass | None:
         table = self.client.view.table
@@ -113,6 +123,23 @@
         return next((service.engine for service in services if service.name == name), None)
 
     def _send(self, report: EngineReport) -> None:
+        """Sends a state that has changed at once, an unchanged one now and then."""
+        state = (
+            report.version_of(self.changeover.model),
+            self.changeover.switching,
+            report.waiting,
+            report.running,
+        )
+        now_seconds = self.process.reactor.seconds()
+        changed = state != self._sent
+        if not changed and now_seconds - self._sent_seconds < REPEAT_SECONDS:
+            return
+        self._sent = state
+        self._sent_seconds = now_seconds
+        self._repeats = 0 if changed else self._repeats + 1
+        self._send_to_entries(report, far=self._repeats % FAR_EVERY_REPEATS == 0)
+
+    def _send_to_entries(self, report: EngineReport, *, far: bool) -> None:
         self._sequence += 1
         settings = self.process.settings
         load = EngineLoad(
@@ -127,7 +154,6 @@
             pace=report.pace,
         )
         datagram = encode(load)
-        far = self._sequence % FAR_EVERY_REPORTS == 0
         for entry in self.client.view.entries():
             if far or entry.region == settings.region:
                 self._socket.write(datagram, (entry.address, settings.link_port))
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -33,7 +33,8 @@
     sources_for,
 )
 
-DRAWS_AT_ONCE = 6  # keeps the origin's link busy over the round trip of each draw
+DRAWS_AT_ONCE = 3  # keep the origin's link busy; what is under way is lost when it goes away
+ASKED_SECONDS = 0.6  # agents that still want a version ask for its next piece well within it
 AHEAD_SECONDS = 60.0  # after a version was named; later it is drawn when an agent asks for it
 RETRY_SECONDS = 0.15  # between looks at whether the sources are back; one draw a look
 VERSIONS_KEPT = 2  # the one in force and the one that is coming
@@ -64,7 +65,7 @@
         self._drawing = drawing
         self._held: dict[Key, HeldVersion] = {}
         self._filled: set[Key] = set()
-        self._asked: set[Key] = set()
+        self._asked_seconds: dict[Key, float] = {}
         self._looking: Any = None
 
     def start(self) -> None:
@@ -88,11 +89,8 @@
         for model, version in self._due():
             if self._is_first(model):
                 self._begin_fill(model, version)
-        for model, version in list(self._asked):
-            newest = self._view.newest_weights(model)
-            if newest is not None and newest.version > version:
-                self._asked.discard((model, version))
-            else:
+        for model, version in self._asked_seconds:
+            if self._is_wanted(model, version):
                 self._begin_fill(model, version)
 
     def _due(self) -> list[Key]:
@@ -108,6 +106,15 @@
             due.extend((model, NEWEST) for model in self._view.models() if model not in named)
         return due
 
+    def _is_wanted(self, model: str, version: int) -> bool:
+        """Tells whether a version is the newest, or an agent still asks for it."""
+        newest = self._view.newest_weights(model)
+        if newest is None or version >= newest.version:
+            return True
+        asked_seconds = self._asked_seconds.get((model, version))
+        now_seconds = self._process.reactor.seconds()
+        return asked_seconds is not None and now_seconds - asked_seconds < ASKED_SECONDS
+
     def _begin_fill(self, model: str, version: int) -> None:
         if (model, version) not in self._filled:
             self._filled.add((model, version))
@@ -137,7 +144,7 @@
         held = self._version(pieces.model, pieces.version)
         whole = len(held.bodies) == len(pieces.digests)
         if whole:
-            self._asked.discard((model, version))
+            self._asked_seconds.pop((model, version), None)
             details = {'version': pieces.version, 'pieces': len(held.bodies)}
             events.log(RELAY_FILLED, model=model, **details)
             return
@@ -149,8 +156,9 @@
 
     async def _fill_some(self, pieces: PieceList, left: deque[int]) -> None:
         while left:
-            if await self._piece(pieces, left.popleft()) is None:
-                # The sources are away; the rest is drawn at the next look.
+            wanted = self._is_wanted(pieces.model, pieces.version)
+            if not wanted or await self._piece(pieces, left.popleft()) is None:
+                # The sources are away; the rest is drawn at the next look if it is wanted.
                 left.clear()
 
     async def _list(self, model: str, version: int) -> PieceList | None:
@@ -214,8 +222,9 @@
 
     def _ask(self, model: str, version: int) -> None:
         """Draws the rest of a version that an agent has begun to draw."""
-        if (model, version) not in self._filled:
-            self._asked = {(model, version)}
+        held = self._version(model, version)
+        if held.pieces is not None and len(held.bodies) < len(held.pieces.digests):
+            self._asked_seconds[model, version] = self._process.reactor.seconds()
             self._begin_fill(model, version)
 
     def _run(self, work: Any) -> None:
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -9,13 +9,14 @@
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
-from jackdawsail.staging.changeover import Changeover
+from jackdawsail.staging import changeover as changeover_module
+from jackdawsail.staging.changeover import Changeover, StagedPieces
 from jackdawsail.staging.engine import EngineReport, PieceList
 from jackdawsail.staging.waves import may_change_over
 from jackdawsail.wire.site_messages import MemberHost, Members, NamedWeights, SiteSummary
 from test.site.documents import ENGINE
 
-PIECES = 4
+PIECES = 10
 
 
 def piece(version, index):
@@ -69,15 +70,19 @@
 
     def __init__(self):
         self.down = False
+        self.missing = set()
+        self.lists_missing = set()
         self.drawn = []
         self.newest = 1
 
     async def draw_list(self, model, version):
-        return Failure('down') if self.down else Success(listing(version or self.newest))
+        away = self.down or version in self.lists_missing
+        return Failure('down') if away else Success(listing(version or self.newest))
 
     async def draw_piece(self, pieces, index):
         self.drawn.append(index)
-        return Failure('down') if self.down else Success(piece(pieces.version, index))
+        away = self.down or (pieces.version, index) in self.missing
+        return Failure('down') if away else Success(piece(pieces.version, index))
 
 
 class World:
@@ -162,6 +167,69 @@
     assert [order.version for order, _staged in world.engine.orders] == [3]
 
 
+def test_a_version_that_is_nearly_staged_is_finished_before_a_newer_one_is_begun():
+    # The origin went away with one piece of version 2 missing, and version 3 was named.
+    world = World(loaded=1)
+    world.source.missing = {(2, PIECES - 1)}
+    world.name_weights(2)
+    world.look()
+    world.name_weights(3)
+    world.source.missing = set()
+    world.look()
+    assert [order.version for order, _staged in world.engine.orders] == [2]
+    world.look()
+    assert [order.version for order, _staged in world.engine.orders] == [2, 3]
+
+
+def test_a_version_that_is_nearly_staged_is_dropped_when_a_newer_one_is_due_soon():
+    world = World(loaded=1)
+    world.source.missing = {(2, PIECES - 1)}
+    world.name_weights(2)
+    world.look()
+    world.name_weights(3)
+    world.source.missing = set()
+    world.look(6.0)
+    assert [order.version for order, _staged in world.engine.orders] == [3]
+
+
+def test_while_the_list_of_a_newer_version_is_away_the_one_begun_is_staged_on():
+    world = World(loaded=1)
+    world.source.missing = {(2, index) for index in range(2, PIECES)}
+    world.name_weights(2)
+    world.look()
+    world.name_weights(3)
+    world.source.lists_missing = {3}
+    world.source.missing = set()
+    world.look()
+    assert [order.version for order, _staged in world.engine.orders] == [2]
+
+
+def test_an_engine_past_the_bound_of_its_weights_does_not_wait_for_a_wave():
+    # Its old weights may not be used any more, whatever the age of the newest name.
+    world = World(loaded=1, address='10.0.0.2', others=['10.0.0.1'])
+    world.source.lists_missing = {3}
+    world.name_weights(2)
+    world.clock.advance(8.5)
+    world.name_weights(3)
+    world.engine.staged = {index: piece(2, index) for index in range(PIECES)}
+    world.changeover._staged = StagedPieces(listing(2), set(range(PIECES)))
+    world.look(0.1)
+    assert [order.version for order, _staged in world.engine.orders] == [2]
+
+
+def test_that_staging_fails_is_logged_once_until_it_is_done(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        changeover_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    world = World(loaded=1)
+    world.name_weights(2)
+    world.source.down = True
+    for _ in range(5):
+        world.look()
+    assert written == [changeover_module.STAGING_FAILED.number]
+
+
 def test_a_source_that_is_away_is_asked_again_later():
     world = World(loaded=1)
     world.source.down = True
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -211,24 +211,74 @@
 
 
 class Pool:
-    """Answers each draw as the test wants."""
+    """Answers the draws from each source as the test wants."""
 
-    def __init__(self):
-        self.outcome = Failure('no connection')
+    def __init__(self, **outcomes):
+        self.outcomes = outcomes
+        self.asked = []
+        self.clock = Clock()
+
+    def fetch(self, _pool, address, _request, _silent_seconds):
+        self.asked.append(address)
+        return succeed(self.outcomes[address.partition('.')[0]])
+
+
+HELD = Success(WholeAnswer(200, b'body'))
+NOT_HELD = Success(WholeAnswer(404, b''))
+AWAY = Failure('no connection')
+
+
+def make_drawing(monkeypatch, pool, *sources):
+    monkeypatch.setattr(drawing_module, 'fetch', pool.fetch)
+    border = SimpleNamespace(piece_target=lambda *_: b'/p')
+    return drawing_module.Drawing(pool, border, lambda model: list(sources))
+
+
+RELAY = Source('relay.1:7701', is_origin=False)
+ORIGIN_SOURCE = Source('origin.1:9', is_origin=True)
+
+
+def draw(drawing):
+    return Deferred.fromCoroutine(drawing.draw_piece(PIECES, 0)).result
+
+
+def test_the_origin_is_not_asked_while_a_relay_answers_that_it_has_nothing(monkeypatch):
+    pool = Pool(relay=NOT_HELD, origin=HELD)
+    drawing = make_drawing(monkeypatch, pool, RELAY, ORIGIN_SOURCE)
+    for _ in range(5):
+        assert isinstance(draw(drawing), Failure)
+        pool.clock.advance(1)
+    assert set(pool.asked) == {RELAY.address}
+
+
+def test_the_origin_is_asked_when_no_relay_answers_or_for_long_none_had_anything(monkeypatch):
+    pool = Pool(relay=AWAY, origin=HELD)
+    drawing = make_drawing(monkeypatch, pool, RELAY, ORIGIN_SOURCE)
+    assert draw(drawing) == Success(b'body')
+    pool.outcomes['relay'] = NOT_HELD
+    assert isinstance(draw(drawing), Failure)
+    pool.clock.advance(11)
+    assert draw(drawing) == Success(b'body')
 
 
 def test_a_source_that_fails_is_logged_once_until_it_answers_again(monkeypatch):
-    pool, written = Pool(), []
-    monkeypatch.setattr(drawing_module, 'fetch', lambda *_: succeed(pool.outcome))
+    pool, written = Pool(origin=AWAY), []
     monkeypatch.setattr(
         drawing_module.events, 'log', lambda event, **details: written.append(event.number)
     )
-    border = SimpleNamespace(piece_target=lambda *_: b'/p')
-    source = Source('1.2.3.4:9', is_origin=True)
-    drawing = drawing_module.Drawing(pool, border, lambda model: [source])
+    drawing = make_drawing(monkeypatch, pool, ORIGIN_SOURCE)
     for _ in range(10):
-        Deferred.fromCoroutine(drawing.draw_piece(PIECES, 0))
-    pool.outcome = Success(WholeAnswer(200, b'body'))
+        draw(drawing)
+    pool.outcomes['origin'] = HELD
     for _ in range(3):
-        Deferred.fromCoroutine(drawing.draw_piece(PIECES, 0))
+        draw(drawing)
     assert written == [560, 572]
+
+
+def test_a_relay_stops_drawing_a_version_that_nobody_wants_any_more():
+    view, drawing = make_view(), Drawing(MANY)
+    relay = PieceRelay(make_process(first_of('r2')), view, drawing)
+    relay._handle(Exchange(b'/weights/m/1/0'))
+    relay._process.reactor.advance(2)
+    view.weights['m'] = (WeightTarget(2, 0.0),)
+    assert answer_all(drawing) < 10
