--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -4,6 +4,8 @@
 never taken from a caller.
 """
 
+import math
+
 from jackdawsail.http1.messages import AnswerHead, Headers, HttpRequest, end_to_end
 from jackdawsail.proxy.calls import CallerCall, Handover, UpstreamHead
 
@@ -37,6 +39,7 @@
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
         likely_answer_tokens=int(_number(request.header(b'length-hint'))),
+        prompt=request.header(b'prompt-prefix').decode('latin-1'),
         last_event=request.header(b'last-event-id').decode('latin-1'),
     )
 
@@ -91,8 +94,9 @@
 
 
 def _number(value: bytes) -> float:
-    """Reads a number; what is none counts as not given."""
+    """Reads a number; what is none, or not finite, counts as not given."""
     try:
-        return max(0, float(value))
+        read = float(value)
     except ValueError:
         return 0
+    return max(0, read) if math.isfinite(read) else 0
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -37,6 +37,7 @@
             request=self._call.attempt,
             route=self._route.name,
             document=self._parts.view.document_version,
+            patience_seconds=self._call.patience_seconds,
             age_seconds=round(age_seconds, 4),
             **details,
         )
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+from jackdawsail.http1.messages import HttpRequest
+from jackdawsail.routing.late_calls import call_fingerprint
+
 
 @dataclass(frozen=True, slots=True)
 class CallerCall:
@@ -9,8 +12,8 @@
 
     ``patience_seconds`` is how long the caller waits; 0 when it does not say.
     ``prompt_tokens`` and ``answer_tokens`` (the most it may generate) are 0 for
-    calls that are not for a model. ``last_event`` is the last event of a stream
-    that the caller has received before.
+    calls that are not for a model; ``prompt`` names the parts of the prompt.
+    ``last_event`` is the last event of a stream that the caller has received before.
     """
 
     attempt: str
@@ -21,6 +24,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     likely_answer_tokens: int = 0
+    prompt: str = ''
     last_event: str = ''
 
 
@@ -54,3 +58,10 @@
     not_run: bool
     weight_version: int
     cold_seconds: float
+
+
+def fingerprint_of(call: CallerCall, request: HttpRequest) -> bytes:
+    """Returns what a call has in common with its next attempt, which has another id."""
+    names = (call.key, call.host, call.model, call.prompt, call.last_event)
+    encoded = [name.encode('utf8', 'replace') for name in names]
+    return call_fingerprint(*encoded, request.method, request.target, request.body)
--- a/jackdawsail/proxy/parts.py
+++ b/jackdawsail/proxy/parts.py
@@ -9,6 +9,7 @@
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.http1.messages import AnswerHead, Headers, HttpRequest
 from jackdawsail.proxy.calls import CallerCall, Handover, UpstreamHead
+from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
 from jackdawsail.routing.upstreams import UpstreamTable
 from jackdawsail.site.client import DecodeDocument
@@ -53,7 +54,9 @@
     rng: random.Random
     running: int = 0
     refusing: bool = False
+    refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
+    _pressures: dict[str, Pressure] = field(default_factory=dict)
 
     @property
     def entries(self) -> int:
@@ -73,3 +76,7 @@
             share = RetryShare(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds)
             self._retries[service] = share
         return self._retries[service]
+
+    def pressure(self, service: str) -> Pressure:
+        """Returns whether calls in time are being refused at a service."""
+        return self._pressures.setdefault(service, Pressure())
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -1,7 +1,7 @@
 """The entry program of a site that is run by a site document."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -9,9 +9,9 @@
 from jackdawsail.group import calls
 from jackdawsail.http1.dial import ChannelPool
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.proxy.datagrams import TELL_SECONDS, EntryDatagrams
 from jackdawsail.proxy.gate import Gate
 from jackdawsail.proxy.leaving import Leaving
-from jackdawsail.proxy.load_reports import LoadListener
 from jackdawsail.proxy.parts import EntryBorders, ProxyParts
 from jackdawsail.routing.upstreams import UpstreamTable
 from jackdawsail.site.client import SiteClient
@@ -21,7 +21,7 @@
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.relay import PieceRelay, make_piece_relay
 from jackdawsail.wire.link import Link
-from jackdawsail.wire.site_messages import EngineLoad, EntryStatus
+from jackdawsail.wire.site_messages import EntryStatus
 
 TEND_SECONDS = 0.5  # idle channels are closed well within the time that upstreams keep them
 
@@ -36,8 +36,9 @@
     parts: ProxyParts
     relay: PieceRelay
     leaving: Leaving
+    datagrams: EntryDatagrams
     stopping: bool = False
-    _tending: Any = None
+    _loops: list[Any] = field(default_factory=list)
 
     def start(self) -> None:
         """Listens and dials the control hosts."""
@@ -51,10 +52,12 @@
         self.leaving.port = listen_http(self.process, callers, self.leaving.callers)
         options = ServerOptions(self._answer_readiness, self.process.reactor)
         listen_http(self.process, settings.listening.readiness, ServerFactory(options))
-        listener = LoadListener(self._take_load)
-        self.process.reactor.listenUDP(settings.link_port, listener, settings.address)
+        self.datagrams.listen(self.process.reactor)
         self.relay.start()
-        self._tending = start_loop(self.process.reactor, self._tend, TEND_SECONDS)
+        self._loops = [
+            start_loop(self.process.reactor, self._tend, TEND_SECONDS),
+            start_loop(self.process.reactor, self.datagrams.tell_refused, TELL_SECONDS),
+        ]
 
     def stop(self) -> Deferred[None]:
         """Leaves the directory, lets callers go elsewhere and ends what runs."""
@@ -97,15 +100,13 @@
         address = self.process.settings.listening.callers
         link.send(EntryStatus(address, self.accepts))
 
-    def _take_load(self, load: EngineLoad) -> None:
-        self.parts.upstreams.take_load(load, self.process.reactor.seconds())
-
     def _tend(self) -> None:
         self.parts.pool.close_stale()
         self.parts.view.book.forget_old(self.process.reactor.seconds())
 
     def _left(self, _outcome: None) -> None:
-        self._tending.stop()
+        for loop in self._loops:
+            loop.stop()
         self.relay.stop()
         self.client.stop()
 
@@ -127,4 +128,5 @@
     client = SiteClient(process, view, borders.decode_document)
     relay = make_piece_relay(process, view, borders.origin)
     callers = ServerFactory(ServerOptions(Gate(parts).handle, reactor))
-    return EntryProgram(process, borders, client, parts, relay, Leaving(parts, callers))
+    leaving, datagrams = Leaving(parts, callers), EntryDatagrams(parts)
+    return EntryProgram(process, borders, client, parts, relay, leaving, datagrams)
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -4,6 +4,7 @@
 
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.parts import ProxyParts
+from jackdawsail.routing.late_calls import has_ample_room
 from jackdawsail.routing.placement import (
     Choice,
     PlacedCall,
@@ -14,7 +15,7 @@
 )
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import WeightRule, must_recall, weight_rule
-from jackdawsail.site.document import Customer, Route, Service
+from jackdawsail.site.document import Customer, EngineClass, Route, Service
 
 FRESH_RANK = 3  # before the engines' default of 5, so that others' calls do not delay ours
 RETURNING_RANK = 8  # late already, so they go behind calls that can still be in time
@@ -22,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Selection:
-    """A call that needs an upstream, and those that it has tried."""
+    """A call that needs an upstream, and those that it has tried.
+
+    ``returning`` is true of a caller that has waited too long to be served in time.
+    """
 
     service: str
     route: Route
@@ -76,6 +80,14 @@
     entries: int
 
 
+def place_call(parts: ProxyParts, selection: Selection) -> Choice | Refusal:
+    """Chooses the upstream of a call that waits for one; a refusal counts as pressure."""
+    chosen = select_upstream(parts, selection)
+    if isinstance(chosen, Refusal) and selection.call.model and not selection.returning:
+        parts.pressure(selection.service).refused(parts.clock.seconds())
+    return chosen
+
+
 def select_upstream(parts: ProxyParts, selection: Selection) -> Choice | Refusal:
     """Chooses an upstream that the call has not tried, or refuses the call."""
     service = _service_of(parts, selection.service)
@@ -88,10 +100,24 @@
     )
     if service.engine is None:
         return choose_service(placed, candidates, parts.rng)
+    if _gives_way(parts, selection, service.engine, candidates):
+        return refusal('late, and calls in time are being refused', parts.rng)
     now_seconds = parts.clock.seconds()
     return choose_engine(placed, service.engine, candidates, now_seconds, parts.rng, parts.entries)
 
 
+def _gives_way(
+    parts: ProxyParts, selection: Selection, engine: EngineClass, candidates: list[Upstream]
+) -> bool:
+    """Tells whether a late call leaves the places to others; one that was sent goes on."""
+    if not selection.returning or selection.tried:
+        return False
+    now_seconds = parts.clock.seconds()
+    if not parts.pressure(selection.service).lasts(now_seconds):
+        return False
+    return not has_ample_room(candidates, engine.places, now_seconds, parts.entries)
+
+
 def _service_of(parts: ProxyParts, name: str) -> Service | None:
     table = parts.view.table
     services = table.document.services if table else ()
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -12,17 +12,17 @@
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
-from jackdawsail.proxy.calls import CallerCall, Handover
+from jackdawsail.proxy.calls import CallerCall, Handover, fingerprint_of
 from jackdawsail.proxy.parts import ProxyParts
 from jackdawsail.proxy.relaying import AnswerRelay, make_relay
-from jackdawsail.proxy.selection import Selection, select_upstream
+from jackdawsail.proxy.selection import Selection, place_call, select_upstream
 from jackdawsail.proxy.sends import Sends
 from jackdawsail.proxy.watch import EngineWatch
+from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.placement import Choice, Refusal
 from jackdawsail.site.document import CallKind, Customer, Route
 
 LEAST_LEFT_SECONDS = 0.02  # under it no upstream can answer in time
-FRESH_SHARE = 0.95  # of a route's time limit; callers with less patience left have been here
 SERVER_ERROR = 500
 MISDIRECTED = 421
 UNSERVED_RETURN_SECONDS = 1.0  # when to come back after upstreams have refused a call unread
@@ -53,6 +53,8 @@
     sends: Sends
     log: call_log.CallLog
     deadline: Deadline
+    fingerprint: bytes = b''
+    is_late: bool = False
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
     first_seconds: float = 0
@@ -137,7 +139,7 @@
             self._out_of_time()
             return
         selection = self.selection()
-        chosen = select_upstream(self.parts, selection)
+        chosen = place_call(self.parts, selection)
         if isinstance(chosen, Refusal):
             self._refuse(chosen)
             return
@@ -146,7 +148,6 @@
     def selection(self) -> Selection:
         """Returns what the choice of an upstream needs to know of the call now."""
         started = self.relay is not None and self.relay.started
-        fresh_seconds = self.route.time_limit_seconds * FRESH_SHARE
         return Selection(
             service=self.sends.service,
             route=self.route,
@@ -154,7 +155,7 @@
             call=self.call,
             tried=tuple(self.sends.tried),
             pinned_version=self.relay.weight_version if started and self.relay else 0,
-            returning=0 < self.call.patience_seconds < fresh_seconds,
+            returning=self.is_late,
         )
 
     def _hand_over(self, choice: Choice, selection: Selection) -> None:
@@ -207,8 +208,14 @@
         if self.sends.may_have_run:
             self._fail(502, refusal.reason)
             return
-        details = {'reason': refusal.reason, 'return_seconds': round(refusal.return_seconds, 3)}
+        details = {
+            'reason': refusal.reason,
+            'return_seconds': round(refusal.return_seconds, 3),
+            'late': self.is_late,
+        }
         self.log.write(call_log.CALL_REFUSED, **details)
+        if self.fingerprint:
+            self.parts.refused_calls.note(self.fingerprint, self.parts.clock.seconds())
         if not self.exchange.ended:
             headers = self.parts.border.retry_after(refusal.return_seconds)
             self.exchange.answer(HttpAnswer(503, refusal.reason.encode(), headers))
@@ -271,4 +278,10 @@
     deadline = Deadline(parts.clock, exchange.received_seconds + lasts_seconds)
     sends = Sends(parts, route, service)
     log = call_log.CallLog(parts, exchange, call, route)
-    return CallTask(parts, exchange, call, route, customer, sends, log, deadline)
+    task = CallTask(parts, exchange, call, route, customer, sends, log, deadline)
+    if call.model:
+        task.fingerprint = fingerprint_of(call, exchange.request)
+        now_seconds = parts.clock.seconds()
+        used_seconds = parts.refused_calls.used_seconds(task.fingerprint, now_seconds)
+        task.is_late = is_late(used_seconds, route.target_seconds)
+    return task
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -94,7 +94,7 @@
     A place frees up once for each stream that ends; a stream stays for as many
     passes as its answer has events.
     """
-    active = active_calls(upstream, now_seconds, entries)
+    active = upstream.active_calls(now_seconds, entries)
     places = max(1, upstream.registration.places or engine.places)
     running = min(active, places)
     pass_seconds = pass_length_seconds(engine, running)
@@ -121,18 +121,6 @@
     return writing_seconds + reading_seconds * running / events
 
 
-def active_calls(upstream: Upstream, now_seconds: float, entries: int = 1) -> float:
-    """Estimates the calls at an engine: its last report and what was sent since.
-
-    Without a report the other ``entries`` are taken to send as much as this one.
-    """
-    load = upstream.load_at(now_seconds)
-    if load is None or upstream.seen is None:
-        return upstream.calls * entries
-    since = upstream.sends_since(upstream.seen.received_seconds)
-    return load.running + load.waiting + since
-
-
 def _first_seconds(
     choice: Choice, call: PlacedCall, now_seconds: float, rng: random.Random
 ) -> float:
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -17,7 +17,7 @@
 FIRST_FADE_SECONDS = 2.0  # a slow engine is tried again after a few of these
 FIRST_SUSPENSION_SECONDS = 0.5  # an upstream that restarts is back after about a second
 LONGEST_SUSPENSION_SECONDS = 4.0
-REPORT_VALID_SECONDS = 1.0  # ten reports of an agent
+REPORT_VALID_SECONDS = 1.0  # ten times the longest time between reports of an agent
 SENDS_KEPT_SECONDS = 1.0  # the span of the bound on cold upstreams
 
 
@@ -74,6 +74,16 @@
         """Counts the calls that were sent after a time, at most a second ago."""
         return sum(sent > since_seconds for sent in self.sent_seconds)
 
+    def active_calls(self, now_seconds: float, entries: int = 1) -> float:
+        """Estimates the calls at an engine: its last report and what was sent since.
+
+        Without a report the other ``entries`` are taken to send as much as this one.
+        """
+        load = self.load_at(now_seconds)
+        if load is None or self.seen is None:
+            return self.calls * entries
+        return load.running + load.waiting + self.sends_since(self.seen.received_seconds)
+
     def answered(self, took_seconds: float, now_seconds: float, *, failed: bool) -> None:
         """Notes a whole answer."""
         self.answered_seconds = now_seconds
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -115,3 +115,10 @@
     running: int
     memory_share: float
     pace: float
+
+
+@message('site-refused-calls')
+class RefusedCallsTold:
+    """Entry to entries, as one datagram: the fingerprints of calls that it has refused."""
+
+    fingerprints: list[bytes]
--- /dev/null
+++ b/test/proxy/test_datagrams.py
@@ -0,0 +1,73 @@
+"""Entries learn from each other which calls were refused."""
+
+from types import SimpleNamespace
+
+from twisted.internet.task import Clock
+
+from jackdawsail.proxy.datagrams import DatagramListener, EntryDatagrams
+from jackdawsail.proxy.parts import ProxyParts
+from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.site.node import NodeSettings
+from jackdawsail.site.view import SiteView
+from jackdawsail.wire.codec import encode
+from jackdawsail.wire.site_messages import MemberHost, Members, RefusedCallsTold
+
+ADDRESSES = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+
+
+class Network:
+    """Carries datagrams between the entries of a test at once."""
+
+    def __init__(self):
+        self.listeners = {}
+        self.sent = 0
+
+    def listenUDP(self, port, listener, address):
+        self.listeners[address] = listener
+        return self
+
+    def write(self, datagram, peer):
+        self.sent += 1
+        self.listeners[peer[0]].datagramReceived(datagram, peer)
+
+
+def make_entry(network, address):
+    view = SiteView()
+    view.take_members('c', Members(['c'], [MemberHost(one, 'z', 'r') for one in ADDRESSES], []))
+    settings = NodeSettings('e', address, 'z', 'r', link_port=7700)
+    parts = ProxyParts(Clock(), settings, None, view, UpstreamTable(1.2), None, None)
+    made = EntryDatagrams(parts)
+    made.listen(network)
+    return made
+
+
+def test_a_refusal_is_told_to_every_other_entry_once():
+    network = Network()
+    first, *others = [make_entry(network, address) for address in ADDRESSES]
+    first.parts.refused_calls.note(b'fingerpr', 0.0)
+    first.tell_refused()
+    first.tell_refused()
+    assert network.sent == 2
+    for other in others:
+        assert other.parts.refused_calls.used_seconds(b'fingerpr', 1.0) == 1.0
+        other.tell_refused()
+    assert network.sent == 2
+
+
+def test_nothing_is_sent_while_nothing_is_refused_and_much_in_several_datagrams():
+    network = Network()
+    first = [make_entry(network, address) for address in ADDRESSES][0]
+    first.tell_refused()
+    assert network.sent == 0
+    for number in range(250):
+        first.parts.refused_calls.note(number.to_bytes(8, 'big'), 0.0)
+    first.tell_refused()
+    assert network.sent == 3 * 2
+
+
+def test_a_datagram_that_cannot_be_read_or_is_not_expected_is_dropped():
+    taken = []
+    listener = DatagramListener({SimpleNamespace: taken.append})
+    for datagram in (b'', b'\xff\xff', encode(RefusedCallsTold([b'x']))):
+        listener.datagramReceived(datagram, ('1.2.3.4', 1))
+    assert taken == []
--- /dev/null
+++ b/test/routing/test_late_calls.py
@@ -0,0 +1,76 @@
+"""While calls in time are being refused, late ones take none of their places."""
+
+from jackdawsail.routing.late_calls import (
+    MOST_REMEMBERED,
+    PRESSURE_SECONDS,
+    REMEMBERED_SECONDS,
+    Pressure,
+    RefusedCalls,
+    call_fingerprint,
+    has_ample_room,
+    is_late,
+)
+from test.routing.test_placement import NOW, make_upstream
+
+CALL = call_fingerprint(b'key', b'POST', b'/draft', b'body')
+
+
+def test_the_next_attempt_of_a_call_has_its_fingerprint_and_another_call_has_not():
+    assert call_fingerprint(b'key', b'POST', b'/draft', b'body') == CALL
+    assert call_fingerprint(b'key', b'POST', b'/draft', b'other') != CALL
+    assert call_fingerprint(b'keyP', b'OST', b'/draft', b'body') != CALL
+
+
+def test_time_is_counted_from_the_first_refusal():
+    refused = RefusedCalls()
+    assert refused.used_seconds(CALL, NOW) == 0
+    refused.note(CALL, NOW)
+    refused.note(CALL, NOW + 1)
+    assert refused.used_seconds(CALL, NOW + 1.5) == 1.5
+
+
+def test_refusals_of_other_entries_count_and_are_not_told_on():
+    refused = RefusedCalls()
+    refused.learn(CALL, NOW)
+    assert refused.used_seconds(CALL, NOW + 1) == 1
+    assert refused.take_unsent() == []
+    refused.note(CALL, NOW)
+    assert refused.take_unsent() == [CALL]
+    assert refused.take_unsent() == []
+
+
+def test_a_refusal_is_forgotten_after_a_while():
+    refused = RefusedCalls()
+    refused.note(CALL, NOW)
+    refused.learn(b'other', NOW + REMEMBERED_SECONDS)
+    assert refused.used_seconds(CALL, NOW + REMEMBERED_SECONDS) == 0
+
+
+def test_the_memory_is_bounded():
+    refused = RefusedCalls()
+    for number in range(MOST_REMEMBERED + 10):
+        refused.learn(number.to_bytes(8, 'big'), NOW)
+    assert len(refused._first_seconds) == MOST_REMEMBERED
+
+
+def test_a_call_is_late_once_half_of_its_objective_is_used():
+    assert not is_late(0, 0.4)
+    assert not is_late(0.15, 0.4)
+    assert is_late(0.5, 0.4)
+
+
+def test_pressure_ends_some_time_after_the_last_refusal():
+    pressure = Pressure()
+    assert not pressure.lasts(NOW)
+    pressure.refused(NOW)
+    assert pressure.lasts(NOW + PRESSURE_SECONDS - 0.1)
+    assert not pressure.lasts(NOW + PRESSURE_SECONDS)
+
+
+def test_room_is_ample_where_an_engine_has_a_quarter_of_its_places_free():
+    full, half = make_upstream(1, running=13), make_upstream(2, running=8)
+    assert not has_ample_room([full], 16, NOW, 7)
+    assert has_ample_room([full, half], 16, NOW, 7)
+    for _ in range(4):
+        half.sent(NOW + 0.01)
+    assert not has_ample_room([full, half], 16, NOW, 7)
