Calls that come before the site document are spread and remembered; a line without effect goes

After a loss of power of all hosts an entry listens 0.6 s before it has its document; it told every caller to come back after 1.0 s, all at once, and did not count them as late then. Fanout.start set the times of named weights from a state that is still empty there; control hosts that restart count weights as named when they learn of them, as before, and the comment says so.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     'size',
     'start',
     'startup',
+    'emulate',
 )
 
 
--- /dev/null
+++ b/bench/emulate.py
@@ -0,0 +1,88 @@
+"""Plays a day in simulated time under one or more policies, over many seeds.
+
+Example::
+
+    python -m bench emulate queue-overload --seeds 20 --compare no-memory --json
+"""
+
+import json as json_format
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+from pathlib import Path
+
+from bench.emulator.bound import best_worth
+from bench.emulator.deployment import read_deployment
+from bench.emulator.figures import DayFigures, day_figures, intervals, plot, worth_by_window
+from bench.emulator.play import Day
+from bench.emulator.policies import POLICIES
+
+WORKERS = 4  # half of the cores of a usual machine
+PRODUCT = 'product'
+
+
+def run(
+    site: Path,
+    *,
+    seeds: int = 8,
+    compare: tuple[str, ...] = (),
+    json: bool = False,
+    plot_to: Path | None = None,
+) -> int:
+    """Plays ``site`` (a TOML file, or the name of one of the emulator's own).
+
+    Prints the mean of each figure over the seeds with its 95 % interval, for the
+    product's policy and each of ``compare``. Exit status 2 for an unknown policy.
+    """
+    unknown = [name for name in compare if name not in POLICIES]
+    if unknown:
+        print(f'unknown policy {unknown[0]!r}; known: {", ".join(POLICIES)}', file=sys.stderr)
+        return 2
+    names = [PRODUCT, *(name for name in compare if name != PRODUCT)]
+    days = play_all(site, names, seeds)
+    if json:
+        print(_as_json(days))
+    else:
+        _print_table(days)
+    if plot_to is not None:
+        deployment = read_deployment(site)
+        series = {
+            name: worth_by_window(Day(deployment, POLICIES[name], 1).play()) for name in names
+        }
+        plot(series, plot_to)
+    return 0
+
+
+def play_all(site: Path, names: list[str], seeds: int) -> dict[str, list[DayFigures]]:
+    """Plays every policy with every seed, some days at a time."""
+    tasks = [(site, name, seed) for name in names for seed in range(1, seeds + 1)]
+    found: dict[str, list[DayFigures]] = {name: [] for name in names}
+    with ProcessPoolExecutor(WORKERS) as workers:
+        played = workers.map(_play_one, tasks)
+        for number, (task, figures) in enumerate(zip(tasks, played, strict=True), 1):
+            found[task[1]].append(figures)
+            print(f'\r{number} of {len(tasks)} days', end='', file=sys.stderr)
+    print(file=sys.stderr)
+    return found
+
+
+def _play_one(task: tuple[Path, str, int]) -> DayFigures:
+    site, name, seed = task
+    deployment = read_deployment(site)
+    asked = Day(deployment, POLICIES[name], seed).play()
+    return day_figures(asked, best_worth(deployment, asked))
+
+
+def _as_json(days: dict[str, list[DayFigures]]) -> str:
+    content = {
+        name: {figure: asdict(found) for figure, found in intervals(played).items()}
+        for name, played in days.items()
+    }
+    return json_format.dumps(content, indent=2)
+
+
+def _print_table(days: dict[str, list[DayFigures]]) -> None:
+    for name, played in days.items():
+        print(name)
+        for figure, found in intervals(played).items():
+            print(f'  {figure:20} {found.mean:9.3f} ± {found.half_width:.3f}')
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -29,7 +29,6 @@
 
 GATHER_SECONDS = 0.1  # a twelfth of the interval of heartbeats
 NAMED_KEPT_SECONDS = 60.0  # several times the longest time for a changeover
-LONG_AGO_SECONDS = 3600.0  # weights named before this process started
 UPSTREAM_CHANGED = events.define(240, 'info', 'upstream registered, changed or left')
 
 
@@ -51,13 +50,15 @@
         self.switchboard.on(DocumentWanted, self._on_wanted)
         self.switchboard.on(Registrations, self._on_registrations)
         self.switchboard.on(UpstreamLeft, self._on_left)
-        long_ago_seconds = self.clock.seconds() - LONG_AGO_SECONDS
-        held = self.machine.state.weight_versions
-        self._named_seconds = dict.fromkeys(held, long_ago_seconds)
         self.machine.on_change = self.site_changed
 
     def site_changed(self) -> None:
-        """Sends the summary of a state that has changed."""
+        """Sends the summary of a state that has changed.
+
+        Weights count as named when this process learns of them. One that has just
+        started tells a later time than the others; entries keep the first that they
+        hear, and the time to change over starts anew when control hosts are lost.
+        """
         now_seconds = self.clock.seconds()
         fresh = dict.fromkeys(self.machine.state.weight_versions, now_seconds)
         # An older version keeps its own bound for a while beside a newer one.
--- a/jackdawsail/proxy/gate.py
+++ b/jackdawsail/proxy/gate.py
@@ -5,13 +5,15 @@
 from jackdawsail import events
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange
+from jackdawsail.proxy.calls import CallerCall, fingerprint_of
 from jackdawsail.proxy.parts import ProxyParts
 from jackdawsail.proxy.task import make_call_task
+from jackdawsail.routing.placement import RETURN_MAX_SECONDS, RETURN_MIN_SECONDS
 from jackdawsail.site.routes import pick_service
 
 LEAVING_RETURN_SECONDS = 0.05  # another entry takes the call at once
-NOT_READY_RETURN_SECONDS = 1.0  # a restarted entry has its document after about so long
 
+CALL_TOO_EARLY = events.define(430, 'info', 'call refused, no site document yet')
 CALL_TURNED_AWAY = events.define(429, 'info', 'call refused, the entry is stopping')
 CALL_DENIED = events.define(426, 'warning', 'call denied: no route or no such key')
 
@@ -25,11 +27,10 @@
     def handle(self, exchange: Exchange) -> None:
         """Takes one whole request."""
         table = self.parts.view.table
+        call = self.parts.border.decode_call(exchange.request)
         if table is None:
-            headers = self.parts.border.retry_after(NOT_READY_RETURN_SECONDS)
-            exchange.answer(HttpAnswer(503, b'no configuration yet', headers))
+            self._not_ready(exchange, call)
             return
-        call = self.parts.border.decode_call(exchange.request)
         if self.parts.refusing:
             events.log(CALL_TURNED_AWAY, request=call.attempt)
             headers = self.parts.border.retry_after(LEAVING_RETURN_SECONDS)
@@ -47,6 +48,15 @@
         service = pick_service(route.shares, self.parts.rng)
         make_call_task(self.parts, exchange, call, route, service, customer).start()
 
+    def _not_ready(self, exchange: Exchange, call: CallerCall) -> None:
+        return_seconds = self.parts.rng.uniform(RETURN_MIN_SECONDS, RETURN_MAX_SECONDS)
+        events.log(CALL_TOO_EARLY, request=call.attempt, return_seconds=round(return_seconds, 3))
+        if call.model:
+            fingerprint = fingerprint_of(call, exchange.request)
+            self.parts.refused_calls.note(fingerprint, self.parts.clock.seconds())
+        headers = self.parts.border.retry_after(return_seconds)
+        exchange.answer(HttpAnswer(503, b'no configuration yet', headers))
+
     def _deny(self, exchange: Exchange, status: int, attempt: str, reason: str) -> None:
         version = self.parts.view.document_version
         events.log(CALL_DENIED, request=attempt, status=status, reason=reason, document=version)
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -215,6 +215,15 @@
     assert (found.patience_seconds, found.prompt_tokens, found.key) == (0, 0, '')
 
 
+@pytest.mark.parametrize('value', [b'inf', b'nan', b'-5', b'1e400', b'x', b'inf,inf', b'3,nan'])
+def test_a_number_that_is_none_or_not_finite_counts_as_not_given(value):
+    headers = ((b'request-deadline', value), (b'token-usage', value), (b'length-hint', value))
+    found = traffic.decode_caller_call(HttpRequest(b'POST', b'/x', headers))
+    assert found.patience_seconds == 0
+    assert found.answer_tokens == 0
+    assert found.likely_answer_tokens == 0
+
+
 def test_an_upstream_gets_our_headers_and_never_the_callers_own():
     request = make_request(
         (b'Host', b'a.example'),
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -16,7 +16,7 @@
 from jackdawsail.site.document import CallKind, Service
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView
-from jackdawsail.wire.site_messages import NamedWeights, SiteSummary
+from jackdawsail.wire.site_messages import EngineLoad, NamedWeights, SiteSummary
 from test.http1.ends import Transport
 from test.site.documents import ENGINE, make_document, make_route
 
@@ -77,6 +77,7 @@
         for number in range(1, upstreams + 1):
             self.register(number)
         self.channels = []
+        self.reports = 0
         options = ServerOptions(Gate(self.parts).handle, self.reactor, document.limits)
         self.factory = ServerFactory(options)
 
@@ -102,6 +103,22 @@
         self.parts.view.book.update(registration, self.reactor.seconds())
         self.parts.upstreams.refresh(self.parts.view.book)
 
+    def report(self, number, running, waiting=0, version=1):
+        """Lets the agent of an engine report its load."""
+        self.reports += 1
+        load = EngineLoad(
+            engine_address=f'10.0.0.{number}:80',
+            incarnation=1,
+            sequence=self.reports,
+            weight_version=version,
+            switching=False,
+            waiting=waiting,
+            running=running,
+            memory_share=0,
+            pace=1.0,
+        )
+        self.parts.upstreams.take_load(load, self.reactor.seconds())
+
     def call(self, path='/p/x', attempt='a1', headers='', method='GET', body=''):
         """Sends a caller's request on a new connection; returns the caller's transport."""
         connection = self.factory.buildProtocol(None)
