A stream is not ended as whole by the failure of the engine that goes on with it

Cause: when the engine that went on with a stream answered with a failure of its own, its body was taken for events and the stream was ended properly, so the caller took a part of it for the whole. Found by reading the resumption path before it is used more often. The stream now goes on elsewhere, or breaks off visibly. Three tests failed first.

--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -82,7 +82,8 @@
         if head.meaning.not_run:
             self.sends.not_run(attempt.upstream.name)
         elif self.relay is not None and self.relay.started:
-            self.relay.go_on(head)
+            if head.meaning.status in SUCCESS:
+                self.relay.go_on(head)
         else:
             self.relay = make_relay(self.exchange, self.route, head)
 
@@ -90,6 +91,8 @@
         """Passes on what may be passed on."""
         if self.relay is None or attempt.head is None or attempt.head.meaning.not_run:
             return
+        if self._cannot_continue(attempt.head):
+            return
         begun = self.relay.started
         self.relay.take(piece)
         if self.relay.started and not begun:
@@ -105,6 +108,8 @@
         attempt.upstream.answered(now_seconds - attempt.begun_seconds, now_seconds, failed=failed)
         if attempt.head.meaning.not_run:
             self._not_run(attempt, status)
+        elif self._cannot_continue(attempt.head):
+            self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
         elif failed and self.has_another() and self.sends.may_run_again():
             self.log.attempt_ended(attempt, f'status {status}')
             self.relay = None
@@ -194,6 +199,11 @@
             return False
         return self.relay is None or not self.relay.started or self.relay.can_resume
 
+    def _cannot_continue(self, head: ReceivedHead) -> bool:
+        """Tells whether a stream that has begun got a failure from the engine that goes on."""
+        begun = self.relay is not None and self.relay.started and self.relay.can_resume
+        return begun and head.meaning.status not in SUCCESS
+
     def leave(self, attempt: Attempt, reason: str) -> None:
         """Gives an attempt up and places the call again."""
         attempt.cancel()
--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -345,6 +345,18 @@
         assert world.reactor.asked == []
         assert caller.aborted
 
+    @pytest.mark.parametrize('status', [500, 400, 504])
+    def test_is_not_ended_as_whole_by_the_failure_of_the_engine_that_goes_on(self, status):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        reset(first)
+        answer(world.accept(), status, body=b'id: 2\ndata: failed\n\nrest')
+        assert caller.aborted
+        assert b'failed' not in caller.value()
+        assert not caller.value().endswith(b'0\r\n\r\n')
+
     def test_breaks_off_visibly_when_no_engine_can_go_on(self):
         world, caller = self.begin(upstreams=1)
         channel = world.accept()
