--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -87,6 +87,8 @@
     def _may_go_elsewhere(self, *, moving: bool = False) -> bool:
         """Tells whether another engine can take the stream over, and takes it from the budget."""
         call = self._call
-        if not call.has_another() or moving and not call.parts.may_move(call.sends.service):
+        if not call.has_another():
+            return False
+        if moving and not call.parts.may_move(call.sends.service):
             return False
         return call.sends.may_run_again()
--- a/jackdawsail/routing/late_calls.py
+++ b/jackdawsail/routing/late_calls.py
@@ -64,9 +64,11 @@
         return taken
 
     def used_seconds(self, fingerprint: bytes, now_seconds: float) -> float:
-        """Returns how long ago a call was first refused; 0 if it was not."""
+        """Returns how long ago a call was first refused; 0 if it was not lately."""
         first_seconds = self._first_seconds.get(fingerprint)
-        return 0 if first_seconds is None else now_seconds - first_seconds
+        if first_seconds is None or now_seconds - first_seconds >= REMEMBERED_SECONDS:
+            return 0
+        return now_seconds - first_seconds
 
     def _forget(self, now_seconds: float) -> None:
         # In the order of their times, as a dictionary keeps the order of insertion.
--- a/test/routing/test_late_calls.py
+++ b/test/routing/test_late_calls.py
@@ -42,8 +42,10 @@
 def test_a_refusal_is_forgotten_after_a_while():
     refused = RefusedCalls()
     refused.note(CALL, NOW)
-    refused.learn(b'other', NOW + REMEMBERED_SECONDS)
+    assert refused.used_seconds(CALL, NOW + REMEMBERED_SECONDS - 0.1) > 0
     assert refused.used_seconds(CALL, NOW + REMEMBERED_SECONDS) == 0
+    refused.learn(b'other', NOW + REMEMBERED_SECONDS)
+    assert list(refused._first_seconds) == [b'other']
 
 
 def test_the_memory_is_bounded():
