The scenario of an agent that dies asks for more than one engine has room for

Cause, from the logs of 63 passing runs: the agent was back 0.05 s after its start, but new work came after 1.0 to 6.6 s, at random. While the agent was away every prompt prefix was noted at the other engine of the data centre, and with four requests a second there that engine was seldom busier by the quarter of its places that makes the affinity give way. Ruled out: flap damping (one flap counts 1 of 3), the lease, the release (confirmed 0.01 s after the link). So the check asked for work that nobody needed there. The load is now such that one engine cannot serve it; bound and checks are as they were.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -34,3 +34,14 @@
         terminalreporter.section('known red (KNOWN-RED.txt)')
         for entry in entries.values():
             terminalreporter.line(entry)
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Lets fixtures know at their end whether their test has failed."""
+    outcome = yield
+    report = outcome.get_result()
+    if report.when == 'call':
+        item.failed_call = (
+            report.failed or bool(getattr(report, 'wasxfail', '')) and report.skipped
+        )
--- a/test/scenarios/requests.feature
+++ b/test/scenarios/requests.feature
@@ -3,7 +3,7 @@
   Scenario: An agent dies while customers ask
     Given a deployment with 1 control host, 1 entry and 2 engines a data centre
     And every engine serves release critique-1
-    And customers keep asking
+    And customers keep asking more than one engine a data centre has room for
     When agent-crete-a-1 is killed and started again
     Then engine-crete-a-1 gets new work within 10 seconds
     And every answer is the caller's own and whole
--- a/test/scenarios/test_scenarios.py
+++ b/test/scenarios/test_scenarios.py
@@ -21,10 +21,12 @@
 
 
 @pytest.fixture
-def world(starter: TemplateStarter) -> Iterator[World]:
+def world(starter: TemplateStarter, request: pytest.FixtureRequest) -> Iterator[World]:
     made = World(starter)
     with made.stack:
         yield made
+        if getattr(request.node, 'failed_call', False):
+            made.keep_logs(request.node.name)
 
 
 @given(
@@ -57,6 +59,13 @@
     world.ask()
 
 
+@given('customers keep asking more than one engine a data centre has room for')
+def keep_asking_much(world: World) -> None:
+    # Some four requests run at a time in each data centre. With fewer, the engine that
+    # holds the customers' prompt prefixes may rightly get all of them.
+    world.ask(requests_per_second=18)
+
+
 @given('customers keep booking')
 def keep_booking(world: World) -> None:
     world.ask('book', requests_per_second=10)
--- a/test/scenarios/world.py
+++ b/test/scenarios/world.py
@@ -1,8 +1,10 @@
 """What the steps of a scenario share: the fleet, its callers and the moments noted."""
 
+import shutil
 import time
 from collections import Counter
 from contextlib import ExitStack
+from pathlib import Path
 from typing import Any
 
 from bench.fakes.engine import EngineOptions
@@ -22,6 +24,7 @@
 RELEASE_SECONDS = 30
 STOP_SECONDS = 20
 NOT_RUN = 'not-run'
+KEPT_LOGS = Path('results') / 'scenarios'
 
 
 class World:
@@ -59,6 +62,12 @@
         self.callers = start_callers(self.fleet, loads, LOAD_SECONDS)
         wait_until(self.callers.lines, 15, 'the first request has ended')
 
+    def keep_logs(self, name: str) -> None:
+        """Copies the logs and records of a scenario that failed, as its folder goes."""
+        target = KEPT_LOGS / f'{name}-{int(time.time())}'
+        shutil.copytree(self.fleet.folder, target, ignore=shutil.ignore_patterns('data', '*.bin'))
+        print(f'logs of {name} are kept in {target}')  # noqa: T201
+
     def heal(self) -> None:
         assert self.fleet.proxy is not None
         self.fleet.proxy.heal()
