--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -107,7 +107,7 @@
 
     def _attempt(self, asked: Asked) -> None:
         asked.attempts += 1
-        way_seconds = self.deployment.caller_delay_ms / 1000
+        way_seconds = self.deployment.caller_way_seconds
         now_seconds = self.simulation.seconds()
         patience_seconds = asked.kind.patience_ms / 1000 - (now_seconds - asked.asked_seconds)
         call = EmulatedCall(
@@ -127,7 +127,7 @@
         self.simulation.after(way_seconds, entry.take, call)
 
     def _back(self, take: Callable[..., None]) -> Callable[..., None]:
-        way_seconds = self.deployment.caller_delay_ms / 1000
+        way_seconds = self.deployment.caller_way_seconds
         return lambda given: self.simulation.after(way_seconds, take, given)
 
     def _event(self, asked: Asked, events: int) -> None:
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -87,12 +87,16 @@
 
 
 class Deployment(_Part):
-    """A site and one day on it; ``steps`` are times and factors of the traffic."""
+    """A site and one day on it; ``steps`` are times and factors of the traffic.
+
+    ``entry_ms`` is what an entry takes of its processor for a call on either way.
+    """
 
     name: str
     length_seconds: float
     warm_up_seconds: float = 2.0
     caller_delay_ms: float
+    entry_ms: float = 0
     region_delay_ms: float
     zone_delay_ms: float = 0.2
     weights_seconds: float = 8.0
@@ -109,6 +113,11 @@
         passed = [factor for start, factor in self.steps if start <= seconds]
         return passed[-1] if passed else 0
 
+    @property
+    def caller_way_seconds(self) -> float:
+        """Returns the time between a caller and an entry's decision."""
+        return (self.caller_delay_ms + self.entry_ms) / 1000
+
     def delay_seconds(self, from_region: str, to_region: str) -> float:
         """Returns the one-way delay between hosts."""
         delay_ms = self.zone_delay_ms if from_region == to_region else self.region_delay_ms
