--- a/test/mutants.py
+++ b/test/mutants.py
@@ -95,6 +95,42 @@
         'staging/changeover.py', 'if not await self._verify(staged):', 'if False:', 'test/staging'
     ),
     Mutant('staging/changeover.py', 'fits and due and', 'due and', 'test/staging'),
+    Mutant(
+        'staging/changeover.py',
+        'if nearly and self._use_seconds() > WORTH_LOADING_SECONDS:',
+        'if nearly:',
+        'test/staging',
+    ),
+    Mutant(
+        'staging/drawing.py',
+        'if source.is_origin and relays_answer and not self._may_bypass():',
+        'if False:',
+        'test/staging',
+    ),
+    Mutant(
+        'proxy/relaying.py',
+        'return begun and head.meaning.status not in SUCCESS',
+        'return False',
+        PROXY,
+    ),
+    Mutant(
+        'proxy/selection.py', 'if not selection.returning or selection.tried:', 'if False:', PROXY
+    ),
+    Mutant('proxy/selection.py', 'returning or selection.tried:', 'returning:', PROXY),
+    Mutant('proxy/selection.py', ' and not selection.returning:', ':', PROXY),
+    Mutant(
+        'proxy/watch.py',
+        'if moving and not call.parts.may_move(call.sends.service):',
+        'if False:',
+        PROXY,
+    ),
+    Mutant('routing/moving.py', 'if now_seconds < self.next_seconds:', 'if False:', ROUTING),
+    Mutant(
+        'routing/late_calls.py',
+        ' or now_seconds - first_seconds >= REMEMBERED_SECONDS',
+        '',
+        ROUTING,
+    ),
     Mutant('http1/client.py', 'len(core.trailing_data[0]) != behind', 'False', 'test/http1'),
     Mutant(
         'http1/server.py',
--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -403,6 +403,42 @@
         second.dataReceived(event(2) + b'0\r\n\r\n')
         assert caller.value().endswith(b'0\r\n\r\n')
 
+    def test_moves_are_spread_over_time(self):
+        world = World(2, MODEL_SERVICE)
+        channels = []
+        for number in range(6):
+            world.call('/stream/x', attempt=f'a{number}', headers=STREAM_HEADERS, method='POST')
+            channel = world.accept()
+            begin_stream(channel, f'a{number}')
+            channel.dataReceived(event(1))
+            channels.append(channel)
+        for number in (1, 2):
+            world.report(number, running=3, switching=number == 1)
+        leaving = [one for one in channels if b'i-1' in sent_on(one)]
+        assert len(leaving) > 1
+        world.reactor.advance(0.22)
+        assert sum(one.transport.aborted for one in leaving) == 1
+
+    def test_goes_on_elsewhere_though_it_is_late_and_others_are_refused(self):
+        world = World(2, MODEL_SERVICE)
+        for number in (1, 2):
+            world.report(number, running=16, waiting=3)
+        assert status_of(world.call('/stream/x', headers=STREAM_HEADERS, method='POST')) == 503
+        world.reactor.advance(0.8)
+        for number in (1, 2):
+            world.report(number, running=4)
+        headers = STREAM_HEADERS
+        caller = world.call('/stream/x', attempt='a2', headers=headers, method='POST')
+        first = world.accept()
+        begin_stream(first, 'a2')
+        first.dataReceived(event(1))
+        for number in (1, 2):
+            world.report(number, running=14)
+        world.parts.pressure('s').refused(world.reactor.seconds())
+        reset(first)
+        assert not caller.aborted
+        assert len(world.reactor.asked) == 1
+
     def test_stays_when_it_is_nearly_done_or_the_other_engine_is_full(self):
         for changes in ({'hint': 'Length-Hint: 12\r\n'}, {'other_running': 16}):
             world, _caller, first = self.changing_over(**changes)
