--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -115,6 +115,17 @@
         self.stream(world, 'a2')
         assert len(world.reactor.asked) == 1
 
+    def test_refusals_of_late_calls_do_not_keep_late_calls_out(self):
+        world = self.full_world()
+        self.stream(world, 'a1')
+        world.reactor.advance(1.5)
+        world.report(1, running=15)
+        assert status_of(self.stream(world, 'a2')) == 503
+        world.reactor.advance(1.0)
+        world.report(1, running=15)
+        self.stream(world, 'a3')
+        assert len(world.reactor.asked) == 1
+
     def test_a_call_that_another_entry_refused_is_late_here_too(self):
         world, other = self.full_world(), self.full_world()
         self.stream(other, 'a1')
