--- a/test/bench/emulator/test_play.py
+++ b/test/bench/emulator/test_play.py
@@ -17,6 +17,7 @@
 
 SEEDS = range(1, 5)
 OVERLOAD_SECONDS = 32  # from when on a data centre is out on the day of queue-overload
+MANY_SEEDS = range(1, 13)  # for two seconds of a day, which swing by 0.1 between seeds
 CHANGEOVER_SECONDS = (22, 30)  # while engines load the weights named on that day
 # Days of the same load that the users' bench played, three of them: calls in time, and the
 # median of the first event or answer in ms.
@@ -100,7 +101,7 @@
             for second in range(start, end)
         )
 
-    gained = [worst('product', seed) - worst('no-moves', seed) for seed in SEEDS]
+    gained = [worst('product', seed) - worst('no-moves', seed) for seed in MANY_SEEDS]
     assert fmean(gained) > 0.02
 
 
--- /dev/null
+++ b/test/proxy/test_streams.py
@@ -0,0 +1,216 @@
+"""What callers of streams get when engines fail, fall silent or change over."""
+
+from dataclasses import replace
+
+import pytest
+
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM,
+    STREAM_HEADERS,
+    World,
+    answer,
+    begin_stream,
+    event,
+    reset,
+    sent_on,
+    status_of,
+)
+
+
+class TestStream:
+    """A resumable stream of a model."""
+
+    def begin(self, upstreams=2):
+        world = World(upstreams, MODEL_SERVICE)
+        caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+        return world, caller
+
+    def test_events_are_passed_on_at_once_and_whole(self):
+        world, caller = self.begin()
+        channel = world.accept()
+        begin_stream(channel)
+        assert caller.value() == b''
+        channel.dataReceived(event(1))
+        assert b'x1' in caller.value()
+        channel.dataReceived(event(2)[:-6])
+        assert b'x2' not in caller.value()
+        channel.dataReceived(event(2)[-6:] + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+        assert b'x2' in caller.value()
+
+    def test_goes_on_at_another_engine_after_the_last_whole_event(self):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1) + event(2) + event(3)[:8])
+        reset(first)
+        second = world.accept()
+        assert b'Last-Event-Id: 2' in sent_on(second)
+        assert b'Expect-Version: 1' in sent_on(second)
+        begin_stream(second)
+        second.dataReceived(event(2) + event(3) + b'0\r\n\r\n')
+        text = caller.value()
+        assert [text.count(f'data: x{number}\n'.encode()) for number in (1, 2, 3)] == [1, 1, 1]
+        assert text.count(b'HTTP/1.1') == 1
+        assert text.endswith(b'0\r\n\r\n')
+
+    def test_is_not_mixed_from_two_weight_versions(self):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        other = 2 if b'i-1' in sent_on(first) else 1
+        world.register(other, version=2, sequence=2)
+        reset(first)
+        assert world.reactor.asked == []
+        assert caller.aborted
+
+    @pytest.mark.parametrize('status', [500, 400, 504])
+    def test_is_not_ended_as_whole_by_the_failure_of_the_engine_that_goes_on(self, status):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        reset(first)
+        answer(world.accept(), status, body=b'id: 2\ndata: failed\n\nrest')
+        assert caller.aborted
+        assert b'failed' not in caller.value()
+        assert not caller.value().endswith(b'0\r\n\r\n')
+
+    def test_breaks_off_visibly_when_no_engine_can_go_on(self):
+        world, caller = self.begin(upstreams=1)
+        channel = world.accept()
+        begin_stream(channel)
+        channel.dataReceived(event(1))
+        reset(channel)
+        assert caller.aborted
+        assert not caller.value().endswith(b'0\r\n\r\n')
+
+    def test_leaves_an_engine_that_has_fallen_silent(self):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for _ in range(6):
+            world.reactor.advance(0.2)
+        assert first.transport.aborted
+        second = world.accept()
+        begin_stream(second)
+        second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
+    def changing_over(self, hint='Length-Hint: 120\r\n', other_running=3):
+        world = World(2, MODEL_SERVICE)
+        headers = STREAM_HEADERS + hint
+        caller = world.call('/stream/x', headers=headers, method='POST')
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        own = 1 if b'i-1' in sent_on(first) else 2
+        world.report(own, running=9, switching=True)
+        world.report(3 - own, running=other_running)
+        world.reactor.advance(0.25)
+        return world, caller, first
+
+    def test_moves_to_another_engine_when_its_own_changes_over(self):
+        world, caller, first = self.changing_over()
+        assert first.transport.aborted
+        second = world.accept()
+        assert b'Last-Event-Id: 1' in sent_on(second)
+        assert b'Expect-Version: 1' in sent_on(second)
+        begin_stream(second)
+        second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
+    def test_moves_are_spread_over_time(self):
+        world = World(2, MODEL_SERVICE)
+        channels = []
+        for number in range(6):
+            world.call('/stream/x', attempt=f'a{number}', headers=STREAM_HEADERS, method='POST')
+            channel = world.accept()
+            begin_stream(channel, f'a{number}')
+            channel.dataReceived(event(1))
+            channels.append(channel)
+        for number in (1, 2):
+            world.report(number, running=3, switching=number == 1)
+        leaving = [one for one in channels if b'i-1' in sent_on(one)]
+        assert len(leaving) > 1
+        world.reactor.advance(0.22)
+        assert sum(one.transport.aborted for one in leaving) == 1
+
+    def test_goes_on_elsewhere_though_it_is_late_and_others_are_refused(self):
+        world = World(2, MODEL_SERVICE)
+        for number in (1, 2):
+            world.report(number, running=16, waiting=3)
+        assert status_of(world.call('/stream/x', headers=STREAM_HEADERS, method='POST')) == 503
+        world.reactor.advance(0.8)
+        for number in (1, 2):
+            world.report(number, running=4)
+        headers = STREAM_HEADERS
+        caller = world.call('/stream/x', attempt='a2', headers=headers, method='POST')
+        first = world.accept()
+        begin_stream(first, 'a2')
+        first.dataReceived(event(1))
+        for number in (1, 2):
+            world.report(number, running=14)
+        world.parts.pressure('s').refused(world.reactor.seconds())
+        reset(first)
+        assert not caller.aborted
+        assert len(world.reactor.asked) == 1
+
+    def test_stays_when_it_is_nearly_done_or_the_other_engine_is_full(self):
+        for changes in ({'hint': 'Length-Hint: 12\r\n'}, {'other_running': 16}):
+            world, _caller, first = self.changing_over(**changes)
+            assert not first.transport.aborted
+            assert world.reactor.asked == []
+
+    def test_does_not_move_when_it_may_not_run_again(self):
+        world = World(2, MODEL_SERVICE, routes=[replace(STREAM, resumable=False)])
+        world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for number in (1, 2):
+            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        world.reactor.advance(0.5)
+        assert not first.transport.aborted
+
+    def test_is_sent_with_the_new_version_when_the_old_one_is_overdue(self):
+        world = World(2, MODEL_SERVICE)
+        world.register(1, version=2, sequence=2)
+        world.summarize(revision=2, weights=[('m', 2, 7.5)])
+        world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+        sent = sent_on(world.accept())
+        assert b'Expect-Instance: i-1' in sent
+        assert b'Expect-Version: 2' in sent
+
+    def test_is_taken_back_from_an_engine_where_it_has_not_begun_when_that_is_overdue(self):
+        world, caller = self.begin(upstreams=1)
+        old = world.accept()
+        world.summarize(revision=2, weights=[('m', 2, 7.4)])
+        world.register(2, version=2)
+        world.reactor.advance(0.2)
+        assert old.transport.aborted
+        new = world.accept()
+        assert b'Expect-Version: 2' in sent_on(new)
+        begin_stream(new, version=2)
+        new.dataReceived(event(1) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
+    def test_stays_at_an_engine_on_old_weights_where_it_has_begun(self):
+        world, caller = self.begin(upstreams=1)
+        old = world.accept()
+        begin_stream(old)
+        old.dataReceived(event(1))
+        world.summarize(revision=2, weights=[('m', 2, 7.4)])
+        world.register(2, version=2)
+        world.reactor.advance(0.2)
+        old.dataReceived(event(2) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
+    def test_is_refused_when_every_engine_is_on_an_overdue_version(self):
+        world = World(2, MODEL_SERVICE)
+        world.summarize(revision=2, weights=[('m', 2, 7.5)])
+        caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+        assert status_of(caller) == 503
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -37,6 +37,7 @@
     time_limit_seconds=6.0,
     shares=make_route().shares,
 )
+STREAM_HEADERS = 'Model: m\r\nRequest-Deadline: 6000\r\n'
 MODEL_SERVICE = Service('s', engine=ENGINE, cold_requests_per_second=26)
 
 
@@ -165,3 +166,12 @@
 
 def close(channel):
     channel.connectionLost(Failure(ConnectionDone()))
+
+
+def status_of(transport):
+    written = transport.value()
+    return int(written.split(b' ')[1]) if written else None
+
+
+def sent_on(channel):
+    return channel.transport.value()
