A relay's look goes on when it finds a version complete

Cause: the versions that agents ask for were gone through while a version found complete was taken out of them, so the look ended with an error and the loop with it; the relay then drew nothing ahead until the site changed. It needs a draw that failed and agents that drew the rest themselves. Found by reading the change once more; the test failed first.

--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -89,7 +89,7 @@
         for model, version in self._due():
             if self._is_first(model):
                 self._begin_fill(model, version)
-        for model, version in self._asked_seconds:
+        for model, version in list(self._asked_seconds):
             if self._is_wanted(model, version):
                 self._begin_fill(model, version)
 
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -282,3 +282,21 @@
     relay._process.reactor.advance(2)
     view.weights['m'] = (WeightTarget(2, 0.0),)
     assert answer_all(drawing) < 10
+
+
+def test_a_look_that_finds_a_version_complete_goes_on_to_the_next():
+    drawing = Drawing(MANY)
+    relay = PieceRelay(make_process('10.2.0.9'), make_view(), drawing)
+    relay._handle(Exchange(b'/weights/m/1/0'))
+    drawing.waiting[0].callback(Success(b'body'))
+    for answer in drawing.waiting[1:]:
+        answer.callback(Failure('spoilt'))
+    # Agents draw the rest one by one before the next look.
+    first = len(drawing.waiting)
+    for index in range(20):
+        Deferred.fromCoroutine(relay._piece(MANY, index))
+    for answer in drawing.waiting[first:]:
+        answer.callback(Success(b'body'))
+    relay.site_changed()
+    assert relay._asked_seconds == {}
+    relay.site_changed()
