--- a/jackdawsail/platform/engines.py
+++ b/jackdawsail/platform/engines.py
@@ -8,6 +8,8 @@
 
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.staging.engine import EngineReport, PieceList, StartOrder
+from jackdawsail.staging.engine_calls import EngineBorder
+from jackdawsail.staging.sources import OriginBorder
 
 Whole = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -139,3 +141,22 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(f'list of staged pieces cannot be read: {error}')
     return Success(tuple(found.held))
+
+
+def origin_border() -> OriginBorder:
+    """Returns how the origin of weights is called on the platform."""
+    return OriginBorder(manifest_target, decode_manifest, piece_target)
+
+
+def engine_border() -> EngineBorder:
+    """Returns how the engine beside an agent is called on the platform."""
+    return EngineBorder(
+        report_target=REPORT_TARGET,
+        decode_report=decode_report,
+        order_target=ORDER_TARGET,
+        encode_start=encode_start,
+        stage_write_target=stage_write_target,
+        stage_read_target=stage_read_target,
+        stage_list_target=stage_list_target,
+        decode_held=decode_held,
+    )
--- a/jackdawsail/platform/programs.py
+++ b/jackdawsail/platform/programs.py
@@ -31,9 +31,7 @@
     from jackdawsail.platform.documents import decode_document
     from jackdawsail.proxy.parts import EntryBorders, TrafficBorder
     from jackdawsail.proxy.program import make_entry_program
-    from jackdawsail.staging.sources import OriginBorder
 
-    origin = OriginBorder(engines.manifest_target, engines.decode_manifest, engines.piece_target)
     border = TrafficBorder(
         decode_call=traffic.decode_caller_call,
         upstream_headers=traffic.upstream_headers,
@@ -41,29 +39,19 @@
         retry_after=traffic.retry_after,
     )
     calls = CallBorder(decode_call, AnswerEncoder().encode)
-    return make_entry_program(process, EntryBorders(border, calls, decode_document, origin))
+    return make_entry_program(
+        process, EntryBorders(border, calls, decode_document, engines.origin_border())
+    )
 
 
 def make_agent(process: NodeProcess) -> NodeProgram:
     """Builds the agent program with the platform's formats."""
     from jackdawsail.platform import engines
     from jackdawsail.platform.documents import decode_document
-    from jackdawsail.staging.engine_calls import EngineBorder
     from jackdawsail.staging.program import AgentBorders, make_agent_program
-    from jackdawsail.staging.sources import OriginBorder
-
-    origin = OriginBorder(engines.manifest_target, engines.decode_manifest, engines.piece_target)
-    engine = EngineBorder(
-        report_target=engines.REPORT_TARGET,
-        decode_report=engines.decode_report,
-        order_target=engines.ORDER_TARGET,
-        encode_start=engines.encode_start,
-        stage_write_target=engines.stage_write_target,
-        stage_read_target=engines.stage_read_target,
-        stage_list_target=engines.stage_list_target,
-        decode_held=engines.decode_held,
-    )
-    return make_agent_program(process, AgentBorders(decode_document, engine, origin))
+
+    borders = AgentBorders(decode_document, engines.engine_border(), engines.origin_border())
+    return make_agent_program(process, borders)
 
 
 _PROGRAMS = {'control': make_control, 'entry': make_entry, 'agent': make_agent}
