--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -133,8 +133,6 @@
     async def _staged_version(self) -> StagedPieces | None:
         wanted = self.wanted_version
         staged = self._staged
-        if staged is not None and (not wanted or staged.pieces.version == wanted):
-            return staged
         if staged is not None and not self._is_outdated(staged):
             return staged
         outcome = await self.drawing.draw_list(self.model, wanted)
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -142,17 +142,15 @@
 
     def _note_filled(self, model: str, version: int, pieces: PieceList) -> None:
         held = self._version(pieces.model, pieces.version)
-        whole = len(held.bodies) == len(pieces.digests)
-        if whole:
+        details = {'model': model, 'version': pieces.version, 'pieces': len(held.bodies)}
+        if len(held.bodies) == len(pieces.digests):
             self._asked_seconds.pop((model, version), None)
-            details = {'version': pieces.version, 'pieces': len(held.bodies)}
-            events.log(RELAY_FILLED, model=model, **details)
+            events.log(RELAY_FILLED, **details)
             return
         self._filled.discard((model, version))
         if not held.incomplete:
             held.incomplete = True
-            details = {'version': pieces.version, 'pieces': len(held.bodies)}
-            events.log(RELAY_INCOMPLETE, model=model, **details)
+            events.log(RELAY_INCOMPLETE, **details)
 
     async def _fill_some(self, pieces: PieceList, left: deque[int]) -> None:
         while left:
