--- a/jackdawsail/platform/documents.py
+++ b/jackdawsail/platform/documents.py
@@ -1,11 +1,11 @@
 """Decodes the operators' configuration into the site document."""
 
 import hashlib
-from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from jackdawsail.platform.fields import MILLISECOND, Amount, Whole
 from jackdawsail.site.document import (
     CallerLimits,
     CallKind,
@@ -17,10 +17,7 @@
     SiteDocument,
 )
 
-MILLISECOND = 0.001
 DEFAULT_RANK = 1  # the rank of a route that names none: that of the platform's examples
-Whole = Annotated[int, msgspec.Meta(ge=0)]
-Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 _KINDS = {
     'idempotent': CallKind.idempotent,
--- a/jackdawsail/platform/engines.py
+++ b/jackdawsail/platform/engines.py
@@ -1,18 +1,16 @@
 """Calls to a model engine and to the origin of weights, and their answers."""
 
-from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
+from jackdawsail.platform.fields import Whole, decode_body
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.staging.engine import EngineReport, PieceList, StartOrder
 from jackdawsail.staging.engine_calls import EngineBorder
 from jackdawsail.staging.sources import OriginBorder
 
-Whole = Annotated[int, msgspec.Meta(ge=0)]
-
 REPORT_TARGET = b'/api/report'
 ORDER_TARGET = b'/api/order'
 
@@ -60,22 +58,20 @@
 
 def decode_report(body: bytes) -> Result[EngineReport, str]:
     """Decodes what an engine says of its state."""
-    try:
-        found = msgspec.json.decode(body, type=_Report)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f'report cannot be read: {error}')
-    return Success(
-        EngineReport(
-            models=tuple(ModelVersion(model.name, model.version) for model in found.models),
-            layers=_layer_count(found.layers),
-            busy=found.busy,
-            orders=found.sequence,
-            waiting=found.waiting,
-            running=found.running,
-            memory_share=found.kv_used / found.kv_total if found.kv_total else 0,
-            pace=found.pace,
-            born_milliseconds=found.born,
-        )
+    return decode_body(body, _Report, 'report').map(_as_report)
+
+
+def _as_report(found: _Report) -> EngineReport:
+    return EngineReport(
+        models=tuple(ModelVersion(model.name, model.version) for model in found.models),
+        layers=_layer_count(found.layers),
+        busy=found.busy,
+        orders=found.sequence,
+        waiting=found.waiting,
+        running=found.running,
+        memory_share=found.kv_used / found.kv_total if found.kv_total else 0,
+        pace=found.pace,
+        born_milliseconds=found.born,
     )
 
 
@@ -107,11 +103,9 @@
 
 def decode_manifest(body: bytes) -> Result[PieceList, str]:
     """Decodes the digests of a version's pieces."""
-    try:
-        found = msgspec.json.decode(body, type=_Manifest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f'manifest cannot be read: {error}')
-    return Success(PieceList(found.model, found.version, tuple(found.digests)))
+    return decode_body(body, _Manifest, 'manifest').map(
+        lambda found: PieceList(found.model, found.version, tuple(found.digests))
+    )
 
 
 def piece_target(model: str, version: int, index: int) -> bytes:
@@ -136,11 +130,7 @@
 
 def decode_held(body: bytes) -> Result[tuple[int, ...], str]:
     """Decodes which pieces are staged."""
-    try:
-        found = msgspec.json.decode(body, type=_Held)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f'list of staged pieces cannot be read: {error}')
-    return Success(tuple(found.held))
+    return decode_body(body, _Held, 'list of staged pieces').map(lambda found: tuple(found.held))
 
 
 def origin_border() -> OriginBorder:
--- a/jackdawsail/platform/registrations.py
+++ b/jackdawsail/platform/registrations.py
@@ -3,12 +3,11 @@
 from typing import Annotated, Literal
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
+from jackdawsail.platform.fields import MILLISECOND, Amount, Whole, decode_body
 from jackdawsail.registry.registration import ModelVersion, Registration
 
-MILLISECOND = 0.001
-Whole = Annotated[int, msgspec.Meta(ge=0)]
 Named = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -26,19 +25,16 @@
     state: Literal['ready', 'draining']
     # Counts the heartbeats of one start, not the orders as in an engine's report.
     sequence: Whole
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    cold_remaining_ms: Amount = 0
     born: Whole = 0
     models: list[_Model] = []
 
 
 def decode_registration(upstream: str, body: bytes) -> Result[Registration, str]:
     """Decodes one heartbeat of the upstream that its path names."""
-    try:
-        beat = msgspec.json.decode(body, type=_Beat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f'registration of {upstream} cannot be read: {error}')
-    return Success(
-        Registration(
+    decoded = decode_body(body, _Beat, f'registration of {upstream}')
+    return decoded.map(
+        lambda beat: Registration(
             upstream=upstream,
             service=beat.service,
             address=beat.address,
--- a/jackdawsail/platform/settings.py
+++ b/jackdawsail/platform/settings.py
@@ -5,19 +5,15 @@
 
 import os
 from pathlib import Path
-from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from jackdawsail.platform.fields import MILLISECOND, Amount, Whole
 from jackdawsail.site.node import Listening, NodeBounds, NodeSettings
 
 PATH_VARIABLE = 'JACKDAWSAIL_NODE_FILE'
 DEFAULT_PATH = '/etc/jackdawsail/boot.conf'
-MILLISECOND = 0.001
-
-Whole = Annotated[int, msgspec.Meta(ge=0)]
-Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Limits(msgspec.Struct):
--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -7,9 +7,9 @@
 import math
 
 from jackdawsail.http1.messages import AnswerHead, Headers, HttpRequest, end_to_end
+from jackdawsail.platform.fields import MILLISECOND
 from jackdawsail.proxy.calls import CallerCall, Handover, UpstreamHead
 
-MILLISECOND = 0.001
 _SCHEME = b'token '
 _REPLACED = frozenset(
     (
