--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -8,6 +8,7 @@
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.routing.placement import Choice
+from jackdawsail.routing.shared_limits import COLD_WINDOW_SECONDS
 from jackdawsail.site.document import Route
 
 CALL_DISPATCHED = events.define(420, 'info', 'call dispatched to an upstream')
@@ -69,6 +70,9 @@
             send=send_number,
             wait_seconds=round(choice.wait_seconds, 3),
             own_calls=upstream.calls,
+            recent_sends=upstream.sends_since(now_seconds - COLD_WINDOW_SECONDS),
+            cold=upstream.is_cold(now_seconds),
+            entries=self._context.entries,
             running=load.running if load else None,
             waiting=load.waiting if load else None,
             report_age_seconds=report_age_seconds,
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -8,6 +8,7 @@
 from jackdawsail.group.calls import CallCodec
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest
+from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
@@ -66,6 +67,10 @@
         """Returns the number of known entries that share the site's limits, at least 1."""
         return max(1, len(self.view.entries()))
 
+    def update_metrics(self) -> None:
+        """Sets the gauges that show what this entry knows of the site."""
+        metrics.ENTRIES.set(self.entries)
+
     @property
     def cold_bound(self) -> ColdBound:
         """Returns the limit of calls to an upstream that has just started."""
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -23,3 +23,13 @@
     buckets=(0.03, 0.06, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8),
 )
 RUNNING = Gauge('jackdawsail_proxy_running', 'Calls that are being served.', registry=REGISTRY)
+WITHHELD = Counter(
+    'jackdawsail_proxy_withheld',
+    'Upstreams left out of a choice because the limit on calls to a cold one is used up.',
+    registry=REGISTRY,
+)
+ENTRIES = Gauge(
+    'jackdawsail_proxy_entries',
+    'Entries among which this entry divides the limits on sums over all entries.',
+    registry=REGISTRY,
+)
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -89,6 +89,7 @@
         table = self.context.view.table
         if table is not None:
             self.drain.callers.options.limits = table.document.limits
+        self.context.update_metrics()
         self._send_status_to_all()
         self.relay.site_changed()
 
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.routing.late_calls import has_ample_room
@@ -170,4 +171,7 @@
     if service.engine is not None and not constraints.weights.allows(upstream, now_seconds):
         return False
     rate = service.cold_requests_per_second
-    return context.cold_bound.allows(upstream, rate, constraints.entries, now_seconds)
+    within_limit = context.cold_bound.allows(upstream, rate, constraints.entries, now_seconds)
+    if not within_limit:
+        metrics.WITHHELD.inc()
+    return within_limit
