--- /dev/null
+++ b/test/proxy/test_cold_limit.py
@@ -0,0 +1,56 @@
+"""All entries together keep the limit on the calls that a cold upstream gets in a second."""
+
+import pytest
+
+from jackdawsail.site.document import Service
+from jackdawsail.site.node import NodeBounds
+from test.proxy.world import Reactor, World, answer
+
+BOUNDS = NodeBounds(retry_slack=220, cold_ratio=1.5, cold_slack=5)
+COLD_RATE = 17
+LIMIT = COLD_RATE * BOUNDS.cold_ratio + BOUNDS.cold_slack
+WINDOW_SECONDS = 1.0
+OFFERED_PER_SECOND = 20  # to each entry, far above its share
+
+
+class Site:
+    """Entries on one clock that share one upstream; ``sent_seconds`` lists all calls it gets."""
+
+    def __init__(self, entries):
+        self.clock = Reactor()
+        self.clock.advance(100)
+        self.sent_seconds = []
+        self.addresses = [f'10.9.0.{number}' for number in range(1, entries + 1)]
+        self.worlds = [self.make_world(address) for address in self.addresses]
+
+    def make_world(self, address):
+        service = Service('s', cold_requests_per_second=COLD_RATE)
+        world = World(1, service, BOUNDS, address=address, clock=self.clock)
+        world.know_entries(self.addresses)
+        return world
+
+    def offer(self, seconds):
+        """Offers calls to all entries for a time; each one sent is answered at once."""
+        for _ in range(int(seconds * OFFERED_PER_SECOND)):
+            for world in self.worlds:
+                world.call()
+                self.answer_sent()
+            self.clock.advance(1 / OFFERED_PER_SECOND)
+
+    def answer_sent(self):
+        while self.clock.pending_connects:
+            answer(self.worlds[0].accept(), headers='Connection: close\r\n')
+            self.sent_seconds.append(self.clock.seconds())
+
+    def most_in_a_second(self):
+        return max(
+            sum(start <= sent < start + WINDOW_SECONDS for sent in self.sent_seconds)
+            for start in self.sent_seconds
+        )
+
+
+@pytest.mark.parametrize('entries', [1, 7, 30, 38, 97])
+def test_more_entries_than_the_limit_do_not_flood_a_cold_upstream(entries):
+    site = Site(entries)
+    site.offer(3)
+    assert 0 < site.most_in_a_second() <= LIMIT
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -16,7 +16,13 @@
 from jackdawsail.site.document import CallKind, Service
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView
-from jackdawsail.wire.site_messages import AnnouncedWeights, EngineLoad, SiteSummary
+from jackdawsail.wire.site_messages import (
+    AnnouncedWeights,
+    EngineLoad,
+    MemberHost,
+    Members,
+    SiteSummary,
+)
 from test.http1.ends import Transport
 from test.site.documents import ENGINE, make_document, make_route
 
@@ -59,12 +65,14 @@
 class World:
     """One entry with its upstreams i-1, i-2, ... at 10.0.0.1:80, 10.0.0.2:80, ..."""
 
-    def __init__(self, upstreams=2, service=None, bounds=None, routes=None):
-        self.reactor = Reactor()
-        self.reactor.advance(100)
+    def __init__(
+        self, upstreams=2, service=None, bounds=None, routes=None, address='10.9.9.9', clock=None
+    ):
+        self.reactor = clock or Reactor()
+        self.reactor.advance(0 if clock else 100)
         view = SiteView()
         settings = NodeSettings(
-            'e', '10.9.9.9', 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50)
+            'e', address, 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50)
         )
         table = UpstreamTable(1.2, {'z': 'r'})
         pool = ChannelPool(self.reactor, self.reactor)
@@ -87,6 +95,11 @@
         summary = SiteSummary(revision, 1, list(zones), announced)
         self.context.view.apply_summary(summary, self.reactor.seconds())
 
+    def know_entries(self, addresses):
+        """Delivers the addresses of the entries that share the limits with this one."""
+        members = [MemberHost(address, 'z', 'r') for address in addresses]
+        self.context.view.apply_members('c', Members(['c'], members, []))
+
     def register(self, number, version=1, **changes):
         fields = {
             'upstream': f'i-{number}',
