Fix: parts of the limit on cold upstreams add up to the limit with any number of entries

Cause: each entry divided the limit by the number of entries and rounded its part up to one call. With 38 entries the parts add up to 38.

The unit test of the limit now runs with 38 and 97 entries as well.

Why this works: entries rank each other by a hash that all of them compute alike, and the limit is dealt out in whole calls in that order. The parts add up to the rounded-down limit. Entries of the engine's region come first, as callers bound to a region have no others.

--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -96,7 +96,14 @@
             self.views.append(view)
             seed = self.seed * 1000 + number
             entry = make_entry(
-                self.simulation, self.deployment, zone, view, self.policy, self._hosts, seed
+                self.simulation,
+                self.deployment,
+                zone,
+                member.address,
+                view,
+                self.policy,
+                self._hosts,
+                seed,
             )
             self.entries.append(entry)
 
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -257,6 +257,7 @@
     simulation: Simulation,
     deployment: Deployment,
     zone: Zone,
+    address: str,
     view: SiteView,
     policy: Policy,
     hosts: dict[str, Host],
@@ -267,7 +268,7 @@
     bounds = NodeBounds(
         weights_seconds=deployment.weights_seconds, retry_slack=100, cold_ratio=1.5, cold_slack=5
     )
-    settings = NodeSettings('e', '10.0.0.1', zone.name, zone.region, regions, bounds=bounds)
+    settings = NodeSettings('e', address, zone.name, zone.region, regions, bounds=bounds)
     context = ProxyContext(
         clock=simulation,
         settings=settings,
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -13,6 +13,7 @@
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import UpstreamTable
 from jackdawsail.site.client import DecodeDocument
 from jackdawsail.site.node import NodeSettings
@@ -61,11 +62,22 @@
     _retries: dict[str, RetryShare] = field(default_factory=dict)
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
+    _shares: EntryShares = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Creates the shares of this entry, which knows no other entries yet."""
+        self._shares = EntryShares(self.settings.address)
+
+    @property
+    def shares(self) -> EntryShares:
+        """Returns this entry's shares of the limits on sums over all entries."""
+        self._shares.update(self.view.entries())
+        return self._shares
 
     @property
     def entries(self) -> int:
         """Returns the number of known entries that share the site's limits, at least 1."""
-        return max(1, len(self.view.entries()))
+        return self.shares.count
 
     def update_metrics(self) -> None:
         """Sets the gauges that show what this entry knows of the site."""
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -14,6 +14,7 @@
     choose_service,
     make_refusal,
 )
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import WeightRule, must_recall, weight_rule
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
@@ -78,7 +79,7 @@
 
     weights: WeightRule
     regions: set[str] | None
-    entries: int
+    shares: EntryShares
 
 
 def place_call(context: ProxyContext, selection: Selection) -> Choice | Refusal:
@@ -145,7 +146,7 @@
     control_seconds = context.view.control_received_seconds
     # Equal for all upstreams, so built once for each call.
     constraints = _Constraints(
-        selection.current_weight_rule(context), selection.allowed_regions(), context.entries
+        selection.current_weight_rule(context), selection.allowed_regions(), context.shares
     )
     allowed = [
         upstream
@@ -171,7 +172,7 @@
     if service.engine is not None and not constraints.weights.allows(upstream, now_seconds):
         return False
     rate = service.cold_requests_per_second
-    within_limit = context.cold_bound.allows(upstream, rate, constraints.entries, now_seconds)
+    within_limit = context.cold_bound.allows(upstream, rate, constraints.shares, now_seconds)
     if not within_limit:
         metrics.WITHHELD.inc()
     return within_limit
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -3,14 +3,15 @@
 They bound the retries when many upstreams fail at the same time, and the calls that all
 entries together send to an upstream that has just started.
 
-Each entry uses an equal share of the limit, divided by the number of entries that it
-knows. A partitioned entry keeps the number it knew. A new entry is announced to the
-others before callers reach it.
+Each entry uses an equal share of the limit, divided among the entries that it knows. A
+partitioned entry keeps those that it knew. A new entry is announced to the others before
+callers reach it.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 
 SAFETY_SHARE = 0.7  # of a limit, divided among the entries; the rest covers entries that join
@@ -64,7 +65,7 @@
     slack: float
 
     def allows(
-        self, upstream: Upstream, calls_per_second: float, entries: int, now_seconds: float
+        self, upstream: Upstream, calls_per_second: float, shares: EntryShares, now_seconds: float
     ) -> bool:
         """Returns whether this entry may send one more call now."""
         if calls_per_second <= 0:
@@ -73,6 +74,7 @@
         if upstream.is_cold(now_seconds):
             # A cold upstream fails above this rate, which is well below the limit.
             bound = calls_per_second
-        own_share = max(1.0, bound * SAFETY_SHARE / max(1, entries))
+        address = upstream.registration.address
+        own_part = shares.part_of(bound * SAFETY_SHARE, address, upstream.region)
         recent = upstream.sends_since(now_seconds - COLD_WINDOW_SECONDS)
-        return recent + 1 <= own_share
+        return recent + 1 <= own_part
--- /dev/null
+++ b/jackdawsail/routing/shares.py
@@ -0,0 +1,59 @@
+"""Divides limits on sums over all entries into whole parts, one for each entry.
+
+Every entry that knows the same entries computes the same parts, and they add up to the
+whole limit and not more. If there are more entries than units, some entries get no part.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from jackdawsail.weights.placement import rank_zones
+from jackdawsail.wire.site_messages import MemberHost
+
+
+@dataclass(slots=True)
+class EntryShares:
+    """The parts of one entry, which has the given ``address``.
+
+    The units of a total are dealt out in the order of a rendezvous hash of the total's key,
+    first to the entries of the region where the units are used.
+
+    Example::
+
+        shares = EntryShares('10.0.0.1')
+        shares.update([MemberHost('10.0.0.1', 'z', 'r'), MemberHost('10.0.0.2', 'z', 's')])
+        shares.part_of(3, '10.0.1.7:80', 'r') == 2
+    """
+
+    address: str
+    _entries: tuple[MemberHost, ...] = ()
+    _rank_by_key: dict[tuple[str, str], int] = field(default_factory=dict)
+
+    @property
+    def count(self) -> int:
+        """Returns the number of entries that share the limits, at least 1."""
+        return max(1, len(self._entries))
+
+    def update(self, entries: Sequence[MemberHost]) -> None:
+        """Replaces the entries that share the limits."""
+        if tuple(entries) != self._entries:
+            self._entries = tuple(entries)
+            self._rank_by_key.clear()
+
+    def part_of(self, total: float, key: str, region: str) -> int:
+        """Returns how many whole units of a total belong to this entry.
+
+        It is 0 for an entry that is not one of those that share the limits.
+        """
+        if all(entry.address != self.address for entry in self._entries):
+            return 0
+        rank = self._rank(key, region)
+        return max(0, -((rank - int(total)) // self.count))
+
+    def _rank(self, key: str, region: str) -> int:
+        if (key, region) not in self._rank_by_key:
+            near = [entry.address for entry in self._entries if entry.region == region]
+            far = [entry.address for entry in self._entries if entry.region != region]
+            ranked = [*rank_zones(key, near), *rank_zones(key, far)]
+            self._rank_by_key[key, region] = ranked.index(self.address)
+        return self._rank_by_key[key, region]
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -83,6 +83,7 @@
         )
         view.apply_document(document)
         self.summarize()
+        self.know_entries([address])
         for number in range(1, upstreams + 1):
             self.register(number)
         self.channels = []
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -21,6 +21,7 @@
 from jackdawsail.routing.weight_rules import weight_rule
 from jackdawsail.site.view import WeightTarget
 from jackdawsail.wire.site_messages import EngineLoad
+from test.routing.test_shares import make_shares
 from test.site.documents import ENGINE
 
 NOW = 100.0
@@ -182,16 +183,16 @@
             first_sends = [time for time in firsts if start <= time < start + 10]
             assert len(retries) <= 0.2 * len(first_sends) + 102
 
-    @pytest.mark.parametrize('entries', [1, 5, 7, 9])
+    @pytest.mark.parametrize('entries', [1, 5, 7, 9, 38, 97])
     def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_limit(self, entries):
         bound = ColdBound(1.5, 5)
-        views = [make_upstream() for _ in range(entries)]
+        views = [(make_upstream(), shares) for shares in make_shares(entries)]
         rng = random.Random(7)
         sent = []
         for step in range(6000):
             now = NOW + step * 0.001
-            view = rng.choice(views)
-            if bound.allows(view, 26, entries, now):
+            view, shares = rng.choice(views)
+            if bound.allows(view, 26, shares, now):
                 view.call_sent(now)
                 sent.append(now)
         for start in range(0, 5000, 100):
@@ -202,7 +203,8 @@
         upstream = make_upstream()
         upstream.cold_until_seconds = NOW + 3
         allowed = 0
-        while ColdBound(1.5, 5).allows(upstream, 26, 1, NOW):
+        [shares] = make_shares(1)
+        while ColdBound(1.5, 5).allows(upstream, 26, shares, NOW):
             upstream.call_sent(NOW)
             allowed += 1
         assert 0 < allowed <= 26
