Fix: the entries that share limits are a replicated list, not those that happen to be linked

Cause: an entry divided the limits among the entries that linked control hosts reported. A control host that has just started reports its links only at its first round, after 0.5 s. Until then each restarted entry knew no other and took each limit whole.

The retry budget is divided by the same number: without a list an entry now repeats only in proportion to its own first sends.

Why this works: the list is in the replicated state, which control hosts restore from their disks together with the document. An entry receives it before it can serve, and an entry that is not listed has no part and is not ready. Entries that are only down stay listed, so nobody takes over their parts.

--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -30,7 +30,7 @@
 )
 from jackdawsail.site.view import SiteView, WeightTarget
 from jackdawsail.staging.waves import may_change_over
-from jackdawsail.wire.site_messages import EngineLoad, MemberHost, Members
+from jackdawsail.wire.site_messages import EngineLoad, MemberHost, SiteSummary
 
 HEARTBEAT_SECONDS = 1.2
 CHANGEOVER_POLL_SECONDS = 0.1  # the interval at which an agent polls its engine
@@ -92,7 +92,7 @@
             zone = next(each for each in self.deployment.zones if each.name == member.zone)
             view = SiteView()
             view.apply_document(document)
-            view.apply_members('c', Members(['c'], members, []))
+            view.apply_sharing_entries(SiteSummary(1, 0, [], [], members))
             self.views.append(view)
             seed = self.seed * 1000 + number
             entry = make_entry(
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from jackdawsail import events
@@ -70,7 +70,8 @@
             if weights in first_seen or now_seconds - announced_seconds < WEIGHTS_KEPT_SECONDS
         }
         self._announced_seconds = {**first_seen, **still_announced}
-        self.send_summary()
+        for link in self._subscriber_links():
+            self._send_whole_summary(link)
 
     def send_summary(self) -> None:
         """Sends the summary to every linked entry and agent; also serves as a heartbeat."""
@@ -113,7 +114,7 @@
 
     def _link_opened(self, link: Link) -> None:
         if link.peer is not None and link.peer.role is not Role.control:
-            link.send(self._summary())
+            self._send_whole_summary(link)
         link.send(self._with_ages(self.registrations.all()))
 
     def _on_document_wanted(self, link: Link, wanted: DocumentWanted) -> None:
@@ -159,6 +160,14 @@
         zones = list(state.emptied_zones)
         return SiteSummary(state.revision, state.document.version, zones, weights)
 
+    def _send_whole_summary(self, link: Link) -> None:
+        """Sends the summary, to an entry with the entries that share the limits."""
+        summary = self._summary()
+        if link.peer is not None and link.peer.role is Role.entry:
+            entries = list(self.machine.state.sharing_entries)
+            summary = replace(summary, sharing_entries=entries)
+        link.send(summary)
+
     def _compressed_body(self) -> bytes:
         document = self.machine.state.document
         if self._compressed[0] != document.version:
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -11,11 +11,11 @@
 from jackdawsail.group.calls import CallCodec
 from jackdawsail.group.consensus_replica import ConsensusReplica, make_consensus_replica
 from jackdawsail.group.disk_probe import accepts_writes
+from jackdawsail.group.entry_list import EntryList
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.message_router import MessageRouter
-from jackdawsail.site.document import CallerLimits
 from jackdawsail.site.loops import start_loop
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.site.node import NodeSettings
@@ -25,9 +25,6 @@
 
 SUMMARY_INTERVAL_SECONDS = 0.5  # three intervals fit into the silence that drops a link
 DISK_PROBE_INTERVAL_SECONDS = 0.5  # while the consensus host is halted by a failed write
-CONTROL_LIMITS = CallerLimits(
-    head_bytes=65_536, body_bytes=16_777_216, head_seconds=10.0, idle_seconds=20.0
-)  # independent of the limits for callers; documents with thousands of routes must fit
 
 
 @dataclass(slots=True)
@@ -40,6 +37,7 @@
     fanout: SiteFanout
     linked: LinkedProcesses
     call_handler: CallHandler
+    entry_list: EntryList
     _loops: list[Any] = field(default_factory=list)
     _sent_members: Any = None
 
@@ -50,7 +48,7 @@
         self.fanout.start()
         self.fanout.router.watch_links(self._link_opened, lambda link: None)
         self.consensus.replicator.start()
-        options = ServerOptions(self._handle, self.process.reactor, CONTROL_LIMITS)
+        options = ServerOptions(self._handle, self.process.reactor, calls.CONTROL_LIMITS)
         factory = ServerFactory(options)
         for address in (settings.listening.control, settings.listening.directory):
             listen_http(self.process, address, factory)
@@ -90,6 +88,7 @@
             self._sent_members = members
             self.fanout.send_members(members)
         self.fanout.registrations.forget_old(self.process.reactor.seconds())
+        self.entry_list.update()
         tolerated_host_losses = self.process.settings.bounds.tolerated_host_losses
         for host in self.consensus.raise_voter_target(tolerated_host_losses):
             self._add_control(host)
@@ -129,4 +128,5 @@
         process.reactor, process.settings, process.link_settings, router, machine
     )
     call_handler = CallHandler(consensus.replicator, fanout, linked)
-    return ControlProgram(process, codec, consensus, fanout, linked, call_handler)
+    entry_list = EntryList(process.reactor, consensus.replicator, machine, linked)
+    return ControlProgram(process, codec, consensus, fanout, linked, call_handler, entry_list)
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -46,7 +46,8 @@
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
-    stops and accepts no more calls.
+    stops and accepts no more calls. ``shares`` are its parts of the limits on sums over all
+    entries.
     """
 
     clock: Any
@@ -62,27 +63,19 @@
     _retries: dict[str, RetryShare] = field(default_factory=dict)
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
-    _shares: EntryShares = field(init=False)
+    shares: EntryShares = field(init=False)
 
     def __post_init__(self) -> None:
-        """Creates the shares of this entry, which knows no other entries yet."""
-        self._shares = EntryShares(self.settings.address)
-
-    @property
-    def shares(self) -> EntryShares:
-        """Returns this entry's shares of the limits on sums over all entries."""
-        self._shares.update(self.view.entries())
-        return self._shares
+        """Creates the shares of this entry, which follow the view of the site."""
+        self.shares = EntryShares(self.settings.address)
+        self.view.on_change.append(self._update_shares)
+        self._update_shares()
 
     @property
     def entries(self) -> int:
-        """Returns the number of known entries that share the site's limits, at least 1."""
+        """Returns the number of entries that share the site's limits, at least 1."""
         return self.shares.count
 
-    def update_metrics(self) -> None:
-        """Sets the gauges that show what this entry knows of the site."""
-        metrics.ENTRIES.set(self.entries)
-
     @property
     def cold_bound(self) -> ColdBound:
         """Returns the limit of calls to an upstream that has just started."""
@@ -108,3 +101,7 @@
         usable = self.upstreams.usable(service, self.view.control_received_seconds)
         accepting = sum(1 for upstream in usable if not upstream.is_switching(now_seconds))
         return share.take(self.entries, accepting, now_seconds)
+
+    def _update_shares(self) -> None:
+        self.shares.update(self.view.sharing_entries)
+        metrics.ENTRIES.set(self.entries)
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -75,8 +75,12 @@
 
     @property
     def accepts(self) -> bool:
-        """Returns whether callers should be sent to this entry."""
-        return self.context.view.table is not None and not self.stopping
+        """Returns whether callers should be sent to this entry.
+
+        An entry that has no part in the limits on sums over all entries cannot serve them.
+        """
+        has_document = self.context.view.table is not None
+        return has_document and self.context.shares.is_listed and not self.stopping
 
     def _answer_readiness(self, exchange: Exchange) -> None:
         call = self.codecs.calls.decode(exchange.request)
@@ -89,7 +93,6 @@
         table = self.context.view.table
         if table is not None:
             self.drain.callers.options.limits = table.document.limits
-        self.context.update_metrics()
         self._send_status_to_all()
         self.relay.site_changed()
 
--- a/jackdawsail/proxy/send_history.py
+++ b/jackdawsail/proxy/send_history.py
@@ -50,7 +50,7 @@
         if self.count >= MAX_SENDS:
             return False
         share = self.context.retry_share(self.service)
-        return share.take(self.context.entries, self.context.clock.seconds())
+        return share.take(self.context.shares, self.context.clock.seconds())
 
     def take_further_upstream(self) -> bool:
         """Returns whether the call may run at one more upstream, and takes that from the budget."""
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -3,9 +3,9 @@
 They bound the retries when many upstreams fail at the same time, and the calls that all
 entries together send to an upstream that has just started.
 
-Each entry uses an equal share of the limit, divided among the entries that it knows. A
-partitioned entry keeps those that it knew. A new entry is announced to the others before
-callers reach it.
+Each entry uses its part of a limit, divided among all entries that are listed in the
+site's state. A partitioned entry keeps the list that it knew. An entry that is not listed
+has no part.
 """
 
 from collections import deque
@@ -36,10 +36,10 @@
         """Records the first send of a call."""
         self._first_sends.append(now_seconds)
 
-    def take(self, entries: int, now_seconds: float) -> bool:
+    def take(self, shares: EntryShares, now_seconds: float) -> bool:
         """Takes one repeat from the budget; returns False when it is used up."""
         self._drop_expired(now_seconds)
-        own_slack = self.slack * SAFETY_SHARE / max(1, entries)
+        own_slack = self.slack * SAFETY_SHARE * shares.fraction
         allowed = self.ratio * SAFETY_SHARE * len(self._first_sends) + own_slack
         if len(self._repeats) + 1 > allowed:
             return False
--- a/jackdawsail/routing/shares.py
+++ b/jackdawsail/routing/shares.py
@@ -34,6 +34,16 @@
         """Returns the number of entries that share the limits, at least 1."""
         return max(1, len(self._entries))
 
+    @property
+    def is_listed(self) -> bool:
+        """Returns whether this entry is one of those that share the limits."""
+        return any(entry.address == self.address for entry in self._entries)
+
+    @property
+    def fraction(self) -> float:
+        """Returns the part of a total that need not be whole; 0 for an entry that is not listed."""
+        return 1 / self.count if self.is_listed else 0
+
     def update(self, entries: Sequence[MemberHost]) -> None:
         """Replaces the entries that share the limits."""
         if tuple(entries) != self._entries:
@@ -45,7 +55,7 @@
 
         It is 0 for an entry that is not one of those that share the limits.
         """
-        if all(entry.address != self.address for entry in self._entries):
+        if not self.is_listed:
             return 0
         rank = self._rank(key, region)
         return max(0, -((rank - int(total)) // self.count))
--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -100,6 +100,7 @@
     def _on_summary(self, link: Link, summary: SiteSummary) -> None:
         now_seconds = self.process.reactor.seconds()
         self._summaries[link] = summary
+        self.view.apply_sharing_entries(summary)
         if self.view.wants_document(summary):
             self._request_document(link, summary.revision, now_seconds)
         elif self.view.apply_summary(summary, now_seconds):
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -1,17 +1,20 @@
-"""The replicated state of a site: document, emptied zones, announced weight versions.
+"""The replicated state of a site: document, emptied zones, announced weights, entries.
 
 Commands and snapshots are encoded as CBOR. The document is stored as the operator
 sent it, so that it can be read back unchanged. Documents are compared by the digest
 that the codec computes over their canonical form.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import Any
 
 import cbor2
 
-SNAPSHOT_FORMAT = 1
+from jackdawsail.wire.site_messages import MemberHost
+
+SNAPSHOT_FORMAT = 2  # format 1 has no entries
 
 
 class CommandOutcome(StrEnum):
@@ -36,12 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteState:
-    """All that was acknowledged to operators; ``revision`` is the log index of the last change."""
+    """All that was acknowledged to operators, and the entries that share the site's limits.
+
+    ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address.
+    """
 
     revision: int = 0
     document: StoredDocument = StoredDocument()
     emptied_zones: tuple[str, ...] = ()
     weight_versions: tuple[tuple[str, int], ...] = ()
+    sharing_entries: tuple[MemberHost, ...] = ()
 
 
 def put_document(document: StoredDocument) -> bytes:
@@ -59,6 +66,14 @@
     return cbor2.dumps(['weights', model, version])
 
 
+def change_entries(added: Iterable[MemberHost], removed: Iterable[str]) -> bytes:
+    """Encodes the command that changes the entries which share the site's limits.
+
+    Entries are removed by their address.
+    """
+    return cbor2.dumps(['entries', [_encode_host(host) for host in added], list(removed)])
+
+
 class SiteMachine:
     """Deterministic state machine that applies commands in the order of the log."""
 
@@ -82,13 +97,22 @@
         document_fields = [document.version, document.digest, document.body]
         zones = list(state.emptied_zones)
         weights = [list(pair) for pair in state.weight_versions]
-        return cbor2.dumps([SNAPSHOT_FORMAT, state.revision, document_fields, zones, weights])
+        entries = [_encode_host(host) for host in state.sharing_entries]
+        return cbor2.dumps(
+            [SNAPSHOT_FORMAT, state.revision, document_fields, zones, weights, entries]
+        )
 
     def restore(self, snapshot: bytes) -> None:
         """Replaces the state with a snapshot."""
-        _format, revision, document_fields, zones, weights = cbor2.loads(snapshot)
-        versions = tuple((model, version) for model, version in weights)
-        self.state = SiteState(revision, StoredDocument(*document_fields), tuple(zones), versions)
+        _format, revision, document_fields, *lists = cbor2.loads(snapshot)
+        zones, weights, entries = (*lists, [])[:3]
+        self.state = SiteState(
+            revision,
+            StoredDocument(*document_fields),
+            tuple(zones),
+            tuple((model, version) for model, version in weights),
+            tuple(MemberHost(*fields) for fields in entries),
+        )
         self.on_change()
 
 
@@ -123,8 +147,22 @@
     return replace(state, weight_versions=tuple(sorted(held.items()))), CommandOutcome.accepted
 
 
+def _change_entries(state: SiteState, added: list[Any], removed: list[str]) -> Change:
+    by_address = {host.address: host for host in state.sharing_entries}
+    by_address.update({fields[0]: MemberHost(*fields) for fields in added})
+    kept = tuple(by_address[address] for address in sorted(by_address.keys() - set(removed)))
+    if kept == state.sharing_entries:
+        return state, CommandOutcome.unchanged
+    return replace(state, sharing_entries=kept), CommandOutcome.accepted
+
+
+def _encode_host(host: MemberHost) -> list[str]:
+    return [host.address, host.zone, host.region]
+
+
 _CHANGES: dict[str, Callable[..., Change]] = {
     'document': _change_document,
     'zone': _change_zone,
     'weights': _change_weights,
+    'entries': _change_entries,
 }
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -23,7 +23,8 @@
 
     ``registrations`` holds the registered upstreams. ``on_registrations`` are the listeners
     for its changes, ``on_change`` those for other changes. ``control_received_seconds`` is
-    the time of the last summary from any control host.
+    the time of the last summary from any control host. ``sharing_entries`` are the entries
+    that share the site's limits, also while they are not linked to any control host.
     """
 
     revision: int = 0
@@ -32,9 +33,11 @@
     weights: dict[str, tuple[WeightTarget, ...]] = field(default_factory=dict)
     registrations: RegistrationTable = field(default_factory=RegistrationTable)
     control_received_seconds: float = 0
+    sharing_entries: tuple[MemberHost, ...] = ()
     on_change: list[Callable[[], None]] = field(default_factory=list)
     on_registrations: list[Callable[[], None]] = field(default_factory=list)
     _members_by_control: dict[str, Members] = field(default_factory=dict)
+    _sharing_revision: int = 0
 
     @property
     def document_version(self) -> int:
@@ -62,6 +65,16 @@
         self._notify_change()
         return True
 
+    def apply_sharing_entries(self, summary: SiteSummary) -> None:
+        """Records the entries that share the limits, if the summary has newer ones.
+
+        They are applied before the document of the summary has arrived.
+        """
+        if summary.sharing_entries and summary.revision > self._sharing_revision:
+            self._sharing_revision = summary.revision
+            self.sharing_entries = tuple(summary.sharing_entries)
+            self._notify_change()
+
     def apply_document(self, document: SiteDocument) -> bool:
         """Puts a document in force if it is newer; returns whether it did."""
         if document.version <= self.document_version:
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -1,6 +1,6 @@
 """Messages between the control hosts, entries and agents of a site with a site document."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from jackdawsail.registry.registration import Registration
 from jackdawsail.wire.codec import message
@@ -15,17 +15,33 @@
     age_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class MemberHost:
+    """A host that runs a process of the site; ``address`` is its IP address.
+
+    ``leaving`` is true for an entry that callers should no longer use.
+    """
+
+    address: str
+    zone: str
+    region: str
+    leaving: bool = False
+
+
 @message('site-summary')
 class SiteSummary:
     """Control to all processes, at each change and as a heartbeat: the state of the site.
 
-    ``document_version`` is 0 until a document has been accepted.
+    ``document_version`` is 0 until a document has been accepted. ``sharing_entries`` are
+    the entries that share the limits on sums over all entries; only the first summary on a
+    link and the one after a change contain them, others leave them empty.
     """
 
     revision: int
     document_version: int
     emptied_zones: list[str]
     weights: list[AnnouncedWeights]
+    sharing_entries: list[MemberHost] = field(default_factory=list)
 
 
 @message('site-document-wanted')
@@ -66,19 +82,6 @@
     upstream: str
 
 
-@dataclass(frozen=True, slots=True)
-class MemberHost:
-    """A host that runs a process of the site; ``address`` is its IP address.
-
-    ``leaving`` is true for an entry that callers should no longer use.
-    """
-
-    address: str
-    zone: str
-    region: str
-    leaving: bool = False
-
-
 @message('site-members')
 class Members:
     """Control to all processes: the processes that are linked to the sender."""
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -4,6 +4,7 @@
 
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeBounds
+from jackdawsail.wire.site_messages import MemberHost, Members
 from test.proxy.world import Reactor, World, answer
 
 BOUNDS = NodeBounds(retry_slack=220, cold_ratio=1.5, cold_slack=5)
@@ -21,13 +22,18 @@
         self.clock.advance(100)
         self.sent_seconds = []
         self.addresses = [f'10.9.0.{number}' for number in range(1, entries + 1)]
-        self.worlds = [self.make_world(address) for address in self.addresses]
+        self.worlds = [self.make_world(address, self.addresses) for address in self.addresses]
 
-    def make_world(self, address):
+    def make_world(self, address, entries):
         service = Service('s', cold_requests_per_second=COLD_RATE)
-        world = World(1, service, BOUNDS, address=address, clock=self.clock)
-        world.know_entries(self.addresses)
-        return world
+        return World(1, service, BOUNDS, address=address, clock=self.clock, entries=entries)
+
+    def restart_all(self):
+        """Restarts all entries; a control host that has just restarted sees one entry each."""
+        self.worlds = [self.make_world(address, ()) for address in self.addresses]
+        for world, address in zip(self.worlds, self.addresses, strict=True):
+            linked = [MemberHost(address, 'z', 'r')]
+            world.context.view.apply_members('c', Members(['c'], linked, []))
 
     def offer(self, seconds):
         """Offers calls to all entries for a time; each one sent is answered at once."""
@@ -54,3 +60,13 @@
     site = Site(entries)
     site.offer(3)
     assert 0 < site.most_in_a_second() <= LIMIT
+
+
+def test_entries_that_restart_together_do_not_flood_a_cold_upstream():
+    site = Site(38)
+    site.restart_all()
+    site.offer(1)
+    for world in site.worlds:
+        world.know_entries(site.addresses)
+    site.offer(3)
+    assert 0 < site.most_in_a_second() <= LIMIT
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -20,7 +20,6 @@
     AnnouncedWeights,
     EngineLoad,
     MemberHost,
-    Members,
     SiteSummary,
 )
 from test.http1.ends import Transport
@@ -66,7 +65,14 @@
     """One entry with its upstreams i-1, i-2, ... at 10.0.0.1:80, 10.0.0.2:80, ..."""
 
     def __init__(
-        self, upstreams=2, service=None, bounds=None, routes=None, address='10.9.9.9', clock=None
+        self,
+        upstreams=2,
+        service=None,
+        bounds=None,
+        routes=None,
+        address='10.9.9.9',
+        clock=None,
+        entries=None,
     ):
         self.reactor = clock or Reactor()
         self.reactor.advance(0 if clock else 100)
@@ -83,7 +89,8 @@
         )
         view.apply_document(document)
         self.summarize()
-        self.know_entries([address])
+        self.entries_revision = 0
+        self.know_entries([address] if entries is None else entries)
         for number in range(1, upstreams + 1):
             self.register(number)
         self.channels = []
@@ -98,8 +105,10 @@
 
     def know_entries(self, addresses):
         """Delivers the addresses of the entries that share the limits with this one."""
-        members = [MemberHost(address, 'z', 'r') for address in addresses]
-        self.context.view.apply_members('c', Members(['c'], members, []))
+        hosts = [MemberHost(address, 'z', 'r') for address in addresses]
+        self.entries_revision += 1
+        summary = SiteSummary(self.entries_revision, 0, [], [], hosts)
+        self.context.view.apply_sharing_entries(summary)
 
     def register(self, number, version=1, **changes):
         fields = {
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -17,6 +17,7 @@
     expected_wait_seconds,
 )
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import ReceivedLoad, Upstream
 from jackdawsail.routing.weight_rules import weight_rule
 from jackdawsail.site.view import WeightTarget
@@ -167,22 +168,29 @@
 
     @pytest.mark.parametrize('entries', [1, 3, 7, 38])
     def test_retries_of_all_entries_stay_within_the_budget(self, entries):
-        shares = [RetryShare(0.2, 102, 10.0) for _ in range(entries)]
+        parts = [(RetryShare(0.2, 102, 10.0), shares) for shares in make_shares(entries)]
         rng = random.Random(5)
         repeats, firsts = [], []
         for step in range(20_000):
             now = step * 0.002
-            share = rng.choice(shares)
+            share, shares = rng.choice(parts)
             if rng.random() < 0.3:
                 share.record_first(now)
                 firsts.append(now)
-            elif share.take(entries, now):
+            elif share.take(shares, now):
                 repeats.append(now)
         for start in range(0, 30, 3):
             retries = [time for time in repeats if start <= time < start + 10]
             first_sends = [time for time in firsts if start <= time < start + 10]
             assert len(retries) <= 0.2 * len(first_sends) + 102
 
+    def test_an_entry_that_is_not_listed_repeats_only_in_proportion_to_its_first_sends(self):
+        share, unlisted = RetryShare(0.2, 102, 10.0), EntryShares('10.9.9.9')
+        assert not share.take(unlisted, NOW)
+        for _ in range(100):
+            share.record_first(NOW)
+        assert sum(share.take(unlisted, NOW) for _ in range(200)) <= 0.2 * 100
+
     @pytest.mark.parametrize('entries', [1, 5, 7, 9, 38, 97])
     def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_limit(self, entries):
         bound = ColdBound(1.5, 5)
--- a/test/site/test_machine.py
+++ b/test/site/test_machine.py
@@ -1,16 +1,20 @@
 """The replicated site state: the highest version wins, repeated commands have no effect."""
 
+import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
 from jackdawsail.site.machine import (
     CommandOutcome,
     SiteMachine,
+    SiteState,
     StoredDocument,
     announce_weights,
+    change_entries,
     put_document,
     set_zone_emptied,
 )
+from jackdawsail.wire.site_messages import MemberHost
 
 
 def put(version, digest='d', body=b'b'):
@@ -50,10 +54,35 @@
     assert machine.state.weight_versions == (('m', 2),)
 
 
+def entries(*addresses):
+    return [MemberHost(address, 'z', 'r') for address in addresses]
+
+
+def test_entries_are_listed_by_address_and_removed():
+    machine = SiteMachine()
+    machine.apply(1, change_entries(entries('10.0.0.2', '10.0.0.1'), []))
+    assert machine.state.sharing_entries == tuple(entries('10.0.0.1', '10.0.0.2'))
+    repeated = change_entries(entries('10.0.0.1'), [])
+    assert machine.apply(2, repeated) is CommandOutcome.unchanged
+    machine.apply(3, change_entries(entries('10.0.0.3'), ['10.0.0.1']))
+    assert machine.state.sharing_entries == tuple(entries('10.0.0.2', '10.0.0.3'))
+
+
+def test_a_snapshot_of_the_format_without_entries_is_restored():
+    machine = SiteMachine()
+    machine.restore(cbor2.dumps([1, 7, [5, 'd', b'b'], ['z'], [['m', 2]]]))
+    assert machine.state == SiteState(7, StoredDocument(5, 'd', b'b'), ('z',), (('m', 2),), ())
+
+
 COMMANDS = st.one_of(
     st.builds(put, st.integers(1, 6), st.sampled_from('ab')),
     st.builds(set_zone_emptied, st.sampled_from('xy'), emptied=st.booleans()),
     st.builds(announce_weights, st.sampled_from('mn'), st.integers(1, 4)),
+    st.builds(
+        change_entries,
+        st.lists(st.sampled_from(entries('a', 'b'))),
+        st.lists(st.sampled_from('ab')),
+    ),
 )
 
 
