Fix: calls that wait for a connection count against the limit on cold upstreams

Cause: an entry checked its limit when it chose an engine and counted the call only once the connection was open. All calls that it placed in between passed the check.

The line of a dispatch now shows pending_sends.

--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -8,7 +8,7 @@
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.routing.placement import Choice
-from jackdawsail.routing.shared_limits import COLD_WINDOW_SECONDS
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.site.document import Route
 
 CALL_DISPATCHED = events.define(420, 'info', 'call dispatched to an upstream')
@@ -70,7 +70,8 @@
             send=send_number,
             wait_seconds=round(choice.wait_seconds, 3),
             own_calls=upstream.calls,
-            recent_sends=upstream.sends_since(now_seconds - COLD_WINDOW_SECONDS),
+            recent_sends=upstream.sends.count_since(now_seconds - COLD_WINDOW_SECONDS),
+            pending_sends=upstream.sends.pending,
             cold=upstream.is_cold(now_seconds),
             entries=self._context.entries,
             running=load.running if load else None,
--- /dev/null
+++ b/jackdawsail/routing/sends.py
@@ -0,0 +1,32 @@
+"""Records how many calls one entry has sent, or is about to send, to an upstream."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+COLD_WINDOW_SECONDS = 1.0  # the limit on cold upstreams counts calls in any second
+
+
+@dataclass(slots=True)
+class SendRecord:
+    """The sends of the last COLD_WINDOW_SECONDS, and the calls that wait for a connection.
+
+    ``pending`` is the number of calls that were dispatched and not sent yet. They count as
+    sent now, since their connections may all open in the same moment.
+    """
+
+    pending: int = 0
+    _sent_seconds: deque[float] = field(default_factory=deque)
+
+    def record(self, now_seconds: float) -> None:
+        """Records a call that is sent now."""
+        self._sent_seconds.append(now_seconds)
+        while now_seconds - self._sent_seconds[0] > COLD_WINDOW_SECONDS:
+            self._sent_seconds.popleft()
+
+    def count_since(self, since_seconds: float) -> int:
+        """Returns the number of calls sent after a time within the last window."""
+        return sum(sent > since_seconds for sent in self._sent_seconds)
+
+    def used_since(self, since_seconds: float) -> int:
+        """Returns the calls sent after a time within the last window, and the pending ones."""
+        return self.pending + self.count_since(since_seconds)
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -11,11 +11,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 
 SAFETY_SHARE = 0.7  # of a limit, divided among the entries; the rest covers entries that join
-COLD_WINDOW_SECONDS = 1.0  # the limit on cold upstreams counts calls in any second
 
 
 @dataclass(slots=True)
@@ -76,5 +76,5 @@
             bound = calls_per_second
         address = upstream.registration.address
         own_part = shares.part_of(bound * SAFETY_SHARE, address, upstream.region)
-        recent = upstream.sends_since(now_seconds - COLD_WINDOW_SECONDS)
-        return recent + 1 <= own_part
+        used = upstream.sends.used_since(now_seconds - COLD_WINDOW_SECONDS)
+        return used + 1 <= own_part
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -4,7 +4,6 @@
 limits read this state; no decisions are made here.
 """
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,6 +13,7 @@
     Registration,
     RegistrationTable,
 )
+from jackdawsail.routing.sends import SendRecord
 from jackdawsail.wire.site_messages import EngineLoad
 
 MEAN_WEIGHT = 0.2  # of the newest answer in the running mean
@@ -23,7 +23,6 @@
 FIRST_SUSPENSION_SECONDS = 0.5  # a restarting upstream serves again after about a second
 MAX_SUSPENSION_SECONDS = 4.0
 REPORT_VALID_SECONDS = 1.0  # ten times the longest interval between reports of an agent
-KEPT_SENDS_SECONDS = 1.0  # the window of the limit on cold upstreams
 
 
 @dataclass(slots=True)
@@ -39,8 +38,8 @@
     """One incarnation of an upstream as this entry sees it.
 
     ``calls`` is the number of this entry's calls that were sent there and have not ended,
-    ``sent_seconds`` holds the times of the last sends, and ``first_event_mean_seconds`` is
-    the recent mean time to a first event.
+    ``sends`` records its last sends, and ``first_event_mean_seconds`` is the recent mean
+    time to a first event.
     """
 
     registration: Registration
@@ -54,7 +53,7 @@
     mean_answer_seconds: float = 0
     failure_share: float = 0
     suspensions: int = 0
-    sent_seconds: deque[float] = field(default_factory=deque)
+    sends: SendRecord = field(default_factory=SendRecord)
     first_event_mean_seconds: float = 0
     first_event_recorded_seconds: float = 0
 
@@ -75,12 +74,7 @@
     def call_sent(self, now_seconds: float) -> None:
         """Counts a call that is sent now."""
         self.calls += 1
-        self.sent_seconds.append(now_seconds)
-        self._forget_sends(now_seconds)
-
-    def sends_since(self, since_seconds: float) -> int:
-        """Returns the number of calls sent after a time that is at most a second ago."""
-        return sum(sent > since_seconds for sent in self.sent_seconds)
+        self.sends.record(now_seconds)
 
     def active_calls(self, now_seconds: float, entries: int = 1) -> float:
         """Estimates the calls at an engine from its last report and the sends since then.
@@ -90,7 +84,9 @@
         load = self.load_at(now_seconds)
         if load is None or self.last_report is None:
             return self.calls * entries
-        return load.running + load.waiting + self.sends_since(self.last_report.received_seconds)
+        return (
+            load.running + load.waiting + self.sends.count_since(self.last_report.received_seconds)
+        )
 
     def call_answered(self, took_seconds: float, now_seconds: float, *, failed: bool) -> None:
         """Records a complete answer and whether it was a failure."""
@@ -157,10 +153,6 @@
         versions = [held.version for held in self.registration.models if held.model == model]
         return max(versions, default=0)
 
-    def _forget_sends(self, now_seconds: float) -> None:
-        while self.sent_seconds and now_seconds - self.sent_seconds[0] > KEPT_SENDS_SECONDS:
-            self.sent_seconds.popleft()
-
 
 @dataclass(slots=True)
 class UpstreamTable:
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -105,7 +105,7 @@
     Mutant(
         'routing/shared_limits.py', 'if len(self._repeats) + 1 > allowed:', 'if False:', ROUTING
     ),
-    Mutant('routing/shared_limits.py', 'return recent + 1 <= own_part', 'return True', ROUTING),
+    Mutant('routing/shared_limits.py', 'return used + 1 <= own_part', 'return True', ROUTING),
     Mutant(
         'routing/shares.py', '        if not self.is_listed:\n            return 0\n', '', ROUTING
     ),
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from jackdawsail.routing.upstreams import MAX_SUSPENSION_SECONDS
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeBounds
 from jackdawsail.wire.site_messages import MemberHost, Members
@@ -70,3 +71,24 @@
         world.know_entries(site.addresses)
     site.offer(3)
     assert 0 < site.most_in_a_second() <= LIMIT
+
+
+def test_calls_that_wait_for_connections_do_not_flood_a_cold_upstream_when_these_open():
+    site = Site(1)
+    [world] = site.worlds
+    for _ in range(100):
+        world.call()
+    site.answer_sent()
+    assert 0 < site.most_in_a_second() <= LIMIT
+
+
+def test_a_connection_that_fails_gives_its_part_of_the_limit_back():
+    site = Site(1)
+    [world] = site.worlds
+    for _ in range(100):
+        world.call()
+    while world.reactor.pending_connects:
+        world.refuse()
+    site.clock.advance(MAX_SUSPENSION_SECONDS)
+    site.offer(1)
+    assert site.sent_seconds
