Fix: an engine that starts again under its id keeps the record of calls sent to it

Cause: a new incarnation gave each entry a new record without sends. An engine that starts again under its id accepts the calls that were sent to the old incarnation, so each entry could send its part of the limit twice within a second.

Why this works: the record of sends belongs to the id, and follows it to the new incarnation with the calls that still wait for a connection. An engine with a new id at the same address rejects the old calls unread, which the limit does not count.

--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -218,7 +218,9 @@
             or upstream.registration.born_milliseconds != registration.born_milliseconds
         ):
             region = self.region_by_zone.get(registration.zone, '')
-            upstream = Upstream(registration, received.received_seconds, region)
+            # An incarnation under the id of its predecessor may receive calls sent to that one.
+            sends = SendRecord() if upstream is None else upstream.sends
+            upstream = Upstream(registration, received.received_seconds, region, sends=sends)
         upstream.registration = registration
         upstream.received_seconds = received.received_seconds
         if registration.cold_seconds > 0:
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -92,3 +92,12 @@
     site.clock.advance(MAX_SUSPENSION_SECONDS)
     site.offer(1)
     assert site.sent_seconds
+
+
+def test_an_upstream_that_starts_again_under_its_id_does_not_get_the_limit_twice_in_a_second():
+    site = Site(38)
+    site.offer(0.5)
+    for world in site.worlds:
+        world.register(1, born_milliseconds=2)
+    site.offer(2)
+    assert 0 < site.most_in_a_second() <= LIMIT
