Fix: a restarted entry accounts for what its earlier process may have sent

Cause: the records of recent sends and repeats start empty, so an entry that restarts within their window has its part of the limit on cold upstreams, and of the retry slack, twice.

Why this works: an entry sends to upstreams that may be cold once a second has passed since its process started (or, for a new entry, since it was listed), and is ready from then on. For the window of the retry budget it uses only the reserve of the slack, which its earlier process cannot have used.

--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -1,5 +1,6 @@
 """Shared state of all calls of an entry: site view, upstreams, channels and limits."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
 from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import UpstreamTable
@@ -46,8 +48,8 @@
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
-    stops and accepts no more calls. ``shares`` are its parts of the limits on sums over all
-    entries.
+    stops and accepts no more calls. ``started_seconds`` is when the process started, and
+    ``shares`` are its parts of the limits on sums over all entries.
     """
 
     clock: Any
@@ -57,6 +59,7 @@
     upstreams: UpstreamTable
     pool: ChannelPool
     rng: random.Random
+    started_seconds: float = -math.inf
     running: int = 0
     refusing: bool = False
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
@@ -67,7 +70,7 @@
 
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site."""
-        self.shares = EntryShares(self.settings.address)
+        self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.view.on_change.append(self._update_shares)
         self._update_shares()
 
@@ -76,6 +79,14 @@
         """Returns the number of entries that share the site's limits, at least 1."""
         return self.shares.count
 
+    @property
+    def unsettled_seconds(self) -> float:
+        """Returns the time until this entry may call upstreams that may be cold.
+
+        It is infinite while the entry is not listed among those that share the limits.
+        """
+        return self.shares.unsettled_seconds(COLD_WINDOW_SECONDS, self.clock.seconds())
+
     @property
     def cold_bound(self) -> ColdBound:
         """Returns the limit of calls to an upstream that has just started."""
@@ -103,5 +114,5 @@
         return share.take(self.entries, accepting, now_seconds)
 
     def _update_shares(self) -> None:
-        self.shares.update(self.view.sharing_entries)
+        self.shares.update(self.view.sharing_entries, self.clock.seconds())
         metrics.ENTRIES.set(self.entries)
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -77,10 +77,11 @@
     def accepts(self) -> bool:
         """Returns whether callers should be sent to this entry.
 
-        An entry that has no part in the limits on sums over all entries cannot serve them.
+        An entry that may not use its part of the limits on sums over all entries yet cannot
+        serve them.
         """
-        has_document = self.context.view.table is not None
-        return has_document and self.context.shares.is_listed and not self.stopping
+        can_serve = self.context.view.table is not None and self.context.unsettled_seconds <= 0
+        return can_serve and not self.stopping
 
     def _answer_readiness(self, exchange: Exchange) -> None:
         call = self.codecs.calls.decode(exchange.request)
@@ -94,6 +95,7 @@
         if table is not None:
             self.drain.callers.options.limits = table.document.limits
         self._send_status_to_all()
+        self._send_status_once_settled()
         self.relay.site_changed()
 
     def _registrations_changed(self) -> None:
@@ -103,6 +105,15 @@
         for link in self.client.links():
             self._send_status(link)
 
+    def _send_status_once_settled(self) -> None:
+        unsettled_seconds = self.context.unsettled_seconds
+        if self.context.shares.is_listed and unsettled_seconds > 0 and not self.stopping:
+            self.process.reactor.callLater(unsettled_seconds, self._on_settled)
+
+    def _on_settled(self) -> None:
+        self._send_status_to_all()
+        self._send_status_once_settled()
+
     def _send_status(self, link: Link) -> None:
         address = self.process.settings.listening.callers
         link.send(EntryStatus(address, self.accepts))
@@ -131,6 +142,7 @@
         upstreams=UpstreamTable(settings.heartbeat_seconds, dict(settings.region_by_zone)),
         pool=ChannelPool(reactor, reactor, settings.address),
         rng=random.Random(process.incarnation),
+        started_seconds=process.started_seconds,
     )
     client = SiteClient(process, view, codecs.decode_document)
     relay = make_piece_relay(process, view, codecs.origin)
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -39,7 +39,10 @@
     def take(self, shares: EntryShares, now_seconds: float) -> bool:
         """Takes one repeat from the budget; returns False when it is used up."""
         self._drop_expired(now_seconds)
-        own_slack = self.slack * SAFETY_SHARE * shares.fraction
+        is_settled = shares.unsettled_seconds(self.window_seconds, now_seconds) <= 0
+        # Until then an earlier process of this entry may have used its part of the slack.
+        slack_share = SAFETY_SHARE if is_settled else 1 - SAFETY_SHARE
+        own_slack = self.slack * slack_share * shares.fraction
         allowed = self.ratio * SAFETY_SHARE * len(self._first_sends) + own_slack
         if len(self._repeats) + 1 > allowed:
             return False
@@ -70,6 +73,8 @@
         """Returns whether this entry may send one more call now."""
         if calls_per_second <= 0:
             return True
+        if shares.unsettled_seconds(COLD_WINDOW_SECONDS, now_seconds) > 0:
+            return False
         bound = calls_per_second * self.ratio + self.slack
         if upstream.is_cold(now_seconds):
             # A cold upstream fails above this rate, which is well below the limit.
--- a/jackdawsail/site/clock.py
+++ b/jackdawsail/site/clock.py
@@ -16,3 +16,7 @@
 def use_boot_clock(reactor: Any) -> None:
     """Makes a reactor use the boot clock for its time and timers."""
     reactor.seconds = boot_seconds
+
+
+# Not before the start of the process: the time of the first import of this module.
+PROCESS_STARTED_SECONDS = boot_seconds()
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -7,6 +7,7 @@
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.metrics_registry import render_metrics
+from jackdawsail.site.clock import PROCESS_STARTED_SECONDS
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.wire.identity import Identity, Role
 from jackdawsail.wire.link import LinkOwner, LinkServerFactory, LinkSettings
@@ -27,6 +28,7 @@
     """The settings and the identity of a running program, and the means to end it.
 
     ``incarnation`` is a random number that distinguishes restarts of a process.
+    ``started_seconds`` is when the process started.
     """
 
     reactor: Any
@@ -34,6 +36,7 @@
     role: Role
     incarnation: int = field(default_factory=lambda: randbits(INCARNATION_BITS))
     exit_code: int = 0
+    started_seconds: float = PROCESS_STARTED_SECONDS
 
     @property
     def link_settings(self) -> LinkSettings:
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -1,5 +1,7 @@
 """All entries together keep the limit on the calls that a cold upstream gets in a second."""
 
+import math
+
 import pytest
 
 from jackdawsail.routing.upstreams import MAX_SUSPENSION_SECONDS
@@ -25,13 +27,23 @@
         self.addresses = [f'10.9.0.{number}' for number in range(1, entries + 1)]
         self.worlds = [self.make_world(address, self.addresses) for address in self.addresses]
 
-    def make_world(self, address, entries):
-        service = Service('s', cold_requests_per_second=COLD_RATE)
-        return World(1, service, BOUNDS, address=address, clock=self.clock, entries=entries)
+    def make_world(self, address, entries, started_seconds=-math.inf):
+        return World(
+            1,
+            Service('s', cold_requests_per_second=COLD_RATE),
+            BOUNDS,
+            address=address,
+            clock=self.clock,
+            entries=entries,
+            started_seconds=started_seconds,
+        )
 
-    def restart_all(self):
+    def restart_all(self, entries):
         """Restarts all entries; a control host that has just restarted sees one entry each."""
-        self.worlds = [self.make_world(address, ()) for address in self.addresses]
+        now_seconds = self.clock.seconds()
+        self.worlds = [
+            self.make_world(address, entries, now_seconds) for address in self.addresses
+        ]
         for world, address in zip(self.worlds, self.addresses, strict=True):
             linked = [MemberHost(address, 'z', 'r')]
             world.context.view.apply_members('c', Members(['c'], linked, []))
@@ -65,7 +77,7 @@
 
 def test_entries_that_restart_together_do_not_flood_a_cold_upstream():
     site = Site(38)
-    site.restart_all()
+    site.restart_all(())
     site.offer(1)
     for world in site.worlds:
         world.know_entries(site.addresses)
@@ -101,3 +113,12 @@
         world.register(1, born_milliseconds=2)
     site.offer(2)
     assert 0 < site.most_in_a_second() <= LIMIT
+
+
+def test_entries_that_restart_at_once_do_not_use_their_parts_twice_in_a_second():
+    site = Site(38)
+    site.offer(0.2)
+    site.restart_all(site.addresses)
+    site.offer(2)
+    assert 0 < site.most_in_a_second() <= LIMIT
+    assert site.sent_seconds[-1] > site.sent_seconds[0] + WINDOW_SECONDS
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -1,5 +1,6 @@
 """An entry without a network; the test drives callers, upstreams and the clock."""
 
+import math
 import random
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -73,6 +74,7 @@
         address='10.9.9.9',
         clock=None,
         entries=None,
+        started_seconds=-math.inf,
     ):
         self.reactor = clock or Reactor()
         self.reactor.advance(0 if clock else 100)
@@ -83,7 +85,9 @@
         table = UpstreamTable(1.2, {'z': 'r'})
         pool = ChannelPool(self.reactor, self.reactor)
         rng = random.Random(1)
-        self.context = ProxyContext(self.reactor, settings, CODEC, view, table, pool, rng)
+        self.context = ProxyContext(
+            self.reactor, settings, CODEC, view, table, pool, rng, started_seconds
+        )
         document = make_document(
             routes=routes or [PLAIN, ONCE, STREAM], services=[service or Service('s')]
         )
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -1,5 +1,6 @@
 """Placement with full engines, uneven services and many entries."""
 
+import math
 import random
 from collections import Counter
 
@@ -21,7 +22,7 @@
 from jackdawsail.routing.upstreams import ReceivedLoad, Upstream
 from jackdawsail.routing.weight_rules import weight_rule
 from jackdawsail.site.view import WeightTarget
-from jackdawsail.wire.site_messages import EngineLoad
+from jackdawsail.wire.site_messages import EngineLoad, MemberHost
 from test.routing.test_shares import make_shares
 from test.site.documents import ENGINE
 
@@ -191,6 +192,20 @@
             share.record_first(NOW)
         assert sum(share.take(unlisted, NOW) for _ in range(200)) <= 0.2 * 100
 
+    def test_entries_that_restart_together_do_not_repeat_the_slack_within_its_window(self):
+        hosts = [MemberHost(f'10.9.0.{number}', 'z', 'r') for number in range(38)]
+        repeats = 0
+        for started_seconds in (-math.inf, NOW):
+            for host in hosts:
+                share, shares = (
+                    RetryShare(0.2, 220, 10.0),
+                    EntryShares(host.address, started_seconds),
+                )
+                shares.update(hosts, NOW)
+                while share.take(shares, NOW):
+                    repeats += 1
+        assert repeats <= 220
+
     @pytest.mark.parametrize('entries', [1, 5, 7, 9, 38, 97])
     def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_limit(self, entries):
         bound = ColdBound(1.5, 5)
--- a/test/routing/test_shares.py
+++ b/test/routing/test_shares.py
@@ -20,7 +20,7 @@
     ]
     all_shares = [EntryShares(host.address) for host in hosts]
     for shares in all_shares:
-        shares.update(hosts)
+        shares.update(hosts, 0)
     return all_shares
 
 
@@ -45,5 +45,21 @@
 @pytest.mark.parametrize('known', [[], ['10.9.9.1']])
 def test_an_entry_that_is_not_listed_has_no_part(known):
     shares = EntryShares('10.9.9.9')
-    shares.update([MemberHost(address, 'z', 'r') for address in known])
+    shares.update([MemberHost(address, 'z', 'r') for address in known], 0)
     assert shares.part_of(100, 'u', 'r') == 0
+
+
+def test_a_restarted_entry_is_settled_a_window_after_its_start_and_a_new_one_after_its_listing():
+    own, other = MemberHost('10.9.9.9', 'z', 'r'), MemberHost('10.9.9.1', 'z', 'r')
+    restarted = EntryShares(own.address, started_seconds=5.0)
+    restarted.update([own, other], 5.5)
+    assert restarted.unsettled_seconds(1.0, 5.75) == 0.25
+    assert restarted.unsettled_seconds(1.0, 6.0) == 0
+    new = EntryShares(own.address, started_seconds=5.0)
+    new.update([other], 5.5)
+    assert new.unsettled_seconds(1.0, 9.0) == math.inf
+    new.update([other, own], 9.0)
+    assert new.unsettled_seconds(1.0, 9.75) == 0.25
+    assert new.unsettled_seconds(1.0, 10.0) == 0
+    new.update([other], 20.0)
+    assert new.unsettled_seconds(1.0, 30.0) == math.inf
