Fix: moves of streams in a second stay under the rate with more entries than moves

Cause: each entry could move its first stream at once, whatever its share of the rate, so that as many streams moved in one moment as there are entries.

Why this works: moves are whole, and are dealt out as the calls to cold upstreams are.

--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -108,10 +108,10 @@
     def take_move(self, service: str) -> bool:
         """Returns whether a stream may move now, and takes the move from this entry's share."""
         now_seconds = self.clock.seconds()
-        share = self._moves.setdefault(service, MoveShare())
+        share = self._moves.setdefault(service, MoveShare(service))
         usable = self.upstreams.usable(service, self.view.control_received_seconds)
         accepting = sum(1 for upstream in usable if not upstream.is_switching(now_seconds))
-        return share.take(self.entries, accepting, now_seconds)
+        return share.take(self.shares, accepting, now_seconds)
 
     def _update_shares(self) -> None:
         self.shares.update(self.view.sharing_entries, self.clock.seconds())
--- a/jackdawsail/routing/moving.py
+++ b/jackdawsail/routing/moving.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass
 
+from jackdawsail.routing.shares import EntryShares
+
 MIN_REMAINING_EVENTS = 3  # a shorter remainder ends before another engine has processed the prompt
 MOVES_PER_SECOND = 4.0  # to one engine from all entries; it runs about fifteen passes a second
 
@@ -32,11 +34,16 @@
 class MoveShare:
     """This entry's share of the moves that the engines of a service can absorb."""
 
+    service: str
     next_seconds: float = 0
 
-    def take(self, entries: int, engines: int, now_seconds: float) -> bool:
-        """Takes one move from the share; returns False when it is too early for another."""
-        if now_seconds < self.next_seconds:
+    def take(self, shares: EntryShares, engines: int, now_seconds: float) -> bool:
+        """Takes one move from the share; returns False when it is too early for another.
+
+        It is always too early for an entry whose part of the moves in a second is 0.
+        """
+        own_part = shares.part_of(MOVES_PER_SECOND * max(1, engines), self.service, '')
+        if own_part == 0 or now_seconds < self.next_seconds:
             return False
-        self.next_seconds = now_seconds + max(1, entries) / (MOVES_PER_SECOND * max(1, engines))
+        self.next_seconds = now_seconds + 1 / own_part
         return True
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -146,7 +146,7 @@
         'if False:',
         PROXY,
     ),
-    Mutant('routing/moving.py', 'if now_seconds < self.next_seconds:', 'if False:', ROUTING),
+    Mutant('routing/moving.py', ' or now_seconds < self.next_seconds:', ':', ROUTING),
     Mutant(
         'routing/late_calls.py',
         ' or now_seconds - first_seconds >= REMEMBERED_SECONDS',
