--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -1,5 +1,6 @@
 """Shared state of all calls of an entry: site view, upstreams, channels and limits."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,10 +9,13 @@
 from jackdawsail.group.calls import CallCodec
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest
+from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import UpstreamTable
 from jackdawsail.site.client import DecodeDocument
 from jackdawsail.site.node import NodeSettings
@@ -44,7 +48,8 @@
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
-    stops and accepts no more calls.
+    stops and accepts no more calls. ``started_seconds`` is when the process started, and
+    ``shares`` are its parts of the limits on sums over all entries.
     """
 
     clock: Any
@@ -54,17 +59,33 @@
     upstreams: UpstreamTable
     pool: ChannelPool
     rng: random.Random
+    started_seconds: float = -math.inf
     running: int = 0
     refusing: bool = False
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
+    shares: EntryShares = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Creates the shares of this entry, which follow the view of the site."""
+        self.shares = EntryShares(self.settings.address, self.started_seconds)
+        self.view.on_change.append(self._update_shares)
+        self._update_shares()
 
     @property
     def entries(self) -> int:
-        """Returns the number of known entries that share the site's limits, at least 1."""
-        return max(1, len(self.view.entries()))
+        """Returns the number of entries that share the site's limits, at least 1."""
+        return self.shares.count
+
+    @property
+    def unsettled_seconds(self) -> float:
+        """Returns the time until this entry may call upstreams that may be cold.
+
+        It is infinite while the entry is not listed among those that share the limits.
+        """
+        return self.shares.unsettled_seconds(COLD_WINDOW_SECONDS, self.clock.seconds())
 
     @property
     def cold_bound(self) -> ColdBound:
@@ -87,7 +108,11 @@
     def take_move(self, service: str) -> bool:
         """Returns whether a stream may move now, and takes the move from this entry's share."""
         now_seconds = self.clock.seconds()
-        share = self._moves.setdefault(service, MoveShare())
+        share = self._moves.setdefault(service, MoveShare(service))
         usable = self.upstreams.usable(service, self.view.control_received_seconds)
         accepting = sum(1 for upstream in usable if not upstream.is_switching(now_seconds))
-        return share.take(self.entries, accepting, now_seconds)
+        return share.take(self.shares, accepting, now_seconds)
+
+    def _update_shares(self) -> None:
+        self.shares.update(self.view.sharing_entries, self.clock.seconds())
+        metrics.ENTRIES.set(self.entries)
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -3,18 +3,19 @@
 They bound the retries when many upstreams fail at the same time, and the calls that all
 entries together send to an upstream that has just started.
 
-Each entry uses an equal share of the limit, divided by the number of entries that it
-knows. A partitioned entry keeps the number it knew. A new entry is announced to the
-others before callers reach it.
+Each entry uses its part of a limit, divided among all entries that are listed in the
+site's state. A partitioned entry keeps the list that it knew. An entry that is not listed
+has no part.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 
 SAFETY_SHARE = 0.7  # of a limit, divided among the entries; the rest covers entries that join
-COLD_WINDOW_SECONDS = 1.0  # the limit on cold upstreams counts calls in any second
 
 
 @dataclass(slots=True)
@@ -35,10 +36,13 @@
         """Records the first send of a call."""
         self._first_sends.append(now_seconds)
 
-    def take(self, entries: int, now_seconds: float) -> bool:
+    def take(self, shares: EntryShares, now_seconds: float) -> bool:
         """Takes one repeat from the budget; returns False when it is used up."""
         self._drop_expired(now_seconds)
-        own_slack = self.slack * SAFETY_SHARE / max(1, entries)
+        is_settled = shares.unsettled_seconds(self.window_seconds, now_seconds) <= 0
+        # Until then an earlier process of this entry may have used its part of the slack.
+        slack_share = SAFETY_SHARE if is_settled else 1 - SAFETY_SHARE
+        own_slack = self.slack * slack_share * shares.fraction
         allowed = self.ratio * SAFETY_SHARE * len(self._first_sends) + own_slack
         if len(self._repeats) + 1 > allowed:
             return False
@@ -64,15 +68,18 @@
     slack: float
 
     def allows(
-        self, upstream: Upstream, calls_per_second: float, entries: int, now_seconds: float
+        self, upstream: Upstream, calls_per_second: float, shares: EntryShares, now_seconds: float
     ) -> bool:
         """Returns whether this entry may send one more call now."""
         if calls_per_second <= 0:
             return True
+        if shares.unsettled_seconds(COLD_WINDOW_SECONDS, now_seconds) > 0:
+            return False
         bound = calls_per_second * self.ratio + self.slack
         if upstream.is_cold(now_seconds):
             # A cold upstream fails above this rate, which is well below the limit.
             bound = calls_per_second
-        own_share = max(1.0, bound * SAFETY_SHARE / max(1, entries))
-        recent = upstream.sends_since(now_seconds - COLD_WINDOW_SECONDS)
-        return recent + 1 <= own_share
+        address = upstream.registration.address
+        own_part = shares.part_of(bound * SAFETY_SHARE, address, upstream.region)
+        used = upstream.sends.used_since(now_seconds - COLD_WINDOW_SECONDS)
+        return used + 1 <= own_part
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -105,7 +105,10 @@
     Mutant(
         'routing/shared_limits.py', 'if len(self._repeats) + 1 > allowed:', 'if False:', ROUTING
     ),
-    Mutant('routing/shared_limits.py', 'return recent + 1 <= own_share', 'return True', ROUTING),
+    Mutant('routing/shared_limits.py', 'return used + 1 <= own_part', 'return True', ROUTING),
+    Mutant(
+        'routing/shares.py', '        if not self.is_listed:\n            return 0\n', '', ROUTING
+    ),
     Mutant('routing/upstreams.py', 'and not registration.leaving', '', ROUTING),
     Mutant(
         'staging/changeover.py',
@@ -143,7 +146,7 @@
         'if False:',
         PROXY,
     ),
-    Mutant('routing/moving.py', 'if now_seconds < self.next_seconds:', 'if False:', ROUTING),
+    Mutant('routing/moving.py', ' or now_seconds < self.next_seconds:', ':', ROUTING),
     Mutant(
         'routing/late_calls.py',
         ' or now_seconds - first_seconds >= REMEMBERED_SECONDS',
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -1,5 +1,6 @@
 """An entry without a network; the test drives callers, upstreams and the clock."""
 
+import math
 import random
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -16,7 +17,12 @@
 from jackdawsail.site.document import CallKind, Service
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView
-from jackdawsail.wire.site_messages import AnnouncedWeights, EngineLoad, SiteSummary
+from jackdawsail.wire.site_messages import (
+    AnnouncedWeights,
+    EngineLoad,
+    MemberHost,
+    SiteSummary,
+)
 from test.http1.ends import Transport
 from test.site.documents import ENGINE, make_document, make_route
 
@@ -59,22 +65,36 @@
 class World:
     """One entry with its upstreams i-1, i-2, ... at 10.0.0.1:80, 10.0.0.2:80, ..."""
 
-    def __init__(self, upstreams=2, service=None, bounds=None, routes=None):
-        self.reactor = Reactor()
-        self.reactor.advance(100)
+    def __init__(
+        self,
+        upstreams=2,
+        service=None,
+        bounds=None,
+        routes=None,
+        address='10.9.9.9',
+        clock=None,
+        entries=None,
+        started_seconds=-math.inf,
+    ):
+        self.reactor = clock or Reactor()
+        self.reactor.advance(0 if clock else 100)
         view = SiteView()
         settings = NodeSettings(
-            'e', '10.9.9.9', 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50)
+            'e', address, 'z', 'r', bounds=bounds or NodeBounds(retry_slack=50)
         )
         table = UpstreamTable(1.2, {'z': 'r'})
         pool = ChannelPool(self.reactor, self.reactor)
         rng = random.Random(1)
-        self.context = ProxyContext(self.reactor, settings, CODEC, view, table, pool, rng)
+        self.context = ProxyContext(
+            self.reactor, settings, CODEC, view, table, pool, rng, started_seconds
+        )
         document = make_document(
             routes=routes or [PLAIN, ONCE, STREAM], services=[service or Service('s')]
         )
         view.apply_document(document)
         self.summarize()
+        self.entries_revision = 0
+        self.know_entries([address] if entries is None else entries)
         for number in range(1, upstreams + 1):
             self.register(number)
         self.channels = []
@@ -87,6 +107,13 @@
         summary = SiteSummary(revision, 1, list(zones), announced)
         self.context.view.apply_summary(summary, self.reactor.seconds())
 
+    def know_entries(self, addresses):
+        """Delivers the addresses of the entries that share the limits with this one."""
+        hosts = [MemberHost(address, 'z', 'r') for address in addresses]
+        self.entries_revision += 1
+        summary = SiteSummary(self.entries_revision, 0, [], [], hosts)
+        self.context.view.apply_sharing_entries(summary)
+
     def register(self, number, version=1, **changes):
         fields = {
             'upstream': f'i-{number}',
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -1,5 +1,6 @@
 """Placement with full engines, uneven services and many entries."""
 
+import math
 import random
 from collections import Counter
 
@@ -17,10 +18,12 @@
     expected_wait_seconds,
 )
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
+from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import ReceivedLoad, Upstream
 from jackdawsail.routing.weight_rules import weight_rule
 from jackdawsail.site.view import WeightTarget
-from jackdawsail.wire.site_messages import EngineLoad
+from jackdawsail.wire.site_messages import EngineLoad, MemberHost
+from test.routing.test_shares import make_shares
 from test.site.documents import ENGINE
 
 NOW = 100.0
@@ -166,32 +169,53 @@
 
     @pytest.mark.parametrize('entries', [1, 3, 7, 38])
     def test_retries_of_all_entries_stay_within_the_budget(self, entries):
-        shares = [RetryShare(0.2, 102, 10.0) for _ in range(entries)]
+        parts = [(RetryShare(0.2, 102, 10.0), shares) for shares in make_shares(entries)]
         rng = random.Random(5)
         repeats, firsts = [], []
         for step in range(20_000):
             now = step * 0.002
-            share = rng.choice(shares)
+            share, shares = rng.choice(parts)
             if rng.random() < 0.3:
                 share.record_first(now)
                 firsts.append(now)
-            elif share.take(entries, now):
+            elif share.take(shares, now):
                 repeats.append(now)
         for start in range(0, 30, 3):
             retries = [time for time in repeats if start <= time < start + 10]
             first_sends = [time for time in firsts if start <= time < start + 10]
             assert len(retries) <= 0.2 * len(first_sends) + 102
 
-    @pytest.mark.parametrize('entries', [1, 5, 7, 9])
+    def test_an_entry_that_is_not_listed_repeats_only_in_proportion_to_its_first_sends(self):
+        share, unlisted = RetryShare(0.2, 102, 10.0), EntryShares('10.9.9.9')
+        assert not share.take(unlisted, NOW)
+        for _ in range(100):
+            share.record_first(NOW)
+        assert sum(share.take(unlisted, NOW) for _ in range(200)) <= 0.2 * 100
+
+    def test_entries_that_restart_together_do_not_repeat_the_slack_within_its_window(self):
+        hosts = [MemberHost(f'10.9.0.{number}', 'z', 'r') for number in range(38)]
+        repeats = 0
+        for started_seconds in (-math.inf, NOW):
+            for host in hosts:
+                share, shares = (
+                    RetryShare(0.2, 220, 10.0),
+                    EntryShares(host.address, started_seconds),
+                )
+                shares.update(hosts, NOW)
+                while share.take(shares, NOW):
+                    repeats += 1
+        assert repeats <= 220
+
+    @pytest.mark.parametrize('entries', [1, 5, 7, 9, 38, 97])
     def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_limit(self, entries):
         bound = ColdBound(1.5, 5)
-        views = [make_upstream() for _ in range(entries)]
+        views = [(make_upstream(), shares) for shares in make_shares(entries)]
         rng = random.Random(7)
         sent = []
         for step in range(6000):
             now = NOW + step * 0.001
-            view = rng.choice(views)
-            if bound.allows(view, 26, entries, now):
+            view, shares = rng.choice(views)
+            if bound.allows(view, 26, shares, now):
                 view.call_sent(now)
                 sent.append(now)
         for start in range(0, 5000, 100):
@@ -202,7 +226,8 @@
         upstream = make_upstream()
         upstream.cold_until_seconds = NOW + 3
         allowed = 0
-        while ColdBound(1.5, 5).allows(upstream, 26, 1, NOW):
+        [shares] = make_shares(1)
+        while ColdBound(1.5, 5).allows(upstream, 26, shares, NOW):
             upstream.call_sent(NOW)
             allowed += 1
         assert 0 < allowed <= 26
