--- a/jackdawsail/routing/shares.py
+++ b/jackdawsail/routing/shares.py
@@ -41,7 +41,7 @@
     @property
     def is_listed(self) -> bool:
         """Returns whether this entry is one of those that share the limits."""
-        return any(entry.address == self.address for entry in self._entries)
+        return self._joined_seconds < math.inf
 
     @property
     def fraction(self) -> float:
@@ -60,12 +60,12 @@
         """Replaces the entries that share the limits."""
         if tuple(entries) == self._entries:
             return
-        is_first_list, was_listed = not self._entries, self.is_listed
+        is_first_list = not self._entries
         self._entries = tuple(entries)
         self._rank_by_key.clear()
-        if not self.is_listed:
+        if all(entry.address != self.address for entry in entries):
             self._joined_seconds = math.inf
-        elif not was_listed:
+        elif not self.is_listed:
             self._joined_seconds = self.started_seconds if is_first_list else now_seconds
 
     def part_of(self, total: float, key: str, region: str) -> int:
@@ -75,8 +75,9 @@
         """
         if not self.is_listed:
             return 0
-        rank = self._rank(key, region)
-        return max(0, -((rank - int(total)) // self.count))
+        # The entry of rank 0 gets the first unit and, after one for each entry, the next.
+        units_from_own = int(total) - self._rank(key, region)
+        return max(0, math.ceil(units_from_own / self.count))
 
     def _rank(self, key: str, region: str) -> int:
         if (key, region) not in self._rank_by_key:
