Test: the disk of a learner counts as lost in the simulated group, as in the promise

Trace: at 3.00 s the voters are h0, h1, h2 of three, h1's disk is gone, then that of the learner h3; at 3.04 s the leader, for which h0 is retired, promotes h3@d0, which it heard of 0.04 s before; of the four voters two are gone.

Membership is as promised. Of three voters one disk may be lost until the group has been repaired, as a deployment that tolerates one loss has three (2f + 1), and a lost host counts until it has caught up, voter or not. Two disks were lost here. No order of changes can help: the leader cannot know of a loss 0.04 s old, and not promoting leaves a group in which one more silent voter stops everything.

The second new test keeps the former case: the second disk is refused, and the group recovers.

--- a/test/consensus/test_cluster.py
+++ b/test/consensus/test_cluster.py
@@ -104,6 +104,24 @@
 )
 
 
+def lose_a_voter_and_the_learner_that_is_promoted(cluster, learner):
+    """Returns which of the two disks could be lost, and whether the group recovered."""
+    cluster.run(3)
+    lost = [cluster.swap_disk('h1'), cluster.swap_disk(learner)]
+    cluster.change(cluster.leader(), remove_host='h0')
+    return lost, cluster.settle()
+
+
+def test_five_voters_recover_when_a_voter_and_the_learner_that_is_promoted_lose_their_disks():
+    cluster = Cluster(seed=11, hosts=7, voters=5)
+    assert lose_a_voter_and_the_learner_that_is_promoted(cluster, 'h5') == ([True, True], True)
+
+
+def test_with_three_voters_the_disk_of_a_learner_counts_as_the_second_that_is_lost():
+    cluster = Cluster(seed=11)
+    assert lose_a_voter_and_the_learner_that_is_promoted(cluster, 'h3') == ([True, False], True)
+
+
 ACTIONS = (
     (30, lambda machine, rng: machine.run(rng.choice([0.1, 0.5, 1.5, 4.0]))),
     (30, lambda machine, rng: machine.propose(rng.choice(HOSTS), rng.randint(1, 9))),
