--- a/test/mutants.py
+++ b/test/mutants.py
@@ -106,6 +106,8 @@
         'routing/shared_limits.py', 'if len(self._repeats) + 1 > allowed:', 'if False:', ROUTING
     ),
     Mutant('routing/shared_limits.py', 'return used + 1 <= own_part', 'return True', ROUTING),
+    Mutant('routing/sends.py', 'return self.pending + ', 'return ', PROXY),
+    Mutant('routing/upstreams.py', 'else upstream.sends', 'else SendRecord()', PROXY),
     Mutant(
         'routing/shares.py', '        if not self.is_listed:\n            return 0\n', '', ROUTING
     ),
