--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -70,8 +70,7 @@
             if weights in first_seen or now_seconds - announced_seconds < WEIGHTS_KEPT_SECONDS
         }
         self._announced_seconds = {**first_seen, **still_announced}
-        for link in self._subscriber_links():
-            self._send_whole_summary(link)
+        self._send_whole_summary(self._subscriber_links())
 
     def send_summary(self) -> None:
         """Sends the summary to every linked entry and agent; also serves as a heartbeat."""
@@ -114,7 +113,7 @@
 
     def _link_opened(self, link: Link) -> None:
         if link.peer is not None and link.peer.role is not Role.control:
-            self._send_whole_summary(link)
+            self._send_whole_summary([link])
         link.send(self._with_ages(self.registrations.all()))
 
     def _on_document_wanted(self, link: Link, wanted: DocumentWanted) -> None:
@@ -160,13 +159,14 @@
         zones = list(state.emptied_zones)
         return SiteSummary(state.revision, state.document.version, zones, weights)
 
-    def _send_whole_summary(self, link: Link) -> None:
-        """Sends the summary, to an entry with the entries that share the limits."""
+    def _send_whole_summary(self, links: list[Link]) -> None:
+        """Sends the summary, to entries with the entries that share the limits."""
         summary = self._summary()
-        if link.peer is not None and link.peer.role is Role.entry:
-            entries = list(self.machine.state.sharing_entries)
-            summary = replace(summary, sharing_entries=entries)
-        link.send(summary)
+        sharing_entries = list(self.machine.state.sharing_entries)
+        for_entries = replace(summary, sharing_entries=sharing_entries)
+        for link in links:
+            is_entry = link.peer is not None and link.peer.role is Role.entry
+            link.send(for_entries if is_entry else summary)
 
     def _compressed_body(self) -> bytes:
         document = self.machine.state.document
