--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -72,13 +72,12 @@
         self._channel: ClientChannel | None = None
         self._connector: Any = None
         self._reused_channel = False
-        self._send_reserved = False
 
     def start(
         self, request: HttpRequest, dispatch_details: DispatchDetails, *, fresh_channel: bool
     ) -> None:
         """Sends the request on an idle channel, or on a new one if ``fresh_channel`` is set."""
-        self._reserve_send()
+        self.upstream.sends.pending += 1
         address = self.upstream.registration.address
         headers = self._context.codec.upstream_headers(request, dispatch_details)
         upstream_request = HttpRequest(request.method, request.target, headers, request.body)
@@ -162,24 +161,16 @@
 
     def _send(self, channel: ClientChannel, request: HttpRequest) -> None:
         self._channel = channel
-        self._release_send()
+        self.upstream.sends.pending -= 1
         self.sent = True
         self.last_received_seconds = self._context.clock.seconds()
         self.upstream.call_sent(self.last_received_seconds)
         self._owner.attempt_sent(self)
         channel.send(request, self)
 
-    def _reserve_send(self) -> None:
-        self.upstream.sends.pending += 1
-        self._send_reserved = True
-
-    def _release_send(self) -> None:
-        if self._send_reserved:
-            self.upstream.sends.pending -= 1
-        self._send_reserved = False
-
     def _finish(self) -> None:
         self.ended = True
-        self._release_send()
         if self.sent:
             self.upstream.calls -= 1
+        else:
+            self.upstream.sends.pending -= 1
