An entry waits for its part of the limits with one timer

Each change of the site before then started another timer, and each of them sent the status to every control host. The new test had six messages instead of one on the code before.

--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -40,6 +40,7 @@
     datagrams: EntryDatagrams
     stopping: bool = False
     _loops: list[Any] = field(default_factory=list)
+    _settling: Any = None
 
     def start(self) -> None:
         """Opens the ports and connects to the control hosts."""
@@ -107,10 +108,12 @@
 
     def _send_status_once_settled(self) -> None:
         unsettled_seconds = self.context.unsettled_seconds
-        if self.context.shares.is_listed and unsettled_seconds > 0 and not self.stopping:
-            self.process.reactor.callLater(unsettled_seconds, self._on_settled)
+        is_settling = self.context.shares.is_listed and unsettled_seconds > 0
+        if is_settling and self._settling is None and not self.stopping:
+            self._settling = self.process.reactor.callLater(unsettled_seconds, self._on_settled)
 
     def _on_settled(self) -> None:
+        self._settling = None
         self._send_status_to_all()
         self._send_status_once_settled()
 
--- a/test/proxy/test_readiness.py
+++ b/test/proxy/test_readiness.py
@@ -62,3 +62,13 @@
     assert not entry.accepts()
     entry.clock.advance(COLD_WINDOW_SECONDS / 2)
     assert entry.accepts()
+
+
+def test_changes_before_the_entry_is_offered_do_not_multiply_its_status_messages():
+    entry = Entry()
+    entry.list_entries(OWN, OTHER)
+    for version in range(1, 6):
+        entry.view.apply_document(make_document(version))
+    sent = len(entry.link.sent_of(EntryStatus))
+    entry.clock.advance(COLD_WINDOW_SECONDS)
+    assert len(entry.link.sent_of(EntryStatus)) == sent + 1
