--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -14,7 +14,6 @@
     choose_service,
     make_refusal,
 )
-from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import WeightRule, must_recall, weight_rule
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
@@ -79,7 +78,6 @@
 
     weights: WeightRule
     regions: set[str] | None
-    shares: EntryShares
 
 
 def place_call(context: ProxyContext, selection: Selection) -> Choice | Refusal:
@@ -145,9 +143,7 @@
     now_seconds = context.clock.seconds()
     control_seconds = context.view.control_received_seconds
     # Equal for all upstreams, so built once for each call.
-    constraints = _Constraints(
-        selection.current_weight_rule(context), selection.allowed_regions(), context.shares
-    )
+    constraints = _Constraints(selection.current_weight_rule(context), selection.allowed_regions())
     allowed = [
         upstream
         for upstream in context.upstreams.usable(service.name, control_seconds)
@@ -172,7 +168,7 @@
     if service.engine is not None and not constraints.weights.allows(upstream, now_seconds):
         return False
     rate = service.cold_requests_per_second
-    within_limit = context.cold_bound.allows(upstream, rate, constraints.shares, now_seconds)
+    within_limit = context.cold_bound.allows(upstream, rate, context.shares, now_seconds)
     if not within_limit:
         metrics.WITHHELD.inc()
     return within_limit
