--- a/jackdawsail/group/entry_list.py
+++ b/jackdawsail/group/entry_list.py
@@ -13,7 +13,6 @@
 from jackdawsail import events
 from jackdawsail.clocks import Clock
 from jackdawsail.consensus.interfaces import ProposeError, Replicator
-from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.site.machine import SiteMachine, change_entries
 from jackdawsail.wire.site_messages import MemberHost
 
@@ -70,14 +69,13 @@
     clock: Clock
     replicator: Replicator
     machine: SiteMachine
-    linked: LinkedProcesses
     _times: LinkedTimes = field(default_factory=LinkedTimes)
 
-    def update(self) -> None:
-        """Proposes to list the entries that are new and to remove those that have gone."""
+    def update(self, linked: Sequence[MemberHost]) -> None:
+        """Proposes to list the linked entries that are new, and to remove those that have gone."""
         listed = self.machine.state.sharing_entries
         now_seconds = self.clock.seconds()
-        change = self._times.needed_change(listed, self.linked.entry_hosts(), now_seconds)
+        change = self._times.needed_change(listed, linked, now_seconds)
         if change is None or not self.replicator.is_leader():
             return
         added = [host.address for host in change.added]
--- a/jackdawsail/group/linked.py
+++ b/jackdawsail/group/linked.py
@@ -32,10 +32,6 @@
             if link.peer is not None and status.accepts:
                 yield KnownEntry(status.callers_address, link.peer.zone, link.peer.region)
 
-    def entry_hosts(self) -> list[MemberHost]:
-        """Returns the linked entries, also those that do not accept callers, by address."""
-        return self._hosts(Role.entry)
-
     def members(self, controls: list[str]) -> Members:
         """Returns the control hosts, entries and agents, for the processes that must find them.
 
@@ -43,7 +39,7 @@
         """
         return Members(
             controls=sorted({*controls, self.own_name}),
-            entries=self.entry_hosts(),
+            entries=self._hosts(Role.entry),
             agents=self._hosts(Role.agent),
         )
 
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -88,7 +88,7 @@
             self._sent_members = members
             self.fanout.send_members(members)
         self.fanout.registrations.forget_old(self.process.reactor.seconds())
-        self.entry_list.update()
+        self.entry_list.update(members.entries)
         tolerated_host_losses = self.process.settings.bounds.tolerated_host_losses
         for host in self.consensus.raise_voter_target(tolerated_host_losses):
             self._add_control(host)
@@ -128,5 +128,5 @@
         process.reactor, process.settings, process.link_settings, router, machine
     )
     call_handler = CallHandler(consensus.replicator, fanout, linked)
-    entry_list = EntryList(process.reactor, consensus.replicator, machine, linked)
+    entry_list = EntryList(process.reactor, consensus.replicator, machine)
     return ControlProgram(process, codec, consensus, fanout, linked, call_handler, entry_list)
