--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -39,36 +39,14 @@
             started_seconds=started_seconds,
         )
 
-    def restart_all(self, entries):
-        """Restarts all entries; a control host that has just restarted sees one entry each."""
-        now_seconds = self.clock.seconds()
-        self.worlds = [
-            self.make_world(address, entries, now_seconds) for address in self.addresses
-        ]
-        for world, address in zip(self.worlds, self.addresses, strict=True):
+    def restart(self, numbers, entries):
+        """Restarts some entries; a control host that has just restarted sees one entry each."""
+        for number in numbers:
+            address = self.addresses[number]
+            world = self.make_world(address, entries, self.clock.seconds())
             linked = [MemberHost(address, 'z', 'r')]
             world.context.view.apply_members('c', Members(['c'], linked, []))
-
-    def offer(self, seconds):
-        """Offers calls to all entries for a time; each one sent is answered at once."""
-        for _ in range(int(seconds * OFFERED_PER_SECOND)):
-            for world in self.worlds:
-                world.call()
-                self.answer_sent()
-            self.clock.advance(1 / OFFERED_PER_SECOND)
-
-    def offer_once(self):
-        """Offers one call to each entry; the connections stay closed."""
-        for world in self.worlds:
-            world.call()
-
-    def restart(self, numbers):
-        """Restarts some entries after all connections have opened."""
-        self.answer_sent()
-        for number in numbers:
-            self.worlds[number] = self.make_world(
-                self.addresses[number], self.addresses, self.clock.seconds()
-            )
+            self.worlds[number] = world
 
     def add(self, count):
         """Adds entries; all entries learn the new list at once."""
@@ -80,6 +58,18 @@
         for world in self.worlds:
             world.know_entries(self.addresses)
 
+    def offer(self, seconds):
+        """Offers calls to all entries for a time; each one sent is answered at once."""
+        for _ in range(int(seconds * OFFERED_PER_SECOND)):
+            self.offer_once()
+            self.answer_sent()
+            self.clock.advance(1 / OFFERED_PER_SECOND)
+
+    def offer_once(self):
+        """Offers one call to each entry; the connections stay closed."""
+        for world in self.worlds:
+            world.call()
+
     def answer_sent(self):
         while self.clock.pending_connects:
             answer(self.worlds[0].accept(), headers='Connection: close\r\n')
@@ -101,7 +91,7 @@
 
 def test_entries_that_restart_together_do_not_flood_a_cold_upstream():
     site = Site(38)
-    site.restart_all(())
+    site.restart(range(38), ())
     site.offer(1)
     for world in site.worlds:
         world.know_entries(site.addresses)
@@ -142,7 +132,7 @@
 def test_entries_that_restart_at_once_do_not_use_their_parts_twice_in_a_second():
     site = Site(38)
     site.offer(0.2)
-    site.restart_all(site.addresses)
+    site.restart(range(38), site.addresses)
     site.offer(2)
     assert 0 < site.most_in_a_second() <= LIMIT
     assert site.sent_seconds[-1] > site.sent_seconds[0] + WINDOW_SECONDS
@@ -157,7 +147,9 @@
         if rng.random() < 0.3:
             site.answer_sent()
         if rng.random() < 0.1:
-            site.restart(rng.sample(range(len(site.worlds)), len(site.worlds) // 3))
+            site.answer_sent()
+            restarted = rng.sample(range(len(site.worlds)), len(site.worlds) // 3)
+            site.restart(restarted, site.addresses)
         if rng.random() < 0.05:
             site.add(rng.randint(1, 4))
         if rng.random() < 0.05:
