Log and count how an upstream's answer is framed and how it ends

Lines 423 (call answered) and 424 (attempt ended) state the framing (length, chunks, connection) and the bytes after the last complete event; jackdawsail_proxy_answers counts answers by framing and end. No decision changes.

--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -13,7 +13,7 @@
 from twisted.internet import protocol
 from twisted.internet.error import ConnectionDone
 
-from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
+from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, framing_of
 
 MAX_HEAD_BYTES = 65_536  # four times the largest head that the callers' limits allow
 
@@ -149,7 +149,9 @@
 
     def _handle_head(self, event: h11.Response, owner: AnswerOwner) -> None:
         headers = tuple(event.headers.raw_items())
-        head = HttpAnswerHead(event.status_code, bytes(event.reason), headers)
+        method = b'' if self._request is None else self._request.method
+        framing = framing_of(method, event.status_code, headers)
+        head = HttpAnswerHead(event.status_code, bytes(event.reason), headers, framing)
         self._record_keep_alive(head)
         self._skips_answer = not owner.answer_head(head)
 
--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -1,9 +1,12 @@
 """Value types of HTTP requests and answers, and helpers for headers."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+BODILESS_STATUSES = frozenset((204, 304))
+
 HOP_BY_HOP = frozenset(
     (
         b'connection',
@@ -19,6 +22,18 @@
 )
 
 
+class Framing(StrEnum):
+    """What tells the receiver of an answer where its body ends (RFC 9112, section 6.3).
+
+    ``length`` covers answers that never have a body. With ``connection`` the body ends when
+    the upstream closes the connection, so that nothing but the content shows a truncation.
+    """
+
+    length = 'length'
+    chunks = 'chunks'
+    connection = 'connection'
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A complete request; ``headers`` keep their order and the case of their names."""
@@ -49,6 +64,7 @@
     status: int
     reason: bytes
     headers: Headers
+    framing: Framing = Framing.length
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of the header ``name`` (lower case), or empty bytes."""
@@ -63,6 +79,17 @@
     return b''
 
 
+def framing_of(method: bytes, status: int, headers: Headers) -> Framing:
+    """Returns the framing of the answer to a request with this method."""
+    if method == b'HEAD' or status in BODILESS_STATUSES:
+        return Framing.length
+    if first_value(headers, b'transfer-encoding'):
+        return Framing.chunks
+    if first_value(headers, b'content-length'):
+        return Framing.length
+    return Framing.connection
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Returns the headers without the hop-by-hop ones, which concern one connection only."""
     connection_options = first_value(headers, b'connection').lower()
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -11,6 +11,7 @@
 
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
+from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import DispatchDetails, UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.routing.upstreams import Upstream
@@ -102,6 +103,11 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
+    @property
+    def framing(self) -> str:
+        """Returns what tells the end of the answer; empty before its head."""
+        return '' if self.head is None else str(self.head.raw.framing)
+
     def answer_head(self, head: HttpAnswerHead) -> bool:
         """Handles the head; returns False if the answer belongs to another call.
 
@@ -132,6 +138,7 @@
         self._finish()
         if channel is not None:
             self._context.pool.release(channel)
+        metrics.ANSWERS.labels(self.framing, 'complete').inc()
         self._owner.attempt_completed(self)
 
     def answer_failed(self, reason: BreakReason) -> None:
@@ -143,6 +150,8 @@
         if self.ended:
             return
         self._finish()
+        if self.head is not None:
+            metrics.ANSWERS.labels(self.framing, str(reason)).inc()
         if not (self._reused_channel and self.head is None):
             self.upstream.call_failed(self._context.clock.seconds())
         self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -47,10 +47,19 @@
             **details,
         )
 
-    def attempt_ended(self, attempt: Attempt, end: str) -> None:
-        """Logs why an attempt ended without a complete answer for the caller."""
-        name = attempt.upstream.name
-        self.write(ATTEMPT_ENDED, upstream=name, end=end, sent=attempt.sent)
+    def attempt_ended(self, attempt: Attempt, end: str, unfinished_bytes: int) -> None:
+        """Logs why an attempt ended without a complete answer for the caller.
+
+        ``unfinished_bytes`` is the size of an incomplete event at its end.
+        """
+        self.write(
+            ATTEMPT_ENDED,
+            upstream=attempt.upstream.name,
+            end=end,
+            sent=attempt.sent,
+            framing=attempt.framing,
+            unfinished_bytes=unfinished_bytes,
+        )
 
     def dispatched(
         self, choice: Choice, dispatch_details: DispatchDetails, send_number: int
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of the proxy; the only labels are outcome and kind."""
+"""Metrics of the proxy; every label has a few fixed values."""
 
 from prometheus_client import Counter, Gauge, Histogram
 
@@ -22,6 +22,12 @@
     registry=REGISTRY,
     buckets=(0.03, 0.06, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8),
 )
+ANSWERS = Counter(
+    'jackdawsail_proxy_answers',
+    'Answers of upstreams whose head was received, by what tells their end and how they ended.',
+    ['framing', 'end'],
+    registry=REGISTRY,
+)
 RUNNING = Gauge('jackdawsail_proxy_running', 'Calls that are being served.', registry=REGISTRY)
 WITHHELD = Counter(
     'jackdawsail_proxy_withheld',
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -21,7 +21,8 @@
     """Forwards one answer to the caller.
 
     ``started`` is true once the caller has been sent a part of it. ``last_event`` is the id
-    of the last forwarded event, 0 if there is none.
+    of the last forwarded event, 0 if there is none. ``unfinished_bytes`` is the size of what
+    the upstream has sent after the last complete event, 0 for a plain answer.
     """
 
     started: bool
@@ -29,6 +30,10 @@
     weight_version: int
     can_resume: bool
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Returns the size of an incomplete event at the end of what was received."""
+
     def forward(self, body: bytes) -> None:
         """Handles the next part of the body."""
 
@@ -52,6 +57,11 @@
     return begun and head.decoded.status not in SUCCESS
 
 
+def unfinished_bytes(relay: AnswerRelay | None) -> int:
+    """Returns the size of an incomplete event at the end of what a relay received."""
+    return 0 if relay is None else relay.unfinished_bytes
+
+
 class PlainRelay:
     """Buffers an answer until it is complete, or longer than MAX_BUFFERED_BYTES."""
 
@@ -65,6 +75,11 @@
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Returns 0, as a plain answer has no events."""
+        return 0
+
     def forward(self, body: bytes) -> None:
         """Buffers a part, or forwards it once the answer is too long to be buffered."""
         if self.started:
@@ -105,6 +120,11 @@
         self._head = head
         self._frames = EventFrames()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Returns the size of what follows the last complete event."""
+        return len(self._frames.remainder)
+
     def forward(self, body: bytes) -> None:
         """Forwards the events that are now complete, except those forwarded before."""
         forwarded = []
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -15,7 +15,7 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.relaying import AnswerRelay, cannot_continue, make_relay
+from jackdawsail.proxy.relaying import AnswerRelay, cannot_continue, make_relay, unfinished_bytes
 from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.watch import EngineWatch
@@ -120,15 +120,15 @@
         elif cannot_continue(self.relay, attempt.head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
         elif failed and self.has_alternative() and self.sends.take_further_upstream():
-            self.log.attempt_ended(attempt, f'status {status}')
+            self.log.attempt_ended(attempt, f'status {status}', unfinished_bytes(self.relay))
             self.relay = None
             self._place()
         else:
-            self._finish(status)
+            self._finish(attempt, status)
 
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
-        self.log.attempt_ended(attempt, f'{end} {reason}')
+        self.log.attempt_ended(attempt, f'{end} {reason}', unfinished_bytes(self.relay))
         if end is AttemptEnd.unreached:
             self._place()
         elif self._may_continue() and self.sends.take_further_upstream():
@@ -136,13 +136,18 @@
         else:
             self._fail(502, 'upstream broke off')
 
-    def _finish(self, status: int) -> None:
+    def _finish(self, attempt: Attempt, status: int) -> None:
         if self.relay is not None:
             self.relay.finish()
         outcome = 'served' if status in SUCCESS else 'upstream failure'
         first_seconds = round(self.first_seconds, 4)
         self.log.write(
-            call_log.CALL_ENDED, outcome=outcome, status=status, first_seconds=first_seconds
+            call_log.CALL_ENDED,
+            outcome=outcome,
+            status=status,
+            first_seconds=first_seconds,
+            framing=attempt.framing,
+            unfinished_bytes=unfinished_bytes(self.relay),
         )
         self._close(outcome)
 
@@ -192,7 +197,7 @@
         self.attempt.start(self.exchange.request, dispatch_details, fresh_channel=fresh_channel)
 
     def _not_run(self, attempt: Attempt, status: int) -> None:
-        self.log.attempt_ended(attempt, f'not run, status {status}')
+        self.log.attempt_ended(attempt, f'not run, status {status}', unfinished_bytes(self.relay))
         if status == MISDIRECTED:
             attempt.upstream.call_failed(self.context.clock.seconds())
         if self.sends.may_have_run and not self._may_continue():
@@ -211,7 +216,7 @@
     def abandon(self, attempt: Attempt, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
         attempt.cancel()
-        self.log.attempt_ended(attempt, reason)
+        self.log.attempt_ended(attempt, reason, unfinished_bytes(self.relay))
         self._place()
 
     def likely_events(self) -> float:
--- /dev/null
+++ b/test/proxy/test_answer_log.py
@@ -0,0 +1,62 @@
+"""The log lines of a call state how its answer was framed and how it ended."""
+
+import pytest
+
+from jackdawsail import events
+from jackdawsail.proxy import call_log
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM_HEADERS,
+    World,
+    begin_stream,
+    begin_unframed_stream,
+    close,
+    event,
+    plain_event,
+    reset,
+)
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(events, 'log', lambda kind, **fields: lines.append((kind, fields)))
+    return lines
+
+
+def lines_of(logged, kind):
+    return [fields for logged_kind, fields in logged if logged_kind is kind]
+
+
+def call_stream():
+    world = World(1, MODEL_SERVICE)
+    world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    return world.accept()
+
+
+def test_answered_call_states_the_framing(logged):
+    channel = call_stream()
+    begin_stream(channel)
+    channel.dataReceived(event(1) + b'0\r\n\r\n')
+    (line,) = lines_of(logged, call_log.CALL_ENDED)
+    assert (line['framing'], line['unfinished_bytes']) == ('chunks', 0)
+
+
+def test_broken_answer_states_its_end_and_what_follows_the_last_whole_event(logged):
+    channel = call_stream()
+    begin_unframed_stream(channel)
+    channel.dataReceived(plain_event(1) + plain_event(2)[:5])
+    reset(channel)
+    (line,) = lines_of(logged, call_log.ATTEMPT_ENDED)
+    assert (line['framing'], line['end']) == ('connection', 'broken reset')
+    assert line['unfinished_bytes'] == 5
+
+
+def test_answer_that_ends_with_its_connection_is_told_from_a_reset_one(logged):
+    channel = call_stream()
+    begin_unframed_stream(channel)
+    channel.dataReceived(plain_event(1))
+    close(channel)
+    (line,) = lines_of(logged, call_log.CALL_ENDED)
+    assert (line['framing'], line['unfinished_bytes']) == ('connection', 0)
+    assert lines_of(logged, call_log.ATTEMPT_ENDED) == []
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -182,8 +182,19 @@
     channel.dataReceived(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
 
 
+def begin_unframed_stream(channel, attempt='a1', version=1):
+    """Begins an answer with neither a length nor chunks, which ends with its connection."""
+    head = f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nWeight-Versions: {version}\r\n\r\n'
+    channel.dataReceived(head.encode())
+
+
+def plain_event(number):
+    """Returns an event as it is in a body without chunks."""
+    return f'id: {number}\ndata: x{number}\n\n'.encode()
+
+
 def event(number):
-    body = f'id: {number}\ndata: x{number}\n\n'.encode()
+    body = plain_event(number)
     return f'{len(body):x}\r\n'.encode() + body + b'\r\n'
 
 
