--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -138,7 +138,6 @@
         self._finish()
         if channel is not None:
             self._context.pool.release(channel)
-        metrics.ANSWERS.labels(self.framing, 'complete').inc()
         self._owner.attempt_completed(self)
 
     def answer_failed(self, reason: BreakReason) -> None:
--- a/jackdawsail/proxy/event_frames.py
+++ b/jackdawsail/proxy/event_frames.py
@@ -44,6 +44,11 @@
         """Returns the bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Returns the size of an incomplete event; blank lines between events are none."""
+        return len(self._remainder.strip(b'\r\n'))
+
 
 def _make_frame(body: bytes) -> EventFrame:
     event_id = _EVENT_ID.search(body)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -3,11 +3,14 @@
 A plain answer is buffered and forwarded once it is complete, unless it is long. Of a
 stream only complete events are forwarded, each at once. The head is sent with the first
 event, so that the caller receives nothing from an upstream that fails before it.
+
+A stream that ends inside an event was broken off, whatever its framing says: with neither
+a length nor chunks, a connection that closes ends a whole stream and a truncated one alike.
 """
 
 from typing import Protocol
 
-from jackdawsail.http1.messages import Headers, end_to_end_headers
+from jackdawsail.http1.messages import Framing, Headers, end_to_end_headers
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.attempt import SUCCESS, ReceivedHead
 from jackdawsail.proxy.event_frames import EventFrames
@@ -34,6 +37,9 @@
     def unfinished_bytes(self) -> int:
         """Returns the size of an incomplete event at the end of what was received."""
 
+    def is_whole(self) -> bool:
+        """Returns whether an answer that ends here is complete, as far as its content shows."""
+
     def forward(self, body: bytes) -> None:
         """Handles the next part of the body."""
 
@@ -57,6 +63,11 @@
     return begun and head.decoded.status not in SUCCESS
 
 
+def is_cut_off(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
+    """Returns whether an answer has ended before its content was complete."""
+    return relay is not None and head.decoded.status in SUCCESS and not relay.is_whole()
+
+
 def unfinished_bytes(relay: AnswerRelay | None) -> int:
     """Returns the size of an incomplete event at the end of what a relay received."""
     return 0 if relay is None else relay.unfinished_bytes
@@ -80,6 +91,10 @@
         """Returns 0, as a plain answer has no events."""
         return 0
 
+    def is_whole(self) -> bool:
+        """Returns True: only the framing of a plain answer shows its end."""
+        return True
+
     def forward(self, body: bytes) -> None:
         """Buffers a part, or forwards it once the answer is too long to be buffered."""
         if self.started:
@@ -118,17 +133,30 @@
         self.can_resume = can_resume
         self._exchange = exchange
         self._head = head
+        self._framing = head.raw.framing
+        self._has_events = False
         self._frames = EventFrames()
 
     @property
     def unfinished_bytes(self) -> int:
-        """Returns the size of what follows the last complete event."""
-        return len(self._frames.remainder)
+        """Returns the size of an incomplete event after the last complete one."""
+        return self._frames.unfinished_bytes
+
+    def is_whole(self) -> bool:
+        """Returns whether the last event is complete.
+
+        An answer without any event is whole only if its framing says so. One that ends with
+        its connection may have been broken off before its first event.
+        """
+        if self.unfinished_bytes:
+            return False
+        return self._has_events or self._framing is not Framing.connection
 
     def forward(self, body: bytes) -> None:
         """Forwards the events that are now complete, except those forwarded before."""
         forwarded = []
         for frame in self._frames.feed(body):
+            self._has_events = True
             if frame.number and frame.number <= self.last_event:
                 continue
             self.last_event = frame.number or self.last_event
@@ -138,13 +166,15 @@
             self._exchange.write(b''.join(forwarded))
 
     def finish(self) -> None:
-        """Forwards the remaining bytes and ends the stream as complete."""
+        """Forwards blank lines after the last event and ends the stream as complete."""
         self._start()
         self._exchange.write(self._frames.remainder)
         self._exchange.finish()
 
     def continue_from(self, head: ReceivedHead) -> None:
         """Continues with the events of another upstream; the caller has the first head already."""
+        self._framing = head.raw.framing
+        self._has_events = False
         self._frames = EventFrames()
 
     def _start(self) -> None:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -15,7 +15,13 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.relaying import AnswerRelay, cannot_continue, make_relay, unfinished_bytes
+from jackdawsail.proxy.relaying import (
+    AnswerRelay,
+    cannot_continue,
+    is_cut_off,
+    make_relay,
+    unfinished_bytes,
+)
 from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.watch import EngineWatch
@@ -26,6 +32,7 @@
 MIN_REMAINING_SECONDS = 0.02  # with less no upstream can answer in time
 SERVER_ERROR = 500
 MISDIRECTED = 421
+CUT_OFF = 'inside an event'  # how a stream ended whose last event is incomplete
 UNSERVED_RETRY_AFTER_SECONDS = 1.0  # for calls that have run nowhere
 
 
@@ -107,17 +114,24 @@
 
     def attempt_completed(self, attempt: Attempt) -> None:
         """Ends the call, or dispatches it again after a failure or if it did not run."""
-        if attempt.head is None:
+        head = attempt.head
+        if head is None:
             return
         now_seconds = self.context.clock.seconds()
-        status = attempt.head.decoded.status
+        if not head.decoded.not_run and is_cut_off(self.relay, head):
+            attempt.upstream.call_failed(now_seconds)
+            metrics.ANSWERS.labels(attempt.framing, CUT_OFF).inc()
+            self.attempt_failed(attempt, AttemptEnd.broken, CUT_OFF)
+            return
+        metrics.ANSWERS.labels(attempt.framing, 'complete').inc()
+        status = head.decoded.status
         failed = status >= SERVER_ERROR
         attempt.upstream.call_answered(
             now_seconds - attempt.started_seconds, now_seconds, failed=failed
         )
-        if attempt.head.decoded.not_run:
+        if head.decoded.not_run:
             self._not_run(attempt, status)
-        elif cannot_continue(self.relay, attempt.head):
+        elif cannot_continue(self.relay, head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
         elif failed and self.has_alternative() and self.sends.take_further_upstream():
             self.log.attempt_ended(attempt, f'status {status}', unfinished_bytes(self.relay))
