--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -18,6 +18,10 @@
 
 SUCCESS = range(200, 300)
 
+# The head of a refusal says all; its body is read only so that the channel can be reused.
+REFUSAL_BODY_SECONDS = 0.1
+REFUSAL_BODY_BYTES = 65_536
+
 
 class AttemptEnd(StrEnum):
     """How an attempt failed: no connection, broken off, or silent for too long."""
@@ -73,6 +77,8 @@
         self._channel: ClientChannel | None = None
         self._connector: Any = None
         self._reused_channel = False
+        self._refusal_bytes = 0
+        self._refusal_timeout: Any = None
 
     def start(
         self, request: HttpRequest, dispatch_details: DispatchDetails, *, fresh_channel: bool
@@ -122,13 +128,23 @@
         self.last_received_seconds = self._context.clock.seconds()
         self.head = ReceivedHead(head, decoded)
         self._owner.attempt_head(self, self.head)
+        if decoded.not_run and not self.ended:
+            self._refusal_timeout = self._context.clock.callLater(
+                REFUSAL_BODY_SECONDS, self._end_refusal
+            )
         return True
 
     def answer_body(self, body: bytes) -> None:
         """Handles the next part of the body."""
         self.last_received_seconds = self._context.clock.seconds()
-        if not self.ended:
+        if self.ended:
+            return
+        if self._refusal_timeout is None:
             self._owner.attempt_body(self, body)
+            return
+        self._refusal_bytes += len(body)
+        if self._refusal_bytes > REFUSAL_BODY_BYTES:
+            self._end_refusal()
 
     def answer_complete(self) -> None:
         """Handles the end of a complete answer and returns the channel to the pool."""
@@ -176,8 +192,15 @@
         self._owner.attempt_sent(self)
         channel.send(request, self)
 
+    def _end_refusal(self) -> None:
+        """Abandons a refusal whose body does not end."""
+        self.cancel()
+        self._owner.attempt_failed(self, AttemptEnd.broken, 'refusal without an end')
+
     def _finish(self) -> None:
         self.ended = True
+        if self._refusal_timeout is not None and self._refusal_timeout.active():
+            self._refusal_timeout.cancel()
         if self.sent:
             self.upstream.calls -= 1
         else:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -143,7 +143,9 @@
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
         self.log.attempt_ended(attempt, f'{end} {reason}', unfinished_bytes(self.relay))
-        if end is AttemptEnd.unreached:
+        if attempt.head is not None and attempt.head.decoded.not_run:
+            self._not_run(attempt, attempt.head.decoded.status)
+        elif end is AttemptEnd.unreached:
             self._place()
         elif self._may_continue() and self.sends.take_further_upstream():
             self._place()
