--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -10,10 +10,10 @@
 
 from typing import Protocol
 
+from jackdawsail.http1.event_frames import EventFrames
 from jackdawsail.http1.messages import Framing, Headers, end_to_end_headers
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.attempt import SUCCESS, ReceivedHead
-from jackdawsail.proxy.event_frames import EventFrames
 from jackdawsail.site.document import CallKind, Route
 
 MAX_BUFFERED_BYTES = 262_144  # longer plain answers are forwarded as they arrive
@@ -40,8 +40,8 @@
     def is_whole(self) -> bool:
         """Returns whether an answer that ends here is complete, as far as its content shows."""
 
-    def forward(self, body: bytes) -> None:
-        """Handles the next part of the body."""
+    def forward(self, body: bytes) -> bool:
+        """Handles the next part of the body; returns False if the answer must be given up."""
 
     def finish(self) -> None:
         """Ends the answer as complete."""
@@ -95,15 +95,16 @@
         """Returns True: only the framing of a plain answer shows its end."""
         return True
 
-    def forward(self, body: bytes) -> None:
+    def forward(self, body: bytes) -> bool:
         """Buffers a part, or forwards it once the answer is too long to be buffered."""
         if self.started:
             self._exchange.write(body)
-            return
+            return True
         self._buffered.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self._start()
+        return True
 
     def finish(self) -> None:
         """Forwards what is buffered and ends the answer."""
@@ -152,11 +153,14 @@
             return False
         return self._has_events or self._framing is not Framing.connection
 
-    def forward(self, body: bytes) -> None:
-        """Forwards the events that are now complete, except those forwarded before."""
+    def forward(self, body: bytes) -> bool:
+        """Forwards the events that are now complete, except those forwarded before.
+
+        Returns False once the next event is too long to be buffered.
+        """
         forwarded = []
         for frame in self._frames.feed(body):
-            self._has_events = True
+            self._has_events = self._has_events or frame.has_fields
             if frame.number and frame.number <= self.last_event:
                 continue
             self.last_event = frame.number or self.last_event
@@ -164,6 +168,7 @@
         if forwarded:
             self._start()
             self._exchange.write(b''.join(forwarded))
+        return not self._frames.is_too_long
 
     def finish(self) -> None:
         """Forwards blank lines after the last event and ends the stream as complete."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -108,9 +108,13 @@
         if cannot_continue(self.relay, attempt.head):
             return
         started_before = self.relay.started
-        self.relay.forward(body)
+        may_go_on = self.relay.forward(body)
         if self.relay.started and not started_before:
             _record_first_event(self, attempt)
+        if not may_go_on:
+            attempt.cancel()
+            attempt.upstream.call_failed(self.context.clock.seconds())
+            self.attempt_failed(attempt, AttemptEnd.broken, 'event is too long')
 
     def attempt_completed(self, attempt: Attempt) -> None:
         """Ends the call, or dispatches it again after a failure or if it did not run."""
--- a/test/proxy/test_unframed_answers.py
+++ b/test/proxy/test_unframed_answers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from jackdawsail.http1.event_frames import MAX_EVENT_BYTES
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM,
@@ -63,3 +64,35 @@
     reset(channel)
     assert caller.aborted
     assert not caller.value().endswith(LAST_CHUNK)
+
+
+def test_stream_that_ends_before_its_first_event_does_not_look_complete_to_its_caller():
+    for received in (b'', b': comment\n\n', b'\n\n'):
+        _world, caller, channel = begin(routes=ONE_RUN_ONLY)
+        if received:
+            channel.dataReceived(received)
+        close(channel)
+        assert not caller.value().endswith(LAST_CHUNK)
+
+
+def test_stream_that_continues_another_and_ends_before_its_first_event_is_not_its_end():
+    world, caller, first = begin(upstreams=2)
+    first.dataReceived(plain_event(1) + plain_event(2)[:3])
+    reset(first)
+    second = world.accept()
+    begin_unframed_stream(second)
+    close(second)
+    assert caller.aborted
+    assert not caller.value().endswith(LAST_CHUNK)
+
+
+def test_event_without_an_end_is_given_up_before_it_fills_the_memory():
+    world, caller, channel = begin(routes=ONE_RUN_ONLY)
+    channel.dataReceived(plain_event(1))
+    received_bytes = 0
+    while not channel.transport.aborted and received_bytes < 4 * MAX_EVENT_BYTES:
+        channel.dataReceived(b'x' * 65_536)
+        received_bytes += 65_536
+    assert received_bytes <= MAX_EVENT_BYTES + 65_536
+    assert caller.aborted
+    assert world.context.running == 0
