--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -84,6 +84,16 @@
         self._owner = None
         self.transport.abortConnection()
 
+    def pause(self) -> None:
+        """Stops reading, also the end of the connection, until ``resume`` is called."""
+        if not self.is_closed:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads again after ``pause``."""
+        if not self.is_closed:
+            self.transport.resumeProducing()
+
     def close(self) -> None:
         """Closes the connection of an idle channel."""
         self.transport.loseConnection()
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -39,13 +39,16 @@
 class Exchange:
     """One request and its answer; it belongs to the task that handles the request.
 
-    ``on_disconnect`` is called once if the caller disconnects before the answer is complete.
+    ``on_disconnect`` is called once if the caller disconnects before the answer is complete,
+    ``on_full`` with True when the caller does not read as fast as it is sent to, and with
+    False once it has caught up.
     """
 
     def __init__(self, connection: 'ServerConnection', request: HttpRequest) -> None:
         self.request = request
         self.received_seconds = connection.options.clock.seconds()
         self.on_disconnect: Callable[[], None] = lambda: None
+        self.on_full: Callable[[bool], None] = lambda is_full: None
         self.started = False
         self.ended = False
         self._connection: ServerConnection | None = connection
@@ -86,9 +89,9 @@
             self.on_disconnect()
 
     @property
-    def unsent_bytes(self) -> int:
-        """Returns the bytes written since the send buffer became full; 0 once it is sent."""
-        return 0 if self._connection is None else self._connection.backlog.unsent_bytes
+    def is_full(self) -> bool:
+        """Returns whether the caller does not read as fast as it is sent to."""
+        return self._connection is not None and self._connection.backlog.is_full
 
     def _release_connection(self) -> 'ServerConnection | None':
         connection = self._connection
@@ -124,7 +127,7 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self.backlog = Backlog()
+        self.backlog = Backlog(self._report_full)
         self._core = h11.Connection(h11.SERVER, options.limits.head_bytes)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
@@ -156,6 +159,10 @@
         if exchange is not None:
             exchange.report_disconnect()
 
+    def _report_full(self, is_full: bool) -> None:
+        if self._exchange is not None:
+            self._exchange.on_full(is_full)
+
     def is_idle(self) -> bool:
         """Returns whether no request is being read or answered."""
         return self._exchange is None and not self._is_reading()
@@ -177,7 +184,6 @@
 
     def send_body(self, body: bytes) -> None:
         """Writes a piece of the answer's body."""
-        self.backlog.count(len(body))
         self._send(h11.Data(body))
 
     def end_answer(self) -> None:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -68,6 +68,7 @@
         self.weight_version = 0
         self.sent = False
         self.ended = False
+        self.is_paused = False
         self.head: ReceivedHead | None = None
         self.started_seconds = context.clock.seconds()
         self.last_received_seconds = self.started_seconds
@@ -99,6 +100,18 @@
 
         self._connector = self._context.pool.connect(address, opened)
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Stops or continues reading the answer, which the caller reads more slowly."""
+        if is_paused == self.is_paused or self.ended:
+            return
+        self.is_paused = is_paused
+        self.last_received_seconds = self._context.clock.seconds()
+        if self._channel is not None:
+            if is_paused:
+                self._channel.pause()
+            else:
+                self._channel.resume()
+
     def cancel(self) -> None:
         """Abandons the attempt; closes the channel so that a running upstream notices at once."""
         if self.ended:
@@ -151,6 +164,7 @@
         channel = self._channel
         if self.ended:
             return
+        self.set_paused(False)
         self._finish()
         if channel is not None:
             self._context.pool.release(channel)
@@ -191,6 +205,8 @@
         self.upstream.call_sent(self.last_received_seconds)
         self._owner.attempt_sent(self)
         channel.send(request, self)
+        if self.is_paused:
+            channel.pause()
 
     def _end_refusal(self) -> None:
         """Abandons a refusal whose body does not end."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from jackdawsail.http1.messages import HttpAnswer
@@ -78,6 +79,7 @@
         """Starts the time limit and dispatches the call to an upstream."""
         self._watch = EngineWatch(self)
         self.exchange.on_disconnect = self._on_caller_disconnected
+        self.exchange.on_full = partial(_pause_attempt, self)
         self.context.running += 1
         metrics.RUNNING.inc()
         self._time_limit = self.context.clock.callLater(
@@ -214,6 +216,7 @@
         self.attempt.weight_version = choice.upstream.version_of(self.call.model, now_seconds)
         # An idle channel may just be closing; a call that cannot be repeated avoids that risk.
         fresh_channel = not self.route.may_repeat
+        self.attempt.set_paused(self.exchange.is_full)
         self.attempt.start(self.exchange.request, dispatch_details, fresh_channel=fresh_channel)
 
     def _not_run(self, attempt: Attempt, status: int) -> None:
@@ -300,6 +303,12 @@
         metrics.CALLS.labels(outcome).inc()
 
 
+def _pause_attempt(task: CallTask, is_full: bool) -> None:
+    """Reads the upstream's answer no faster than its caller does."""
+    if task.attempt is not None:
+        task.attempt.set_paused(is_full)
+
+
 def _record_first_event(task: CallTask, attempt: Attempt) -> None:
     now_seconds = task.context.clock.seconds()
     task.first_seconds = now_seconds - task.exchange.received_seconds
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -65,13 +65,15 @@
             return
         call = self._call
         begun = call.relay is not None and call.relay.started
-        silent_seconds = call.context.clock.seconds() - attempt.last_received_seconds
+        now_seconds = call.context.clock.seconds()
+        # An attempt that is not read, since its caller reads too slowly, is not silent.
+        silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_received_seconds
         if not begun and call.selection().must_leave_engine(call.context, attempt.weight_version):
             call.abandon(attempt, f'not begun on weights {attempt.weight_version}')
         elif self._should_move(attempt) and self._take_alternative(moving=True):
             call.abandon(attempt, f'engine changes over from weights {attempt.weight_version}')
         elif self._take_replacement(silent_seconds, begun=begun):
-            attempt.upstream.call_failed(call.context.clock.seconds())
+            attempt.upstream.call_failed(now_seconds)
             call.abandon(attempt, f'silent for {silent_seconds:.2f} s')
         else:
             self.start(attempt)
