--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -16,6 +16,7 @@
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, framing_of
 
 MAX_HEAD_BYTES = 65_536  # four times the largest head that the callers' limits allow
+MAX_FOREIGN_ANSWERS = 4  # answers to earlier requests that may precede the awaited one
 
 
 class BreakReason(StrEnum):
@@ -66,6 +67,8 @@
         self._owner: AnswerOwner | None = None
         self._request: HttpRequest | None = None
         self._skips_answer = False
+        self._foreign_answers = 0
+        self._head_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Disables Nagle's algorithm, so that small requests are sent without delay."""
@@ -77,6 +80,8 @@
         self._request = request
         self.reusable = False
         self.request_count += 1
+        self._foreign_answers = 0
+        self._head_bytes = 0
         self.transport.write(self._encode_request(request))
 
     def cancel(self) -> None:
@@ -107,8 +112,9 @@
             self._core.receive_data(received)
             self._process_events()
         except h11.RemoteProtocolError:
-            self._fail(BreakReason.garbled)
-            self._abort()
+            self._end_garbled()
+        else:
+            self._limit_head(len(received))
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Ends an answer whose body lasts until the connection closes, or reports a failure."""
@@ -126,6 +132,17 @@
             self._fail(BreakReason.closed)
         self._fail(BreakReason.closed)
 
+    def _limit_head(self, received_bytes: int) -> None:
+        """Bounds all that precedes a head, such as interim answers, which h11 does not."""
+        if self._core.their_state is h11.SEND_RESPONSE:
+            self._head_bytes += received_bytes
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._end_garbled()
+
+    def _end_garbled(self) -> None:
+        self._fail(BreakReason.garbled)
+        self._abort()
+
     def _encode_request(self, request: HttpRequest) -> bytes:
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
@@ -162,7 +179,7 @@
         method = b'' if self._request is None else self._request.method
         framing = framing_of(method, event.status_code, headers)
         head = HttpAnswerHead(event.status_code, bytes(event.reason), headers, framing)
-        self._record_keep_alive(head)
+        self.keep_alive.seconds = _keep_alive_seconds(head) or self.keep_alive.seconds
         self._skips_answer = not owner.answer_head(head)
 
     def _complete(self, owner: AnswerOwner) -> None:
@@ -182,9 +199,10 @@
         self._skips_answer = False
         trailing, is_eof = self._core.trailing_data
         request = self._request
-        if not self._prepare_reuse(trailing_bytes=len(trailing)) or is_eof or request is None:
-            self._fail(BreakReason.garbled)
-            self._abort()
+        self._foreign_answers += 1
+        may_follow = self._prepare_reuse(trailing_bytes=len(trailing)) and not is_eof
+        if request is None or not may_follow or self._foreign_answers > MAX_FOREIGN_ANSWERS:
+            self._end_garbled()
             return
         self._core = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         # Only puts the new core into the state after this request, which is already sent.
@@ -202,12 +220,6 @@
             core.start_next_cycle()
         return not self.is_closed
 
-    def _record_keep_alive(self, head: HttpAnswerHead) -> None:
-        for part in head.header(b'keep-alive').split(b','):
-            name, _, value = part.strip().partition(b'=')
-            if name.lower() == b'timeout' and value.isdigit():
-                self.keep_alive.seconds = float(value)
-
     def _fail(self, reason: BreakReason) -> None:
         owner = self._owner
         self._owner = None
@@ -217,3 +229,12 @@
     def _abort(self) -> None:
         if self.transport is not None and not self.is_closed:
             self.transport.abortConnection()
+
+
+def _keep_alive_seconds(head: HttpAnswerHead) -> float:
+    """Returns the timeout of the ``Keep-Alive`` header, or 0 if it states none."""
+    for part in head.header(b'keep-alive').split(b','):
+        name, _, value = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and value.isdigit():
+            return float(value)
+    return 0
--- a/test/http1/test_client.py
+++ b/test/http1/test_client.py
@@ -6,7 +6,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from jackdawsail.http1.client import BreakReason, ClientChannel
+from jackdawsail.http1.client import MAX_HEAD_BYTES, BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpRequest
 from test.http1.ends import Transport
 
@@ -166,3 +166,34 @@
     channel.dataReceived(received)
     lose_connection(channel, ConnectionDone())
     assert len(owner.ends) == 1
+
+
+@pytest.mark.parametrize(
+    'endless',
+    [
+        b'X-Header: x\r\n',
+        b'x',
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nContent-Length: 0\r\n\r\n',
+    ],
+)
+def test_head_without_an_end_is_given_up(endless):
+    owner = Owner(foreign={b'old'})
+    channel = make_channel(owner)
+    if not endless.startswith(b'HTTP'):
+        channel.dataReceived(b'HTTP/1.1 200 OK\r\n')
+    received_bytes = 0
+    while not channel.transport.aborted and received_bytes < 4 * MAX_HEAD_BYTES:
+        piece = endless * (1000 // len(endless))
+        channel.dataReceived(piece)
+        received_bytes += len(piece)
+    assert owner.ends == [BreakReason.garbled]
+    assert received_bytes <= MAX_HEAD_BYTES + 1000
+
+
+def test_long_first_piece_of_a_body_does_not_count_as_head():
+    owner = Owner()
+    channel = make_channel(owner)
+    channel.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * 2 * MAX_HEAD_BYTES)
+    assert owner.ends == []
+    assert len(owner.body) == 2 * MAX_HEAD_BYTES
