--- a/jackdawsail/http1/fetch.py
+++ b/jackdawsail/http1/fetch.py
@@ -1,4 +1,4 @@
-"""Sends small requests and collects the complete answers, with a timeout on silence."""
+"""Sends small requests and collects the complete answers, within limits on time and size."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -10,7 +10,17 @@
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 
-SILENCE_CHECK_SECONDS = 0.1
+TIME_CHECK_SECONDS = 0.1
+MAX_BODY_BYTES = 4_194_304  # far above the largest piece or list of weights
+
+
+@dataclass(frozen=True, slots=True)
+class FetchLimits:
+    """How long an answer may pause, how long all of it may take, and how long its body may be."""
+
+    silent_seconds: float
+    total_seconds: float
+    body_bytes: int = MAX_BODY_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,17 +35,18 @@
 
 
 class _AnswerCollector:
-    """Collects one answer; fails after ``silent_seconds`` without a received byte."""
+    """Collects one answer; fails once it exceeds one of its limits."""
 
-    def __init__(self, pool: ChannelPool, silent_seconds: float) -> None:
+    def __init__(self, pool: ChannelPool, limits: FetchLimits) -> None:
         self.done: DeferredAnswer = Deferred()
         self._pool = pool
-        self._silent_seconds = silent_seconds
+        self._limits = limits
         self._channel: ClientChannel | None = None
         self._status = 0
-        self._pieces: list[bytes] = []
-        self._received_seconds = pool.clock.seconds()
-        self._timer: Any = pool.clock.callLater(SILENCE_CHECK_SECONDS, self._check_silence)
+        self._body = bytearray()
+        self._started_seconds = pool.clock.seconds()
+        self._received_seconds = self._started_seconds
+        self._timer: Any = pool.clock.callLater(TIME_CHECK_SECONDS, self._check_time)
 
     def send(self, channel: ClientChannel | None, request: HttpRequest) -> None:
         """Sends the request on a channel; None means that no connection could be made."""
@@ -56,29 +67,37 @@
         return True
 
     def answer_body(self, piece: bytes) -> None:
-        """Stores a piece of the body."""
+        """Stores a piece of the body, up to the limit."""
         self._received_seconds = self._pool.clock.seconds()
-        self._pieces.append(piece)
+        self._body += piece
+        if len(self._body) > self._limits.body_bytes:
+            self._give_up(f'body over {self._limits.body_bytes} bytes')
 
     def answer_complete(self) -> None:
         """Returns the channel to the pool and fires ``done`` with the answer."""
         channel = self._channel
         if channel is not None:
             self._pool.release(channel)
-        self._finish(Success(FetchedAnswer(self._status, b''.join(self._pieces))))
+        self._finish(Success(FetchedAnswer(self._status, bytes(self._body))))
 
     def answer_failed(self, reason: BreakReason) -> None:
         """Fires ``done`` with the reason of the failure."""
         self._finish(Failure(str(reason)))
 
-    def _check_silence(self) -> None:
-        silent_seconds = self._pool.clock.seconds() - self._received_seconds
-        if silent_seconds < self._silent_seconds:
-            self._timer = self._pool.clock.callLater(SILENCE_CHECK_SECONDS, self._check_silence)
-            return
+    def _check_time(self) -> None:
+        now_seconds = self._pool.clock.seconds()
+        silent_seconds = now_seconds - self._received_seconds
+        if silent_seconds >= self._limits.silent_seconds:
+            self._give_up(f'silent for {silent_seconds:.1f} s')
+        elif now_seconds - self._started_seconds >= self._limits.total_seconds:
+            self._give_up(f'not complete within {self._limits.total_seconds:.0f} s')
+        else:
+            self._timer = self._pool.clock.callLater(TIME_CHECK_SECONDS, self._check_time)
+
+    def _give_up(self, reason: str) -> None:
         if self._channel is not None:
             self._channel.cancel()
-        self._finish(Failure(f'silent for {silent_seconds:.1f} s'))
+        self._finish(Failure(reason))
 
     def _finish(self, outcome: Result[FetchedAnswer, str]) -> None:
         if self._timer.active():
@@ -88,14 +107,14 @@
 
 
 def fetch(
-    pool: ChannelPool, address: str, request: HttpRequest, silent_seconds: float
+    pool: ChannelPool, address: str, request: HttpRequest, limits: FetchLimits
 ) -> DeferredAnswer:
     """Sends a request to ``host:port``; fires with the answer or with a failure reason.
 
-    Fails after ``silent_seconds`` without a received byte, checked every
-    ``SILENCE_CHECK_SECONDS``. An answer with an error status is a success.
+    The limits on time are checked every ``TIME_CHECK_SECONDS``. An answer with an error
+    status is a success.
     """
-    collector = _AnswerCollector(pool, silent_seconds)
+    collector = _AnswerCollector(pool, limits)
     channel = pool.acquire_idle(address)
     if channel is None:
         pool.connect(address, lambda opened: collector.send(opened, request))
--- a/jackdawsail/staging/engine_calls.py
+++ b/jackdawsail/staging/engine_calls.py
@@ -8,10 +8,11 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchedAnswer, fetch, make_request
+from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch, make_request
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder
 
-SILENCE_SECONDS = 1.0  # the engine is on the same host; even a busy one answers within it
+# The engine is on the same host; even a busy one answers within a second.
+CALL_LIMITS = FetchLimits(silent_seconds=1.0, total_seconds=5.0)
 OK_STATUSES = range(200, 300)
 
 
@@ -72,7 +73,7 @@
 
     async def _call(self, method: bytes, target: bytes, body: bytes = b'') -> Any:
         request = make_request(method, self.address, target, body)
-        return await fetch(self.pool, self.address, request, SILENCE_SECONDS)
+        return await fetch(self.pool, self.address, request, CALL_LIMITS)
 
 
 def _body_of(outcome: Result[FetchedAnswer, str]) -> Result[bytes, str]:
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -15,12 +15,14 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import fetch, make_request
+from jackdawsail.http1.fetch import FetchLimits, fetch, make_request
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.sources import OriginCodec, Source
 
-PIECE_SILENCE_SECONDS = 1.5  # three pieces that share a narrow link still get bytes within it
-LIST_SILENCE_SECONDS = 1.0
+# Three pieces that share a narrow link still get bytes within the silence, and each of them
+# its last byte within the total at a twentieth of that link.
+PIECE_LIMITS = FetchLimits(silent_seconds=1.5, total_seconds=20.0)
+LIST_LIMITS = FetchLimits(silent_seconds=1.0, total_seconds=10.0)
 OK = 200
 NOT_FOUND = 404
 NOT_HELD = 'not held'  # reason for a 404, which a relay sends when its own sources are unreachable
@@ -71,7 +73,7 @@
 
         async def fetch_from(source: Source) -> Result[bytes, str]:
             target = self._piece_target(source, pieces, index)
-            outcome = await self._get_body(source, target, PIECE_SILENCE_SECONDS)
+            outcome = await self._get_body(source, target, PIECE_LIMITS)
             if isinstance(outcome, Success) and not matches_digest(
                 pieces, index, outcome.unwrap()
             ):
@@ -111,7 +113,7 @@
             target = self.codec.list_target(model, version)
         else:
             target = relay_list_target(model, version)
-        outcome = await self._get_body(source, target, LIST_SILENCE_SECONDS)
+        outcome = await self._get_body(source, target, LIST_LIMITS)
         if isinstance(outcome, Failure):
             return outcome
         decoded = self.codec.decode_list(outcome.unwrap())
@@ -119,9 +121,9 @@
             return Failure('list is of another version')
         return decoded
 
-    async def _get_body(self, source: Source, target: bytes, silence_seconds: float) -> Any:
+    async def _get_body(self, source: Source, target: bytes, limits: FetchLimits) -> Any:
         request = make_request(b'GET', source.address, target)
-        outcome = await fetch(self.pool, source.address, request, silence_seconds)
+        outcome = await fetch(self.pool, source.address, request, limits)
         if isinstance(outcome, Failure):
             return outcome
         answer = outcome.unwrap()
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -222,7 +222,7 @@
         self.addresses = []
         self.clock = Clock()
 
-    def fetch(self, _pool, address, _request, _silence_seconds):
+    def fetch(self, _pool, address, _request, _limits):
         self.addresses.append(address)
         return succeed(self.outcomes[address.partition('.')[0]])
 
