--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -18,6 +18,12 @@
 from jackdawsail.wire.backlog import Backlog
 
 LINE_OVERHEAD_BYTES = 4  # separator and line end
+# Limits of the server itself, where the site sets none.
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
+MAX_REQUEST_SECONDS = 60.0
+# Of requests that a caller has sent ahead of its answers; beyond it reading stops.
+MAX_UNREAD_BYTES = 65_536
 READ_LIMIT_REASONS = {408: b'request came too slowly', 413: b'body is too large'}
 
 
@@ -128,10 +134,11 @@
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
         self.backlog = Backlog(self._report_full)
-        self._core = h11.Connection(h11.SERVER, options.limits.head_bytes)
+        self._core = h11.Connection(h11.SERVER, options.limits.head_bytes or MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._unread_bytes = 0
         self._refused = False
         self._timeout = _Timeout(options.clock, self._handle_timeout)
 
@@ -144,12 +151,19 @@
     def dataReceived(self, received: bytes) -> None:  # noqa: N802
         """Parses received bytes; the first bytes of a request start the head timeout.
 
-        It runs until the whole request is received, also its body.
+        It runs until the whole request is received, also its body. What follows a refused
+        request is dropped.
         """
+        if self._refused:
+            return
         if self._exchange is None and not self._is_reading():
-            self._timeout.start(self.options.limits.head_seconds)
+            self._timeout.start(self.options.limits.head_seconds or MAX_REQUEST_SECONDS)
         self._core.receive_data(received)
         self._process_events()
+        if self._exchange is not None:
+            self._unread_bytes += len(received)
+            if self._unread_bytes > MAX_UNREAD_BYTES:
+                self.transport.pauseProducing()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Reports the disconnect to the task of a running exchange."""
@@ -201,6 +215,14 @@
         self._core.start_next_cycle()
         self._timeout.start(self.options.limits.idle_seconds)
         self._process_events()
+        self._read_on()
+
+    def _read_on(self) -> None:
+        """Continues reading, unless the caller is still too far ahead of its answers."""
+        was_paused = self._unread_bytes > MAX_UNREAD_BYTES
+        self._unread_bytes = 0 if self._exchange is None else len(self._core.trailing_data[0])
+        if was_paused and self._unread_bytes <= MAX_UNREAD_BYTES:
+            self.transport.resumeProducing()
 
     def _process_events(self) -> None:
         while self._exchange is None and not self._refused:
@@ -221,36 +243,34 @@
         if isinstance(event, h11.Request):
             self._handle_head(event)
         elif isinstance(event, h11.Data):
-            self._append_body(bytes(event.data))
+            self._body += event.data
+            if len(self._body) > _body_limit(self.options.limits):
+                self._refuse(413, READ_LIMIT_REASONS[413])
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
 
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
-        self._body = []
+        self._body = bytearray()
         names = {name for name, _value in head.headers}
         if b'transfer-encoding' in names and b'content-length' in names:
             self._refuse(400, b'both a length and chunks')
-        elif 0 < self.options.limits.head_bytes < _head_bytes(head):
+        elif _head_bytes(head) > (self.options.limits.head_bytes or MAX_HEAD_BYTES):
             self._refuse(431, b'head is too large')
         elif int(dict(head.headers).get(b'content-length', b'0')) > _body_limit(
             self.options.limits
         ):
             self._refuse(413, READ_LIMIT_REASONS[413])
 
-    def _append_body(self, piece: bytes) -> None:
-        self._body.append(piece)
-        if sum(map(len, self._body)) > _body_limit(self.options.limits):
-            self._refuse(413, READ_LIMIT_REASONS[413])
-
     def _handle_request(self) -> None:
         head = self._head
         if head is None:
             return
         self._timeout.stop()
         headers = tuple(head.headers.raw_items())
-        request = HttpRequest(head.method, head.target, headers, b''.join(self._body))
+        request = HttpRequest(head.method, head.target, headers, bytes(self._body))
         self._head = None
+        self._body = bytearray()
         self._exchange = Exchange(self, request)
         self.options.handler(self._exchange)
 
@@ -324,8 +344,8 @@
         super().connectionLost(reason)
 
 
-def _body_limit(limits: CallerLimits) -> float:
-    return limits.body_bytes or float('inf')
+def _body_limit(limits: CallerLimits) -> int:
+    return limits.body_bytes or MAX_BODY_BYTES
 
 
 def _head_bytes(head: h11.Request) -> int:
--- a/jackdawsail/site/document.py
+++ b/jackdawsail/site/document.py
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Limits on the size and duration of a caller's request; zero means no limit.
+    """Limits on the size and duration of a caller's request; zero leaves it to the server.
 
     ``head_seconds`` is the time from the first bytes of a request until its head and body
     are complete, ``idle_seconds`` the time that a connection may wait for a request.
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -4,7 +4,14 @@
 from twisted.internet.task import Clock
 
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_REQUEST_SECONDS,
+    MAX_UNREAD_BYTES,
+    ServerFactory,
+    ServerOptions,
+)
 from jackdawsail.site.document import CallerLimits
 from test.http1.ends import Transport
 
@@ -182,3 +189,60 @@
     assert list(server.factory.idle()) == [server.connection]
     server.lose_connection()
     assert server.factory.open_count == 0
+
+
+def test_body_without_an_end_is_refused_though_the_site_sets_no_limit():
+    server = ServerHarness(
+        CallerLimits(head_bytes=0, body_bytes=0, head_seconds=0, idle_seconds=0)
+    )
+    server.receive(b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+    chunk = b'100000\r\n' + b'x' * 0x100000 + b'\r\n'
+    received_bytes = 0
+    while not server.transport.closed and received_bytes < 2 * MAX_BODY_BYTES:
+        server.receive(chunk)
+        received_bytes += len(chunk)
+    assert server.transport.take_written().startswith(b'HTTP/1.1 413')
+    assert received_bytes <= MAX_BODY_BYTES + 2 * len(chunk)
+
+
+def test_head_without_an_end_is_refused_though_the_site_sets_no_limit():
+    server = ServerHarness(
+        CallerLimits(head_bytes=0, body_bytes=0, head_seconds=0, idle_seconds=0)
+    )
+    server.receive(b'GET /a HTTP/1.1\r\n')
+    for _ in range(MAX_HEAD_BYTES // 1000 + 1):
+        server.receive(b'X: ' + b'x' * 1000 + b'\r\n')
+    assert server.transport.take_written().startswith(b'HTTP/1.1 431')
+
+
+def test_request_without_an_end_is_refused_in_time_though_the_site_sets_no_limit():
+    server = ServerHarness(
+        CallerLimits(head_bytes=0, body_bytes=0, head_seconds=0, idle_seconds=0)
+    )
+    server.receive(b'GET /a HTTP/1.1\r\nX: ')
+    server.clock.advance(MAX_REQUEST_SECONDS + 1)
+    assert server.transport.take_written().startswith(b'HTTP/1.1 408')
+
+
+def test_caller_that_sends_without_end_ahead_of_its_answers_is_not_read_on():
+    server = ServerHarness()
+    server.receive(GET)
+    received_bytes = 0
+    while server.transport.producerState == 'producing' and received_bytes < 2 * MAX_UNREAD_BYTES:
+        server.receive(GET * 10)
+        received_bytes += len(GET) * 10
+    assert received_bytes <= MAX_UNREAD_BYTES + len(GET) * 10
+    answered = 0
+    while len(server.exchanges) > answered:
+        server.exchanges[answered].answer(HttpAnswer(200, b''))
+        answered += 1
+    assert answered == 1 + received_bytes // len(GET)
+    assert server.transport.producerState == 'producing'
+
+
+def test_what_follows_a_refused_request_is_dropped():
+    server = ServerHarness()
+    server.receive(b'GET / HTTP/1.1\r\n\r\n')
+    for _ in range(10):
+        server.receive(b'x' * 1000)
+    assert not server.connection._core.trailing_data[0]
