--- a/jackdawsail/agent/engine_admin.py
+++ b/jackdawsail/agent/engine_admin.py
@@ -2,18 +2,19 @@
 
 import json
 from dataclasses import dataclass
-from io import BytesIO
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 from returns.result import Failure, Result, Success
-from twisted.web.client import Agent, FileBodyProducer, readBody
-from twisted.web.http_headers import Headers
 
-from jackdawsail.clocks import Clock
+from jackdawsail.agent.base_url import BaseUrl, parse_base_url
+from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
 
-STATE_TIMEOUT_SECONDS = 2.0
-LOAD_TIMEOUT_SECONDS = 600.0
+MAX_ANSWER_BYTES = 65_536
+STATE_LIMITS = FetchLimits(silent_seconds=2.0, total_seconds=2.0, body_bytes=MAX_ANSWER_BYTES)
+# An engine answers once it has loaded the release.
+LOAD_LIMITS = FetchLimits(silent_seconds=600.0, total_seconds=600.0, body_bytes=MAX_ANSWER_BYTES)
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 
@@ -42,14 +43,13 @@
 class EngineAdminClient:
     """Sends requests to ``/admin``; every result is a ``Result``, never an errback."""
 
-    def __init__(self, http_agent: Agent, clock: Clock, base_url: str) -> None:
-        self._http_agent = http_agent
-        self._clock = clock
-        self._base_url = base_url.rstrip('/')
+    def __init__(self, pool: ChannelPool, base_url: BaseUrl) -> None:
+        self._pool = pool
+        self._base_url = base_url
 
     def read_state(self) -> Any:
         """Fires with the engine's state, or a failure with its reason."""
-        requested = self._request(b'GET', '/admin/state', None, STATE_TIMEOUT_SECONDS)
+        requested = self._request('GET', '/admin/state', b'', STATE_LIMITS)
         return requested.addCallback(_parse_state)
 
     def load(self, order: LoadOrder) -> Any:
@@ -60,48 +60,39 @@
             'digest': order.digest,
             'fence': order.fence,
         }
-        requested = self._request(b'POST', '/admin/load', body, LOAD_TIMEOUT_SECONDS)
+        encoded = json.dumps(body).encode()
+        requested = self._request('POST', '/admin/load', encoded, LOAD_LIMITS)
         return requested.addCallback(_parse_load_answer, order.release)
 
-    def _request(self, method: bytes, path: str, body: Any, timeout_seconds: float) -> Any:
-        url = f'{self._base_url}{path}'.encode()
-        headers = Headers({'Content-Type': ['application/json']})
-        producer: Any = None
-        if body is not None:
-            producer = FileBodyProducer(BytesIO(json.dumps(body).encode()))
-        requested: Any = self._http_agent.request(method, url, headers, producer)
-        requested.addCallback(_read_answer)
-        requested.addTimeout(timeout_seconds, self._clock)
-        return requested.addErrback(_as_failure)
+    def _request(self, method: str, path: str, body: bytes, limits: FetchLimits) -> Any:
+        headers = ((b'Content-Type', b'application/json'),)
+        request = self._base_url.make_request(method, path, headers, body)
+        return fetch(self._pool, self._base_url.address, request, limits)
 
 
-def _read_answer(response: Any) -> Any:
-    body: Any = readBody(response)
-    return body.addCallback(lambda content: Success((response.code, content)))
+def make_engine_admin(pool: ChannelPool, upstream_url: str) -> EngineAdminClient:
+    """Makes the client of the engine at a URL; raises UserError if that is not usable."""
+    return EngineAdminClient(pool, parse_base_url(upstream_url))
 
 
-def _as_failure(failure: Any) -> Any:
-    return Failure(failure.getErrorMessage() or failure.type.__name__)
-
-
-def _parse_state(answer: Any) -> Result[EngineState, str]:
-    if not isinstance(answer, Success):
-        return Failure(f'engine is not reachable: {answer.failure()}')
-    status, body = answer.unwrap()
-    if status != STATUS_OK:
-        return Failure(f'engine answers {status}')
+def _parse_state(outcome: Result[FetchedAnswer, str]) -> Result[EngineState, str]:
+    if isinstance(outcome, Failure):
+        return Failure(f'engine is not reachable: {outcome.failure()}')
+    answer = outcome.unwrap()
+    if answer.status != STATUS_OK:
+        return Failure(f'engine answers {answer.status}')
     try:
-        return Success(EngineState.model_validate_json(body))
+        return Success(EngineState.model_validate_json(answer.body))
     except ValidationError:
         return Failure('engine state is not understood')
 
 
-def _parse_load_answer(answer: Any, release: str) -> Result[str, str]:
-    if not isinstance(answer, Success):
-        return Failure(f'engine load failed: {answer.failure()}')
-    status, body = answer.unwrap()
-    if status == STATUS_CONFLICT:
+def _parse_load_answer(outcome: Result[FetchedAnswer, str], release: str) -> Result[str, str]:
+    if isinstance(outcome, Failure):
+        return Failure(f'engine load failed: {outcome.failure()}')
+    answer = outcome.unwrap()
+    if answer.status == STATUS_CONFLICT:
         return Failure('engine has seen a newer fence number')
-    if status != STATUS_OK:
-        return Failure(f'engine answers {status} to the load: {body[:200]!r}')
+    if answer.status != STATUS_OK:
+        return Failure(f'engine answers {answer.status} to the load: {answer.body[:200]!r}')
     return Success(release)
--- a/jackdawsail/agent/program.py
+++ b/jackdawsail/agent/program.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail import events
+from jackdawsail.agent.base_url import parse_base_url
 from jackdawsail.agent.engine_admin import EngineState
 from jackdawsail.agent.entry_links import EntryLinks, make_announce
 from jackdawsail.agent.service_permit import GateState, ServicePermit
@@ -100,7 +101,7 @@
             ENGINE_SLOTS_PER_EXTRA_GRANT if settings.upstream_kind == 'engine' else 0,
         )
         client = UpstreamClient(
-            self._reactor, self._context.make_http_agent(), settings.upstream_url
+            self._context.make_channel_pool(), parse_base_url(settings.upstream_url)
         )
         self._window = window
         kind = UpstreamKind(settings.upstream_kind)
--- a/jackdawsail/agent/sse.py
+++ b/jackdawsail/agent/sse.py
@@ -11,8 +11,8 @@
 
 from returns.result import Failure, Result, Success
 
-MAX_EVENT_BYTES = 1_000_000
-_SEPARATOR = b'\n\n'
+from jackdawsail.http1.event_frames import EventFrames
+
 _DATA = b'data:'
 
 
@@ -39,14 +39,12 @@
     """Parses received bytes into events; malformed input is a failure, never an exception."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._frames = EventFrames()
 
     def feed(self, received: bytes) -> Result[list[StreamEvent], str]:
         """Adds bytes and returns the events that are now complete."""
-        self._buffer += received.replace(b'\r\n', b'\n')
-        blocks = self._buffer.split(_SEPARATOR)
-        self._buffer = blocks.pop()
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        blocks = [frame.body for frame in self._frames.feed(received)]
+        if self._frames.is_too_long:
             return Failure('event is too long')
         return _parse_blocks(blocks)
 
@@ -54,7 +52,7 @@
 def _parse_blocks(blocks: list[bytes]) -> Result[list[StreamEvent], str]:
     events: list[StreamEvent] = []
     for block in blocks:
-        lines = [line for line in block.split(b'\n') if line.startswith(_DATA)]
+        lines = [line for line in block.splitlines() if line.startswith(_DATA)]
         if not lines:
             continue
         parsed = _parse_event(b''.join(line[len(_DATA) :] for line in lines))
--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -7,25 +7,24 @@
 
 import json
 from dataclasses import dataclass
-from io import BytesIO
 from typing import Any, Protocol
 
+from h11 import LocalProtocolError
 from returns.result import Success
-from twisted.internet import error
-from twisted.internet.defer import CancelledError
-from twisted.internet.protocol import Protocol as BodyProtocol
-from twisted.web.client import Agent, FileBodyProducer, ResponseDone
-from twisted.web.http_headers import Headers
 
+from jackdawsail.agent.base_url import BaseUrl
 from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent
+from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.client import BreakReason, ClientChannel
+from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest
 from jackdawsail.wire.work_messages import Outcome, Reserve, Work
 
 STALL_SECONDS = 20.0
+ANSWER_SECONDS = 600.0  # of a whole answer, far above the deadline of any request
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
-_NOT_SENT_ERRORS = (error.ConnectError, error.DNSLookupError, error.ConnectingCancelledError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,35 +56,62 @@
 
 
 class UpstreamRun:
-    """One running job: owns its connection and its stall timer."""
+    """One running job: owns its connection and its timers, and receives its answer."""
 
-    def __init__(self, reactor: Any, sink: JobSink) -> None:
-        self._reactor = reactor
+    def __init__(self, clock: Any, sink: JobSink, body: 'AnswerBody') -> None:
         self._sink = sink
-        self._request: Any = None
-        self._body: Any = None
+        self._body = body
+        self._connector: Any = None
+        self._channel: ClientChannel | None = None
+        self._begun = False
         self._ended = False
-        self._cancelled = False
-        self._timer = reactor.callLater(STALL_SECONDS, self._on_stall)
+        self._stall_timer = clock.callLater(STALL_SECONDS, self._on_stall)
+        self._end_timer = clock.callLater(ANSWER_SECONDS, self._on_too_long)
 
-    def begin(self, request: Any, body: 'AnswerBody') -> None:
-        """Waits for the response of a request; ``request`` is its Deferred."""
-        self._request = request
-        self._body = body
-        request.addCallbacks(self._on_response, self._on_request_failed)
+    def begin(self, pool: ChannelPool, address: str, request: HttpRequest) -> None:
+        """Sends the request on a new connection."""
+
+        def opened(channel: ClientChannel | None) -> None:
+            self._on_connected(channel, request)
+
+        self._connector = pool.connect(address, opened)
 
     def cancel(self) -> None:
         """Closes the connection, which cancels the stream at the upstream."""
-        self._cancelled = True
-        if self._body is not None and self._body.transport is not None:
-            self._body.transport.loseConnection()
-        elif self._request is not None:
-            self._request.cancel()
+        if self._channel is not None:
+            self._channel.cancel()
+        elif self._connector is not None:
+            self._connector.disconnect()
+
+    def answer_head(self, head: HttpAnswerHead) -> bool:
+        """Passes the head to the body; every answer on this connection is that of the job."""
+        self._begun = True
+        self.reset_stall_timer()
+        content_type = head.header(b'content-type') or b'application/octet-stream'
+        self._body.begin(self, head.status, content_type.decode('latin-1'))
+        return True
+
+    def answer_body(self, piece: bytes) -> None:
+        """Passes a piece to the body, unless the job has ended."""
+        self.reset_stall_timer()
+        if not self._ended:
+            self._body.receive(piece)
+
+    def answer_complete(self) -> None:
+        """Tells the body that the answer is complete by its framing."""
+        self._body.complete()
+
+    def answer_failed(self, reason: BreakReason) -> None:
+        """Ends the job after a broken answer; ``reason`` tells how it broke."""
+        if self._begun:
+            self._body.cut_off()
+        else:
+            self.failed(Outcome.unknown, 'upstream-broke-off')
 
     def reset_stall_timer(self) -> None:
         """Restarts the stall timeout, as the upstream has sent something."""
         if not self._ended:
-            self._timer.reset(STALL_SECONDS)
+            self._stall_timer.reset(STALL_SECONDS)
 
     def head(self, status: int, content_type: str) -> None:
         """Passes the head to the sink, unless the job has ended."""
@@ -112,61 +138,63 @@
         if self._ended:
             return False
         self._ended = True
-        if self._timer.active():
-            self._timer.cancel()
+        for timer in (self._stall_timer, self._end_timer):
+            if timer.active():
+                timer.cancel()
         return True
 
     def _on_stall(self) -> None:
         self.failed(Outcome.unknown, 'upstream-stalled')
 
-    def _on_response(self, response: Any) -> None:
-        self.reset_stall_timer()
-        content_type = _content_type(response)
-        self._body.begin(self, response.code, content_type)
-        response.deliverBody(self._body)
-        if self._cancelled:
-            self.cancel()
+    def _on_too_long(self) -> None:
+        self.failed(Outcome.unknown, 'answer-without-end')
 
-    def _on_request_failed(self, failure: Any) -> None:
-        if failure.check(*_NOT_SENT_ERRORS):
+    def _on_connected(self, channel: ClientChannel | None, request: HttpRequest) -> None:
+        if channel is None:
             self.failed(Outcome.not_run, 'upstream-unreachable')
-        elif failure.check(CancelledError):
-            self.failed(Outcome.unknown, 'cancelled')
+        elif self._ended:
+            channel.close()
         else:
-            self.failed(Outcome.unknown, 'upstream-broke-off')
+            self._channel = channel
+            self._send(channel, request)
 
+    def _send(self, channel: ClientChannel, request: HttpRequest) -> None:
+        try:
+            channel.send(request, self)
+        except LocalProtocolError as fault:
+            self.failed(Outcome.not_run, f'request-invalid: {fault}')
 
-class AnswerBody(BodyProtocol):
-    """Receives the body of a response for a run."""
+
+class AnswerBody:
+    """Receives the body of an answer for a run; the answer of a plain service by default.
+
+    That is the answer whatever its status, and complete when its framing says so. With
+    neither a length nor chunks that is when the upstream closes the connection.
+    """
 
     run: UpstreamRun
+    _received_bytes = 0
 
     def begin(self, run: UpstreamRun, status: int, content_type: str) -> None:
-        """Passes the head of the response to the run."""
+        """Passes the head of the answer to the run."""
         self.run = run
         run.head(status, content_type)
 
-
-class ServiceBody(AnswerBody):
-    """The body of a plain service's response, which is the answer whatever its status."""
-
-    _received_bytes = 0
-
-    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+    def receive(self, received: bytes) -> None:
         """Passes received bytes on, up to ``MAX_ANSWER_BYTES``."""
-        self.run.reset_stall_timer()
         self._received_bytes += len(received)
         if self._received_bytes > MAX_ANSWER_BYTES:
             self.run.failed(Outcome.unknown, 'answer-too-large')
             return
         self.run.part(received, 0)
 
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Ends the run; a body that did not end with ``ResponseDone`` was cut off."""
-        if reason is not None and reason.check(ResponseDone):
-            self.run.whole()
-        else:
-            self.run.failed(Outcome.unknown, 'answer-cut-off')
+    def complete(self) -> None:
+        """Ends the run with a complete answer."""
+        self.run.whole()
+
+    def cut_off(self) -> None:
+        """Ends the run after a broken answer."""
+        self.run.failed(Outcome.unknown, 'answer-cut-off')
 
 
 class EngineBody(AnswerBody):
@@ -193,11 +221,10 @@
         else:
             run.head(status, content_type)
 
-    def dataReceived(self, received: bytes) -> None:  # noqa: N802
+    def receive(self, received: bytes) -> None:
         """Parses the stream; the body of a status other than 200 is passed on unchanged."""
-        self.run.reset_stall_timer()
         if self._status != HTTP_OK:
-            self.run.part(received, 0)
+            super().receive(received)
             return
         outcome = self._parser.feed(received)
         if not isinstance(outcome, Success):
@@ -206,15 +233,16 @@
         for event in outcome.unwrap():
             self._handle_event(event)
 
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Ends the run; a stream without its ``done`` event was cut off.
-
-        The body of a status other than 200 is complete if it ended with ``ResponseDone``.
-        """
-        if self._status != HTTP_OK and reason is not None and reason.check(ResponseDone):
-            self.run.whole()
+    def complete(self) -> None:
+        """Ends the run; a stream without its ``done`` event was cut off, whatever its framing."""
+        if self._status == HTTP_OK:
+            self.cut_off()
         else:
-            self.run.failed(Outcome.unknown, 'stream-cut-off')
+            self.run.whole()
+
+    def cut_off(self) -> None:
+        """Ends the run after a broken stream."""
+        self.run.failed(Outcome.unknown, 'stream-cut-off')
 
     def _handle_event(self, event: StreamEvent) -> None:
         if isinstance(event, DoneEvent):
@@ -239,10 +267,9 @@
 class UpstreamClient:
     """Starts jobs at one upstream over HTTP."""
 
-    def __init__(self, reactor: Any, http_agent: Agent, base_url: str) -> None:
-        self._reactor = reactor
-        self._base_url = base_url.rstrip('/')
-        self._http_agent = http_agent
+    def __init__(self, pool: ChannelPool, base_url: BaseUrl) -> None:
+        self._pool = pool
+        self._base_url = base_url
 
     def generate(self, job: Job, sink: JobSink) -> UpstreamRun:
         """Starts a generation on the engine."""
@@ -254,20 +281,19 @@
         document['resume_from'] = work.resume_from
         body = EngineBody(job.release)
         body.resume_from(work.resume_from)
-        headers = Headers({'Content-Type': ['application/json']})
-        return self._run(
-            'POST', '/v1/generate', headers, json.dumps(document).encode(), body, sink
-        )
+        headers = ((b'Content-Type', b'application/json'),)
+        encoded = json.dumps(document).encode()
+        return self._run('POST', '/v1/generate', headers, encoded, body, sink)
 
     def call(self, job: Job, sink: JobSink) -> UpstreamRun:
         """Starts a call to the plain service."""
         work = job.work
-        headers = Headers({'X-Request-Id': [job.reserve.request_id]})
+        headers: Headers = ((b'X-Request-Id', job.reserve.request_id.encode()),)
         if work.content_type:
-            headers.addRawHeader('Content-Type', work.content_type)
+            headers += ((b'Content-Type', work.content_type.encode()),)
         if work.idempotency_key:
-            headers.addRawHeader('Idempotency-Key', work.idempotency_key)
-        return self._run(work.method, work.path, headers, work.body, ServiceBody(), sink)
+            headers += ((b'Idempotency-Key', work.idempotency_key.encode()),)
+        return self._run(work.method, work.path, headers, work.body, AnswerBody(), sink)
 
     def _run(
         self,
@@ -278,13 +304,7 @@
         answer: AnswerBody,
         sink: JobSink,
     ) -> UpstreamRun:
-        run = UpstreamRun(self._reactor, sink)
-        producer: Any = FileBodyProducer(BytesIO(body)) if body else None
-        url = f'{self._base_url}{path}'.encode()
-        run.begin(self._http_agent.request(method.encode(), url, headers, producer), answer)
+        run = UpstreamRun(self._pool.clock, sink, answer)
+        request = self._base_url.make_request(method, path, headers, body)
+        run.begin(self._pool, self._base_url.address, request)
         return run
-
-
-def _content_type(response: Any) -> str:
-    values = response.headers.getRawHeaders('Content-Type', ['application/octet-stream'])
-    return str(values[0])
--- a/jackdawsail/agent/weights_manager.py
+++ b/jackdawsail/agent/weights_manager.py
@@ -11,7 +11,7 @@
 from twisted.internet.threads import deferToThreadPool
 
 from jackdawsail.agent.chunk_server import listen_for_chunks
-from jackdawsail.agent.engine_admin import EngineAdminClient
+from jackdawsail.agent.engine_admin import make_engine_admin
 from jackdawsail.agent.engine_task import EngineTask, EngineWatcher
 from jackdawsail.agent.gate import WorkGate
 from jackdawsail.agent.release_task import ReleaseTask
@@ -215,7 +215,7 @@
     settings = require_section(context.settings.agent, 'agent')
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
-    admin = EngineAdminClient(context.make_http_agent(), clock, settings.upstream_url)
+    admin = make_engine_admin(context.make_channel_pool(), settings.upstream_url)
     engine = EngineTask(switcher, admin, gate, status, clock)
     manager = WeightsManager(context, replica, status, engine)
     router.register_handler(FetchOrder, manager.handle_order)
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -17,6 +17,7 @@
 
 from jackdawsail import events
 from jackdawsail.errors import UserError
+from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.settings.loader import load_settings
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
@@ -55,6 +56,12 @@
         """Identity, secret, bind address and TLS context of all links of this process."""
         return LinkSettings(self.identity, self.secret, self.host.address, self.tls)
 
+    def make_channel_pool(self) -> ChannelPool:
+        """Makes a pool of HTTP connections that are bound to this host's address."""
+        bind_address = self.host.address
+        timeout = HTTP_CONNECT_TIMEOUT_SECONDS
+        return ChannelPool(self.reactor, self.reactor, bind_address, timeout)
+
     def make_http_agent(self, pool: Any = None) -> Agent:
         """Makes an HTTP client that binds its connections to this host's address."""
         bind_address = (self.host.address, 0)
--- a/test/agent/test_streams.py
+++ b/test/agent/test_streams.py
@@ -7,19 +7,15 @@
 from hypothesis import strategies as st
 from returns.result import Success
 from twisted.internet.task import Clock
-from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
 
 from jackdawsail.agent.sse import SseParser
-from jackdawsail.agent.upstream import STALL_SECONDS, EngineBody, ServiceBody, UpstreamRun
+from jackdawsail.agent.upstream import STALL_SECONDS, AnswerBody, EngineBody, UpstreamRun
 from jackdawsail.entry.call import Call, CallKind
 from jackdawsail.entry.http_answers import HttpAnswer
 from jackdawsail.entry.stages.relay import MAX_UNREAD_BYTES, StreamRelay
 from jackdawsail.routing.dispatch_effects import BeginAnswer, FinishRequest, ForwardPart
 from jackdawsail.wire.work_messages import AnswerHead, Outcome
 
-END = Failure(ResponseDone())
-
 
 class Sink:
     def __init__(self):
@@ -44,7 +40,7 @@
 
 def make_body(body, status=200, resume_from=0):
     clock, sink = Clock(), Sink()
-    run = UpstreamRun(clock, sink)
+    run = UpstreamRun(clock, sink, body)
     if resume_from:
         body.resume_from(resume_from)
     body.begin(run, status, 'text/event-stream')
@@ -53,8 +49,8 @@
 
 def feed(received, status=200, resume_from=0):
     _clock, sink, body = make_body(EngineBody('r1'), status, resume_from)
-    body.dataReceived(received)
-    body.connectionLost(END)
+    body.receive(received)
+    body.complete()
     return sink.calls[-1]
 
 
@@ -90,9 +86,9 @@
 
 
 def test_stalled_and_truncated_answers_have_an_unknown_outcome():
-    clock, sink, body = make_body(ServiceBody())
-    body.dataReceived(b'half')
-    body.connectionLost(Failure(ConnectionError()))
+    clock, sink, body = make_body(AnswerBody())
+    body.receive(b'half')
+    body.cut_off()
     assert sink.calls[-1] == ('failed', 'unknown', 'answer-cut-off')
     clock, sink, body = make_body(EngineBody('r1'))
     clock.advance(STALL_SECONDS)
