--- a/jackdawsail/agent/engine_admin.py
+++ b/jackdawsail/agent/engine_admin.py
@@ -7,9 +7,10 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from returns.result import Failure, Result, Success
 
-from jackdawsail.agent.base_url import BaseUrl, parse_base_url
-from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.base_url import BaseUrl, parse_base_url
+from jackdawsail.http1.channel_pool import ChannelPool, MakeChannelPool
 from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
+from jackdawsail.http1.messages import CLOSE
 
 MAX_ANSWER_BYTES = 65_536
 STATE_LIMITS = FetchLimits(silent_seconds=2.0, total_seconds=2.0, body_bytes=MAX_ANSWER_BYTES)
@@ -65,14 +66,15 @@
         return requested.addCallback(_parse_load_answer, order.release)
 
     def _request(self, method: str, path: str, body: bytes, limits: FetchLimits) -> Any:
-        headers = ((b'Content-Type', b'application/json'),)
+        headers = (CLOSE, (b'Content-Type', b'application/json'))
         request = self._base_url.make_request(method, path, headers, body)
         return fetch(self._pool, self._base_url.address, request, limits)
 
 
-def make_engine_admin(pool: ChannelPool, upstream_url: str) -> EngineAdminClient:
+def make_engine_admin(make_pool: MakeChannelPool, upstream_url: str) -> EngineAdminClient:
     """Makes the client of the engine at a URL; raises UserError if that is not usable."""
-    return EngineAdminClient(pool, parse_base_url(upstream_url))
+    base_url = parse_base_url(upstream_url)
+    return EngineAdminClient(make_pool(uses_tls=base_url.uses_tls), base_url)
 
 
 def _parse_state(outcome: Result[FetchedAnswer, str]) -> Result[EngineState, str]:
--- a/jackdawsail/agent/program.py
+++ b/jackdawsail/agent/program.py
@@ -5,7 +5,6 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail import events
-from jackdawsail.agent.base_url import parse_base_url
 from jackdawsail.agent.engine_admin import EngineState
 from jackdawsail.agent.entry_links import EntryLinks, make_announce
 from jackdawsail.agent.service_permit import GateState, ServicePermit
@@ -13,6 +12,7 @@
 from jackdawsail.agent.upstream import UpstreamClient
 from jackdawsail.agent.weights_manager import WeightsManager, make_weights_manager
 from jackdawsail.agent.work_runner import WorkDependencies, WorkRunner
+from jackdawsail.http1.base_url import parse_base_url
 from jackdawsail.membership.leases import Lease
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.process import ProcessContext
@@ -100,9 +100,9 @@
             self._current_release,
             ENGINE_SLOTS_PER_EXTRA_GRANT if settings.upstream_kind == 'engine' else 0,
         )
-        client = UpstreamClient(
-            self._context.make_channel_pool(), parse_base_url(settings.upstream_url)
-        )
+        base_url = parse_base_url(settings.upstream_url)
+        pool = self._context.make_channel_pool(uses_tls=base_url.uses_tls)
+        client = UpstreamClient(pool, base_url)
         self._window = window
         kind = UpstreamKind(settings.upstream_kind)
         deps = WorkDependencies(
--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -9,14 +9,13 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from h11 import LocalProtocolError
 from returns.result import Success
 
-from jackdawsail.agent.base_url import BaseUrl
 from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent
+from jackdawsail.http1.base_url import BaseUrl
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.client import BreakReason, ClientChannel
-from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest
+from jackdawsail.http1.messages import CLOSE, Headers, HttpAnswerHead, HttpRequest
 from jackdawsail.wire.work_messages import Outcome, Reserve, Work
 
 STALL_SECONDS = 20.0
@@ -103,7 +102,9 @@
 
     def answer_failed(self, reason: BreakReason) -> None:
         """Ends the job after a broken answer; ``reason`` tells how it broke."""
-        if self._begun:
+        if reason is BreakReason.unsendable:
+            self.failed(Outcome.not_run, 'request-invalid')
+        elif self._begun:
             self._body.cut_off()
         else:
             self.failed(Outcome.unknown, 'upstream-broke-off')
@@ -156,13 +157,7 @@
             channel.close()
         else:
             self._channel = channel
-            self._send(channel, request)
-
-    def _send(self, channel: ClientChannel, request: HttpRequest) -> None:
-        try:
             channel.send(request, self)
-        except LocalProtocolError as fault:
-            self.failed(Outcome.not_run, f'request-invalid: {fault}')
 
 
 class AnswerBody:
@@ -305,6 +300,6 @@
         sink: JobSink,
     ) -> UpstreamRun:
         run = UpstreamRun(self._pool.clock, sink, answer)
-        request = self._base_url.make_request(method, path, headers, body)
+        request = self._base_url.make_request(method, path, (CLOSE, *headers), body)
         run.begin(self._pool, self._base_url.address, request)
         return run
--- a/jackdawsail/agent/weights_manager.py
+++ b/jackdawsail/agent/weights_manager.py
@@ -22,7 +22,6 @@
 from jackdawsail.program import require_section
 from jackdawsail.weights.chunk_client import ChunkClient
 from jackdawsail.weights.chunk_store import make_chunk_store
-from jackdawsail.weights.http_read import make_pool
 from jackdawsail.weights.target import Records, Target, adoptable_releases, choose_target
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.weight_messages import (
@@ -54,8 +53,7 @@
         self._status = status
         self._engine = engine
         self._store = make_chunk_store(self._settings)
-        http_agent = context.make_http_agent(make_pool(context.reactor))
-        self._chunk_client = ChunkClient(http_agent, context.reactor, context.secret)
+        self._chunk_client = ChunkClient(context.make_channel_pool, context.secret)
         self._release_task: ReleaseTask | None = None
         self._tracker: Link | None = None
         self._loops: list[LoopingCall] = []
@@ -215,7 +213,7 @@
     settings = require_section(context.settings.agent, 'agent')
     clock = context.reactor
     switcher = Switcher(checks_fence=settings.checks_fence, now=clock.seconds())
-    admin = make_engine_admin(context.make_channel_pool(), settings.upstream_url)
+    admin = make_engine_admin(context.make_channel_pool, settings.upstream_url)
     engine = EngineTask(switcher, admin, gate, status, clock)
     manager = WeightsManager(context, replica, status, engine)
     router.register_handler(FetchOrder, manager.handle_order)
--- a/jackdawsail/entry/manifest_builder.py
+++ b/jackdawsail/entry/manifest_builder.py
@@ -15,7 +15,6 @@
 from jackdawsail import events
 from jackdawsail.process import ProcessContext
 from jackdawsail.weights.chunk_client import ChunkClient, FetchedChunk
-from jackdawsail.weights.http_read import make_pool
 from jackdawsail.weights.manifest import Manifest
 from jackdawsail.weights.placement import rank_zones
 from jackdawsail.wire.release_messages import ManifestReport, ReleaseProblem
@@ -34,8 +33,7 @@
     """Builds one manifest at a time; ``send_to_control`` sends to the control hosts."""
 
     def __init__(self, context: ProcessContext, send_to_control: SendToControl) -> None:
-        http_agent = context.make_http_agent(make_pool(context.reactor))
-        self._chunk_client = ChunkClient(http_agent, context.reactor, context.secret)
+        self._chunk_client = ChunkClient(context.make_channel_pool, context.secret)
         self._zone = context.identity.zone
         self._reactor = context.reactor
         self._send_to_control = send_to_control
--- a/jackdawsail/http1/channel_pool.py
+++ b/jackdawsail/http1/channel_pool.py
@@ -14,6 +14,7 @@
 CONNECT_SECONDS = 0.3  # 100 times the delay between regions, less than one SYN retransmission
 
 OnOpened = Callable[[ClientChannel | None], None]
+MakeChannelPool = Callable[..., 'ChannelPool']
 
 
 class _ConnectAttempt(protocol.ClientFactory):
@@ -61,7 +62,8 @@
     """Channels by address; the most recently used idle channel is reused first.
 
     ``connect_seconds`` is the timeout of one attempt to connect, and
-    ``opened_count`` the number of attempts.
+    ``opened_count`` the number of attempts. With ``uses_tls`` the certificate of each
+    server must be valid for its host.
     """
 
     reactor: Any
@@ -69,6 +71,7 @@
     bind_address: str = ''
     connect_seconds: float = CONNECT_SECONDS
     opened_count: int = 0
+    uses_tls: bool = False
     _idle: dict[str, list[_IdleChannel]] = field(default_factory=dict)
 
     def acquire_idle(self, address: str) -> ClientChannel | None:
@@ -89,9 +92,10 @@
         host, _, port = address.rpartition(':')
         bind = (self.bind_address, 0) if self.bind_address else None
         self.opened_count += 1
-        return self.reactor.connectTCP(
-            host, int(port), _ConnectAttempt(address, on_opened), self.connect_seconds, bind
-        )
+        attempt = _ConnectAttempt(address, on_opened)
+        if self.uses_tls:
+            return self._connect_tls(host, int(port), attempt, bind)
+        return self.reactor.connectTCP(host, int(port), attempt, self.connect_seconds, bind)
 
     def release(self, channel: ClientChannel) -> None:
         """Keeps a channel for another request if it is reusable."""
@@ -117,6 +121,13 @@
                     idle_channel.channel.close()
             self._idle[address] = usable
 
+    def _connect_tls(self, host: str, port: int, attempt: _ConnectAttempt, bind: Any) -> Any:
+        # Imported here, as the programs of the platform never use it and start faster without.
+        from twisted.internet.ssl import optionsForClientTLS
+
+        options = optionsForClientTLS(host)
+        return self.reactor.connectSSL(host, port, attempt, options, self.connect_seconds, bind)
+
     def _is_usable(self, idle: _IdleChannel) -> bool:
         keep_alive_seconds = idle.channel.keep_alive.seconds or DEFAULT_KEEP_ALIVE_SECONDS
         idle_seconds = self.clock.seconds() - idle.since_seconds
--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -27,6 +27,7 @@
     reset = 'reset'
     garbled = 'garbled'
     silent = 'silent'
+    unsendable = 'unsendable'  # the request is invalid, and nothing of it was sent
 
 
 class AnswerOwner(Protocol):
@@ -82,7 +83,13 @@
         self.request_count += 1
         self._foreign_answers = 0
         self._head_bytes = 0
-        self.transport.write(self._encode_request(request))
+        try:
+            encoded = self._encode_request(request)
+        except h11.LocalProtocolError:
+            self._fail(BreakReason.unsendable)
+            self._abort()
+        else:
+            self.transport.write(encoded)
 
     def cancel(self) -> None:
         """Cancels the request by aborting the connection; the owner gets no further calls."""
--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -5,6 +5,7 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+CLOSE = (b'Connection', b'close')
 BODILESS_STATUSES = frozenset((204, 304))
 
 HOP_BY_HOP = frozenset(
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -13,7 +13,6 @@
 from cyclopts import Parameter
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
-from twisted.web.client import Agent
 
 from jackdawsail import events
 from jackdawsail.errors import UserError
@@ -56,17 +55,15 @@
         """Identity, secret, bind address and TLS context of all links of this process."""
         return LinkSettings(self.identity, self.secret, self.host.address, self.tls)
 
-    def make_channel_pool(self) -> ChannelPool:
+    def make_channel_pool(self, *, uses_tls: bool = False) -> ChannelPool:
         """Makes a pool of HTTP connections that are bound to this host's address."""
-        bind_address = self.host.address
-        timeout = HTTP_CONNECT_TIMEOUT_SECONDS
-        return ChannelPool(self.reactor, self.reactor, bind_address, timeout)
-
-    def make_http_agent(self, pool: Any = None) -> Agent:
-        """Makes an HTTP client that binds its connections to this host's address."""
-        bind_address = (self.host.address, 0)
-        timeout = HTTP_CONNECT_TIMEOUT_SECONDS
-        return Agent(self.reactor, connectTimeout=timeout, bindAddress=bind_address, pool=pool)
+        return ChannelPool(
+            self.reactor,
+            self.reactor,
+            self.host.address,
+            HTTP_CONNECT_TIMEOUT_SECONDS,
+            uses_tls=uses_tls,
+        )
 
 
 StopFunction = Callable[[], Deferred[None]]
--- a/jackdawsail/weights/chunk_client.py
+++ b/jackdawsail/weights/chunk_client.py
@@ -4,11 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 from twisted.internet.defer import inlineCallbacks
 
-from jackdawsail.clocks import Clock
-from jackdawsail.weights.http_read import Pace, discard_body, open_response, read_body, read_head
+from jackdawsail.errors import UserError
+from jackdawsail.http1.base_url import BaseUrl, parse_base_url
+from jackdawsail.http1.channel_pool import ChannelPool, MakeChannelPool
+from jackdawsail.http1.messages import Headers, HttpRequest
+from jackdawsail.weights.http_read import Pace, PacedRead, open_read, read_head
 from jackdawsail.weights.manifest import Manifest
 from jackdawsail.weights.origin import FetchFailure, OriginFetch
 from jackdawsail.weights.proof import PROOF_HEADER, RATE_HEADER, chunk_proof
@@ -34,10 +37,10 @@
 class ChunkClient:
     """Fetches chunks by HTTP; keeps the origin's validator (ETag) of each release."""
 
-    def __init__(self, http_agent: Any, clock: Clock, secret: bytes) -> None:
+    def __init__(self, make_pool: MakeChannelPool, secret: bytes) -> None:
         self.origin_url = ''
-        self._http_agent = http_agent
-        self._clock = clock
+        self._peers: ChannelPool = make_pool()
+        self._tls_origins: ChannelPool = make_pool(uses_tls=True)
         self._secret = secret
         self._validators: dict[str, str] = {}
 
@@ -64,36 +67,45 @@
     ) -> Generator[Any, Any, FetchedChunk]:
         validator = self._validators.get(manifest.release, '')
         origin_fetch = OriginFetch(manifest, fetch.chunk, validator)
-        started_seconds = self._clock.seconds()
+        started_seconds = self._peers.clock.seconds()
         failure: FetchFailure | None = None
         while origin_fetch.missing_bytes > 0 and failure is None and origin_fetch.may_resume():
-            response = yield self._request_origin(manifest, origin_fetch)
+            paced_read = self._open_origin(manifest, origin_fetch)
+            if isinstance(paced_read, Failure):
+                failure = FetchFailure(FetchOutcome.failed, f'origin: {paced_read.failure()}')
+                break
             pace = Pace(fetch.bits_per_second, started_seconds)
-            failure = yield self._read_origin(response, origin_fetch, pace)
+            failure = yield self._read_origin(paced_read.unwrap(), origin_fetch, pace)
         failure = failure or check(origin_fetch)
         if failure is None:
             self._validators[manifest.release] = origin_fetch.validator
         return FetchedChunk(failure, bytes(origin_fetch.body), origin_fetch.drawn_bytes)
 
-    def _request_origin(self, manifest: Manifest, origin_fetch: OriginFetch) -> Any:
+    def _open_origin(
+        self, manifest: Manifest, origin_fetch: OriginFetch
+    ) -> Result[PacedRead, str]:
+        try:
+            base_url = parse_base_url(self.origin_url)
+        except UserError as error:
+            return Failure(str(error))
         path = manifest.origin_path.lstrip('/')
-        url = f'{self.origin_url.rstrip("/")}/{path}'
-        requested = open_response(
-            self._http_agent, self._clock, url, origin_fetch.request_headers()
-        )
-        return requested.addErrback(_as_failure)
+        headers = _encode_headers(origin_fetch.request_headers())
+        request = base_url.make_request('GET', f'/{path}', headers)
+        pool = self._tls_origins if base_url.uses_tls else self._peers
+        return Success(open_read(pool, base_url.address, request))
 
     @inlineCallbacks
     def _read_origin(
-        self, response: Any, origin_fetch: OriginFetch, pace: Pace
+        self, paced_read: PacedRead, origin_fetch: OriginFetch, pace: Pace
     ) -> Generator[Any, Any, FetchFailure | None]:
-        if isinstance(response, Failure):
-            return FetchFailure(FetchOutcome.failed, f'origin: {response.failure()}')
-        failure = origin_fetch.check_head(read_head(response))
+        opened = yield paced_read.opened
+        if isinstance(opened, Failure):
+            return FetchFailure(FetchOutcome.failed, f'origin: {opened.failure()}')
+        failure = origin_fetch.check_head(read_head(opened.unwrap()))
         if failure is not None:
-            discard_body(response)
+            paced_read.discard_body()
             return failure
-        yield read_body(response, self._clock, origin_fetch.add_bytes, pace)
+        yield paced_read.read_body(origin_fetch.add_bytes, pace)
         return None
 
     @inlineCallbacks
@@ -101,26 +113,27 @@
         self, manifest: Manifest, fetch: FetchItem
     ) -> Generator[Any, Any, FetchedChunk]:
         digest = manifest.chunk_digests[fetch.chunk]
-        started_seconds = self._clock.seconds()
-        response = yield self._request_peer(fetch, digest)
-        if isinstance(response, Failure):
-            return _make_failed(FetchOutcome.failed, response.failure())
-        if response.code != STATUS_OK:
-            discard_body(response)
-            return _make_refused(response.code)
+        started_seconds = self._peers.clock.seconds()
+        paced_read = open_read(self._peers, fetch.address, self._peer_request(fetch, digest))
+        opened = yield paced_read.opened
+        if isinstance(opened, Failure):
+            return _make_failed(FetchOutcome.failed, opened.failure())
+        status = opened.unwrap().status
+        if status != STATUS_OK:
+            paced_read.discard_body()
+            return _make_refused(status)
         peer_body = _PeerBody(manifest.span(fetch.chunk).length_bytes)
         pace = Pace(fetch.bits_per_second, started_seconds)
-        body_end = yield read_body(response, self._clock, peer_body.add_bytes, pace)
+        body_end = yield paced_read.read_body(peer_body.add_bytes, pace)
         failure = _check_peer_body(manifest, fetch.chunk, body_end, bytes(peer_body.body))
         return FetchedChunk(failure, bytes(peer_body.body), len(peer_body.body))
 
-    def _request_peer(self, fetch: FetchItem, digest: str) -> Any:
+    def _peer_request(self, fetch: FetchItem, digest: str) -> HttpRequest:
         headers = {PROOF_HEADER: chunk_proof(self._secret, digest)}
         if fetch.bits_per_second > 0:
             headers[RATE_HEADER] = str(int(fetch.bits_per_second))
-        url = f'http://{fetch.address}/chunks/{digest}'
-        requested = open_response(self._http_agent, self._clock, url, headers)
-        return requested.addErrback(_as_failure)
+        base_url = BaseUrl(fetch.address, '/chunks')
+        return base_url.make_request('GET', f'/{digest}', _encode_headers(headers))
 
 
 class _PeerBody:
@@ -167,5 +180,5 @@
     return FetchedChunk(FetchFailure(outcome, reason), b'', 0)
 
 
-def _as_failure(failure: Any) -> Any:
-    return Failure(failure.getErrorMessage() or failure.type.__name__)
+def _encode_headers(headers: dict[str, str]) -> Headers:
+    return tuple((name.encode(), text.encode()) for name, text in headers.items())
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -1,4 +1,7 @@
-"""Reads a bounded, paced HTTP body with Twisted; failures of a body are returned as values."""
+"""Reads a bounded, paced HTTP body; failures are returned as values.
+
+The owner of a read first gets the head, and then either reads the body or discards it.
+"""
 
 import socket
 from collections.abc import Callable
@@ -6,19 +9,17 @@
 from typing import Any
 
 from returns.result import Failure, Result, Success
-from twisted.internet import protocol
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
-from twisted.web.http_headers import Headers
-from twisted.web.iweb import IResponse
 
-from jackdawsail.clocks import Clock
+from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.client import BreakReason, ClientChannel
+from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 from jackdawsail.weights.origin import ResponseHead, parse_retry_after
 from jackdawsail.weights.pacing import TokenBucket
 
 HEAD_TIMEOUT_SECONDS = 10.0
 STALL_SECONDS = 5.0
-PERSISTENT_PER_HOST = 8
+BODY_SECONDS = 300.0  # of a whole chunk, also at the lowest pace of a link
 RECEIVE_BUFFER_BYTES = 65536
 PACE_BURST_BYTES = 32768
 BITS_PER_BYTE = 8
@@ -35,128 +36,139 @@
     started_seconds: float
 
 
-def make_pool(reactor: Any) -> HTTPConnectionPool:
-    """Returns a pool of persistent connections to the sources."""
-    pool = HTTPConnectionPool(reactor, persistent=True)
-    pool.maxPersistentPerHost = PERSISTENT_PER_HOST
-    return pool
-
-
-def open_response(
-    agent: Agent, clock: Clock, url: str, headers: dict[str, str]
-) -> 'Deferred[IResponse]':
-    """Requests a URL; fails without a response head within ``HEAD_TIMEOUT_SECONDS``."""
-    sent = Headers({name: [text] for name, text in headers.items()})
-    requested: Any = agent.request(b'GET', url.encode(), sent, None)
-    return requested.addTimeout(HEAD_TIMEOUT_SECONDS, clock)
-
-
-def read_head(response: Any) -> ResponseHead:
-    """Returns the status and the headers of a response that are checked."""
-    return ResponseHead(
-        response.code,
-        _header(response, 'ETag'),
-        _header(response, 'Content-Range'),
-        parse_retry_after(_header(response, 'Retry-After')),
-    )
-
-
-def read_body(response: Any, clock: Clock, add_bytes: AddBytes, pace: Pace) -> 'Deferred[BodyEnd]':
-    """Passes the body to ``add_bytes`` at the allowed rate.
+class PacedRead:
+    """One request and its answer; pauses the connection to keep within the rate.
 
-    Fires with success when the body is complete, and with a failure if it is cut off, if
-    it stalls for ``STALL_SECONDS``, or once ``add_bytes`` returns False.
+    ``opened`` fires with the head, or with a failure if there is none within
+    ``HEAD_TIMEOUT_SECONDS``.
     """
-    reader = _BodyReader(clock, add_bytes, pace)
-    response.deliverBody(reader)
-    return reader.ended
-
-
-def discard_body(response: Any) -> None:
-    """Closes the connection of a response whose body is not wanted."""
-    response.deliverBody(_DiscardingReader())
-
-
-def _header(response: Any, name: str) -> str:
-    values = response.headers.getRawHeaders(name)
-    return values[0] if values else ''
-
-
-class _DiscardingReader(protocol.Protocol):
-    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        transport: Any = self.transport
-        transport.loseConnection()
-
-
-class _BodyReader(protocol.Protocol):
-    """Reads one body and pauses the transport to keep within the rate."""
 
-    transport: Any
+    def __init__(self, pool: ChannelPool) -> None:
+        self.opened: Deferred[Result[HttpAnswerHead, str]] = Deferred()
+        self._pool = pool
+        self._clock = pool.clock
+        self._channel: ClientChannel | None = None
+        self._add_bytes: AddBytes | None = None
+        self._ended: Deferred[BodyEnd] = Deferred()
+        self._bucket: TokenBucket | None = None
+        self._done = False
+        self._resume_call: Any = None
+        self._stall_call: Any = self._clock.callLater(HEAD_TIMEOUT_SECONDS, self._time_out)
+        self._end_call: Any = None
 
-    def __init__(self, clock: Clock, add_bytes: AddBytes, pace: Pace) -> None:
-        self.ended: Deferred[BodyEnd] = Deferred()
-        self._clock = clock
+    def send(self, channel: ClientChannel | None, request: HttpRequest) -> None:
+        """Sends the request on a channel; None means that no connection could be made."""
+        if self._done:
+            if channel is not None:
+                channel.close()
+        elif channel is None:
+            self._finish(Failure('no connection'))
+        else:
+            self._channel = channel
+            channel.send(request, self)
+
+    def read_body(self, add_bytes: AddBytes, pace: Pace) -> 'Deferred[BodyEnd]':
+        """Passes the body to ``add_bytes`` at the allowed rate.
+
+        Fires with success when the body is complete, and with a failure if it is cut off, if
+        it stalls for ``STALL_SECONDS``, if it takes longer than ``BODY_SECONDS``, or once
+        ``add_bytes`` returns False.
+        """
         self._add_bytes = add_bytes
-        self._bucket: TokenBucket | None = None
         if pace.bits_per_second > 0:
             rate = pace.bits_per_second / BITS_PER_BYTE
             self._bucket = TokenBucket(rate, PACE_BURST_BYTES, pace.started_seconds)
-        self._stall_call: Any = None
-        self._resume_call: Any = None
-        self._done = False
-
-    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        self._limit_buffer()
+            self._limit_buffer()
         self._watch_stall()
+        self._end_call = self._clock.callLater(BODY_SECONDS, self._time_out)
+        return self._ended
 
-    def dataReceived(self, received: bytes) -> None:  # noqa: N802 - Twisted's name
-        if self._done:
+    def discard_body(self) -> None:
+        """Closes the connection, as the body is not wanted."""
+        self._finish(Failure('discarded'))
+
+    def answer_head(self, head: HttpAnswerHead) -> bool:
+        """Fires ``opened``, whose callback reads or discards the body."""
+        self.opened.callback(Success(head))
+        return True
+
+    def answer_body(self, piece: bytes) -> None:
+        """Passes on a piece, and pauses the connection if it came too fast."""
+        if self._done or self._add_bytes is None:
             return
-        if not self._add_bytes(received):
+        if not self._add_bytes(piece):
             self._finish(Failure('more bytes than asked for'))
             return
         self._watch_stall()
         if self._bucket is None:
             return
-        wait_seconds = self._bucket.take(len(received), self._clock.seconds())
-        if wait_seconds > 0 and self._resume_call is None:
-            self.transport.pauseProducing()
+        wait_seconds = self._bucket.take(len(piece), self._clock.seconds())
+        if wait_seconds > 0 and self._resume_call is None and self._channel is not None:
+            self._channel.pause()
             self._resume_call = self._clock.callLater(wait_seconds, self._resume)
 
-    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
-        is_complete = reason.check(ResponseDone) is not None
-        self._finish(Success(None) if is_complete else Failure(reason.getErrorMessage()))
+    def answer_complete(self) -> None:
+        """Ends the read and returns the channel to the pool."""
+        if self._channel is not None:
+            if self._resume_call is not None:
+                self._channel.resume()
+            self._pool.release(self._channel)
+        self._finish(Success(None))
+
+    def answer_failed(self, reason: BreakReason) -> None:
+        """Ends the read with the reason of the failure."""
+        self._finish(Failure(str(reason)))
 
     def _limit_buffer(self) -> None:
         """Limits the receive buffer, so that the kernel does not read ahead of the rate."""
-        if self._bucket is None:
-            return
-        producer = getattr(self.transport, '_producer', None)
-        connection = getattr(producer, 'socket', None)
+        connection = getattr(getattr(self._channel, 'transport', None), 'socket', None)
         if connection is not None:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def _resume(self) -> None:
         self._resume_call = None
-        if not self._done:
+        if not self._done and self._channel is not None:
             self._watch_stall()
-            self.transport.resumeProducing()
+            self._channel.resume()
 
     def _watch_stall(self) -> None:
-        if self._stall_call is not None and self._stall_call.active():
-            self._stall_call.cancel()
-        self._stall_call = self._clock.callLater(STALL_SECONDS, self._stalled)
+        self._stall_call.cancel()
+        self._stall_call = self._clock.callLater(STALL_SECONDS, self._time_out)
 
-    def _stalled(self) -> None:
+    def _time_out(self) -> None:
         self._finish(Failure('no bytes in time'))
 
     def _finish(self, end: BodyEnd) -> None:
         if self._done:
             return
         self._done = True
-        for timer in (self._stall_call, self._resume_call):
+        for timer in (self._stall_call, self._resume_call, self._end_call):
             if timer is not None and timer.active():
                 timer.cancel()
-        if not isinstance(end, Success):
-            self.transport.loseConnection()
-        self.ended.callback(end)
+        if isinstance(end, Failure) and self._channel is not None:
+            self._channel.cancel()
+        if not self.opened.called:
+            self.opened.callback(Failure(end.failure()))
+        self._ended.callback(end)
+
+
+def open_read(pool: ChannelPool, address: str, request: HttpRequest) -> PacedRead:
+    """Sends a request to ``host:port``; its answer is read by the returned object."""
+    pool.close_expired()
+    paced_read = PacedRead(pool)
+    channel = pool.acquire_idle(address)
+    if channel is None:
+        pool.connect(address, lambda opened: paced_read.send(opened, request))
+    else:
+        paced_read.send(channel, request)
+    return paced_read
+
+
+def read_head(head: HttpAnswerHead) -> ResponseHead:
+    """Returns the status and the headers of an answer that are checked."""
+    return ResponseHead(
+        head.status,
+        head.header(b'etag').decode('latin-1'),
+        head.header(b'content-range').decode('latin-1'),
+        parse_retry_after(head.header(b'retry-after').decode('latin-1')),
+    )
