--- a/jackdawsail/agent/chunk_server.py
+++ b/jackdawsail/agent/chunk_server.py
@@ -4,9 +4,10 @@
 
 from prometheus_client import Counter
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET, Request, Site
+from twisted.web.server import NOT_DONE_YET, Request
 
 from jackdawsail import events, metrics_registry
+from jackdawsail.bounded_http import BoundedSite
 from jackdawsail.clocks import Clock
 from jackdawsail.metrics_resource import MetricsResource
 from jackdawsail.process import ProcessContext
@@ -15,6 +16,8 @@
 from jackdawsail.weights.proof import PROOF_HEADER, RATE_HEADER, check_chunk_proof
 
 MAX_UPLOADS = 8
+MAX_CONNECTIONS = 1000
+MAX_BODY_BYTES = 4096  # no request needs a body
 BLOCK_BYTES = 65536
 PACED_BLOCK_BYTES = 8192
 BITS_PER_BYTE = 8
@@ -135,7 +138,7 @@
     root: Any = Resource()
     root.putChild(b'chunks', ChunkResource(store, context.secret, context.reactor))
     root.putChild(b'metrics', MetricsResource())
-    site = Site(root)
+    site = BoundedSite(root, context.reactor, MAX_CONNECTIONS, MAX_BODY_BYTES)
     listener = context.reactor.listenTCP(port, site, interface=context.host.address)
     events.log(CHUNK_SERVER_LISTENS, chunk_port=listener.getHost().port)
     return listener
--- a/jackdawsail/entry/bounded_http.py
+++ b/jackdawsail/bounded_http.py
@@ -1,5 +1,6 @@
-"""Limits on callers' connections: their number, the body size and the time to send a request."""
+"""An HTTP server with limits: connections, the body size and the time to send a request."""
 
+from functools import partial
 from typing import Any
 
 from twisted.internet.protocol import connectionDone
@@ -60,20 +61,34 @@
 
 
 class BoundedChannel(HTTPChannel):
-    """A connection that is aborted unless its first request arrives in time."""
+    """A connection that is aborted unless each request arrives in time once it has begun.
+
+    The time of the first request counts from the start of the connection.
+    """
 
     site: Any = None
     _request_timeout: Any = None
+    _awaits_request = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Starts the timeout of the first request."""
         super().connectionMade()
-        self._request_timeout = self.site.clock.callLater(
-            REQUEST_TIMEOUT_SECONDS, self.forceAbortClient
-        )
+        self._start_request_timeout()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Starts the timeout of a further request with its first bytes."""
+        if self._awaits_request:
+            self._awaits_request = False
+            self._start_request_timeout()
+        super().dataReceived(data)
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Awaits the next request on this connection."""
+        self._awaits_request = True
+        super().requestDone(request)
 
     def cancel_request_timeout(self) -> None:
-        """Stops the timeout of the first request."""
+        """Stops the timeout of a request."""
         if self._request_timeout is not None and self._request_timeout.active():
             self._request_timeout.cancel()
 
@@ -83,6 +98,11 @@
         self.site.connections -= 1
         super().connectionLost(reason)
 
+    def _start_request_timeout(self) -> None:
+        self._request_timeout = self.site.clock.callLater(
+            REQUEST_TIMEOUT_SECONDS, self.forceAbortClient
+        )
+
 
 class BoundedSite(Site):
     """Accepts at most ``max_connections`` connections; further ones are closed at once."""
@@ -91,6 +111,7 @@
         super().__init__(
             root, requestFactory=BoundedRequest, timeout=IDLE_TIMEOUT_SECONDS, reactor=clock
         )
+        self.displayTracebacks = False
         self.clock = clock
         self.connections = 0
         self.max_body_bytes = max_body_bytes
@@ -108,7 +129,7 @@
         channel: Any = BoundedChannel()
         channel.factory = self
         channel.site = self
-        channel.requestFactory = BoundedRequest
+        channel.requestFactory = partial(BoundedRequest, parsePOSTFormSubmission=False)
         channel.timeOut = IDLE_TIMEOUT_SECONDS
         channel.callLater = self.clock.callLater
         return channel
--- a/jackdawsail/control/admin_http.py
+++ b/jackdawsail/control/admin_http.py
@@ -1,4 +1,4 @@
-"""HTTP of the administration API: bounded requests, JSON answers and problems (RFC 9457)."""
+"""HTTP of the administration API: JSON answers and problems (RFC 9457)."""
 
 import json
 from dataclasses import dataclass
@@ -6,13 +6,13 @@
 from typing import Any
 
 from twisted.web.http import Request as HttpRequest
-from twisted.web.server import Request, Site
+
+from jackdawsail.bounded_http import BoundedSite
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-IDLE_SECONDS = 60
+MAX_CONNECTIONS = 1000
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
-TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,39 +30,9 @@
     return Problem(status, code, detail, extra)
 
 
-class BoundedRequest(Request):
-    """Closes the connection when a body exceeds ``MAX_BODY_BYTES``."""
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
-        """Stores a part of the body, or refuses the request if the body exceeds the limit."""
-        if self.content is not None and self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self._refuse()
-            return
-        super().handleContentChunk(data)
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Refuses a declared length above the limit before any of the body is stored."""
-        if length is not None and length > MAX_BODY_BYTES:
-            self._refuse()
-            return
-        super().gotLength(length)
-
-    def _refuse(self) -> None:
-        transport: Any = self.channel.transport
-        transport.write(TOO_LARGE)
-        self.channel.loseConnection()
-
-
-def make_site(resource: Any) -> Site:
+def make_site(resource: Any, clock: Any) -> BoundedSite:
     """Creates the HTTP server of a resource tree, with time and size limits."""
-    site = Site(
-        resource,
-        requestFactory=BoundedRequest,
-        parsePOSTFormSubmission=False,
-        timeout=IDLE_SECONDS,
-    )
-    site.displayTracebacks = False
-    return site
+    return BoundedSite(resource, clock, MAX_CONNECTIONS, MAX_BODY_BYTES)
 
 
 def write_json(request: HttpRequest, document: Any, status: int = HTTPStatus.OK) -> None:
--- a/jackdawsail/control/main.py
+++ b/jackdawsail/control/main.py
@@ -43,7 +43,8 @@
     root.putChild(b'metrics', MetricsResource())
     address = context.host.address
     link_port = listen(context.reactor, settings.link_port, address, links, context.tls)
-    admin_port = context.reactor.listenTCP(settings.admin_port, make_site(root), interface=address)
+    site = make_site(root, context.reactor)
+    admin_port = context.reactor.listenTCP(settings.admin_port, site, interface=address)
     control_context.replicator.start()
     events.log(
         events.PROCESS_READY,
--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
-from jackdawsail.entry.bounded_http import BoundedSite
+from jackdawsail.bounded_http import BoundedSite
 from jackdawsail.entry.link_components import make_link_components
 from jackdawsail.entry.request_components import make_request_components
 from jackdawsail.entry.tracker_runner import make_tracker_runner
--- a/test/control/test_admin_input.py
+++ b/test/control/test_admin_input.py
@@ -5,12 +5,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
-from twisted.web.test.requesthelper import DummyChannel
+from twisted.internet.task import Clock
+from twisted.web.resource import Resource
 
 from jackdawsail.control.admin_commands import COMMAND_TYPES, parse_command
-from jackdawsail.control.admin_http import MAX_BODY_BYTES, BoundedRequest
+from jackdawsail.control.admin_http import MAX_BODY_BYTES, make_site
 from jackdawsail.state.draft import Draft
 from jackdawsail.state.machine import run_command
+from test.entry.test_parsers import Transport
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
@@ -46,13 +48,21 @@
     assert "perhaps 'weight' was meant" in parsed.failure().detail
 
 
+def send_to_admin(framing):
+    """Sends the head of a command on a new connection."""
+    channel = make_site(Resource(), Clock()).buildProtocol(None)
+    channel.makeConnection(Transport())
+    channel.dataReceived(b'POST /v1/commands HTTP/1.1\r\nHost: x\r\n' + framing + b'\r\n\r\n')
+    return channel
+
+
 def test_oversized_bodies_end_the_connection():
-    declared = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
-    declared.gotLength(MAX_BODY_BYTES + 1)
-    assert b'413' in declared.channel.transport.written.getvalue()
-    assert declared.channel.transport.disconnected
-    chunked = BoundedRequest(DummyChannel(), parsePOSTFormSubmission=False)
-    chunked.gotLength(None)
+    declared = send_to_admin(b'Content-Length: %d' % (MAX_BODY_BYTES + 1))
+    assert b'413' in declared.transport.value()
+    assert declared.transport.disconnecting
+    chunked = send_to_admin(b'Transfer-Encoding: chunked')
+    eighth_bytes = MAX_BODY_BYTES // 8
     for _ in range(9):
-        chunked.handleContentChunk(b'x' * (MAX_BODY_BYTES // 8))
-    assert chunked.channel.transport.disconnected
+        if not chunked.transport.disconnecting:
+            chunked.dataReceived(b'%x\r\n' % eighth_bytes + b'x' * eighth_bytes + b'\r\n')
+    assert chunked.transport.disconnecting
--- a/test/entry/test_parsers.py
+++ b/test/entry/test_parsers.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from jackdawsail.entry.bounded_http import REQUEST_TIMEOUT_SECONDS, BoundedSite
+from jackdawsail.bounded_http import REQUEST_TIMEOUT_SECONDS, BoundedSite
 from jackdawsail.entry.call import CallKind
 from jackdawsail.entry.stages.parse import RawRequest, parse_request
 from jackdawsail.entry.web import CallersResource, RouteHandlers
@@ -130,3 +130,16 @@
                 channel.dataReceived(b'G')
         clock.advance(1)
     assert all(channel.transport.disconnecting for channel in channels[:5])
+
+
+def test_later_request_that_never_ends_is_dropped_like_the_first():
+    clock, ran = Clock(), []
+    channel = connect(make_site(clock, ran))
+    channel.dataReceived(b'GET /v1/unknown HTTP/1.1\r\nHost: x\r\n\r\n')
+    assert channel.transport.value().startswith(b'HTTP/1.1 404')
+    clock.advance(1)
+    for _ in range(int(REQUEST_TIMEOUT_SECONDS) + 1):
+        if not channel.transport.disconnecting:
+            channel.dataReceived(b'G')
+        clock.advance(1)
+    assert channel.transport.disconnecting
