--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -147,13 +147,14 @@
         )
         self.context.upstreams.apply_load(load, self.reactor.seconds())
 
-    def call(self, path='/p/x', attempt='a1', headers='', method='GET', body=''):
+    def call(self, path='/p/x', attempt='a1', headers='', method='GET', body='', version='1.1'):
         """Sends a caller's request on a new connection; returns the caller's transport."""
         connection = self.factory.buildProtocol(None)
         transport = Transport()
         connection.makeConnection(transport)
         transport.connection = connection
-        head = f'{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n{headers}'
+        head = f'{method} {path} HTTP/{version}\r\nHost: a.example\r\n'
+        head += f'Attempt-Id: {attempt}\r\n{headers}'
         if body:
             head += f'Content-Length: {len(body)}\r\n'
         connection.dataReceived(f'{head}\r\n{body}'.encode())
