--- a/jackdawsail/ui/client.py
+++ b/jackdawsail/ui/client.py
@@ -8,6 +8,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from contextlib import closing
 from dataclasses import dataclass
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
@@ -19,6 +20,7 @@
 ATTEMPT_TIMEOUT_SECONDS = 5.0
 GIVE_UP_SECONDS = 15.0
 RETRY_PAUSE_SECONDS = 0.3
+MAX_ANSWER_BYTES = 67_108_864  # a longer answer is cut here and no longer valid JSON
 
 _RETRIED_STATUSES = frozenset((HTTPStatus.MISDIRECTED_REQUEST, HTTPStatus.SERVICE_UNAVAILABLE))
 _EXIT_CODES = {
@@ -122,15 +124,13 @@
     def _send(
         self, host: str, method: str, path: str, body: dict[str, Any] | None
     ) -> AdminResponse:
-        connection = HTTPConnection(host, timeout=ATTEMPT_TIMEOUT_SECONDS)
         headers = {'Authorization': f'Bearer {self.token}', 'Content-Type': 'application/json'}
         raw = None if body is None else json.dumps(body)
-        try:
+        with closing(HTTPConnection(host, timeout=ATTEMPT_TIMEOUT_SECONDS)) as connection:
             connection.request(method, path, raw, headers)
             http_response = connection.getresponse()
-            return AdminResponse(http_response.status, json.loads(http_response.read()))
-        finally:
-            connection.close()
+            document = json.loads(http_response.read(MAX_ANSWER_BYTES))
+            return AdminResponse(http_response.status, document)
 
 
 def _document(response: AdminResponse) -> dict[str, Any]:
