--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from jackdawsail import events
 from jackdawsail.message_router import MessageRouter
@@ -28,6 +28,7 @@
 # A document takes a few round trips; after that it is requested again, from the control
 # host whose summary arrives next.
 DOCUMENT_RETRY_SECONDS = 0.3
+MAX_DOCUMENT_BYTES = 16_777_216  # the longest that a control host accepts
 
 DOCUMENT_IN_FORCE = events.define(320, 'info', 'site document is in force in this process')
 DOCUMENT_UNREADABLE = events.define(
@@ -115,7 +116,7 @@
         link.send(DocumentWanted(revision))
 
     def _on_document(self, link: Link, pushed: DocumentPushed) -> None:
-        outcome = self.decode_document(zlib.decompress(pushed.compressed))
+        outcome = _decompress(pushed.compressed).bind(self.decode_document)
         if isinstance(outcome, Failure):
             events.log(DOCUMENT_UNREADABLE, control=_peer_name(link), reason=outcome.failure())
             return
@@ -151,3 +152,12 @@
 
 def _peer_name(link: Any) -> str:
     return link.peer.name if link.peer else ''
+
+
+def _decompress(compressed: bytes) -> Result[bytes, str]:
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(compressed, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        return Failure(str(error))
+    return Success(body) if decompressor.eof else Failure('cut off, or too long')
