--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -9,6 +9,7 @@
 from jackdawsail.platform.fields import MILLISECOND
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 
+MAX_VERSION_DIGITS = 18
 _AUTHORIZATION_SCHEME = b'token '
 _NOT_FORWARDED = frozenset(
     (
@@ -70,12 +71,11 @@
 
 def decode_upstream_head(head: HttpAnswerHead) -> UpstreamHead:
     """Decodes the platform's headers and the status of an upstream's answer."""
-    versions = head.header(b'weight-versions').decode('latin-1')
     return UpstreamHead(
         status=head.status,
         attempt=head.header(b'attempt-id').decode('latin-1'),
         not_run=bool(head.header(b'not-executed')) or head.status == 421,
-        weight_version=int(versions) if versions.isdigit() else 0,
+        weight_version=_version_number(head.header(b'weight-versions')),
         cold_seconds=_non_negative_number(head.header(b'cold-ms')) * MILLISECOND,
     )
 
@@ -96,6 +96,11 @@
     return int(_non_negative_number(prompt)), int(_non_negative_number(answer))
 
 
+def _version_number(value: bytes) -> int:
+    """Parses a version; returns 0 for other text and for more digits than any version has."""
+    return int(value) if value.isdigit() and len(value) <= MAX_VERSION_DIGITS else 0
+
+
 def _non_negative_number(value: bytes) -> float:
     """Parses a non-negative number; returns 0 for other text and for infinity or NaN."""
     try:
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -285,6 +285,12 @@
     assert head.not_run is not_run
 
 
+@pytest.mark.parametrize('versions', [b'x', b'', b'\xb2', b'9' * 5000, b'-1'])
+def test_unreadable_weight_version_of_an_answer_is_none(versions):
+    head = HttpAnswerHead(200, b'', ((b'Weight-Versions', versions),))
+    assert traffic.decode_upstream_head(head).weight_version == 0
+
+
 def test_report_and_piece_list_are_decoded():
     report = {
         'models': [{'name': 'm', 'version': 2, 'adapters': []}],
