--- a/test/mutants.py
+++ b/test/mutants.py
@@ -25,6 +25,7 @@
 
 
 CONSENSUS, PROXY, ROUTING = 'test/consensus', 'test/proxy', 'test/routing'
+HTTP = 'test/http1'
 MUTANTS = (
     Mutant('consensus/election.py', "core.voted_for in {'', request.sender}", 'True', CONSENSUS),
     Mutant(
@@ -131,6 +132,41 @@
         'if False:',
         'test/staging',
     ),
+    Mutant(
+        'proxy/relaying.py',
+        'return relay is not None and head.decoded.status in SUCCESS and not relay.is_whole()',
+        'return False',
+        PROXY,
+    ),
+    Mutant(
+        'proxy/relaying.py',
+        'if self.unfinished_bytes:\n            return False\n',
+        '',
+        PROXY,
+    ),
+    Mutant('proxy/relaying.py', 'or self._framing is not Framing.connection', 'or True', PROXY),
+    Mutant('proxy/relaying.py', 'or frame.has_fields', 'or True', PROXY),
+    Mutant('proxy/relaying.py', 'return not self._frames.is_too_long', 'return True', PROXY),
+    Mutant('proxy/attempt.py', 'self._refusal_bytes > REFUSAL_BODY_BYTES', 'False', PROXY),
+    Mutant(
+        'proxy/task.py',
+        'if attempt.head is not None and attempt.head.decoded.not_run:',
+        'if False:',
+        PROXY,
+    ),
+    Mutant('proxy/task.py', 'task.attempt.set_paused(is_full)', 'pass', PROXY),
+    Mutant('http1/client.py', 'if not reason.check(ConnectionDone):', 'if False:', HTTP),
+    Mutant('http1/client.py', 'if self._head_bytes > MAX_HEAD_BYTES:', 'if False:', HTTP),
+    Mutant('http1/client.py', ' or self._foreign_answers > MAX_FOREIGN_ANSWERS', '', HTTP),
+    Mutant('http1/fetch.py', 'len(self._body) > self._limits.body_bytes', 'False', HTTP),
+    Mutant(
+        'http1/fetch.py',
+        'now_seconds - self._started_seconds >= self._limits.total_seconds',
+        'False',
+        HTTP,
+    ),
+    Mutant('http1/server.py', 'if self._unread_bytes > MAX_UNREAD_BYTES:', 'if False:', HTTP),
+    Mutant('agent/upstream.py', 'self._received_bytes > MAX_ANSWER_BYTES', 'False', 'test/agent'),
     Mutant(
         'proxy/relaying.py',
         'return begun and head.decoded.status not in SUCCESS',
