--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -142,15 +142,29 @@
         )
 
     def _has_live_quorum(self, configuration: Configuration) -> bool:
-        live_voters = [voter for voter in configuration.voters if self._is_up(voter)]
+        live_voters = [voter for voter in configuration.voters if self._has_answered(voter)]
         return configuration.has_quorum(live_voters)
 
     def _is_up(self, node: str) -> bool:
         return self._silent_seconds(node) < self._core.timing.election_timeout_seconds
 
+    def _has_answered(self, node: str) -> bool:
+        """Returns whether a member has recently answered this leader.
+
+        In contrast to ``_is_up`` a member that a new leader has not heard yet does not count:
+        its disk may be gone.
+        """
+        if node == self._core.node:
+            return True
+        progress = self._replication.progress.get(node)
+        if progress is None:
+            return False
+        silent_seconds = self._core.now_seconds - progress.acked_seconds
+        return silent_seconds < self._core.timing.election_timeout_seconds
+
     def _has_caught_up(self, node: str) -> bool:
         progress = self._replication.progress.get(node)
-        if progress is None or not self._is_up(node):
+        if progress is None or not self._has_answered(node):
             return False
         return progress.match_index + CAUGHT_UP_ENTRIES >= self._core.log.last_index
 
--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -178,3 +178,30 @@
     assert len(cluster.acknowledged) == 2
     assert cluster.settle()
     cluster.check_acknowledged()
+
+
+def make_leader_with_learner():
+    """Makes a leader that wants a fourth voter and has a learner that it has not heard."""
+    configuration = Configuration(VOTERS, ('d@1',), 5).encode()
+    durable = DurableState(term=3, entries=(Entry(1, 1, EntryKind.configuration, configuration),))
+    node = make_node('a@1', Timing(), random.Random(1), durable, now_seconds=0)
+    node.step(Tick(), 3)
+    node.step(PreVoteReply('b@1', 'a@1', 4, granted=True), 3)
+    node.step(VoteReply('b@1', 'a@1', 4, granted=True), 3)
+    node.step(appended(2, 3), 3.05)
+    node.step(Tick(), 3.1)
+    return node
+
+
+def test_learner_that_has_not_answered_a_new_leader_is_not_promoted_to_a_voter():
+    node = make_leader_with_learner()
+    assert node.is_leader(3.1)
+    assert node.core.configuration.voters == VOTERS
+
+
+def test_learner_is_promoted_once_it_has_answered_and_caught_up():
+    node = make_leader_with_learner()
+    node.step(appended(2, 3.1, sender='d@1'), 3.15)
+    node.step(appended(2, 3.1), 3.15)
+    node.step(Tick(), 3.2)
+    assert set(node.core.configuration.voters) == {*VOTERS, 'd@1'}
