--- a/jackdawsail/group/consensus_replica.py
+++ b/jackdawsail/group/consensus_replica.py
@@ -58,16 +58,18 @@
     def raise_voter_target(self, tolerated_host_losses: int) -> list[str]:
         """Raises the target number of voters to what the tolerated host losses need.
 
-        Has an effect only on the leader, and only once the group has enough members.
+        Has an effect only on the leader, and only once the group has members on enough hosts;
+        a host whose disk was replaced is a member twice until the old one is removed.
         Returns the hosts of all members, which the caller must dial.
         """
         configuration = self.replicator.host.node.core.configuration
         needed_voters = 2 * tolerated_host_losses + 1
-        is_short = configuration.target_voters < needed_voters <= len(configuration.members)
+        hosts = {host_of(member) for member in configuration.members}
+        is_short = configuration.target_voters < needed_voters <= len(hosts)
         if is_short and self.replicator.is_leader():
             events.log(TARGET_CHANGED, voters=needed_voters, members=list(configuration.members))
             self.replicator.change_voters(target_voters=needed_voters)
-        return [host_of(member) for member in configuration.members]
+        return sorted(hosts)
 
 
 def make_consensus_replica(
