--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -140,6 +140,7 @@
         self._body = bytearray()
         self._unread_bytes = 0
         self._refused = False
+        self._is_processing = False
         self._timeout = _Timeout(options.clock, self._handle_timeout)
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
@@ -158,12 +159,15 @@
             return
         if self._exchange is None and not self._is_reading():
             self._timeout.start(self.options.limits.head_seconds or MAX_REQUEST_SECONDS)
+        was_answering = self._exchange is not None
         self._core.receive_data(received)
         self._process_events()
-        if self._exchange is not None:
+        if was_answering:
             self._unread_bytes += len(received)
-            if self._unread_bytes > MAX_UNREAD_BYTES:
-                self.transport.pauseProducing()
+        elif self._exchange is not None:
+            self._unread_bytes = len(self._core.trailing_data[0])
+        if self._unread_bytes > MAX_UNREAD_BYTES:
+            self.transport.pauseProducing()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Reports the disconnect to the task of a running exchange."""
@@ -173,10 +177,6 @@
         if exchange is not None:
             exchange.report_disconnect()
 
-    def _report_full(self, is_full: bool) -> None:
-        if self._exchange is not None:
-            self._exchange.on_full(is_full)
-
     def is_idle(self) -> bool:
         """Returns whether no request is being read or answered."""
         return self._exchange is None and not self._is_reading()
@@ -217,6 +217,10 @@
         self._process_events()
         self._read_on()
 
+    def _report_full(self, is_full: bool) -> None:
+        if self._exchange is not None:
+            self._exchange.on_full(is_full)
+
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
         was_paused = self._unread_bytes > MAX_UNREAD_BYTES
@@ -225,19 +229,24 @@
             self.transport.resumeProducing()
 
     def _process_events(self) -> None:
+        if self._is_processing:
+            # An answer given at once: the loop that handed over its request goes on.
+            return
+        self._is_processing = True
         while self._exchange is None and not self._refused:
             try:
                 event = self._core.next_event()
             except h11.RemoteProtocolError as error:
                 self._refuse(error.error_status_hint, str(error).encode())
-                return
+                break
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 self._send_continue()
-                return
+                break
             if isinstance(event, h11.ConnectionClosed):
                 self.close()
-                return
+                break
             self._handle_event(event)
+        self._is_processing = False
 
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -246,3 +246,20 @@
     for _ in range(10):
         server.receive(b'x' * 1000)
     assert not server.connection._core.trailing_data[0]
+
+
+def test_long_request_does_not_count_as_sent_ahead_of_its_answer():
+    server = ServerHarness(CallerLimits(body_bytes=2 * MAX_UNREAD_BYTES))
+    length = MAX_UNREAD_BYTES + 10
+    head = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n' % length
+    server.receive(head, b'x' * 10, b'x' * MAX_UNREAD_BYTES)
+    server.receive(GET)
+    assert len(server.exchanges) == 1
+    assert server.transport.producerState == 'producing'
+
+
+def test_many_requests_sent_ahead_are_answered_at_once_without_a_deep_stack():
+    server = ServerHarness()
+    server.connection.options.handler = lambda exchange: exchange.answer(HttpAnswer(200, b''))
+    server.receive(GET * 1000)
+    assert server.transport.value().count(b'HTTP/1.1 200') == 1000
