--- a/test/http1/test_client.py
+++ b/test/http1/test_client.py
@@ -197,3 +197,12 @@
     channel.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * 2 * MAX_HEAD_BYTES)
     assert owner.ends == []
     assert len(owner.body) == 2 * MAX_HEAD_BYTES
+
+
+@pytest.mark.parametrize(('foreign_answers', 'end'), [(4, 'complete'), (5, BreakReason.garbled)])
+def test_few_answers_to_earlier_requests_are_passed_over(foreign_answers, end):
+    owner = Owner(foreign={b'old'})
+    channel = make_channel(owner)
+    foreign = b'HTTP/1.1 200 OK\r\nAttempt-Id: old\r\nContent-Length: 0\r\n\r\n'
+    channel.dataReceived(foreign * foreign_answers + OK)
+    assert owner.ends == [end]
