--- a/test/consensus/test_cluster.py
+++ b/test/consensus/test_cluster.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from test.consensus.cluster import Cluster
+from test.consensus.disks import Disk
 
 HOSTS = [f'h{number}' for number in range(5)]
 host_names = st.sampled_from(HOSTS)
@@ -159,6 +160,25 @@
     return machine
 
 
+def test_group_recovers_when_all_lose_power_and_a_voter_and_a_learner_lose_their_disks():
+    cluster = Cluster(seed=11, hosts=4, voters=3)
+    cluster.run(3)
+    learner = next(name for name in cluster.members if name not in cluster.voters())
+    voter = next(name for name in cluster.voters() if name != cluster.leader())
+    for name in cluster.members:
+        cluster.crash(name)
+    for name in (voter, learner):
+        cluster.members[name].disk = Disk()
+        cluster.members[name].disk_number += 1
+    for name in cluster.members:
+        cluster.boot(name)
+    while not cluster.leader():
+        cluster.run(0.1)
+    cluster.change(cluster.leader(), target_voters=4)
+    assert cluster.settle()
+    cluster.check_acknowledged()
+
+
 @pytest.mark.slow
 @pytest.mark.parametrize('seed', range(40))
 def test_long_random_walk(seed):
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -68,6 +68,12 @@
         'True',
         'test/registry',
     ),
+    Mutant(
+        'consensus/membership.py',
+        'if progress is None or not self._has_answered(node):',
+        'if progress is None:',
+        CONSENSUS,
+    ),
     Mutant('proxy/send_history.py', 'not self.route.may_repeat or ', '', PROXY),
     Mutant('proxy/send_history.py', 'self.ran_on.add(upstream)', 'pass', PROXY),
     Mutant(
