--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -233,21 +233,27 @@
             # An answer given at once: the loop that handed over its request goes on.
             return
         self._is_processing = True
-        while self._exchange is None and not self._refused:
-            try:
-                event = self._core.next_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse(error.error_status_hint, str(error).encode())
-                break
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                self._send_continue()
-                break
-            if isinstance(event, h11.ConnectionClosed):
-                self.close()
-                break
-            self._handle_event(event)
+        while self._exchange is None and not self._refused and self._process_event():
+            continue
         self._is_processing = False
 
+    def _process_event(self) -> bool:
+        """Handles the next event; returns False if there is none, or the connection ends."""
+        try:
+            event = self._core.next_event()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error).encode())
+            return False
+        if isinstance(event, h11.ConnectionClosed):
+            self.close()
+            return False
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            if self._core.they_are_waiting_for_100_continue:
+                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            return False
+        self._handle_event(event)
+        return True
+
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._handle_head(event)
@@ -294,10 +300,6 @@
         close_header = (b'Connection', b'close')
         self._exchange.answer(HttpAnswer(status, reason, (close_header,)))
 
-    def _send_continue(self) -> None:
-        if self._core.they_are_waiting_for_100_continue:
-            self._send(h11.InformationalResponse(status_code=100, headers=[]))
-
     def _send(self, event: Any) -> None:
         sent = self._core.send(event)
         if sent:
