--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -134,7 +134,7 @@
 
     def _is_replaced(self, member: str) -> bool:
         """Returns whether the host now runs under another node id, as its disk was replaced."""
-        if self._is_up(member):
+        if self._silent_seconds(member) < self._core.timing.election_timeout_seconds:
             return False
         others = [other for other in self._core.configuration.members if other != member]
         return any(
@@ -145,14 +145,10 @@
         live_voters = [voter for voter in configuration.voters if self._has_answered(voter)]
         return configuration.has_quorum(live_voters)
 
-    def _is_up(self, node: str) -> bool:
-        return self._silent_seconds(node) < self._core.timing.election_timeout_seconds
-
     def _has_answered(self, node: str) -> bool:
         """Returns whether a member has recently answered this leader.
 
-        In contrast to ``_is_up`` a member that a new leader has not heard yet does not count:
-        its disk may be gone.
+        A member that a new leader has not heard yet does not count: its disk may be gone.
         """
         if node == self._core.node:
             return True
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -233,8 +233,9 @@
             # An answer given at once: the loop that handed over its request goes on.
             return
         self._is_processing = True
-        while self._exchange is None and not self._refused and self._process_event():
-            continue
+        has_event = True
+        while has_event and self._exchange is None and not self._refused:
+            has_event = self._process_event()
         self._is_processing = False
 
     def _process_event(self) -> bool:
