--- a/jackdawsail/http1/channel_pool.py
+++ b/jackdawsail/http1/channel_pool.py
@@ -84,6 +84,14 @@
             latest.channel.close()
         return None
 
+    def acquire(self, address: str, on_opened: OnOpened) -> None:
+        """Passes an idle channel to ``on_opened`` at once, or a new one once it is open."""
+        channel = self.acquire_idle(address)
+        if channel is None:
+            self.connect(address, on_opened)
+        else:
+            on_opened(channel)
+
     def connect(self, address: str, on_opened: OnOpened) -> Any:
         """Opens a channel; ``on_opened`` gets it, or None on an error or a timeout.
 
--- a/jackdawsail/http1/fetch.py
+++ b/jackdawsail/http1/fetch.py
@@ -115,11 +115,7 @@
     status is a success.
     """
     collector = _AnswerCollector(pool, limits)
-    channel = pool.acquire_idle(address)
-    if channel is None:
-        pool.connect(address, lambda opened: collector.send(opened, request))
-    else:
-        collector.send(channel, request)
+    pool.acquire(address, lambda channel: collector.send(channel, request))
     return collector.done
 
 
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -156,11 +156,7 @@
     """Sends a request to ``host:port``; its answer is read by the returned object."""
     pool.close_expired()
     paced_read = PacedRead(pool)
-    channel = pool.acquire_idle(address)
-    if channel is None:
-        pool.connect(address, lambda opened: paced_read.send(opened, request))
-    else:
-        paced_read.send(channel, request)
+    pool.acquire(address, lambda channel: paced_read.send(channel, request))
     return paced_read
 
 
