Requests are made by one function, and JSON bodies named once

http1/fetch.py and http1/base_url.py each added Host and Content-Length by rules of their own, and four modules spelled out the JSON header. The same headers are sent.

--- a/jackdawsail/agent/engine_admin.py
+++ b/jackdawsail/agent/engine_admin.py
@@ -10,7 +10,7 @@
 from jackdawsail.http1.base_url import BaseUrl, parse_base_url
 from jackdawsail.http1.channel_pool import ChannelPool, MakeChannelPool
 from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
-from jackdawsail.http1.messages import CLOSE
+from jackdawsail.http1.messages import CLOSE, JSON_BODY
 
 MAX_ANSWER_BYTES = 65_536
 STATE_LIMITS = FetchLimits(silent_seconds=2.0, total_seconds=2.0, body_bytes=MAX_ANSWER_BYTES)
@@ -66,7 +66,7 @@
         return requested.addCallback(_parse_load_answer, order.release)
 
     def _request(self, method: str, path: str, body: bytes, limits: FetchLimits) -> Any:
-        headers = (CLOSE, (b'Content-Type', b'application/json'))
+        headers = (CLOSE, JSON_BODY)
         request = self._base_url.make_request(method, path, headers, body)
         return fetch(self._pool, self._base_url.address, request, limits)
 
--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -15,7 +15,7 @@
 from jackdawsail.http1.base_url import BaseUrl
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.client import BreakReason, ClientChannel
-from jackdawsail.http1.messages import CLOSE, Headers, HttpAnswerHead, HttpRequest
+from jackdawsail.http1.messages import CLOSE, JSON_BODY, Headers, HttpAnswerHead, HttpRequest
 from jackdawsail.wire.work_messages import Outcome, Reserve, Work
 
 STALL_SECONDS = 20.0
@@ -276,9 +276,8 @@
         document['resume_from'] = work.resume_from
         body = EngineBody(job.release)
         body.resume_from(work.resume_from)
-        headers = ((b'Content-Type', b'application/json'),)
         encoded = json.dumps(document).encode()
-        return self._run('POST', '/v1/generate', headers, encoded, body, sink)
+        return self._run('POST', '/v1/generate', (JSON_BODY,), encoded, body, sink)
 
     def call(self, job: Job, sink: JobSink) -> UpstreamRun:
         """Starts a call to the plain service."""
--- a/jackdawsail/http1/base_url.py
+++ b/jackdawsail/http1/base_url.py
@@ -10,10 +10,9 @@
 from urllib.parse import urlsplit
 
 from jackdawsail.errors import UserError
-from jackdawsail.http1.messages import Headers, HttpRequest
+from jackdawsail.http1.messages import Headers, HttpRequest, make_request
 
 DEFAULT_PORTS = {'http': 80, 'https': 443}
-BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,12 +26,9 @@
     def make_request(
         self, method: str, path: str, headers: Headers = (), body: bytes = b''
     ) -> HttpRequest:
-        """Makes a request for a path below the URL, with the headers that its framing needs."""
-        all_headers = ((b'Host', self.address.encode()), *headers)
-        if body or method not in BODILESS_METHODS:
-            all_headers += ((b'Content-Length', str(len(body)).encode()),)
+        """Makes a request for a path below the URL."""
         target = f'{self.path_prefix}{path}'.encode()
-        return HttpRequest(method.encode(), target, all_headers, body)
+        return make_request(method.encode(), self.address, target, headers, body)
 
 
 def parse_base_url(url: str) -> BaseUrl:
--- a/jackdawsail/http1/fetch.py
+++ b/jackdawsail/http1/fetch.py
@@ -117,12 +117,3 @@
     collector = _AnswerCollector(pool, limits)
     pool.acquire(address, lambda channel: collector.send(channel, request))
     return collector.done
-
-
-def make_request(method: bytes, address: str, target: bytes, body: bytes = b'') -> HttpRequest:
-    """Makes a request with a ``Host`` header; a body is sent as JSON."""
-    headers = [(b'Host', address.encode())]
-    if body or method in {b'PUT', b'POST'}:
-        headers.append((b'Content-Length', str(len(body)).encode()))
-        headers.append((b'Content-Type', b'application/json'))
-    return HttpRequest(method, target, tuple(headers), body)
--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -6,6 +6,8 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 CLOSE = (b'Connection', b'close')
+JSON_BODY = (b'Content-Type', b'application/json')
+BODILESS_METHODS = frozenset((b'GET', b'HEAD', b'DELETE'))
 BODILESS_STATUSES = frozenset((204, 304))
 
 HOP_BY_HOP = frozenset(
@@ -72,6 +74,16 @@
         return first_value(self.headers, name)
 
 
+def make_request(
+    method: bytes, address: str, target: bytes, headers: Headers = (), body: bytes = b''
+) -> HttpRequest:
+    """Makes a request to ``host:port`` with the headers that its framing needs."""
+    all_headers = ((b'Host', address.encode()), *headers)
+    if body or method not in BODILESS_METHODS:
+        all_headers += ((b'Content-Length', str(len(body)).encode()),)
+    return HttpRequest(method, target, all_headers, body)
+
+
 def first_value(headers: Headers, name: bytes) -> bytes:
     """Returns the first value of the header ``name`` (lower case), or empty bytes."""
     for key, value in headers:
--- a/jackdawsail/platform/calls.py
+++ b/jackdawsail/platform/calls.py
@@ -7,12 +7,11 @@
 from returns.result import Failure
 
 from jackdawsail.group import calls
-from jackdawsail.http1.messages import HttpAnswer, HttpRequest
+from jackdawsail.http1.messages import JSON_BODY, HttpAnswer, HttpRequest
 from jackdawsail.platform.documents import content_digest, decode_document
 from jackdawsail.platform.registrations import decode_registration
 from jackdawsail.site.document import document_faults
 
-_JSON = ((b'Content-Type', b'application/json'),)
 _INSTANCES_PATH = '/api/instances/'
 _EVACUATION_PATH = '/api/evacuation/'
 
@@ -128,11 +127,11 @@
     @_encode.register
     def _encode_ask_host(self, answer: calls.AskHost, target: bytes) -> HttpAnswer:
         location = f'http://{answer.host}:{self._control_port}'.encode() + target
-        return HttpAnswer(307, b'{}', (*_JSON, (b'Location', location)))
+        return HttpAnswer(307, b'{}', (JSON_BODY, (b'Location', location)))
 
     @_encode.register
     def _encode_document(self, answer: calls.DocumentFound, _target: bytes) -> HttpAnswer:
-        return HttpAnswer(200, answer.body, _JSON)
+        return HttpAnswer(200, answer.body, (JSON_BODY,))
 
     @_encode.register
     def _encode_entries(self, answer: calls.EntriesFound, _target: bytes) -> HttpAnswer:
@@ -141,4 +140,4 @@
 
 
 def _json(status: int, content: object) -> HttpAnswer:
-    return HttpAnswer(status, msgspec.json.encode(content), _JSON)
+    return HttpAnswer(status, msgspec.json.encode(content), (JSON_BODY,))
--- a/jackdawsail/staging/engine_calls.py
+++ b/jackdawsail/staging/engine_calls.py
@@ -8,7 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch, make_request
+from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
+from jackdawsail.http1.messages import JSON_BODY, make_request
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder
 
 # The engine is on the same host; even a busy one answers within a second.
@@ -72,7 +73,8 @@
         return self.codec.decode_report(outcome.unwrap())
 
     async def _call(self, method: bytes, target: bytes, body: bytes = b'') -> Any:
-        request = make_request(method, self.address, target, body)
+        headers = () if method == b'GET' else (JSON_BODY,)
+        request = make_request(method, self.address, target, headers, body)
         return await fetch(self.pool, self.address, request, CALL_LIMITS)
 
 
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -15,7 +15,8 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchLimits, fetch, make_request
+from jackdawsail.http1.fetch import FetchLimits, fetch
+from jackdawsail.http1.messages import make_request
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.sources import OriginCodec, Source
 
--- a/test/http1/test_fetch.py
+++ b/test/http1/test_fetch.py
@@ -4,7 +4,8 @@
 from returns.result import Failure, Success
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch, make_request
+from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
+from jackdawsail.http1.messages import make_request
 from test.http1.ends import Transport
 from test.proxy.world import Reactor, close, reset
 
