Whether a refusal's body is forwarded is decided in one place, whether an answer was cut off too

Since an attempt keeps the body of a refusal to itself, the task's own check was never reached; is_cut_off now knows refusals by itself.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -49,7 +49,7 @@
         """Called with the head of the answer."""
 
     def attempt_body(self, attempt: 'Attempt', body: bytes) -> None:
-        """Called with the next part of the answer's body."""
+        """Called with the next part of the answer's body, but not with that of a refusal."""
 
     def attempt_completed(self, attempt: 'Attempt') -> None:
         """Called at the end of a complete answer."""
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -65,7 +65,9 @@
 
 def is_cut_off(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
     """Returns whether an answer has ended before its content was complete."""
-    return relay is not None and head.decoded.status in SUCCESS and not relay.is_whole()
+    if relay is None or head.decoded.not_run:
+        return False
+    return head.decoded.status in SUCCESS and not relay.is_whole()
 
 
 def unfinished_bytes(relay: AnswerRelay | None) -> int:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -104,8 +104,8 @@
             self.relay = make_relay(self.exchange, self.route, head)
 
     def attempt_body(self, attempt: Attempt, body: bytes) -> None:
-        """Forwards a part of the body, unless the answer is one that must not be forwarded."""
-        if self.relay is None or attempt.head is None or attempt.head.decoded.not_run:
+        """Forwards a part of the body, unless it cannot continue what was forwarded before."""
+        if self.relay is None or attempt.head is None:
             return
         if cannot_continue(self.relay, attempt.head):
             return
@@ -124,12 +124,12 @@
         if head is None:
             return
         now_seconds = self.context.clock.seconds()
-        if not head.decoded.not_run and is_cut_off(self.relay, head):
+        cut_off = is_cut_off(self.relay, head)
+        metrics.ANSWERS.labels(attempt.framing, CUT_OFF if cut_off else 'complete').inc()
+        if cut_off:
             attempt.upstream.call_failed(now_seconds)
-            metrics.ANSWERS.labels(attempt.framing, CUT_OFF).inc()
             self.attempt_failed(attempt, AttemptEnd.broken, CUT_OFF)
             return
-        metrics.ANSWERS.labels(attempt.framing, 'complete').inc()
         status = head.decoded.status
         failed = status >= SERVER_ERROR
         attempt.upstream.call_answered(
--- a/test/proxy/test_broken_refusals.py
+++ b/test/proxy/test_broken_refusals.py
@@ -1,9 +1,22 @@
 """A refusal that says that the call did not run is obeyed though its body is broken."""
 
+from dataclasses import replace
+
 import pytest
 
 from jackdawsail.proxy.attempt import REFUSAL_BODY_BYTES, REFUSAL_BODY_SECONDS
-from test.proxy.world import World, answer, close, reset, status_of
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM,
+    STREAM_HEADERS,
+    World,
+    answer,
+    begin_stream,
+    close,
+    event,
+    reset,
+    status_of,
+)
 
 HEAD = b'HTTP/1.1 503 X\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\n'
 
@@ -65,3 +78,21 @@
     assert world.context.pool.acquire_idle('10.0.0.1:80') or world.context.pool.acquire_idle(
         '10.0.0.2:80'
     )
+
+
+def test_body_of_a_refusal_is_never_forwarded_into_a_stream():
+    world = World(3, MODEL_SERVICE, routes=[replace(STREAM, max_upstreams=3)])
+    caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    begin_stream(first)
+    first.dataReceived(event(1)[:8])
+    reset(first)
+    second = world.accept()
+    second.dataReceived(HEAD + b'\r\n' + b'\n\nid: 1\ndata: refused\n\n')
+    close(second)
+    third = world.accept()
+    begin_stream(third)
+    third.dataReceived(event(1) + b'0\r\n\r\n')
+    assert b'refused' not in caller.value()
+    assert b'x1' in caller.value()
+    assert caller.value().endswith(b'0\r\n\r\n')
