--- a/test/agent/test_upstream.py
+++ b/test/agent/test_upstream.py
@@ -18,8 +18,7 @@
 from jackdawsail.http1.base_url import parse_base_url
 from jackdawsail.http1.channel_pool import ChannelPool
 from test.agent.test_streams import TWO_TOKENS, Sink, event
-from test.http1.ends import Transport
-from test.proxy.world import Reactor, close, reset
+from test.http1.ends import Reactor, close, reset
 
 BASE_URL = parse_base_url('http://127.0.0.1:9000/below/')
 DONE = event(done=True, tokens=2, release='r1')
@@ -33,10 +32,7 @@
         self.pool = ChannelPool(self.reactor, self.reactor)
 
     def accept(self):
-        _address, factory = self.reactor.pending_connects.pop()
-        channel = factory.buildProtocol(None)
-        channel.makeConnection(Transport())
-        return channel
+        return self.reactor.accept()
 
 
 class Job:
--- a/test/http1/ends.py
+++ b/test/http1/ends.py
@@ -1,6 +1,9 @@
-"""A transport in memory for tests of HTTP connections."""
+"""A transport and a reactor in memory for tests of HTTP connections."""
 
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 
 class Transport(StringTransport):
@@ -25,3 +28,33 @@
         written = self.value()
         self.clear()
         return written
+
+
+class Reactor(Clock):
+    """Records connection attempts in ``pending_connects``; the test opens or refuses each of them."""
+
+    def __init__(self):
+        super().__init__()
+        self.pending_connects = []
+
+    def connectTCP(self, host, port, factory, timeout, bind):
+        self.pending_connects.append((f'{host}:{port}', factory))
+        return self
+
+    def disconnect(self):
+        pass
+
+    def accept(self):
+        """Opens the oldest requested connection and returns its channel."""
+        _address, factory = self.pending_connects.pop(0)
+        channel = factory.buildProtocol(None)
+        channel.makeConnection(Transport())
+        return channel
+
+
+def reset(channel):
+    channel.connectionLost(Failure(ConnectionLost()))
+
+
+def close(channel):
+    channel.connectionLost(Failure(ConnectionDone()))
--- a/test/http1/test_fetch.py
+++ b/test/http1/test_fetch.py
@@ -6,8 +6,7 @@
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
 from jackdawsail.http1.messages import make_request
-from test.http1.ends import Transport
-from test.proxy.world import Reactor, close, reset
+from test.http1.ends import Reactor, close, reset
 
 LIMITS = FetchLimits(silent_seconds=1.0, total_seconds=5.0, body_bytes=1000)
 
@@ -21,9 +20,7 @@
         pool = ChannelPool(self.reactor, self.reactor)
         request = make_request(b'GET', 'h:1', b'/')
         fetch(pool, 'h:1', request, LIMITS).addCallback(self.outcomes.append)
-        _address, factory = self.reactor.pending_connects.pop()
-        self.channel = factory.buildProtocol(None)
-        self.channel.makeConnection(Transport())
+        self.channel = self.reactor.accept()
 
     def receive(self, received):
         if not self.channel.transport.aborted:
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -4,16 +4,15 @@
 
 from jackdawsail import events
 from jackdawsail.proxy import call_log
+from test.http1.ends import close, reset
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM_HEADERS,
     World,
     begin_stream,
     begin_unframed_stream,
-    close,
     event,
     plain_event,
-    reset,
 )
 
 
--- a/test/proxy/test_broken_refusals.py
+++ b/test/proxy/test_broken_refusals.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jackdawsail.proxy.attempt import REFUSAL_BODY_BYTES, REFUSAL_BODY_SECONDS
+from test.http1.ends import close, reset
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM,
@@ -12,9 +13,7 @@
     World,
     answer,
     begin_stream,
-    close,
     event,
-    reset,
     status_of,
 )
 
--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -6,17 +6,8 @@
 
 from jackdawsail.http1.client import ClientChannel
 from jackdawsail.site.node import NodeBounds
-from test.proxy.world import (
-    MODEL_SERVICE,
-    ONCE,
-    STREAM_HEADERS,
-    World,
-    answer,
-    close,
-    reset,
-    sent_on,
-    status_of,
-)
+from test.http1.ends import close, reset
+from test.proxy.world import MODEL_SERVICE, ONCE, STREAM_HEADERS, World, answer, sent_on, status_of
 
 NOT_RUN = 'Not-Executed: 1\r\n'
 
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -9,7 +9,8 @@
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeBounds
 from jackdawsail.wire.site_messages import MemberHost, Members
-from test.proxy.world import Reactor, World, answer
+from test.http1.ends import Reactor
+from test.proxy.world import World, answer
 
 BOUNDS = NodeBounds(retry_slack=220, cold_ratio=1.5, cold_slack=5)
 COLD_RATE = 17
--- a/test/proxy/test_draining.py
+++ b/test/proxy/test_draining.py
@@ -1,8 +1,9 @@
 """A stopping entry serves its callers for a while and cuts none of them off."""
 
 from jackdawsail.proxy.draining import CallerDrain
+from test.http1.ends import close
 from test.proxy.test_calls import status_of
-from test.proxy.world import World, answer, close
+from test.proxy.world import World, answer
 
 
 class Port:
--- a/test/proxy/test_random_answers.py
+++ b/test/proxy/test_random_answers.py
@@ -10,17 +10,8 @@
 import h11
 import pytest
 
-from test.proxy.world import (
-    MODEL_SERVICE,
-    ONCE,
-    PLAIN,
-    STREAM,
-    STREAM_HEADERS,
-    World,
-    close,
-    plain_event,
-    reset,
-)
+from test.http1.ends import close, reset
+from test.proxy.world import MODEL_SERVICE, ONCE, PLAIN, STREAM, STREAM_HEADERS, World, plain_event
 
 SEEDS = 600
 SEEDS_PER_TEST = 50
--- a/test/proxy/test_slow_callers.py
+++ b/test/proxy/test_slow_callers.py
@@ -1,6 +1,7 @@
 """A caller that reads slowly stops the reading of its upstream, so that memory stays bounded."""
 
 from jackdawsail.proxy.relaying import MAX_BUFFERED_BYTES
+from test.http1.ends import close
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM_HEADERS,
@@ -8,7 +9,6 @@
     answer,
     begin_stream,
     begin_unframed_stream,
-    close,
     event,
     plain_event,
 )
--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from test.http1.ends import reset
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM,
@@ -12,7 +13,6 @@
     answer,
     begin_stream,
     event,
-    reset,
     sent_on,
     status_of,
 )
--- a/test/proxy/test_unframed_answers.py
+++ b/test/proxy/test_unframed_answers.py
@@ -3,15 +3,14 @@
 from dataclasses import replace
 
 from jackdawsail.http1.event_frames import MAX_EVENT_BYTES
+from test.http1.ends import close, reset
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM,
     STREAM_HEADERS,
     World,
     begin_unframed_stream,
-    close,
     plain_event,
-    reset,
 )
 
 LAST_CHUNK = b'0\r\n\r\n'
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -3,10 +3,6 @@
 import math
 import random
 
-from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.internet.task import Clock
-from twisted.python.failure import Failure
-
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.platform import traffic
@@ -23,7 +19,7 @@
     MemberHost,
     SiteSummary,
 )
-from test.http1.ends import Transport
+from test.http1.ends import Reactor, Transport
 from test.site.documents import ENGINE, make_document, make_route
 
 CODEC = TrafficCodec(
@@ -47,21 +43,6 @@
 MODEL_SERVICE = Service('s', engine=ENGINE, cold_requests_per_second=26)
 
 
-class Reactor(Clock):
-    """Records connection attempts in ``pending_connects``; the test opens or refuses each of them."""
-
-    def __init__(self):
-        super().__init__()
-        self.pending_connects = []
-
-    def connectTCP(self, host, port, factory, timeout, bind):
-        self.pending_connects.append((f'{host}:{port}', factory))
-        return self
-
-    def disconnect(self):
-        pass
-
-
 class World:
     """One entry with its upstreams i-1, i-2, ... at 10.0.0.1:80, 10.0.0.2:80, ..."""
 
@@ -162,9 +143,7 @@
 
     def accept(self):
         """Opens the oldest requested connection and returns its channel."""
-        _address, factory = self.reactor.pending_connects.pop(0)
-        channel = factory.buildProtocol(None)
-        channel.makeConnection(Transport())
+        channel = self.reactor.accept()
         self.channels.append(channel)
         return channel
 
@@ -199,14 +178,6 @@
     return f'{len(body):x}\r\n'.encode() + body + b'\r\n'
 
 
-def reset(channel):
-    channel.connectionLost(Failure(ConnectionLost()))
-
-
-def close(channel):
-    channel.connectionLost(Failure(ConnectionDone()))
-
-
 def status_of(transport):
     written = transport.value()
     return int(written.split(b' ')[1]) if written else None
--- a/test/weights/test_http_read.py
+++ b/test/weights/test_http_read.py
@@ -14,8 +14,7 @@
     Pace,
     open_read,
 )
-from test.http1.ends import Transport
-from test.proxy.world import Reactor, close, reset
+from test.http1.ends import Reactor, close, reset
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
 UNLIMITED = Pace(0, 0)
@@ -32,9 +31,7 @@
         request = BaseUrl('h:1', '').make_request('GET', '/x')
         self.read = open_read(self.pool, 'h:1', request)
         self.read.opened.addCallback(self.opened)
-        _address, factory = self.reactor.pending_connects.pop()
-        self.channel = factory.buildProtocol(None)
-        self.channel.makeConnection(Transport())
+        self.channel = self.reactor.accept()
 
     def opened(self, head):
         self.heads.append(head)
