--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -7,6 +7,7 @@
 from jackdawsail.proxy.attempt import Attempt
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.relaying import AnswerRelay, unfinished_bytes
 from jackdawsail.routing.placement import Choice
 from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.site.document import Route
@@ -47,18 +48,15 @@
             **details,
         )
 
-    def attempt_ended(self, attempt: Attempt, end: str, unfinished_bytes: int) -> None:
-        """Logs why an attempt ended without a complete answer for the caller.
-
-        ``unfinished_bytes`` is the size of an incomplete event at its end.
-        """
+    def attempt_ended(self, attempt: Attempt, end: str, relay: AnswerRelay | None) -> None:
+        """Logs why an attempt ended without a complete answer for the caller."""
         self.write(
             ATTEMPT_ENDED,
             upstream=attempt.upstream.name,
             end=end,
             sent=attempt.sent,
             framing=attempt.framing,
-            unfinished_bytes=unfinished_bytes,
+            unfinished_bytes=unfinished_bytes(relay, attempt.head),
         )
 
     def dispatched(
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -65,14 +65,18 @@
 
 def is_cut_off(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
     """Returns whether an answer has ended before its content was complete."""
-    if relay is None or head.decoded.not_run:
-        return False
-    return head.decoded.status in SUCCESS and not relay.is_whole()
+    return relay is not None and _is_forwarded(head) and not relay.is_whole()
 
 
-def unfinished_bytes(relay: AnswerRelay | None) -> int:
-    """Returns the size of an incomplete event at the end of what a relay received."""
-    return 0 if relay is None else relay.unfinished_bytes
+def unfinished_bytes(relay: AnswerRelay | None, head: ReceivedHead | None) -> int:
+    """Returns the size of an incomplete event at the end of the answer with this head."""
+    if relay is None or head is None or not _is_forwarded(head):
+        return 0
+    return relay.unfinished_bytes
+
+
+def _is_forwarded(head: ReceivedHead) -> bool:
+    return head.decoded.status in SUCCESS and not head.decoded.not_run
 
 
 class PlainRelay:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -140,7 +140,7 @@
         elif cannot_continue(self.relay, head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
         elif failed and self.has_alternative() and self.sends.take_further_upstream():
-            self.log.attempt_ended(attempt, f'status {status}', unfinished_bytes(self.relay))
+            self.log.attempt_ended(attempt, f'status {status}', self.relay)
             self.relay = None
             self._place()
         else:
@@ -148,7 +148,7 @@
 
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
-        self.log.attempt_ended(attempt, f'{end} {reason}', unfinished_bytes(self.relay))
+        self.log.attempt_ended(attempt, f'{end} {reason}', self.relay)
         if attempt.head is not None and attempt.head.decoded.not_run:
             self._not_run(attempt, attempt.head.decoded.status)
         elif end is AttemptEnd.unreached:
@@ -169,7 +169,7 @@
             status=status,
             first_seconds=first_seconds,
             framing=attempt.framing,
-            unfinished_bytes=unfinished_bytes(self.relay),
+            unfinished_bytes=unfinished_bytes(self.relay, attempt.head),
         )
         self._close(outcome)
 
@@ -220,7 +220,7 @@
         self.attempt.start(self.exchange.request, dispatch_details, fresh_channel=fresh_channel)
 
     def _not_run(self, attempt: Attempt, status: int) -> None:
-        self.log.attempt_ended(attempt, f'not run, status {status}', unfinished_bytes(self.relay))
+        self.log.attempt_ended(attempt, f'not run, status {status}', self.relay)
         if status == MISDIRECTED:
             attempt.upstream.call_failed(self.context.clock.seconds())
         if self.sends.may_have_run and not self._may_continue():
@@ -239,7 +239,7 @@
     def abandon(self, attempt: Attempt, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
         attempt.cancel()
-        self.log.attempt_ended(attempt, reason, unfinished_bytes(self.relay))
+        self.log.attempt_ended(attempt, reason, self.relay)
         self._place()
 
     def likely_events(self) -> float:
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -140,7 +140,7 @@
     ),
     Mutant(
         'proxy/relaying.py',
-        'return head.decoded.status in SUCCESS and not relay.is_whole()',
+        'return relay is not None and _is_forwarded(head) and not relay.is_whole()',
         'return False',
         PROXY,
     ),
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -59,3 +59,15 @@
     (line,) = lines_of(logged, call_log.CALL_ENDED)
     assert (line['framing'], line['unfinished_bytes']) == ('connection', 0)
     assert lines_of(logged, call_log.ATTEMPT_ENDED) == []
+
+
+def test_attempt_without_an_answer_has_no_unfinished_bytes_of_the_one_before(logged):
+    world = World(2, MODEL_SERVICE)
+    world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    begin_unframed_stream(first)
+    first.dataReceived(plain_event(1) + plain_event(2)[:5])
+    reset(first)
+    reset(world.accept())
+    lines = lines_of(logged, call_log.ATTEMPT_ENDED)
+    assert [line['unfinished_bytes'] for line in lines] == [5, 0]
