One timeout for connections, jobs, paced reads and refusals

The server's own timer class moves to clocks.py; three classes had spelled out its start, restart and stop. Whether an attempt was refused is read from its head, not from a timer.

--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from jackdawsail.agent.sse import DoneEvent, SseParser, StreamEvent
+from jackdawsail.clocks import Timeout
 from jackdawsail.http1.base_url import BaseUrl
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.client import BreakReason, ClientChannel
@@ -64,8 +65,10 @@
         self._channel: ClientChannel | None = None
         self._begun = False
         self._ended = False
-        self._stall_timer = clock.callLater(STALL_SECONDS, self._on_stall)
-        self._end_timer = clock.callLater(ANSWER_SECONDS, self._on_too_long)
+        self._stall = Timeout(clock, self._on_stall)
+        self._end_limit = Timeout(clock, self._on_too_long)
+        self._stall.start(STALL_SECONDS)
+        self._end_limit.start(ANSWER_SECONDS)
 
     def begin(self, pool: ChannelPool, address: str, request: HttpRequest) -> None:
         """Sends the request on a new connection."""
@@ -112,7 +115,7 @@
     def reset_stall_timer(self) -> None:
         """Restarts the stall timeout, as the upstream has sent something."""
         if not self._ended:
-            self._stall_timer.reset(STALL_SECONDS)
+            self._stall.start(STALL_SECONDS)
 
     def head(self, status: int, content_type: str) -> None:
         """Passes the head to the sink, unless the job has ended."""
@@ -139,9 +142,8 @@
         if self._ended:
             return False
         self._ended = True
-        for timer in (self._stall_timer, self._end_timer):
-            if timer.active():
-                timer.cancel()
+        self._stall.stop()
+        self._end_limit.stop()
         return True
 
     def _on_stall(self) -> None:
--- a/jackdawsail/clocks.py
+++ b/jackdawsail/clocks.py
@@ -1,4 +1,4 @@
-"""Typed protocols for the part of Twisted's reactor that keeps time.
+"""Typed protocols for the part of Twisted's reactor that keeps time, and a timeout on it.
 
 Programs pass the reactor; tests pass ``twisted.internet.task.Clock``.
 """
@@ -13,6 +13,9 @@
     def cancel(self) -> None:
         """Cancels the call, so that it never runs."""
 
+    def reset(self, secondsFromNow: float) -> None:  # noqa: N803 - Twisted's name
+        """Schedules the call anew, in ``secondsFromNow`` seconds."""
+
     def active(self) -> bool:
         """Returns whether the call is pending: neither run nor cancelled."""
 
@@ -31,3 +34,31 @@
         **kw: object,
     ) -> DelayedCall:
         """Schedules a call of the function in ``delay`` seconds."""
+
+
+class Timeout:
+    """A timer with one callback; each start replaces the last."""
+
+    def __init__(self, clock: Clock, on_expired: Callable[[], None]) -> None:
+        self._clock = clock
+        self._on_expired = on_expired
+        self._timer: DelayedCall | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Returns whether the timer was started and has neither expired nor been stopped."""
+        return self._timer is not None and self._timer.active()
+
+    def start(self, seconds: float) -> None:
+        """Starts the timer; zero seconds mean no timeout."""
+        if seconds <= 0:
+            self.stop()
+        elif self._timer is not None and self._timer.active():
+            self._timer.reset(seconds)
+        else:
+            self._timer = self._clock.callLater(seconds, self._on_expired)
+
+    def stop(self) -> None:
+        """Stops the timer."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -12,7 +12,7 @@
 import h11
 from twisted.internet import protocol
 
-from jackdawsail.clocks import Clock
+from jackdawsail.clocks import Clock, Timeout
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
 from jackdawsail.site.document import CallerLimits
 from jackdawsail.wire.backlog import Backlog
@@ -106,26 +106,6 @@
         return connection
 
 
-class _Timeout:
-    """A timer with one callback; each start replaces the last."""
-
-    def __init__(self, clock: Clock, on_expired: Callable[[], None]) -> None:
-        self._clock = clock
-        self._on_expired = on_expired
-        self._timer: Any = None
-
-    def start(self, seconds: float) -> None:
-        """Starts the timer; zero seconds mean no timeout."""
-        self.stop()
-        if seconds > 0:
-            self._timer = self._clock.callLater(seconds, self._on_expired)
-
-    def stop(self) -> None:
-        """Stops the timer."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
-
 class ServerConnection(protocol.Protocol):
     """The server end of one connection."""
 
@@ -141,7 +121,7 @@
         self._unread_bytes = 0
         self._refused = False
         self._is_processing = False
-        self._timeout = _Timeout(options.clock, self._handle_timeout)
+        self._timeout = Timeout(options.clock, self._handle_timeout)
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Starts the idle timeout for the first request."""
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
+from jackdawsail.clocks import Timeout
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 from jackdawsail.proxy import metrics
@@ -79,7 +80,7 @@
         self._connector: Any = None
         self._reused_channel = False
         self._refusal_bytes = 0
-        self._refusal_timeout: Any = None
+        self._refusal_timeout = Timeout(context.clock, self._end_refusal)
 
     def start(
         self, request: HttpRequest, dispatch_details: DispatchDetails, *, fresh_channel: bool
@@ -142,17 +143,15 @@
         self.head = ReceivedHead(head, decoded)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
-            self._refusal_timeout = self._context.clock.callLater(
-                REFUSAL_BODY_SECONDS, self._end_refusal
-            )
+            self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
         return True
 
     def answer_body(self, body: bytes) -> None:
         """Handles the next part of the body."""
         self.last_received_seconds = self._context.clock.seconds()
-        if self.ended:
+        if self.ended or self.head is None:
             return
-        if self._refusal_timeout is None:
+        if not self.head.decoded.not_run:
             self._owner.attempt_body(self, body)
             return
         self._refusal_bytes += len(body)
@@ -215,8 +214,7 @@
 
     def _finish(self) -> None:
         self.ended = True
-        if self._refusal_timeout is not None and self._refusal_timeout.active():
-            self._refusal_timeout.cancel()
+        self._refusal_timeout.stop()
         if self.sent:
             self.upstream.calls -= 1
         else:
--- a/jackdawsail/weights/http_read.py
+++ b/jackdawsail/weights/http_read.py
@@ -6,11 +6,11 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
+from jackdawsail.clocks import Timeout
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
@@ -52,9 +52,10 @@
         self._ended: Deferred[BodyEnd] = Deferred()
         self._bucket: TokenBucket | None = None
         self._done = False
-        self._resume_call: Any = None
-        self._stall_call: Any = self._clock.callLater(HEAD_TIMEOUT_SECONDS, self._time_out)
-        self._end_call: Any = None
+        self._pause = Timeout(self._clock, self._resume)
+        self._silence = Timeout(self._clock, self._time_out)
+        self._end = Timeout(self._clock, self._time_out)
+        self._silence.start(HEAD_TIMEOUT_SECONDS)
 
     def send(self, channel: ClientChannel | None, request: HttpRequest) -> None:
         """Sends the request on a channel; None means that no connection could be made."""
@@ -79,8 +80,8 @@
             rate = pace.bits_per_second / BITS_PER_BYTE
             self._bucket = TokenBucket(rate, PACE_BURST_BYTES, pace.started_seconds)
             self._limit_buffer()
-        self._watch_stall()
-        self._end_call = self._clock.callLater(BODY_SECONDS, self._time_out)
+        self._silence.start(STALL_SECONDS)
+        self._end.start(BODY_SECONDS)
         return self._ended
 
     def discard_body(self) -> None:
@@ -99,18 +100,18 @@
         if not self._add_bytes(piece):
             self._finish(Failure('more bytes than asked for'))
             return
-        self._watch_stall()
+        self._silence.start(STALL_SECONDS)
         if self._bucket is None:
             return
         wait_seconds = self._bucket.take(len(piece), self._clock.seconds())
-        if wait_seconds > 0 and self._resume_call is None and self._channel is not None:
+        if wait_seconds > 0 and not self._pause.is_running and self._channel is not None:
             self._channel.pause()
-            self._resume_call = self._clock.callLater(wait_seconds, self._resume)
+            self._pause.start(wait_seconds)
 
     def answer_complete(self) -> None:
         """Ends the read and returns the channel to the pool."""
         if self._channel is not None:
-            if self._resume_call is not None:
+            if self._pause.is_running:
                 self._channel.resume()
             self._pool.release(self._channel)
         self._finish(Success(None))
@@ -126,15 +127,10 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def _resume(self) -> None:
-        self._resume_call = None
         if not self._done and self._channel is not None:
-            self._watch_stall()
+            self._silence.start(STALL_SECONDS)
             self._channel.resume()
 
-    def _watch_stall(self) -> None:
-        self._stall_call.cancel()
-        self._stall_call = self._clock.callLater(STALL_SECONDS, self._time_out)
-
     def _time_out(self) -> None:
         self._finish(Failure('no bytes in time'))
 
@@ -142,9 +138,8 @@
         if self._done:
             return
         self._done = True
-        for timer in (self._stall_call, self._resume_call, self._end_call):
-            if timer is not None and timer.active():
-                timer.cancel()
+        for timeout in (self._silence, self._pause, self._end):
+            timeout.stop()
         if isinstance(end, Failure) and self._channel is not None:
             self._channel.cancel()
         if not self.opened.called:
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -153,7 +153,7 @@
     Mutant('proxy/relaying.py', 'or self._framing is not Framing.connection', 'or True', PROXY),
     Mutant('proxy/relaying.py', 'or frame.has_fields', 'or True', PROXY),
     Mutant('proxy/relaying.py', 'return not self._frames.is_too_long', 'return True', PROXY),
-    Mutant('proxy/attempt.py', 'if self._refusal_timeout is None:', 'if True:', PROXY),
+    Mutant('proxy/attempt.py', 'if not self.head.decoded.not_run:', 'if True:', PROXY),
     Mutant('proxy/attempt.py', 'self._refusal_bytes > REFUSAL_BODY_BYTES', 'False', PROXY),
     Mutant(
         'proxy/task.py',
