--- a/jackdawsail/group/calls.py
+++ b/jackdawsail/group/calls.py
@@ -5,11 +5,11 @@
 
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.registry.registration import Registration
-from jackdawsail.site.document import CallerLimits, SiteDocument
+from jackdawsail.site.document import MAX_DOCUMENT_BYTES, CallerLimits, SiteDocument
 
 CONTROL_LIMITS = CallerLimits(
-    head_bytes=65_536, body_bytes=16_777_216, head_seconds=10.0, idle_seconds=20.0
-)  # independent of the limits for callers; documents with thousands of routes must fit
+    head_bytes=65_536, body_bytes=MAX_DOCUMENT_BYTES, head_seconds=10.0, idle_seconds=20.0
+)  # independent of the limits for callers
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -10,7 +10,7 @@
 
 from jackdawsail import events
 from jackdawsail.message_router import MessageRouter
-from jackdawsail.site.document import SiteDocument
+from jackdawsail.site.document import MAX_DOCUMENT_BYTES, SiteDocument
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.dialer import Dialer
@@ -28,7 +28,6 @@
 # A document takes a few round trips; after that it is requested again, from the control
 # host whose summary arrives next.
 DOCUMENT_RETRY_SECONDS = 0.3
-MAX_DOCUMENT_BYTES = 16_777_216  # the longest that a control host accepts
 
 DOCUMENT_IN_FORCE = events.define(320, 'info', 'site document is in force in this process')
 DOCUMENT_UNREADABLE = events.define(
--- a/jackdawsail/site/document.py
+++ b/jackdawsail/site/document.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+MAX_DOCUMENT_BYTES = 16_777_216  # thousands of routes must fit
+
 
 class CallKind(StrEnum):
     """Whether a call may be repeated, and whether its answer is a stream."""
