--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -60,7 +60,11 @@
 
 
 class Attempt:
-    """One attempt; owns its channel to the upstream until the answer ends."""
+    """One attempt; owns its channel to the upstream until the answer ends.
+
+    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the first bytes
+    of the answer's body arrived, None before that.
+    """
 
     def __init__(
         self, context: ProxyContext, owner: AttemptOwner, upstream: Upstream, attempt_id: str
@@ -72,6 +76,8 @@
         self.is_paused = False
         self.head: ReceivedHead | None = None
         self.started_seconds = context.clock.seconds()
+        self.sent_seconds = self.started_seconds
+        self.begun_seconds: float | None = None
         self.last_received_seconds = self.started_seconds
         self._context = context
         self._owner = owner
@@ -152,6 +158,8 @@
         if self.ended or self.head is None:
             return
         if not self.head.decoded.not_run:
+            if self.begun_seconds is None:
+                self.begun_seconds = self.last_received_seconds
             self._owner.attempt_body(self, body)
             return
         self._refusal_bytes += len(body)
@@ -200,8 +208,9 @@
         self._channel = channel
         self.upstream.sends.pending -= 1
         self.sent = True
-        self.last_received_seconds = self._context.clock.seconds()
-        self.upstream.call_sent(self.last_received_seconds)
+        self.sent_seconds = self._context.clock.seconds()
+        self.last_received_seconds = self.sent_seconds
+        self.upstream.call_sent(self.sent_seconds)
         self._owner.attempt_sent(self)
         channel.send(request, self)
         if self.is_paused:
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -50,11 +50,15 @@
 
     def attempt_ended(self, attempt: Attempt, end: str, relay: AnswerRelay | None) -> None:
         """Logs why an attempt ended without a complete answer for the caller."""
+        now_seconds = self._context.clock.seconds()
         self.write(
             ATTEMPT_ENDED,
             upstream=attempt.upstream.name,
             end=end,
             sent=attempt.sent,
+            prompt=self._call.prompt,
+            sent_age_seconds=_age_seconds(attempt.sent_seconds, now_seconds),
+            written_seconds=_age_seconds(attempt.begun_seconds, now_seconds),
             framing=attempt.framing,
             unfinished_bytes=unfinished_bytes(relay, attempt.head),
         )
@@ -85,6 +89,12 @@
             waiting=load.waiting if load else None,
             report_age_seconds=report_age_seconds,
             heartbeat_age_seconds=round(now_seconds - upstream.received_seconds, 2),
+            prompt=self._call.prompt,
             last_event=dispatch_details.last_event,
             weight_version=dispatch_details.weight_version,
         )
+
+
+def _age_seconds(since_seconds: float | None, now_seconds: float) -> float | None:
+    """Returns the time since an event; None if it has not occurred."""
+    return None if since_seconds is None else round(now_seconds - since_seconds, 3)
