--- a/test/group/test_call_handler.py
+++ b/test/group/test_call_handler.py
@@ -65,8 +65,8 @@
 class Host:
     """One control host with its call handler and linked processes."""
 
-    def __init__(self):
-        self.clock = Clock()
+    def __init__(self, clock=None):
+        self.clock = clock or Clock()
         self.machine = SiteMachine()
         self.router = MessageRouter()
         self.linked = LinkedProcesses('own', self.router)
--- /dev/null
+++ b/test/proxy/crash_site.py
@@ -0,0 +1,299 @@
+"""A whole site without a network: entries, control hosts, and engines that some prompts crash."""
+
+import random
+from types import SimpleNamespace
+
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.python.failure import Failure
+
+from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.proxy.admission import CallAdmission
+from jackdawsail.proxy.program import make_entry_program
+from jackdawsail.registry.registration import ModelVersion, Registration
+from jackdawsail.site.node import NodeBounds, NodeSettings
+from jackdawsail.site.process import NodeProcess
+from jackdawsail.wire.codec import decode, encode
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.site_messages import MemberHost, SiteSummary
+from test.group.test_call_handler import Host
+from test.http1.ends import Reactor, Transport, close
+from test.proxy.world import CODEC, MODEL_SERVICE, STREAM, begin_stream, event, status_of
+from test.site.documents import make_document
+
+LINK_SECONDS = 0.002
+STEP_SECONDS = 0.01
+BEGIN_SECONDS = 0.15  # from the arrival of a call until its answer begins
+CRASH_SECONDS = 0.07  # from the begin of an answer until a bad prompt ends the engine
+EVENT_SECONDS = 0.05
+EVENTS = 24
+DOWN_SECONDS = 2.5
+SUMMARY_SECONDS = 0.5
+ROUTE = STREAM
+
+
+class LinkEnd:
+    """One end of a link in memory; messages arrive encoded, in order, after LINK_SECONDS."""
+
+    def __init__(self, clock, router, peer):
+        self.clock, self.router, self.peer = clock, router, peer
+        self.other = None
+        self.is_open = True
+        self.sent_bytes = 0
+
+    def send(self, message):
+        frame = encode(message)
+        self.sent_bytes += len(frame)
+        self.clock.callLater(LINK_SECONDS, self.other.receive, frame)
+        return True
+
+    def receive(self, frame):
+        if self.is_open:
+            self.router.link_received(self, decode(frame).unwrap())
+
+    def close(self, reason):
+        raise AssertionError(reason)
+
+
+class Engine:
+    """An engine with its calls; it ends shortly after it began an answer with a bad part."""
+
+    def __init__(self, site, number):
+        self.site, self.number = site, number
+        self.address = f'10.1.0.{number}:80'
+        self.born = 0
+        self.restart()
+
+    @property
+    def name(self):
+        return f'i-{self.number}-{self.born}'
+
+    def restart(self):
+        self.born += 1
+        self.alive, self.channels, self.beats = True, [], 0
+        self.site.register(self)
+
+    def crash(self):
+        self.alive = False
+        self.site.ended_seconds.append(self.site.clock.seconds())
+        channels, self.channels = self.channels, []
+        for channel in channels:
+            close(channel)
+        self.site.clock.callLater(DOWN_SECONDS, self.restart)
+
+    def accept(self, factory):
+        channel = factory.buildProtocol(None)
+        self.channels.append(channel)
+        channel.makeConnection(Transport())
+
+    def read_requests(self):
+        for channel in list(self.channels):
+            written = channel.transport.take_written()
+            if written:
+                self.site.record_send(self, written)
+                self.site.clock.callLater(BEGIN_SECONDS, self.begin, channel, written)
+            elif channel.transport.closed or channel.transport.aborted:
+                self.channels.remove(channel)
+
+    def begin(self, channel, written):
+        if channel not in self.channels:
+            return
+        begin_stream(channel, header_of(written, 'Attempt-Id'))
+        parts = set(parts_of(written))
+        if parts & self.site.bad_parts:
+            self.site.clock.callLater(CRASH_SECONDS, self.end_by, channel)
+        else:
+            self.site.clock.callLater(EVENT_SECONDS, self.send_event, channel, 1)
+
+    def end_by(self, channel):
+        if channel in self.channels:
+            self.crash()
+
+    def send_event(self, channel, number):
+        if channel not in self.channels:
+            return
+        channel.dataReceived(event(number))
+        if number < EVENTS:
+            self.site.clock.callLater(EVENT_SECONDS, self.send_event, channel, number + 1)
+        else:
+            channel.dataReceived(b'0\r\n\r\n')
+
+
+class Entry:
+    """An entry program whose links and callers are in memory."""
+
+    def __init__(self, site, address):
+        self.site, self.address = site, address
+        settings = NodeSettings(
+            'e',
+            address,
+            'z',
+            'r',
+            {'z': 'r'},
+            bounds=NodeBounds(retry_slack=200, cold_ratio=1.5, cold_slack=5),
+        )
+        clock = site.clock
+        process = NodeProcess(clock, settings, Role.entry, started_seconds=clock.seconds() - 60)
+        codecs = SimpleNamespace(traffic=CODEC, calls=None, decode_document=None, origin=None)
+        self.program = make_entry_program(process, codecs)
+        self.context = self.program.context
+        self.client = self.program.client
+        self.client.on_connected = self.program._send_status
+        self.view = self.context.view
+        self.view.on_registrations.append(self.program._registrations_changed)
+        self.client.start()
+        document = make_document(routes=[ROUTE], services=[MODEL_SERVICE])
+        self.view.apply_document(document)
+        options = ServerOptions(CallAdmission(self.context).handle, clock, document.limits)
+        self.factory = ServerFactory(options)
+        self.identity = Identity(Role.entry, address, 'z', 'r', site.rng.getrandbits(40))
+
+    def call(self, attempt, prompt):
+        connection = self.factory.buildProtocol(None)
+        transport = Transport()
+        connection.makeConnection(transport)
+        head = f'POST /stream/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n'
+        head += f'Model: m\r\nRequest-Deadline: 6000\r\nPrompt-Prefix: {prompt}\r\n\r\n'
+        connection.dataReceived(head.encode())
+        return transport
+
+
+class CrashSite:
+    """Entries and engines on one clock; ``sent`` lists each call that reached an engine."""
+
+    def __init__(self, seed=1, entries=5, engines=6, controls=3):
+        self.clock = Reactor()
+        self.clock.advance(100)
+        self.rng = random.Random(seed)
+        self.bad_parts = set()
+        self.ended_seconds = []
+        self.sent = []
+        self.callers = []
+        self.links = []
+        self.controls = [self.make_control(number) for number in range(controls)]
+        self.engines = []
+        self.entries = []
+        addresses = [f'10.9.0.{number}' for number in range(1, entries + 1)]
+        self.members = [MemberHost(address, 'z', 'r') for address in addresses]
+        for address in addresses:
+            self.entries.append(self.make_entry(address))
+        for number in range(1, engines + 1):
+            self.engines.append(Engine(self, number))
+        self.send_summaries()
+        self.run(0.1)
+
+    def make_control(self, number):
+        host = Host(self.clock)
+        host.identity = Identity(Role.control, f'10.8.0.{number}', 'z', 'r', number)
+        return host
+
+    def make_entry(self, address):
+        entry = Entry(self, address)
+        entry.view.apply_sharing_entries(SiteSummary(1, 0, [], [], self.members))
+        for control in self.controls:
+            self.link(entry.client.router, entry.identity, control.router, control.identity)
+        return entry
+
+    def link(self, router, identity, other_router, other_identity):
+        near = LinkEnd(self.clock, router, other_identity)
+        far = LinkEnd(self.clock, other_router, identity)
+        near.other, far.other = far, near
+        self.links.append((near, far))
+        other_router.link_opened(far)
+        router.link_opened(near)
+
+    def close_links(self, router):
+        for near, far in list(self.links):
+            if router in (near.router, far.router):
+                self.links.remove((near, far))
+                for end in (near, far):
+                    end.is_open = False
+                    end.router.link_closed(end, 'closed')
+
+    def register(self, engine):
+        engine.beats += 1
+        registration = Registration(
+            upstream=engine.name,
+            service='s',
+            address=engine.address,
+            zone='z',
+            places=16,
+            leaving=False,
+            cold_seconds=0,
+            born_milliseconds=engine.born,
+            sequence=engine.beats,
+            models=(ModelVersion('m', 1),),
+        )
+        for control in self.controls:
+            control.fanout.register(registration, 'test')
+
+    def send_summaries(self):
+        for control in self.controls:
+            control.fanout.send_summary()
+        for engine in self.engines:
+            if engine.alive:
+                self.register(engine)
+        self.clock.callLater(SUMMARY_SECONDS, self.send_summaries)
+
+    def record_send(self, engine, written):
+        self.sent.append((self.clock.seconds(), engine.name, set(parts_of(written))))
+
+    def sends_of(self, part):
+        return [seconds for seconds, _engine, parts in self.sent if part in parts]
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            self.pump()
+
+    def pump(self):
+        """Opens or refuses the requested connections and reads what was written on them."""
+        by_address = {engine.address: engine for engine in self.engines}
+        while self.clock.pending_connects:
+            address, factory = self.clock.pending_connects.pop(0)
+            engine = by_address[address]
+            if engine.alive:
+                engine.accept(factory)
+            else:
+                factory.clientConnectionFailed(None, Failure(Refused()))
+        for engine in self.engines:
+            engine.read_requests()
+
+    def call(self, entry, *shared_parts):
+        """Sends a call whose prompt has these parts and one of its own."""
+        number = len(self.callers)
+        parts = [*shared_parts, f'{number:08x}']
+        prompt = ','.join(f'{part}:100' for part in parts)
+        caller = entry.call(f'{number:016x}', prompt)
+        self.callers.append((shared_parts, caller))
+        return caller
+
+    def offer(self, seconds, bad_part='', sound_per_second=20, bad_per_second=1):
+        """Offers sound calls, and calls with a part that is bad from now on."""
+        if bad_part:
+            self.bad_parts.add(bad_part)
+        for _ in range(round(seconds / STEP_SECONDS)):
+            if self.rng.random() < sound_per_second * STEP_SECONDS:
+                self.call(self.rng.choice(self.entries), *self.sound_parts())
+            if bad_part and self.rng.random() < bad_per_second * STEP_SECONDS:
+                first, second = self.sound_parts()
+                self.call(self.rng.choice(self.entries), first, bad_part, second)
+            self.run(STEP_SECONDS)
+
+    def sound_parts(self):
+        return 'c0', f'd{self.rng.randrange(12)}'
+
+    def statuses(self, part, start=0):
+        """Returns the statuses that callers with a part got, from the call ``start`` on."""
+        return [
+            status_of(caller) for parts, caller in self.callers[start:] if part in parts
+        ]
+
+
+def header_of(written, name):
+    lines = written.decode('latin-1').split('\r\n')
+    return next((line.split(': ', 1)[1] for line in lines if line.startswith(f'{name}: ')), '')
+
+
+def parts_of(written):
+    prompt = header_of(written, 'Prompt-Prefix')
+    return [part.partition(':')[0] for part in prompt.split(',') if part]
