--- a/jackdawsail/group/call_handler.py
+++ b/jackdawsail/group/call_handler.py
@@ -18,10 +18,12 @@
 from jackdawsail.group.directory import addresses_for
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
+from jackdawsail.group.part_calls import BlockedPartsFound, LiftBlockedPart, ListBlockedParts
 from jackdawsail.site.machine import (
     CommandOutcome,
     StoredDocument,
     announce_weights,
+    lift_part,
     put_document,
     set_zone_emptied,
 )
@@ -102,6 +104,20 @@
             return succeed(calls.Unavailable('no entry is known here'))
         return succeed(calls.EntriesFound(addresses, ADDRESSES_VALID_SECONDS))
 
+    @_handle.register
+    def _list_blocked_parts(self, _call: ListBlockedParts) -> DeferredAnswer:
+        state = self.fanout.machine.state
+        found = self.fanout.parts.blame.blocked
+        return succeed(BlockedPartsFound(state.revision, found, state.blocked_parts))
+
+    @_handle.register
+    def _lift_blocked_part(self, call: LiftBlockedPart) -> DeferredAnswer:
+        if not self.replicator.is_leader():
+            return succeed(self._redirect())
+        if call.part not in self.fanout.machine.state.blocked_parts:
+            return succeed(calls.NotFound())
+        return self._propose(lift_part(call.part), f'lift part {call.part}')
+
     def _propose(self, command: bytes, change: str) -> DeferredAnswer:
         if not self.replicator.is_leader():
             return succeed(self._redirect())
--- a/jackdawsail/group/calls.py
+++ b/jackdawsail/group/calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from jackdawsail.group.part_calls import BlockedPartsFound, LiftBlockedPart, ListBlockedParts
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.registry.registration import Registration
 from jackdawsail.site.document import MAX_DOCUMENT_BYTES, CallerLimits, SiteDocument
@@ -90,6 +91,8 @@
     | Deregister
     | FindEntries
     | CheckReadiness
+    | ListBlockedParts
+    | LiftBlockedPart
     | InvalidCall
     | UnknownCall
 )
@@ -149,7 +152,15 @@
 
 
 Answer = (
-    Done | Invalid | Conflict | Unavailable | AskHost | DocumentFound | EntriesFound | NotFound
+    Done
+    | Invalid
+    | Conflict
+    | Unavailable
+    | AskHost
+    | DocumentFound
+    | EntriesFound
+    | BlockedPartsFound
+    | NotFound
 )
 
 
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -11,9 +11,9 @@
 from jackdawsail.group.calls import CallCodec
 from jackdawsail.group.consensus_replica import ConsensusReplica, make_consensus_replica
 from jackdawsail.group.disk_probe import accepts_writes
-from jackdawsail.group.entry_list import EntryList
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
+from jackdawsail.group.replicated_lists import ReplicatedLists, make_replicated_lists
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.site.loops import start_loop
@@ -37,7 +37,7 @@
     fanout: SiteFanout
     linked: LinkedProcesses
     call_handler: CallHandler
-    entry_list: EntryList
+    lists: ReplicatedLists
     _loops: list[Any] = field(default_factory=list)
     _sent_members: Any = None
 
@@ -88,7 +88,7 @@
             self._sent_members = members
             self.fanout.send_members(members)
         self.fanout.registrations.forget_old(self.process.reactor.seconds())
-        self.entry_list.update(members.entries)
+        self.lists.update(members.entries)
         tolerated_host_losses = self.process.settings.bounds.tolerated_host_losses
         for host in self.consensus.raise_voter_target(tolerated_host_losses):
             self._add_control(host)
@@ -128,5 +128,5 @@
         process.reactor, process.settings, process.link_settings, router, machine
     )
     call_handler = CallHandler(consensus.replicator, fanout, linked)
-    entry_list = EntryList(process.reactor, consensus.replicator, machine)
-    return ControlProgram(process, codec, consensus, fanout, linked, call_handler, entry_list)
+    lists = make_replicated_lists(process.reactor, consensus.replicator, fanout)
+    return ControlProgram(process, codec, consensus, fanout, linked, call_handler, lists)
--- a/jackdawsail/http1/channel_pool.py
+++ b/jackdawsail/http1/channel_pool.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet import protocol
+from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
 
 from jackdawsail.clocks import Clock
 from jackdawsail.http1.client import ClientChannel
@@ -51,6 +52,32 @@
         self.on_connected(self)
 
 
+class _RefusalCheck(protocol.ClientFactory):
+    """One attempt to connect that only shows whether anything listens at the address."""
+
+    noisy = False
+
+    def __init__(self, on_checked: Callable[[bool], None]) -> None:
+        self._on_checked = on_checked
+
+    def buildProtocol(self, addr: Any) -> protocol.Protocol:  # noqa: N802 - Twisted's name
+        return _CheckConnection(self._on_checked)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        self._on_checked(reason is not None and reason.check(PeerRefusedError) is not None)
+
+
+class _CheckConnection(protocol.Protocol):
+    transport: Any
+
+    def __init__(self, on_checked: Callable[[bool], None]) -> None:
+        self._on_checked = on_checked
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        self.transport.loseConnection()
+        self._on_checked(False)
+
+
 @dataclass(slots=True)
 class _IdleChannel:
     channel: ClientChannel
@@ -105,6 +132,16 @@
             return self._connect_tls(host, int(port), attempt, bind)
         return self.reactor.connectTCP(host, int(port), attempt, self.connect_seconds, bind)
 
+    def check_refused(self, address: str, on_checked: Callable[[bool], None]) -> None:
+        """Passes to ``on_checked`` whether the host of an address refuses connections to it.
+
+        It does so once no process listens there. A host that does not answer refuses nothing.
+        """
+        host, _, port = address.rpartition(':')
+        bind = (self.bind_address, 0) if self.bind_address else None
+        check = _RefusalCheck(on_checked)
+        self.reactor.connectTCP(host, int(port), check, self.connect_seconds, bind)
+
     def release(self, channel: ClientChannel) -> None:
         """Keeps a channel for another request if it is reusable."""
         if channel.reusable and not channel.is_closed:
--- a/jackdawsail/platform/programs.py
+++ b/jackdawsail/platform/programs.py
@@ -16,11 +16,13 @@
 def make_control(process: NodeProcess) -> NodeProgram:
     """Builds the program of a control host."""
     from jackdawsail.group.calls import CallCodec
+    from jackdawsail.group.operator_calls import with_operator_calls
     from jackdawsail.group.program import make_control_program
     from jackdawsail.platform.calls import AnswerEncoder, decode_call
 
     port = int(process.settings.listening.control.rpartition(':')[2])
-    return make_control_program(process, CallCodec(decode_call, AnswerEncoder(port).encode))
+    codec = with_operator_calls(CallCodec(decode_call, AnswerEncoder(port).encode))
+    return make_control_program(process, codec)
 
 
 def make_entry(process: NodeProcess) -> NodeProgram:
@@ -29,7 +31,7 @@
     from jackdawsail.platform import engines, traffic
     from jackdawsail.platform.calls import AnswerEncoder, decode_call
     from jackdawsail.platform.documents import decode_document
-    from jackdawsail.proxy.context import EntryCodecs, TrafficCodec
+    from jackdawsail.proxy.codecs import EntryCodecs, TrafficCodec
     from jackdawsail.proxy.program import make_entry_program
 
     traffic_codec = TrafficCodec(
--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -10,6 +10,7 @@
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 
 MAX_VERSION_DIGITS = 18
+MAX_PROMPT_PARTS = 64
 _AUTHORIZATION_SCHEME = b'token '
 _NOT_FORWARDED = frozenset(
     (
@@ -30,6 +31,8 @@
 def decode_caller_call(request: HttpRequest) -> CallerCall:
     """Decodes the platform's headers of a caller's request; missing ones become 0 or empty."""
     prompt_tokens, answer_tokens = _token_usage(request.header(b'token-usage'))
+    prompt = request.header(b'prompt-prefix').decode('latin-1')
+    *shared_parts, own_part = _prompt_parts(prompt) or ['']
     return CallerCall(
         attempt=request.header(b'attempt-id').decode('latin-1'),
         host=request.header(b'host').decode('latin-1').partition(':')[0].lower(),
@@ -39,7 +42,9 @@
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
         likely_answer_tokens=int(_non_negative_number(request.header(b'length-hint'))),
-        prompt=request.header(b'prompt-prefix').decode('latin-1'),
+        prompt=prompt,
+        shared_parts=tuple(dict.fromkeys(shared_parts)),
+        own_part=own_part,
         last_event=request.header(b'last-event-id').decode('latin-1'),
     )
 
@@ -96,6 +101,13 @@
     return int(_non_negative_number(prompt)), int(_non_negative_number(answer))
 
 
+def _prompt_parts(prompt: str) -> list[str]:
+    """Returns the ids of the parts; of a list that is too long the first ones and the last."""
+    entries = (entry.partition(':')[0].strip().lower() for entry in prompt.split(','))
+    parts = [part for part in entries if part]
+    return [*parts[: MAX_PROMPT_PARTS - 1], parts[-1]] if len(parts) > MAX_PROMPT_PARTS else parts
+
+
 def _version_number(value: bytes) -> int:
     """Parses a version; returns 0 for other text and for more digits than any version has."""
     return int(value) if value.isdigit() and len(value) <= MAX_VERSION_DIGITS else 0
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -62,8 +62,9 @@
 class Attempt:
     """One attempt; owns its channel to the upstream until the answer ends.
 
-    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the first bytes
-    of the answer's body arrived, None before that.
+    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the
+    head of an answer arrived that is no refusal, None before that. ``received_events`` is the
+    number of complete events since then.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self.sent = False
         self.ended = False
         self.is_paused = False
+        self.received_events = 0
         self.head: ReceivedHead | None = None
         self.started_seconds = context.clock.seconds()
         self.sent_seconds = self.started_seconds
@@ -147,6 +149,8 @@
             return False
         self.last_received_seconds = self._context.clock.seconds()
         self.head = ReceivedHead(head, decoded)
+        if not decoded.not_run:
+            self.begun_seconds = self.last_received_seconds
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
             self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
@@ -158,8 +162,6 @@
         if self.ended or self.head is None:
             return
         if not self.head.decoded.not_run:
-            if self.begun_seconds is None:
-                self.begun_seconds = self.last_received_seconds
             self._owner.attempt_body(self, body)
             return
         self._refusal_bytes += len(body)
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -13,7 +13,8 @@
     ``patience_seconds`` is how long the caller waits, 0 if it gives no deadline.
     ``prompt_tokens`` and ``answer_tokens`` (the most that may be generated) are 0 for
     calls that are not for a model. ``likely_answer_tokens`` is the length that the caller
-    expects, 0 if it gives none. ``prompt`` identifies the parts of the prompt.
+    expects, 0 if it gives none. ``prompt`` identifies the parts of the prompt: ``own_part``
+    that no other call has, and before it the ``shared_parts``.
     ``last_event`` is the last event of the stream that the caller received earlier.
     """
 
@@ -26,6 +27,8 @@
     answer_tokens: int = 0
     likely_answer_tokens: int = 0
     prompt: str = ''
+    shared_parts: tuple[str, ...] = ()
+    own_part: str = ''
     last_event: str = ''
 
 
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -2,45 +2,22 @@
 
 import math
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from jackdawsail.group.calls import CallCodec
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest
 from jackdawsail.proxy import metrics
-from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
+from jackdawsail.proxy.codecs import TrafficCodec
+from jackdawsail.proxy.part_reports import PartReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
 from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
 from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import UpstreamTable
-from jackdawsail.site.client import DecodeDocument
 from jackdawsail.site.node import NodeSettings
+from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
-from jackdawsail.staging.sources import OriginCodec
-
-
-@dataclass(frozen=True, slots=True)
-class TrafficCodec:
-    """Decodes and encodes callers' requests and upstreams' answers in the formats of a site."""
-
-    decode_call: Callable[[HttpRequest], CallerCall]
-    upstream_headers: Callable[[HttpRequest, DispatchDetails], Headers]
-    decode_head: Callable[[HttpAnswerHead], UpstreamHead]
-    retry_after: Callable[[float], Headers]
-
-
-@dataclass(frozen=True, slots=True)
-class EntryCodecs:
-    """All codecs of an entry for the formats of a site."""
-
-    traffic: TrafficCodec
-    calls: CallCodec
-    decode_document: DecodeDocument
-    origin: OriginCodec
 
 
 @dataclass(slots=True)
@@ -49,7 +26,8 @@
 
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
-    ``shares`` are its parts of the limits on sums over all entries.
+    ``shares`` are its parts of the limits on sums over all entries. ``parts`` holds what is
+    known about parts of prompts that crash engines.
     """
 
     clock: Any
@@ -67,9 +45,11 @@
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
     shares: EntryShares = field(init=False)
+    parts: PartReports = field(init=False)
 
     def __post_init__(self) -> None:
-        """Creates the shares of this entry, which follow the view of the site."""
+        """Creates the shares of this entry, which follow the view of the site, and its reports."""
+        self.parts = PartReports(self.clock, self.pool)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.view.on_change.append(self._update_shares)
         self._update_shares()
@@ -116,3 +96,19 @@
     def _update_shares(self) -> None:
         self.shares.update(self.view.sharing_entries, self.clock.seconds())
         metrics.ENTRIES.set(self.entries)
+
+
+def make_proxy_context(process: NodeProcess, codec: TrafficCodec) -> ProxyContext:
+    """Builds the shared state of an entry that knows nothing of its site yet."""
+    reactor = process.reactor
+    settings = process.settings
+    return ProxyContext(
+        clock=reactor,
+        settings=settings,
+        codec=codec,
+        view=SiteView(),
+        upstreams=UpstreamTable(settings.heartbeat_seconds, dict(settings.region_by_zone)),
+        pool=ChannelPool(reactor, reactor, settings.address),
+        rng=random.Random(process.incarnation),
+        started_seconds=process.started_seconds,
+    )
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -34,6 +34,21 @@
     'Upstreams left out of a choice because the limit on calls to a cold one is used up.',
     registry=REGISTRY,
 )
+SUSPECT_CALLS = Counter(
+    'jackdawsail_proxy_suspect_calls',
+    'Calls at engines that ended while their answers were waited for or had just begun.',
+    registry=REGISTRY,
+)
+BLOCKED_PARTS = Gauge(
+    'jackdawsail_proxy_blocked_parts',
+    'Parts of prompts whose calls are refused, as they crash engines.',
+    registry=REGISTRY,
+)
+BLOCKED_CALLS = Counter(
+    'jackdawsail_proxy_blocked_calls',
+    'Calls that were not sent to an upstream because a part of their prompt is blocked.',
+    registry=REGISTRY,
+)
 ENTRIES = Gauge(
     'jackdawsail_proxy_entries',
     'Entries among which this entry divides the limits on sums over all entries.',
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -1,24 +1,22 @@
 """The entry program of a site that is configured by a site document."""
 
-import random
 from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from jackdawsail.group import calls
-from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.proxy.admission import CallAdmission
-from jackdawsail.proxy.context import EntryCodecs, ProxyContext
+from jackdawsail.proxy.codecs import EntryCodecs
+from jackdawsail.proxy.context import ProxyContext, make_proxy_context
 from jackdawsail.proxy.datagrams import REFUSALS_INTERVAL_SECONDS, EntryDatagrams
 from jackdawsail.proxy.draining import CallerDrain
-from jackdawsail.routing.upstreams import UpstreamTable
+from jackdawsail.proxy.part_exchange import PartExchange
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http
-from jackdawsail.site.view import SiteView
 from jackdawsail.staging.relay import PieceRelay, make_piece_relay
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import EntryStatus
@@ -38,6 +36,7 @@
     relay: PieceRelay
     drain: CallerDrain
     datagrams: EntryDatagrams
+    parts: PartExchange
     stopping: bool = False
     _loops: list[Any] = field(default_factory=list)
     _settling: Any = None
@@ -45,7 +44,8 @@
     def start(self) -> None:
         """Opens the ports and connects to the control hosts."""
         view = self.context.view
-        self.client.on_connected = self._send_status
+        self.client.on_connected = self._link_opened
+        self.parts.start(self.process.reactor)
         view.on_change.append(self._site_changed)
         view.on_registrations.append(self._registrations_changed)
         self.client.start()
@@ -117,6 +117,10 @@
         self._send_status_to_all()
         self._send_status_once_settled()
 
+    def _link_opened(self, link: Link) -> None:
+        self._send_status(link)
+        self.parts.send_snapshot(link)
+
     def _send_status(self, link: Link) -> None:
         address = self.process.settings.listening.callers
         link.send(EntryStatus(address, self.accepts))
@@ -128,27 +132,17 @@
     def _on_drained(self, _outcome: None) -> None:
         for loop in self._loops:
             loop.stop()
+        self.parts.stop()
         self.relay.stop()
         self.client.stop()
 
 
 def make_entry_program(process: NodeProcess, codecs: EntryCodecs) -> EntryProgram:
     """Builds the entry program of a process."""
-    reactor = process.reactor
-    settings = process.settings
-    view = SiteView()
-    context = ProxyContext(
-        clock=reactor,
-        settings=settings,
-        codec=codecs.traffic,
-        view=view,
-        upstreams=UpstreamTable(settings.heartbeat_seconds, dict(settings.region_by_zone)),
-        pool=ChannelPool(reactor, reactor, settings.address),
-        rng=random.Random(process.incarnation),
-        started_seconds=process.started_seconds,
-    )
-    client = SiteClient(process, view, codecs.decode_document)
-    relay = make_piece_relay(process, view, codecs.origin)
-    callers = ServerFactory(ServerOptions(CallAdmission(context).handle, reactor))
+    context = make_proxy_context(process, codecs.traffic)
+    client = SiteClient(process, context.view, codecs.decode_document)
+    relay = make_piece_relay(process, context.view, codecs.origin)
+    callers = ServerFactory(ServerOptions(CallAdmission(context).handle, process.reactor))
     drain, datagrams = CallerDrain(context, callers), EntryDatagrams(context)
-    return EntryProgram(process, codecs, client, context, relay, drain, datagrams)
+    parts = PartExchange(context.parts, client)
+    return EntryProgram(process, codecs, client, context, relay, drain, datagrams, parts)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -26,12 +26,14 @@
     ``started`` is true once the caller has been sent a part of it. ``last_event`` is the id
     of the last forwarded event, 0 if there is none. ``unfinished_bytes`` is the size of what
     the upstream has sent after the last complete event, 0 for a plain answer.
+    ``received_events`` is the number of complete events that all its upstreams have sent.
     """
 
     started: bool
     last_event: int
     weight_version: int
     can_resume: bool
+    received_events: int
 
     @property
     def unfinished_bytes(self) -> int:
@@ -87,6 +89,7 @@
         self.last_event = 0
         self.weight_version = head.decoded.weight_version
         self.can_resume = False
+        self.received_events = 0
         self._exchange = exchange
         self._head = head
         self._buffered: list[bytes] = []
@@ -138,6 +141,7 @@
         self.last_event = 0
         self.weight_version = head.decoded.weight_version
         self.can_resume = can_resume
+        self.received_events = 0
         self._exchange = exchange
         self._head = head
         self._framing = head.raw.framing
@@ -167,6 +171,7 @@
         forwarded = []
         for frame in self._frames.feed(body):
             self._has_events = self._has_events or frame.has_fields
+            self.received_events += frame.has_fields
             if frame.number and frame.number <= self.last_event:
                 continue
             self.last_event = frame.number or self.last_event
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -16,6 +16,7 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.part_reports import BLOCKED
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
@@ -110,9 +111,12 @@
         if cannot_continue(self.relay, attempt.head):
             return
         started_before = self.relay.started
+        events_before = self.relay.received_events
         may_go_on = self.relay.forward(body)
         if self.relay.started and not started_before:
             _record_first_event(self, attempt)
+        new_events = self.relay.received_events - events_before
+        self.context.parts.events_received(self.call, attempt, new_events)
         if not may_go_on:
             attempt.cancel()
             attempt.upstream.call_failed(self.context.clock.seconds())
@@ -123,18 +127,15 @@
         head = attempt.head
         if head is None:
             return
-        now_seconds = self.context.clock.seconds()
         cut_off = is_cut_off(self.relay, head)
         metrics.ANSWERS.labels(attempt.framing, CUT_OFF if cut_off else 'complete').inc()
         if cut_off:
-            attempt.upstream.call_failed(now_seconds)
+            attempt.upstream.call_failed(self.context.clock.seconds())
             self.attempt_failed(attempt, AttemptEnd.broken, CUT_OFF)
             return
         status = head.decoded.status
         failed = status >= SERVER_ERROR
-        attempt.upstream.call_answered(
-            now_seconds - attempt.started_seconds, now_seconds, failed=failed
-        )
+        _record_complete(self, attempt, failed=failed)
         if head.decoded.not_run:
             self._not_run(attempt, status)
         elif cannot_continue(self.relay, head):
@@ -153,7 +154,18 @@
             self._not_run(attempt, attempt.head.decoded.status)
         elif end is AttemptEnd.unreached:
             self._place()
-        elif self._may_continue() and self.sends.take_further_upstream():
+        elif end is AttemptEnd.broken:
+            self.context.parts.answer_broken(self.call, attempt, self._continue)
+        else:
+            self._continue(is_risky=False)
+
+    def _continue(self, is_risky: bool) -> None:
+        """Continues after a broken attempt, unless its repeat could end another engine."""
+        if self._closed:
+            return
+        if is_risky:
+            self._fail(502, 'a part of the prompt may have ended the upstream')
+        elif _may_continue(self) and self.sends.take_further_upstream():
             self._place()
         else:
             self._fail(502, 'upstream broke off')
@@ -179,6 +191,10 @@
         if self.deadline.remaining_seconds < MIN_REMAINING_SECONDS:
             self._time_out()
             return
+        if self.context.parts.is_blocked(self.call):
+            metrics.BLOCKED_CALLS.inc()
+            self._refuse(BLOCKED)
+            return
         selection = self.selection()
         decision = place_call(self.context, selection)
         if isinstance(decision, Refusal):
@@ -223,19 +239,13 @@
         self.log.attempt_ended(attempt, f'not run, status {status}', self.relay)
         if status == MISDIRECTED:
             attempt.upstream.call_failed(self.context.clock.seconds())
-        if self.sends.may_have_run and not self._may_continue():
+        if self.sends.may_have_run and not _may_continue(self):
             self._fail(502, 'upstream refused a repeat')
         elif self.sends.take_repeat():
             self._place()
         else:
             self._refuse(Refusal('no more repeats', UNSERVED_RETRY_AFTER_SECONDS))
 
-    def _may_continue(self) -> bool:
-        """Returns whether another upstream can continue what the caller has received."""
-        if not self.route.may_repeat:
-            return False
-        return self.relay is None or not self.relay.started or self.relay.can_resume
-
     def abandon(self, attempt: Attempt, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
         attempt.cancel()
@@ -248,6 +258,8 @@
 
     def has_alternative(self) -> bool:
         """Returns whether another upstream could take the call now."""
+        if self.context.parts.is_blocked(self.call):
+            return False
         return isinstance(select_upstream(self.context, self.selection()), Choice)
 
     def _refuse(self, refusal: Refusal) -> None:
@@ -309,6 +321,21 @@
         task.attempt.set_paused(is_full)
 
 
+def _may_continue(task: CallTask) -> bool:
+    """Returns whether another upstream can continue what the caller has received."""
+    if not task.route.may_repeat:
+        return False
+    return task.relay is None or not task.relay.started or task.relay.can_resume
+
+
+def _record_complete(task: CallTask, attempt: Attempt, *, failed: bool) -> None:
+    now_seconds = task.context.clock.seconds()
+    took_seconds = now_seconds - attempt.started_seconds
+    attempt.upstream.call_answered(took_seconds, now_seconds, failed=failed)
+    if not failed:
+        task.context.parts.answer_sound(task.call, attempt)
+
+
 def _record_first_event(task: CallTask, attempt: Attempt) -> None:
     now_seconds = task.context.clock.seconds()
     task.first_seconds = now_seconds - task.exchange.received_seconds
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -62,6 +62,11 @@
         """Returns the id of the incarnation."""
         return self.registration.upstream
 
+    @property
+    def incarnation(self) -> str:
+        """Returns a name that no other incarnation has, also if this one kept its id."""
+        return f'{self.name}/{self.registration.born_milliseconds}'
+
     def load_at(self, now_seconds: float) -> EngineLoad | None:
         """Returns the load of the engine; None without a recent report."""
         if (
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -1,4 +1,4 @@
-"""The replicated state of a site: document, emptied zones, announced weights, entries.
+"""The replicated state of a site: document, emptied zones, weights, entries, blocked parts.
 
 Commands and snapshots are encoded as CBOR. The document is stored as the operator
 sent it, so that it can be read back unchanged. Documents are compared by the digest
@@ -14,7 +14,8 @@
 
 from jackdawsail.wire.site_messages import MemberHost
 
-SNAPSHOT_FORMAT = 2  # format 1 has no entries
+SNAPSHOT_FORMAT = 3  # format 1 has no entries, 2 no blocked parts
+MAX_BLOCKED_PARTS = 256
 
 
 class CommandOutcome(StrEnum):
@@ -41,7 +42,8 @@
 class SiteState:
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
-    ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address.
+    ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address,
+    ``blocked_parts`` are the parts of prompts that crash engines, the earliest blocked first.
     """
 
     revision: int = 0
@@ -49,6 +51,7 @@
     emptied_zones: tuple[str, ...] = ()
     weight_versions: tuple[tuple[str, int], ...] = ()
     sharing_entries: tuple[MemberHost, ...] = ()
+    blocked_parts: tuple[str, ...] = ()
 
 
 def put_document(document: StoredDocument) -> bytes:
@@ -74,6 +77,16 @@
     return cbor2.dumps(['entries', [_encode_host(host) for host in added], list(removed)])
 
 
+def block_part(part: str) -> bytes:
+    """Encodes the command that blocks a part of prompts."""
+    return cbor2.dumps(['part', part, True])
+
+
+def lift_part(part: str) -> bytes:
+    """Encodes the command that lifts the block of a part of prompts."""
+    return cbor2.dumps(['part', part, False])
+
+
 class SiteMachine:
     """Deterministic state machine that applies commands in the order of the log."""
 
@@ -98,20 +111,20 @@
         zones = list(state.emptied_zones)
         weights = [list(pair) for pair in state.weight_versions]
         entries = [_encode_host(host) for host in state.sharing_entries]
-        return cbor2.dumps(
-            [SNAPSHOT_FORMAT, state.revision, document_fields, zones, weights, entries]
-        )
+        lists = [zones, weights, entries, list(state.blocked_parts)]
+        return cbor2.dumps([SNAPSHOT_FORMAT, state.revision, document_fields, *lists])
 
     def restore(self, snapshot: bytes) -> None:
         """Replaces the state with a snapshot."""
-        _format, revision, document_fields, *lists = cbor2.loads(snapshot)
-        zones, weights, entries = (*lists, [])[:3]
+        revision, document_fields, *lists = cbor2.loads(snapshot)[1:]
+        zones, weights, entries, parts = (*lists, [], [])[:4]
         self.state = SiteState(
             revision,
             StoredDocument(*document_fields),
             tuple(zones),
             tuple((model, version) for model, version in weights),
             tuple(MemberHost(*fields) for fields in entries),
+            tuple(parts),
         )
         self.on_change()
 
@@ -156,6 +169,14 @@
     return replace(state, sharing_entries=kept), CommandOutcome.accepted
 
 
+def _change_part(state: SiteState, part: str, blocked: bool) -> Change:
+    if blocked == (part in state.blocked_parts):
+        return state, CommandOutcome.unchanged
+    others = [other for other in state.blocked_parts if other != part]
+    parts = [*others, part][-MAX_BLOCKED_PARTS:] if blocked else others
+    return replace(state, blocked_parts=tuple(parts)), CommandOutcome.accepted
+
+
 def _encode_host(host: MemberHost) -> list[str]:
     return [host.address, host.zone, host.region]
 
@@ -165,4 +186,5 @@
     'zone': _change_zone,
     'weights': _change_weights,
     'entries': _change_entries,
+    'part': _change_part,
 }
--- a/jackdawsail/ui/client.py
+++ b/jackdawsail/ui/client.py
@@ -73,6 +73,10 @@
             rows.extend(page['items'])
         return {'revision': page['revision'], 'items': rows}
 
+    def delete(self, path: str) -> dict[str, Any]:
+        """Deletes a resource, for example ``/v1/blocked-parts/3f``."""
+        return self._request('DELETE', path, None)
+
     def command(
         self,
         kind: str,
--- a/jackdawsail/ui/main.py
+++ b/jackdawsail/ui/main.py
@@ -11,6 +11,7 @@
     config_commands,
     customer_commands,
     explain_command,
+    part_commands,
     release_commands,
     status_commands,
     voter_commands,
@@ -28,6 +29,7 @@
     zone_commands.host_app,
     status_commands.calls_app,
     voter_commands.voters_app,
+    part_commands.part_app,
     config_commands.config_app,
 )
 COMMANDS = (
--- /dev/null
+++ b/jackdawsail/wire/part_messages.py
@@ -0,0 +1,65 @@
+"""Messages about parts of prompts that may crash engines, between entries and control hosts."""
+
+from dataclasses import dataclass, field
+
+from jackdawsail.wire.codec import message
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectCall:
+    """A call on an engine that ended, whose answer had just begun or was still waited for.
+
+    ``own_part`` is the part of its prompt that no other call has, ``shared_parts`` are the
+    others. ``just_begun`` is true if its first events had arrived and not many more.
+    """
+
+    own_part: str
+    shared_parts: list[str]
+    just_begun: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AgedEnd:
+    """An engine that ended, the seconds since then, and the calls that may have caused it.
+
+    ``engine`` names its incarnation.
+    """
+
+    engine: str
+    age_seconds: float
+    calls: list[SuspectCall]
+
+
+@dataclass(frozen=True, slots=True)
+class AgedSoundAnswer:
+    """A part under which an answer went well, and the seconds since that answer began."""
+
+    part: str
+    begun_age_seconds: float
+
+
+@message('site-part-evidence')
+class PartEvidence:
+    """Entry to control, and control to entries and control hosts: what speaks for or against parts.
+
+    ``blocked`` are parts that an entry has found to be bad. ``revision`` is that of the
+    stored block list which the sender knew; a part that was lifted later is not blocked again.
+    """
+
+    revision: int
+    ends: list[AgedEnd] = field(default_factory=list)
+    sound: list[AgedSoundAnswer] = field(default_factory=list)
+    blocked: list[str] = field(default_factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        """Returns whether the message says nothing."""
+        return not (self.ends or self.sound or self.blocked)
+
+
+@message('site-blocked-parts')
+class BlockedParts:
+    """Control to entries: the stored block list, at the revision of its last change."""
+
+    revision: int
+    parts: list[str]
--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -137,9 +137,10 @@
         self.program = make_entry_program(process, codecs)
         self.context = self.program.context
         self.client = self.program.client
-        self.client.on_connected = self.program._send_status
+        self.client.on_connected = self.program._link_opened
         self.view = self.context.view
         self.view.on_registrations.append(self.program._registrations_changed)
+        self.program.parts.start(clock)
         self.client.start()
         document = make_document(routes=[ROUTE], services=[MODEL_SERVICE])
         self.view.apply_document(document)
@@ -284,9 +285,7 @@
 
     def statuses(self, part, start=0):
         """Returns the statuses that callers with a part got, from the call ``start`` on."""
-        return [
-            status_of(caller) for parts, caller in self.callers[start:] if part in parts
-        ]
+        return [status_of(caller) for parts, caller in self.callers[start:] if part in parts]
 
 
 def header_of(written, name):
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -7,7 +7,8 @@
 from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.platform import traffic
 from jackdawsail.proxy.admission import CallAdmission
-from jackdawsail.proxy.context import ProxyContext, TrafficCodec
+from jackdawsail.proxy.codecs import TrafficCodec
+from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.registry.registration import ModelVersion, Registration
 from jackdawsail.routing.upstreams import UpstreamTable
 from jackdawsail.site.document import CallKind, Service
