--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/part_suspicion.py
@@ -2,9 +2,9 @@
 
 A bad part ends each engine that begins an answer under it. It is therefore among the parts of
 one end after the other, in different calls. The calls that had just begun are the likely
-cause of an end. Engines that end together count once, since loss of power, a restart of a
-data centre or a deployment ends many at the same time. A part that many calls have is involved
-in any end, so it takes more of them.
+cause of an end. Engines that end together count once, and many of them not at all, since loss
+of power, a restart of a data centre or a deployment ends many at the same time. A part that
+many calls have is involved in any end, so it takes more of them.
 """
 
 from collections.abc import Collection
@@ -23,6 +23,7 @@
 USUAL_CALLS_PER_END = 1.5
 MIN_COVERED_SHARE = 0.7  # of the ends since a part was first involved
 SAME_MOMENT_SECONDS = 0.15  # entries see the end of one engine within some tens of milliseconds
+MASS_ENDS = 4  # so many engines at the same moment are not ended by calls
 # A sound part in use shows an answer that goes well by then, after a wait for a slot.
 MIN_AGE_SECONDS = 0.9  # of the first end
 
@@ -98,10 +99,11 @@
     Of parts with equal scores it is the one with the fewest calls. If these are equal as well,
     more ends must tell them apart.
     """
+    single = _without_mass_ends(ends)
     enough = {
         part: suspicion
-        for part, suspicion in _suspicions(ends).items()
-        if _is_enough(suspicion, ends, now_seconds)
+        for part, suspicion in _suspicions(single).items()
+        if _is_enough(suspicion, single, now_seconds)
     }
     ranked = sorted((-each.score, len(each.calls), part) for part, each in enough.items())
     if not ranked:
@@ -116,10 +118,21 @@
 
     That is the case if one of its parts was involved in an earlier end, in another call.
     """
-    suspicions = _suspicions(ends)
+    suspicions = _suspicions(_without_mass_ends(ends))
     return any(_is_serious(suspicions[part]) for part in call.shared_parts if part in suspicions)
 
 
+def _without_mass_ends(ends: Collection[EngineEnd]) -> list[EngineEnd]:
+    """Returns the ends at whose moment fewer than MASS_ENDS engines ended."""
+    moments: list[list[EngineEnd]] = []
+    for end in sorted(ends, key=lambda each: each.ended_seconds):
+        if moments and end.ended_seconds - moments[-1][0].ended_seconds < SAME_MOMENT_SECONDS:
+            moments[-1].append(end)
+        else:
+            moments.append([end])
+    return [end for moment in moments if len(moment) < MASS_ENDS for end in moment]
+
+
 def _suspicions(ends: Collection[EngineEnd]) -> dict[str, _Suspicion]:
     suspicions: dict[str, _Suspicion] = {}
     for end in ends:
