--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/part_suspicion.py
@@ -130,7 +130,8 @@
             moments[-1].append(end)
         else:
             moments.append([end])
-    return [end for moment in moments if len(moment) < MASS_ENDS for end in moment]
+    few = [moment for moment in moments if len(moment) < MASS_ENDS]
+    return [each for moment in few for each in moment]
 
 
 def _suspicions(ends: Collection[EngineEnd]) -> dict[str, _Suspicion]:
