--- a/bench/part_blame.py
+++ b/bench/emulator/blame_play.py
@@ -2,16 +2,10 @@
 
 Every entry's evidence reaches the decision after DELAY_SECONDS. The figures are the ends
 before a bad part is blocked, its sends after the block, and what sound calls lost.
-
-Example::
-
-    python -m bench blame --seeds 200
 """
 
-import argparse
 import itertools
 import random
-import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -91,7 +85,7 @@
     scenario: Scenario
     rng: random.Random
     simulation: Simulation = field(default_factory=Simulation)
-    blame: PartBlame = field(default_factory=PartBlame)
+    blame: Any = field(default_factory=PartBlame)
     figures: Figures = field(default_factory=Figures)
     engines: list[_Engine] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
@@ -250,9 +244,10 @@
 )
 
 
-def play(scenario: Scenario, seed: int) -> Figures:
-    """Plays a scenario with a seed."""
-    return BlamePlay(scenario, random.Random(f'{scenario.name}/{seed}')).run()
+def play(scenario: Scenario, seed: int, make_blame: Callable[[], Any] = PartBlame) -> Figures:
+    """Plays a scenario with a seed; ``make_blame`` builds the decision."""
+    rng = random.Random(f'{scenario.name}/{seed}')
+    return BlamePlay(scenario, rng, blame=make_blame()).run()
 
 
 def _suspect(call: _Call) -> SuspectCall:
@@ -262,35 +257,3 @@
 
 def _load(engine: _Engine) -> int:
     return len(engine.calls)
-
-
-def main(arguments: list[str]) -> None:
-    """Prints the figures of every scenario."""
-    parser = argparse.ArgumentParser(prog='blame')
-    parser.add_argument('--seeds', type=int, default=50)
-    seeds = parser.parse_args(arguments).seeds
-    import multiprocessing
-
-    with multiprocessing.Pool(4) as pool:
-        for line in pool.imap(_line, [(scenario, seeds) for scenario in SCENARIOS]):
-            print(line)  # noqa: T201
-
-
-def _line(argument) -> str:
-    scenario, seeds = argument
-    plays = [play(scenario, seed) for seed in range(seeds)]
-    before = [each.ends_before for each in plays if scenario.bad_per_second]
-    after = [each.sends_after for each in plays]
-    unblocked = sum(each.blocked_seconds is None for each in plays)
-    sound = sum(each.sound_calls for each in plays)
-    refused = sum(each.sound_refused for each in plays)
-    wrong = sum(len(each.sound_blocked) for each in plays)
-    line = (
-        f'{scenario.name:32} ends before {statistics.mean(before or [0]):.2f} '
-        f'most {max(before or [0])}, after {max(each.ends_after for each in plays)}, '
-        f'sends after {max(after)}, not blocked {unblocked if scenario.bad_per_second else 0}, '
-        f'sound refused {refused}/{sound}, withheld {sum(each.withheld for each in plays)} of failed {sum(each.sound_failed for each in plays)}, sound parts blocked {wrong}'
-    )
-    if wrong:
-        line += '\n   ' + str([each.sound_blocked for each in plays if each.sound_blocked][:6])
-    return line
--- a/jackdawsail/routing/part_blame.py
+++ b/jackdawsail/routing/part_blame.py
@@ -8,16 +8,17 @@
 MAX_CALLS_PER_END calls.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Any
 
-from jackdawsail.routing.part_suspicion import EngineEnd, find_bad_part, is_risky
+from jackdawsail.routing.part_suspicion import MIN_AGE_SECONDS, EngineEnd, find_bad_part, is_risky
 from jackdawsail.wire.part_messages import AgedEnd, AgedSoundAnswer, PartEvidence, SuspectCall
 
 REMEMBERED_SECONDS = 600.0
-MAX_ENDS = 128
-MAX_CALLS_PER_END = 64
+MAX_ENDS = 64
+MAX_CALLS_PER_END = 32  # an engine has few more than its slots
 MAX_SOUND = 2048
 MAX_BLOCKED = 256
 
@@ -46,6 +47,7 @@
         self._stored: frozenset[str] = frozenset()
         self._lifted_revisions: OrderedDict[str, int] = OrderedDict()
         self.stored_revision = 0
+        self._check_until_seconds = -math.inf
 
     @property
     def blocked(self) -> tuple[str, ...]:
@@ -87,6 +89,7 @@
             end.explain()
             return []
         added = added[: MAX_CALLS_PER_END - len(end.calls)]
+        self._check_until_seconds = now_seconds + 2 * MIN_AGE_SECONDS
         for call in added:
             end.calls[call.own_part] = call
             end.parts.update(part for part in call.shared_parts if self._may_explain(part, end))
@@ -111,7 +114,12 @@
         return bool(cleared)
 
     def find_bad(self, now_seconds: float) -> list[str]:
-        """Blocks the parts that the evidence shows to be bad, and returns them."""
+        """Blocks the parts that the evidence shows to be bad, and returns them.
+
+        Call it after new evidence and, as a part needs some age to be found bad, periodically.
+        """
+        if now_seconds > self._check_until_seconds:
+            return []
         bad: list[str] = []
         while part := find_bad_part(self._ends.values(), now_seconds):
             bad.append(part)
--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/part_suspicion.py
@@ -49,49 +49,41 @@
         self.parts.clear()
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """What speaks against one part: the calls with it on engines that ended, by time."""
+    """What speaks against one part: the calls with it on engines that ended.
+
+    ``moments`` are the calls by moment, ``first_seconds`` is the time of the first one.
+    """
 
-    calls: list[tuple[float, SuspectCall]] = field(default_factory=list)
+    moments: list[list[SuspectCall]]
+    first_seconds: float
+    ends: int
+
+    @property
+    def calls(self) -> int:
+        """Returns the number of calls, counting one that was on several engines as often."""
+        return sum(len(calls) for calls in self.moments)
 
     @property
     def own_parts(self) -> set[str]:
         """Returns the parts that identify the calls."""
-        return {call.own_part for _, call in self.calls}
+        return {call.own_part for calls in self.moments for call in calls}
 
     @property
     def is_usual(self) -> bool:
         """Returns whether many calls have the part, so that any end involves some of them."""
-        ends = {ended_seconds for ended_seconds, _ in self.calls}
-        return len(self.calls) > USUAL_CALLS_PER_END * len(ends)
+        return self.calls > USUAL_CALLS_PER_END * self.ends
 
-    @property
-    def first_seconds(self) -> float:
-        """Returns the time of the first end."""
-        return min(ended_seconds for ended_seconds, _ in self.calls)
-
-    @property
     def score(self) -> float:
-        """Returns the sum of the weights of its moments, each that of its strongest call."""
+        """Returns the sum of the weights of the moments, each that of its strongest call."""
         seen: set[str] = set()
         score: float = 0
-        for calls in self.moments():
+        for calls in self.moments:
             score += max(_weight(call, seen) for call in calls)
             seen.update(call.own_part for call in calls)
         return score
 
-    def moments(self) -> list[list[SuspectCall]]:
-        """Returns the calls, those of one moment together."""
-        moments: list[list[SuspectCall]] = []
-        begun_seconds: float = 0
-        for ended_seconds, call in sorted(self.calls, key=_ended_seconds):
-            if not moments or ended_seconds - begun_seconds >= SAME_MOMENT_SECONDS:
-                moments.append([])
-                begun_seconds = ended_seconds
-            moments[-1].append(call)
-        return moments
-
 
 def find_bad_part(ends: Collection[EngineEnd], now_seconds: float) -> str:
     """Returns the part that the ends show to be bad; empty if they show none.
@@ -102,15 +94,15 @@
     single = _without_mass_ends(ends)
     enough = {
         part: suspicion
-        for part, suspicion in _suspicions(single).items()
+        for part, suspicion in _suspicions(single, MIN_MOMENTS).items()
         if _is_enough(suspicion, single, now_seconds)
     }
-    ranked = sorted((-each.score, len(each.calls), part) for part, each in enough.items())
+    ranked = sorted((-each.score(), each.calls, part) for part, each in enough.items())
     if not ranked:
         return ''
     part = ranked[0][-1]
     is_tied = len(ranked) > 1 and ranked[0][:2] == ranked[1][:2]
-    return '' if is_tied and len(enough[part].moments()) < SURE_MOMENTS else part
+    return '' if is_tied and len(enough[part].moments) < SURE_MOMENTS else part
 
 
 def is_risky(ends: Collection[EngineEnd], call: SuspectCall) -> bool:
@@ -118,58 +110,65 @@
 
     That is the case if one of its parts was involved in an earlier end, in another call.
     """
-    suspicions = _suspicions(_without_mass_ends(ends))
+    suspicions = _suspicions(_without_mass_ends(ends), MIN_CALLS)
     return any(_is_serious(suspicions[part]) for part in call.shared_parts if part in suspicions)
 
 
 def _without_mass_ends(ends: Collection[EngineEnd]) -> list[EngineEnd]:
-    """Returns the ends at whose moment fewer than MASS_ENDS engines ended."""
+    """Returns the ends, in order, at whose moment fewer than MASS_ENDS engines ended."""
+    few = [moment for moment in _moments_of(ends) if len(moment) < MASS_ENDS]
+    return [each for moment in few for each in moment]
+
+
+def _moments_of(ends: Collection[EngineEnd]) -> list[list[EngineEnd]]:
     moments: list[list[EngineEnd]] = []
-    for end in sorted(ends, key=lambda each: each.ended_seconds):
+    for end in sorted(ends, key=_ended_seconds):
         if moments and end.ended_seconds - moments[-1][0].ended_seconds < SAME_MOMENT_SECONDS:
             moments[-1].append(end)
         else:
             moments.append([end])
-    few = [moment for moment in moments if len(moment) < MASS_ENDS]
-    return [each for moment in few for each in moment]
+    return moments
 
 
-def _suspicions(ends: Collection[EngineEnd]) -> dict[str, _Suspicion]:
-    suspicions: dict[str, _Suspicion] = {}
+def _suspicions(ends: Collection[EngineEnd], min_ends: int) -> dict[str, _Suspicion]:
+    """Returns what speaks against each part that was involved in at least ``min_ends``."""
+    ends_by_part: dict[str, list[EngineEnd]] = {}
     for end in ends:
-        for call in end.calls.values():
-            for part in end.parts.intersection(call.shared_parts):
-                suspicion = suspicions.setdefault(part, _Suspicion())
-                suspicion.calls.append((end.ended_seconds, call))
-    return suspicions
+        for part in end.parts:
+            ends_by_part.setdefault(part, []).append(end)
+    return {
+        suspected: _suspicion_of(suspected, involved)
+        for suspected, involved in ends_by_part.items()
+        if len(involved) >= min_ends
+    }
+
+
+def _suspicion_of(part: str, ends: list[EngineEnd]) -> _Suspicion:
+    moments = [
+        [call for end in moment for call in end.calls.values() if part in call.shared_parts]
+        for moment in _moments_of(ends)
+    ]
+    return _Suspicion(moments, min(end.ended_seconds for end in ends), len(ends))
 
 
 def _is_serious(suspicion: _Suspicion) -> bool:
     has_other_call = len(suspicion.own_parts) >= MIN_CALLS
-    return has_other_call and not suspicion.is_usual and suspicion.score >= RISKY_SCORE
+    return has_other_call and not suspicion.is_usual and suspicion.score() >= RISKY_SCORE
 
 
 def _is_enough(suspicion: _Suspicion, ends: Collection[EngineEnd], now_seconds: float) -> bool:
-    moments = len(suspicion.moments())
+    moments = len(suspicion.moments)
     if moments < MIN_MOMENTS or now_seconds - suspicion.first_seconds < MIN_AGE_SECONDS:
         return False
     calls = len(suspicion.own_parts)
     if moments >= SURE_MOMENTS and calls >= SURE_CALLS:
         return True
-    if calls < MIN_CALLS or suspicion.score < MIN_SCORE or suspicion.is_usual:
+    if calls < MIN_CALLS or suspicion.is_usual or suspicion.score() < MIN_SCORE:
         return False
-    return moments >= MIN_COVERED_SHARE * _count_moments(ends, suspicion.first_seconds)
-
-
-def _count_moments(ends: Collection[EngineEnd], first_seconds: float) -> int:
-    """Counts the moments of unexplained ends since a time."""
-    calls = [
-        (end.ended_seconds, call)
-        for end in ends
-        for call in end.calls.values()
-        if not end.explained and end.ended_seconds >= first_seconds
+    since = [
+        end for end in ends if not end.explained and end.ended_seconds >= suspicion.first_seconds
     ]
-    return len(_Suspicion(calls).moments())
+    return moments >= MIN_COVERED_SHARE * len(_moments_of(since))
 
 
 def _weight(call: SuspectCall, seen: set[str]) -> float:
@@ -177,5 +176,5 @@
     return weight * REPEAT_WEIGHT if call.own_part in seen else weight
 
 
-def _ended_seconds(ended: tuple[float, SuspectCall]) -> float:
-    return ended[0]
+def _ended_seconds(end: EngineEnd) -> float:
+    return end.ended_seconds
--- a/test/routing/test_part_blame.py
+++ b/test/routing/test_part_blame.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bench.part_blame import Scenario, play
+from bench.emulator.blame_play import Scenario, play
 from jackdawsail.routing.part_blame import (
     MAX_BLOCKED,
     MAX_CALLS_PER_END,
