--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -4,13 +4,16 @@
 """
 
 import math
+import re
 
 from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest, end_to_end_headers
 from jackdawsail.platform.fields import MILLISECOND
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
+from jackdawsail.routing.named_limits import NamedLimit
 
 MAX_VERSION_DIGITS = 18
 MAX_PROMPT_PARTS = 64
+_DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{0,9})?|\.\d{1,9}')
 _AUTHORIZATION_SCHEME = b'token '
 _NOT_FORWARDED = frozenset(
     (
@@ -82,6 +85,7 @@
         not_run=bool(head.header(b'not-executed')) or head.status == 421,
         weight_version=_version_number(head.header(b'weight-versions')),
         cold_seconds=_non_negative_number(head.header(b'cold-ms')) * MILLISECOND,
+        limit=_named_limit(head.header(b'server-limit')),
     )
 
 
@@ -113,6 +117,14 @@
     return int(value) if value.isdigit() and len(value) <= MAX_VERSION_DIGITS else 0
 
 
+def _named_limit(value: bytes) -> NamedLimit | None:
+    """Parses a limit in calls a second; one that is not a decimal number is unreadable."""
+    if not value.strip():
+        return None
+    is_decimal = _DECIMAL_NUMBER.fullmatch(value.strip()) is not None
+    return NamedLimit(float(value) if is_decimal else None)
+
+
 def _non_negative_number(value: bytes) -> float:
     """Parses a non-negative number; returns 0 for other text and for infinity or NaN."""
     try:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -151,6 +151,8 @@
         self.head = ReceivedHead(head, decoded)
         if not decoded.not_run:
             self.begun_seconds = self.last_received_seconds
+        if decoded.limit is not None or head.status in SUCCESS:
+            self._context.limits.hear(self.upstream, decoded.limit)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
             self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -84,6 +84,7 @@
             recent_sends=upstream.sends.count_since(now_seconds - COLD_WINDOW_SECONDS),
             pending_sends=upstream.sends.pending,
             cold=upstream.is_cold(now_seconds),
+            limit=upstream.limit.calls_per_second,
             entries=self._context.entries,
             running=load.running if load else None,
             waiting=load.waiting if load else None,
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -4,6 +4,7 @@
 
 from jackdawsail.http1.messages import HttpRequest
 from jackdawsail.routing.late_calls import call_fingerprint
+from jackdawsail.routing.named_limits import NamedLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,8 @@
     """Metadata in the head of an upstream's answer.
 
     ``not_run`` means that the upstream did not run the call and never will.
-    ``weight_version`` is 0 if the answer does not give it.
+    ``weight_version`` is 0 if the answer does not give it. ``limit`` is what it names of the
+    calls that the upstream takes from all entries together, None if it names no limit.
     """
 
     status: int
@@ -63,6 +65,7 @@
     not_run: bool
     weight_version: int
     cold_seconds: float
+    limit: NamedLimit | None = None
 
 
 def fingerprint_of(call: CallerCall, request: HttpRequest) -> bytes:
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -8,6 +8,7 @@
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.codecs import TrafficCodec
+from jackdawsail.proxy.limit_reports import LimitReports
 from jackdawsail.proxy.part_reports import PartReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
@@ -27,7 +28,8 @@
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
     ``shares`` are its parts of the limits on sums over all entries. ``parts`` holds what is
-    known about parts of prompts that crash engines.
+    known about parts of prompts that crash engines, ``limits`` records the limits that
+    upstreams name.
     """
 
     clock: Any
@@ -46,10 +48,12 @@
     _moves: dict[str, MoveShare] = field(default_factory=dict)
     shares: EntryShares = field(init=False)
     parts: PartReports = field(init=False)
+    limits: LimitReports = field(init=False)
 
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site, and its reports."""
         self.parts = PartReports(self.clock, self.pool)
+        self.limits = LimitReports(self.clock)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.view.on_change.append(self._update_shares)
         self._update_shares()
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -13,6 +13,7 @@
     Registration,
     RegistrationTable,
 )
+from jackdawsail.routing.named_limits import LimitRecord
 from jackdawsail.routing.sends import SendRecord
 from jackdawsail.wire.site_messages import EngineLoad
 
@@ -39,7 +40,7 @@
 
     ``calls`` is the number of this entry's calls that were sent there and have not ended,
     ``sends`` records its last sends, and ``first_event_mean_seconds`` is the recent mean
-    time to a first event.
+    time to a first event. ``limit`` is the limit on its calls that it names.
     """
 
     registration: Registration
@@ -56,6 +57,7 @@
     sends: SendRecord = field(default_factory=SendRecord)
     first_event_mean_seconds: float = 0
     first_event_recorded_seconds: float = 0
+    limit: LimitRecord = field(default_factory=LimitRecord)
 
     @property
     def name(self) -> str:
