--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -17,7 +17,7 @@
 )
 from bench.emulator.policies import Policy
 from bench.emulator.simulation import Simulation
-from jackdawsail.proxy.datagrams import REFUSALS_INTERVAL_SECONDS
+from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS
 from jackdawsail.proxy.watch import WATCH_INTERVAL_SECONDS
 from jackdawsail.registry.registration import RegistrationTable
 from jackdawsail.site.document import (
@@ -183,7 +183,7 @@
             for fingerprint in entry.context.refused_calls.take_unsent():
                 for other in self.entries:
                     other.context.refused_calls.record(fingerprint, now_seconds)
-        self.simulation.call_later(REFUSALS_INTERVAL_SECONDS, self._share_refusals)
+        self.simulation.call_later(SEND_INTERVAL_SECONDS, self._share_refusals)
 
     def _check_streams(self) -> None:
         """Makes every entry check its streams."""
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -53,8 +53,8 @@
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site, and its reports."""
         self.parts = PartReports(self.clock, self.pool)
-        self.limits = LimitReports(self.clock)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
+        self.limits = LimitReports(self.clock, self.upstreams, self.shares)
         self.view.on_change.append(self._update_shares)
         self._update_shares()
 
--- a/jackdawsail/proxy/datagrams.py
+++ b/jackdawsail/proxy/datagrams.py
@@ -1,7 +1,7 @@
-"""Datagrams to an entry: load reports of agents, and refusals of other entries.
+"""Datagrams to an entry: load reports of agents, refusals and named limits of other entries.
 
 Loss is tolerated. The next report replaces a lost one. After a lost refusal the caller's
-retry counts as a first attempt.
+retry counts as a first attempt. Named limits are repeated.
 """
 
 from collections.abc import Callable
@@ -13,10 +13,11 @@
 
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.wire.codec import decode, encode
-from jackdawsail.wire.site_messages import EngineLoad, RefusedCallsTold
+from jackdawsail.wire.site_messages import EngineLoad, NamedLimitsTold, RefusedCallsTold
 
-REFUSALS_INTERVAL_SECONDS = 0.05  # a tenth of the shortest retry time given to callers
+SEND_INTERVAL_SECONDS = 0.05  # a tenth of the shortest retry time given to callers
 MAX_FINGERPRINTS = 100  # per datagram, so that it fits into one packet
+MAX_LIMITS = 12  # per datagram, so that it fits into one packet
 
 Handler = Callable[[Any], None]
 
@@ -47,23 +48,33 @@
     _port: Any = field(default=None)
 
     def listen(self, reactor: Any) -> None:
-        """Starts to receive load reports and refusals."""
+        """Starts to receive load reports, refusals and named limits."""
         settings = self.context.settings
         listener = DatagramListener(
-            {EngineLoad: self._on_load, RefusedCallsTold: self._on_refused}
+            {
+                EngineLoad: self._on_load,
+                RefusedCallsTold: self._on_refused,
+                NamedLimitsTold: self.context.limits.receive,
+            }
         )
         self._port = reactor.listenUDP(settings.link_port, listener, settings.address)
 
-    def send_refused(self) -> None:
-        """Sends the other entries the fingerprints of calls refused here since the last sending."""
+    def send_pending(self) -> None:
+        """Tells the other entries what this entry has learned since the last sending.
+
+        That is the fingerprints of calls refused here, and limits that upstreams named.
+        """
         fingerprints = self.context.refused_calls.take_unsent()
+        for refused in _batches(fingerprints, MAX_FINGERPRINTS):
+            self._send_to_entries(RefusedCallsTold(refused))
+        for limits in _batches(self.context.limits.take_untold(), MAX_LIMITS):
+            self._send_to_entries(NamedLimitsTold(limits))
+
+    def _send_to_entries(self, message: RefusedCallsTold | NamedLimitsTold) -> None:
+        datagram = encode(message)
         settings = self.context.settings
-        other_entries = [
-            host for host in self.context.view.entries() if host.address != settings.address
-        ]
-        for start in range(0, len(fingerprints), MAX_FINGERPRINTS):
-            datagram = encode(RefusedCallsTold(fingerprints[start : start + MAX_FINGERPRINTS]))
-            for entry in other_entries:
+        for entry in self.context.view.entries():
+            if entry.address != settings.address:
                 self._port.write(datagram, (entry.address, settings.link_port))
 
     def _on_load(self, load: EngineLoad) -> None:
@@ -73,3 +84,7 @@
         now_seconds = self.context.clock.seconds()
         for fingerprint in message.fingerprints:
             self.context.refused_calls.record(fingerprint, now_seconds)
+
+
+def _batches(items: list[Any], most: int) -> list[list[Any]]:
+    return [items[start : start + most] for start in range(0, len(items), most)]
--- a/jackdawsail/proxy/limit_reports.py
+++ b/jackdawsail/proxy/limit_reports.py
@@ -1,26 +1,90 @@
-"""What an entry hears of the limits that upstreams name in their answers."""
+"""What the entries hear of the limits that upstreams name in their answers.
 
-from dataclasses import dataclass
+An entry tells the others at once when it hears a limit that is new to it. For entries that
+start or missed that, a few entries repeat each limit; which ones is decided by the order in
+which its units are dealt out.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from jackdawsail import events
 from jackdawsail.clocks import Clock
 from jackdawsail.routing.named_limits import NamedLimit
-from jackdawsail.routing.upstreams import Upstream
+from jackdawsail.routing.shares import EntryShares
+from jackdawsail.routing.upstreams import Upstream, UpstreamTable
+from jackdawsail.wire.site_messages import NamedLimitsTold, ToldLimit
+
+REPEAT_SECONDS = 1.0
+REPEATING_ENTRIES = 3  # some of them may be cut off
+END_REPEATED_SECONDS = 4.0
 
 LIMIT_CHANGED = events.define(434, 'warning', 'upstream names a limit on its calls, or no longer')
 
 
 @dataclass(slots=True)
 class LimitReports:
-    """Records the limits that upstreams name."""
+    """Records the limits that upstreams name, and says what to tell the other entries."""
 
     clock: Clock
+    upstreams: UpstreamTable
+    shares: EntryShares
+    _untold: dict[str, Upstream] = field(default_factory=dict)
+    _repeated_seconds: float = 0
 
     def hear(self, upstream: Upstream, limit: NamedLimit | None) -> None:
         """Records what an answer of an upstream names, None if it names no limit."""
         if upstream.limit.hear(limit, self.clock.seconds()):
-            events.log(
-                LIMIT_CHANGED,
-                upstream=upstream.incarnation,
-                calls_per_second=upstream.limit.calls_per_second,
+            self._untold[upstream.incarnation] = upstream
+            _log_change(upstream, 'own answer')
+
+    def receive(self, message: NamedLimitsTold) -> None:
+        """Records what another entry has heard."""
+        now_seconds = self.clock.seconds()
+        for told in message.limits:
+            upstream = self.upstreams.get(told.upstream.rpartition('/')[0])
+            if upstream is None or upstream.incarnation != told.upstream:
+                continue
+            value = told.calls_per_second
+            limit = None if value is None else NamedLimit(value)
+            if upstream.limit.hear(limit, now_seconds - told.age_seconds):
+                _log_change(upstream, 'another entry')
+
+    def take_untold(self) -> list[ToldLimit]:
+        """Returns the limits to tell the other entries now: new ones, or those to repeat."""
+        now_seconds = self.clock.seconds()
+        untold: Iterable[Upstream] = self._untold.values()
+        if now_seconds - self._repeated_seconds >= REPEAT_SECONDS:
+            self._repeated_seconds = now_seconds
+            repeated = {each.incarnation: each for each in self._repeated(now_seconds)}
+            untold = {**repeated, **self._untold}.values()
+        told = [
+            ToldLimit(
+                upstream.incarnation,
+                upstream.limit.calls_per_second,
+                now_seconds - upstream.limit.heard_seconds,
             )
+            for upstream in untold
+        ]
+        self._untold.clear()
+        return told
+
+    def _repeated(self, now_seconds: float) -> Iterable[Upstream]:
+        if not self.shares.is_listed:
+            return
+        for upstream in self.upstreams.all():
+            is_named = upstream.limit.calls_per_second is not None
+            ended_seconds_ago = now_seconds - upstream.limit.ended_seconds
+            if is_named or ended_seconds_ago < END_REPEATED_SECONDS:
+                rank = self.shares.rank_of(upstream.registration.address, upstream.region)
+                if rank < REPEATING_ENTRIES:
+                    yield upstream
+
+
+def _log_change(upstream: Upstream, source: str) -> None:
+    events.log(
+        LIMIT_CHANGED,
+        upstream=upstream.incarnation,
+        calls_per_second=upstream.limit.calls_per_second,
+        source=source,
+    )
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -31,7 +31,8 @@
 RUNNING = Gauge('jackdawsail_proxy_running', 'Calls that are being served.', registry=REGISTRY)
 WITHHELD = Counter(
     'jackdawsail_proxy_withheld',
-    'Upstreams left out of a choice because the limit on calls to a cold one is used up.',
+    'Upstreams left out of a choice because a limit on their calls is used up, by limit.',
+    ['limit'],
     registry=REGISTRY,
 )
 SUSPECT_CALLS = Counter(
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -10,7 +10,7 @@
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import EntryCodecs
 from jackdawsail.proxy.context import ProxyContext, make_proxy_context
-from jackdawsail.proxy.datagrams import REFUSALS_INTERVAL_SECONDS, EntryDatagrams
+from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS, EntryDatagrams
 from jackdawsail.proxy.draining import CallerDrain
 from jackdawsail.proxy.part_exchange import PartExchange
 from jackdawsail.site.client import SiteClient
@@ -58,9 +58,7 @@
         self.relay.start()
         self._loops = [
             start_loop(self.process.reactor, self._clean_up, HOUSEKEEPING_SECONDS),
-            start_loop(
-                self.process.reactor, self.datagrams.send_refused, REFUSALS_INTERVAL_SECONDS
-            ),
+            start_loop(self.process.reactor, self.datagrams.send_pending, SEND_INTERVAL_SECONDS),
         ]
 
     def stop(self) -> Deferred[None]:
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -14,6 +14,7 @@
     choose_service,
     make_refusal,
 )
+from jackdawsail.routing.shared_limits import keeps_named_limit
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import WeightRule, must_recall, weight_rule
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
@@ -168,7 +169,11 @@
     if service.engine is not None and not constraints.weights.allows(upstream, now_seconds):
         return False
     rate = service.cold_requests_per_second
-    within_limit = context.cold_bound.allows(upstream, rate, context.shares, now_seconds)
-    if not within_limit:
-        metrics.WITHHELD.inc()
-    return within_limit
+    within_cold_limit = context.cold_bound.allows(upstream, rate, context.shares, now_seconds)
+    if not within_cold_limit:
+        metrics.WITHHELD.labels('cold').inc()
+        return False
+    within_named_limit = keeps_named_limit(upstream, context.shares, now_seconds)
+    if not within_named_limit:
+        metrics.WITHHELD.labels('named').inc()
+    return within_named_limit
--- a/jackdawsail/routing/named_limits.py
+++ b/jackdawsail/routing/named_limits.py
@@ -23,6 +23,7 @@
     """The newest limit that is known of one upstream.
 
     ``calls_per_second`` is None while it names none, ``heard_seconds`` when this was heard last.
+    ``ended_seconds`` is when a limit was last heard to have ended.
 
     Example::
 
@@ -33,6 +34,7 @@
 
     calls_per_second: float | None = None
     heard_seconds: float = -math.inf
+    ended_seconds: float = -math.inf
 
     def hear(self, limit: NamedLimit | None, heard_seconds: float) -> bool:
         """Records what an answer named, None if nothing; returns whether the limit changed.
@@ -49,6 +51,8 @@
 
     def _replace(self, calls_per_second: float | None, heard_seconds: float) -> bool:
         changed = calls_per_second != self.calls_per_second
+        if changed and calls_per_second is None:
+            self.ended_seconds = heard_seconds
         self.calls_per_second = calls_per_second
         self.heard_seconds = heard_seconds
         return changed
--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -1,7 +1,7 @@
 """Limits on totals over all entries, which hold while entries are partitioned.
 
 They bound the retries when many upstreams fail at the same time, and the calls that all
-entries together send to an upstream that has just started.
+entries together send to an upstream that has just started or that names a limit.
 
 Each entry uses its part of a limit, divided among all entries that are listed in the
 site's state. A partitioned entry keeps the list that it knew. An entry that is not listed
@@ -11,11 +11,15 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
+from jackdawsail.routing.sends import COLD_WINDOW_SECONDS, NAMED_WINDOW_SECONDS
 from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream
 
 SAFETY_SHARE = 0.7  # of the retry budget; the rest covers entries that restart or join
+# Named limits are counted in calls in so many seconds, whose rest the window covers.
+NAMED_COUNTED_SECONDS = 4.0
+# So many calls are sent even below, as only an answer shows that the limit has ended.
+NAMED_MIN_CALLS = 1
 COLD_SHARE = 0.9  # of the limit on cold upstreams; the rest covers entries with an older list
 
 
@@ -74,13 +78,32 @@
         """Returns whether this entry may send one more call now."""
         if calls_per_second <= 0:
             return True
-        if shares.unsettled_seconds(COLD_WINDOW_SECONDS, now_seconds) > 0:
-            return False
         bound = calls_per_second * self.ratio + self.slack
         if upstream.is_cold(now_seconds):
             # A cold upstream fails above this rate, which is well below the limit.
             bound = calls_per_second
-        address = upstream.registration.address
-        own_part = shares.part_of(bound * COLD_SHARE, address, upstream.region)
-        used = upstream.sends.used_since(now_seconds - COLD_WINDOW_SECONDS)
-        return used + 1 <= own_part
+        return _has_unit(upstream, bound * COLD_SHARE, COLD_WINDOW_SECONDS, shares, now_seconds)
+
+
+def keeps_named_limit(upstream: Upstream, shares: EntryShares, now_seconds: float) -> bool:
+    """Returns whether one more call of this entry keeps the limit that an upstream names."""
+    calls_per_second = upstream.limit.calls_per_second
+    if calls_per_second is None:
+        return True
+    total = max(NAMED_MIN_CALLS, calls_per_second * NAMED_COUNTED_SECONDS)
+    return _has_unit(upstream, total, NAMED_WINDOW_SECONDS, shares, now_seconds)
+
+
+def _has_unit(
+    upstream: Upstream,
+    total: float,
+    window_seconds: float,
+    shares: EntryShares,
+    now_seconds: float,
+) -> bool:
+    """Returns whether this entry's part of the calls in a window has a unit left."""
+    if shares.unsettled_seconds(window_seconds, now_seconds) > 0:
+        return False
+    own_part = shares.part_of(total, upstream.registration.address, upstream.region)
+    used = upstream.sends.used_since(now_seconds - window_seconds)
+    return used + 1 <= own_part
--- a/jackdawsail/routing/shares.py
+++ b/jackdawsail/routing/shares.py
@@ -76,10 +76,14 @@
         if not self.is_listed:
             return 0
         # The entry of rank 0 gets the first unit and, after one for each entry, the next.
-        units_from_own = int(total) - self._rank(key, region)
+        units_from_own = int(total) - self.rank_of(key, region)
         return max(0, math.ceil(units_from_own / self.count))
 
-    def _rank(self, key: str, region: str) -> int:
+    def rank_of(self, key: str, region: str) -> int:
+        """Returns the place of this entry in the order in which units of a key are dealt out.
+
+        Raises ValueError if it is not one of the entries that share the limits.
+        """
         if (key, region) not in self._rank_by_key:
             near = [entry.address for entry in self._entries if entry.region == region]
             far = [entry.address for entry in self._entries if entry.region != region]
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -213,6 +213,10 @@
             if registration.service == service and not registration.leaving and not silent:
                 yield upstream
 
+    def all(self) -> Iterator[Upstream]:
+        """Yields all registered upstreams."""
+        yield from self._upstreams.values()
+
     def get(self, name: str) -> Upstream | None:
         """Returns an upstream by its id."""
         return self._upstreams.get(name)
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -119,6 +119,25 @@
     pace: float
 
 
+@dataclass(frozen=True, slots=True)
+class ToldLimit:
+    """The limit that an upstream named, None if it named none, and the seconds since then.
+
+    ``upstream`` names its incarnation.
+    """
+
+    upstream: str
+    calls_per_second: float | None
+    age_seconds: float
+
+
+@message('site-named-limits')
+class NamedLimitsTold:
+    """Entry to entries, as one datagram: limits that upstreams named in answers to the sender."""
+
+    limits: list[ToldLimit]
+
+
 @message('site-refused-calls')
 class RefusedCallsTold:
     """Entry to entries, as one datagram: the fingerprints of calls that the sender refused."""
--- a/test/proxy/test_datagrams.py
+++ b/test/proxy/test_datagrams.py
@@ -45,23 +45,23 @@
     network = Network()
     first, *others = [make_entry(network, address) for address in ADDRESSES]
     first.context.refused_calls.record_local(b'fingerpr', 0.0)
-    first.send_refused()
-    first.send_refused()
+    first.send_pending()
+    first.send_pending()
     assert network.sent == 2
     for other in others:
         assert other.context.refused_calls.seconds_since_refusal(b'fingerpr', 1.0) == 1.0
-        other.send_refused()
+        other.send_pending()
     assert network.sent == 2
 
 
 def test_without_refusals_nothing_is_sent_and_many_are_split_into_several_datagrams():
     network = Network()
     first = [make_entry(network, address) for address in ADDRESSES][0]
-    first.send_refused()
+    first.send_pending()
     assert network.sent == 0
     for number in range(250):
         first.context.refused_calls.record_local(number.to_bytes(8, 'big'), 0.0)
-    first.send_refused()
+    first.send_pending()
     assert network.sent == 3 * 2
 
 
