--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,7 @@
     'startup',
     'emulate',
     'blame',
+    'limits',
 )
 
 
--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -1,5 +1,6 @@
 """Simulates one day of a deployment under a policy, with one seed."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
 from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS
 from jackdawsail.proxy.watch import WATCH_INTERVAL_SECONDS
 from jackdawsail.registry.registration import RegistrationTable
+from jackdawsail.routing.named_limits import NamedLimit
 from jackdawsail.site.document import (
     CallKind,
     EngineClass,
@@ -30,7 +32,12 @@
 )
 from jackdawsail.site.view import SiteView, WeightTarget
 from jackdawsail.staging.waves import may_change_over
-from jackdawsail.wire.site_messages import EngineLoad, MemberHost, SiteSummary
+from jackdawsail.wire.site_messages import (
+    EngineLoad,
+    MemberHost,
+    NamedLimitsTold,
+    SiteSummary,
+)
 
 HEARTBEAT_SECONDS = 1.2
 CHANGEOVER_POLL_SECONDS = 0.1  # the interval at which an agent polls its engine
@@ -63,7 +70,7 @@
         self._make_entries()
         self._send_heartbeats()
         self._send_reports()
-        self._share_refusals()
+        self._share_reports()
         self._check_streams()
         for number, zone in enumerate(self.deployment.zones):
             zone_entries = [entry for entry in self.entries if entry.zone is zone]
@@ -88,24 +95,27 @@
             for number in range(zone.entries)
         ]
         document = _document(self.deployment)
-        for number, member in enumerate(members):
-            zone = next(each for each in self.deployment.zones if each.name == member.zone)
+        for member in members:
             view = SiteView()
             view.apply_document(document)
             view.apply_sharing_entries(SiteSummary(1, 0, [], [], members))
             self.views.append(view)
-            seed = self.seed * 1000 + number
-            entry = make_entry(
-                self.simulation,
-                self.deployment,
-                zone,
-                member.address,
-                view,
-                self.policy,
-                self._hosts,
-                seed,
-            )
-            self.entries.append(entry)
+            self.entries.append(self._make_entry(len(self.entries), member, view))
+
+    def _make_entry(
+        self, number: int, member: MemberHost, view: SiteView, started_seconds: float = -math.inf
+    ) -> EmulatedEntry:
+        return make_entry(
+            self.simulation,
+            self.deployment,
+            next(zone for zone in self.deployment.zones if zone.name == member.zone),
+            member.address,
+            view,
+            self.policy,
+            self._hosts,
+            self.seed * 1000 + number,
+            started_seconds,
+        )
 
     def _add_engine(self, zone: Zone, version: int) -> EmulatedEngine:
         name = f'i-{len(self._hosts)}'
@@ -176,14 +186,19 @@
                     self.simulation.call_later(delay_seconds, entry.apply_load, load)
         self.simulation.call_later(self.policy.report_seconds, self._send_reports)
 
-    def _share_refusals(self) -> None:
-        """Sends the new refusals of every entry to all entries."""
+    def _share_reports(self) -> None:
+        """Sends the new refusals and the named limits of every entry to all entries."""
         now_seconds = self.simulation.seconds()
         for entry in self.entries:
-            for fingerprint in entry.context.refused_calls.take_unsent():
-                for other in self.entries:
+            limits = entry.context.limits.take_untold()
+            fingerprints = entry.context.refused_calls.take_unsent()
+            others = [] if entry.is_cut_off else self.entries
+            for other in others:
+                for fingerprint in fingerprints:
                     other.context.refused_calls.record(fingerprint, now_seconds)
-        self.simulation.call_later(SEND_INTERVAL_SECONDS, self._share_refusals)
+                if limits and not other.is_cut_off:
+                    other.context.limits.receive(NamedLimitsTold(limits))
+        self.simulation.call_later(SEND_INTERVAL_SECONDS, self._share_reports)
 
     def _check_streams(self) -> None:
         """Makes every entry check its streams."""
@@ -196,6 +211,10 @@
             self._change_engine_count(change)
         elif change.kind == 'weights':
             self._announce_weights(change.count)
+        elif change.kind in {'limit', 'no-limit'}:
+            self._change_limit(change)
+        elif change.kind in {'restart', 'cut'}:
+            self._disturb_entries(change)
         else:
             for view in self.views:
                 emptied = {change.zone} if change.kind == 'empty' else set()
@@ -214,6 +233,29 @@
                 self.deployment.engine.stage_seconds, added_engine.start_changeover, 1
             )
 
+    def _change_limit(self, change: ScheduledChange) -> None:
+        limit = NamedLimit(change.calls_per_second) if change.kind == 'limit' else None
+        zone_engines = [each for each in self.engines if each.zone == change.zone]
+        for engine in zone_engines[: change.count]:
+            engine.limit = limit
+
+    def _disturb_entries(self, change: ScheduledChange) -> None:
+        """Restarts entries, or separates them from the others; callers keep using them."""
+        zone_entries = [each for each in self.entries if each.zone.name == change.zone]
+        for entry in zone_entries[: change.count]:
+            if change.kind == 'cut':
+                entry.is_cut_off = True
+                continue
+            number = self.entries.index(entry)
+            members = entry.context.view.sharing_entries
+            member = next(
+                each for each in members if each.address == entry.context.settings.address
+            )
+            started = self._make_entry(
+                number, member, self.views[number], self.simulation.seconds()
+            )
+            entry.context = started.context
+
     def _announce_weights(self, version: int) -> None:
         announced_seconds = self.simulation.seconds()
         for view in self.views:
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -84,13 +84,17 @@
 
     ``engines`` adds ``count`` engines without weights, or stops some if it is negative;
     ``weights`` announces ``count`` as a new version; ``empty`` and ``refill`` take a
-    data centre out of service and back.
+    data centre out of service and back. With ``limit`` the first ``count`` engines of a data
+    centre name ``calls_per_second`` in their answers, with ``no-limit`` they no longer do.
+    ``restart`` starts the first ``count`` entries of a data centre anew, ``cut`` separates
+    them from all other entries.
     """
 
     at_seconds: float
-    kind: Literal['engines', 'weights', 'empty', 'refill']
+    kind: Literal['engines', 'weights', 'empty', 'refill', 'limit', 'no-limit', 'restart', 'cut']
     zone: str = ''
     count: int = 0
+    calls_per_second: float = 0
 
 
 class Deployment(_Section):
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -11,6 +11,7 @@
 
 from bench.emulator.deployment import EngineModel
 from bench.emulator.simulation import Simulation
+from jackdawsail.routing.named_limits import NamedLimit
 
 
 @dataclass(slots=True, eq=False)
@@ -39,7 +40,10 @@
 
 @dataclass(slots=True, eq=False)
 class EmulatedEngine:
-    """An engine with a queue and a batch; ``version`` 0 means that it has no weights."""
+    """An engine with a queue and a batch; ``version`` 0 means that it has no weights.
+
+    ``limit`` is what it names in its answers, and ``arrived_seconds`` lists all its calls.
+    """
 
     simulation: Simulation
     model: EngineModel
@@ -52,6 +56,8 @@
     switching_to: int = 0
     cold_until_seconds: float = 0
     busy_seconds: float = 0
+    limit: NamedLimit | None = None
+    arrived_seconds: list[float] = field(default_factory=list)
     waiting: list[EngineStream] = field(default_factory=list)
     prefilling: list[EngineStream] = field(default_factory=list)
     decoding: list[EngineStream] = field(default_factory=list)
@@ -74,6 +80,7 @@
         An engine refuses streams while its queue is full, while it changes over or has no
         weights, and after a crash.
         """
+        self.arrived_seconds.append(self.simulation.seconds())
         closed = self.switching_to or not self.version or not self.alive
         if closed or len(self.waiting) >= self.model.queue:
             return False
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -1,5 +1,6 @@
 """An entry in simulated time: the product's own upstream selection, without sockets."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -63,6 +64,7 @@
     policy: Policy
     hosts: dict[str, Host]
     refused: int = 0
+    is_cut_off: bool = False
     streams: list['_DispatchedCall'] = field(default_factory=list)
 
     def receive_call(self, call: EmulatedCall) -> None:
@@ -218,6 +220,8 @@
         if self.cancelled:
             return
         now_seconds = self.entry.simulation.seconds()
+        if events == 1 and self.host is not None:
+            self.entry.context.limits.hear(self.upstream, self.host.limit)
         if events == 1:
             self.upstream.record_first_event(now_seconds - self.sent_seconds, now_seconds)
         self.call.events += 1
@@ -262,6 +266,7 @@
     policy: Policy,
     hosts: dict[str, Host],
     seed: int,
+    started_seconds: float = -math.inf,
 ) -> EmulatedEntry:
     """Creates an entry with its own table of upstreams."""
     regions = {each.name: each.region for each in deployment.zones}
@@ -277,6 +282,7 @@
         upstreams=UpstreamTable(1.2, regions),
         pool=None,  # type: ignore[arg-type]
         rng=random.Random(seed),
+        started_seconds=started_seconds,
     )
     return EmulatedEntry(simulation, deployment, zone, context, policy, hosts)
 
