--- a/jackdawsail/routing/part_blame.py
+++ b/jackdawsail/routing/part_blame.py
@@ -83,7 +83,6 @@
         """Records the end of an engine; returns the calls that were not known yet."""
         self._drop_old_ends(now_seconds)
         end = self._ends.setdefault(engine, EngineEnd(ended_seconds))
-        end.ended_seconds = min(end.ended_seconds, ended_seconds)
         added = [call for call in calls if call.own_part not in end.calls]
         if end.explained or any(self.blocked_among(call.shared_parts) for call in added):
             end.explain()
@@ -107,10 +106,10 @@
         ]
         for end in cleared:
             end.parts.discard(part)
-        if cleared:
-            known_seconds = self._sound_seconds.get(part, begun_seconds)
-            self._sound_seconds[part] = max(known_seconds, begun_seconds)
-            _keep_newest(self._sound_seconds, MAX_SOUND)
+        # Remembered for ends whose reports arrive later.
+        known_seconds = self._sound_seconds.get(part, begun_seconds)
+        self._sound_seconds[part] = max(known_seconds, begun_seconds)
+        _keep_newest(self._sound_seconds, MAX_SOUND)
         return bool(cleared)
 
     def find_bad(self, now_seconds: float) -> list[str]:
--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/part_suspicion.py
@@ -2,9 +2,10 @@
 
 A bad part ends each engine that begins an answer under it. It is therefore among the parts of
 one end after the other, in different calls. The calls that had just begun are the likely
-cause of an end. Engines that end together count once, and many of them not at all, since loss
-of power, a restart of a data centre or a deployment ends many at the same time. A part that
-many calls have is involved in any end, so it takes more of them.
+cause of an end. Engines that end together count once, by the share of them that a part was
+involved in, and many of them not at all, since loss of power, a restart of a data centre or
+a deployment ends many at the same time. A part that many calls have is involved in any end,
+so it takes more of them.
 """
 
 from collections.abc import Collection
@@ -17,6 +18,7 @@
 MIN_SCORE = 2.5
 SURE_MOMENTS = 5
 SURE_CALLS = 3
+SURE_SCORE = 2.0
 RISKY_SCORE = 1.0
 WAITING_WEIGHT = 0.5  # of a call whose answer had not just begun, against 1 for one that had
 REPEAT_WEIGHT = 0.5  # of a call that was on an earlier engine when that ended
@@ -50,25 +52,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Suspicion:
-    """What speaks against one part: the calls with it on engines that ended.
+class _Moment:
+    """A moment at which engines ended: the calls with one part, and the share of these engines."""
+
+    calls: list[SuspectCall]
+    engine_share: float
 
-    ``moments`` are the calls by moment, ``first_seconds`` is the time of the first one.
-    """
 
-    moments: list[list[SuspectCall]]
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """What speaks against one part: its moments; ``first_seconds`` is the time of the first."""
+
+    moments: list[_Moment]
     first_seconds: float
     ends: int
 
     @property
     def calls(self) -> int:
         """Returns the number of calls, counting one that was on several engines as often."""
-        return sum(len(calls) for calls in self.moments)
+        return sum(len(moment.calls) for moment in self.moments)
 
     @property
     def own_parts(self) -> set[str]:
         """Returns the parts that identify the calls."""
-        return {call.own_part for calls in self.moments for call in calls}
+        return {call.own_part for moment in self.moments for call in moment.calls}
 
     @property
     def is_usual(self) -> bool:
@@ -79,9 +86,9 @@
         """Returns the sum of the weights of the moments, each that of its strongest call."""
         seen: set[str] = set()
         score: float = 0
-        for calls in self.moments:
-            score += max(_weight(call, seen) for call in calls)
-            seen.update(call.own_part for call in calls)
+        for moment in self.moments:
+            score += moment.engine_share * max(_weight(call, seen) for call in moment.calls)
+            seen.update(call.own_part for call in moment.calls)
         return score
 
 
@@ -137,18 +144,24 @@
         for part in end.parts:
             ends_by_part.setdefault(part, []).append(end)
     return {
-        suspected: _suspicion_of(suspected, involved)
+        suspected: _suspicion_of(suspected, involved, ends)
         for suspected, involved in ends_by_part.items()
         if len(involved) >= min_ends
     }
 
 
-def _suspicion_of(part: str, ends: list[EngineEnd]) -> _Suspicion:
-    moments = [
-        [call for end in moment for call in end.calls.values() if part in call.shared_parts]
-        for moment in _moments_of(ends)
-    ]
-    return _Suspicion(moments, min(end.ended_seconds for end in ends), len(ends))
+def _suspicion_of(part: str, involved: list[EngineEnd], ends: Collection[EngineEnd]) -> _Suspicion:
+    others = [end for end in ends if not end.explained and part not in end.parts]
+    moments = [_moment_of(part, together, others) for together in _moments_of(involved)]
+    return _Suspicion(moments, min(end.ended_seconds for end in involved), len(involved))
+
+
+def _moment_of(part: str, together: list[EngineEnd], others: list[EngineEnd]) -> _Moment:
+    """Returns a moment of a part; ``others`` are the ends that it was not involved in."""
+    calls = [call for end in together for call in end.calls.values() if part in call.shared_parts]
+    at_seconds = together[0].ended_seconds
+    near = [end for end in others if abs(end.ended_seconds - at_seconds) < SAME_MOMENT_SECONDS]
+    return _Moment(calls, len(together) / (len(together) + len(near)))
 
 
 def _is_serious(suspicion: _Suspicion) -> bool:
@@ -161,9 +174,10 @@
     if moments < MIN_MOMENTS or now_seconds - suspicion.first_seconds < MIN_AGE_SECONDS:
         return False
     calls = len(suspicion.own_parts)
-    if moments >= SURE_MOMENTS and calls >= SURE_CALLS:
+    score = suspicion.score()
+    if moments >= SURE_MOMENTS and calls >= SURE_CALLS and score >= SURE_SCORE:
         return True
-    if calls < MIN_CALLS or suspicion.is_usual or suspicion.score() < MIN_SCORE:
+    if calls < MIN_CALLS or suspicion.is_usual or score < MIN_SCORE:
         return False
     since = [
         end for end in ends if not end.explained and end.ended_seconds >= suspicion.first_seconds
--- a/test/routing/test_part_blame.py
+++ b/test/routing/test_part_blame.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bench.emulator.blame_play import Scenario, play
@@ -67,6 +67,29 @@
     assert find(blame, 6) == []
 
 
+def test_an_answer_that_is_known_before_the_end_it_clears_counts():
+    blame = PartBlame()
+    assert not blame.record_sound('sound', 9)
+    end_engines(blame, [1, 3, 5], 'sound')
+    assert (find(blame, 6), blame.suspected_among(['sound'])) == ([], [])
+
+
+def test_a_report_of_an_end_with_another_time_revives_no_evidence():
+    blame = PartBlame()
+    blame.record_end('i-1', 9, [call(1, 'sound')], 10)
+    assert not blame.record_sound('sound', 5)
+    blame.record_end('i-1', 1, [], 10)
+    assert not blame.record_sound('sound', 5)
+
+
+def test_an_end_beside_ends_of_others_counts_by_its_share_of_them():
+    blame = PartBlame()
+    for number in range(4):
+        blame.record_end(f'i-{number}', number, [call(number, 'sound')], number)
+        blame.record_end(f'j-{number}', number, [call(f'x{number}', f'other{number}')], number)
+    assert find(blame, 5) == []
+
+
 def test_engines_that_end_together_count_once():
     blame = PartBlame()
     times = [1, 1, 1 + SAME_MOMENT_SECONDS / 2, 3, 3, 3 + SAME_MOMENT_SECONDS / 2]
@@ -163,6 +186,7 @@
 )
 
 
+@settings(max_examples=400)
 @given(st.lists(EVIDENCE, max_size=6), st.randoms(use_true_random=False))
 def test_evidence_that_is_repeated_adds_nothing(messages, rng):
     blame = PartBlame()
