--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -345,3 +345,34 @@
 @given(st.text(max_size=80))
 def test_settings_decoder_never_raises(text):
     assert isinstance(decode_settings(text), (Success, Failure))
+
+
+def decode_prompt(value):
+    headers = ((b'Prompt-Prefix', value),)
+    caller_call = traffic.decode_caller_call(HttpRequest(b'POST', b'/x', headers))
+    return caller_call.shared_parts, caller_call.own_part
+
+
+def test_the_last_part_of_a_prompt_is_its_own_and_the_others_are_shared():
+    assert decode_prompt(b'5c1e07a2:800, 91BD3f06:410,e4402b7d:250') == (
+        ('5c1e07a2', '91bd3f06'),
+        'e4402b7d',
+    )
+    assert decode_prompt(b'a:1') == ((), 'a')
+    assert decode_prompt(b'a:1,a:1,b:2') == (('a',), 'b')
+
+
+def test_of_a_long_prompt_the_first_parts_and_the_last_are_kept():
+    prompt = ','.join(f'p{number}:1' for number in range(5000)).encode()
+    shared_parts, own_part = decode_prompt(prompt)
+    assert (len(shared_parts), own_part) == (traffic.MAX_PROMPT_PARTS - 1, 'p4999')
+
+
+@given(st.binary(max_size=80))
+def test_any_prompt_and_any_limit_are_decoded_or_left_out(value):
+    shared_parts, own_part = decode_prompt(value)
+    assert own_part or not shared_parts
+    head = HttpAnswerHead(200, b'OK', ((b'Server-Limit', value),))
+    limit = traffic.decode_upstream_head(head).limit
+    assert (limit is None) == (not value.strip())
+    assert limit is None or limit.calls_per_second is None or limit.calls_per_second >= 0
