--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -62,9 +62,9 @@
 class Attempt:
     """One attempt; owns its channel to the upstream until the answer ends.
 
-    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the
-    head of an answer arrived that is no refusal, None before that. ``received_events`` is the
-    number of complete events since then.
+    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the head of a
+    success arrived, None before that. ``received_events`` is the number of complete events
+    since then.
     """
 
     def __init__(
@@ -149,7 +149,7 @@
             return False
         self.last_received_seconds = self._context.clock.seconds()
         self.head = ReceivedHead(head, decoded)
-        if not decoded.not_run:
+        if head.status in SUCCESS and not decoded.not_run:
             self.begun_seconds = self.last_received_seconds
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.hear(self.upstream, decoded.limit)
--- a/test/proxy/test_bad_prompt_parts.py
+++ b/test/proxy/test_bad_prompt_parts.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from jackdawsail.wire.part_messages import SuspectCall
 from test.http1.ends import reset
 from test.proxy.crash_site import CrashSite
+from test.proxy.world import MODEL_SERVICE, STREAM_HEADERS, World, answer
 
 BAD = 'bad0'
 MAX_ENDS = 5
@@ -114,6 +116,18 @@
     assert is_blocked(entry)
 
 
+@pytest.mark.parametrize(('status', 'is_cleared'), [(200, True), (400, False), (500, False)])
+def test_only_a_success_speaks_for_the_parts_of_its_prompt(status, is_cleared):
+    world = World(2, MODEL_SERVICE)
+    blame = world.context.parts.blame
+    blame.record_end('i-9/1', world.reactor.seconds(), [SuspectCall('own', ['a'], True)], 100)
+    world.reactor.advance(1)
+    headers = f'{STREAM_HEADERS}Prompt-Prefix: a:1,b:1\r\n'
+    world.call('/stream/x', headers=headers, method='POST')
+    answer(world.accept(), status, body=b'id: 1\ndata: x\n\n')
+    assert (blame.suspected_among(['a']) == []) == is_cleared
+
+
 def test_a_part_that_turns_bad_after_many_sound_answers_is_blocked(site):
     for _ in range(60):
         site.call(site.rng.choice(site.entries), 'c0', BAD)
