--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -1,6 +1,7 @@
-"""A whole site without a network: entries, control hosts, and engines that some prompts crash."""
+"""A whole site without a network: entries, control hosts, and engines that some calls crash."""
 
 import random
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 from twisted.internet.error import ConnectionRefusedError as Refused
@@ -11,6 +12,7 @@
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.program import make_entry_program
 from jackdawsail.registry.registration import ModelVersion, Registration
+from jackdawsail.site.document import CallKind, Service, Share
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.wire.codec import decode, encode
@@ -18,8 +20,8 @@
 from jackdawsail.wire.site_messages import MemberHost, SiteSummary
 from test.group.test_call_handler import Host
 from test.http1.ends import Reactor, Transport, close
-from test.proxy.world import CODEC, MODEL_SERVICE, STREAM, begin_stream, event, status_of
-from test.site.documents import make_document
+from test.proxy.world import CODEC, MODEL_SERVICE, STREAM, answer, begin_stream, event, status_of
+from test.site.documents import make_customer, make_document, make_route
 
 LINK_SECONDS = 0.002
 STEP_SECONDS = 0.01
@@ -29,7 +31,33 @@
 EVENTS = 24
 DOWN_SECONDS = 2.5
 SUMMARY_SECONDS = 0.5
-ROUTE = STREAM
+WORK_SECONDS = 0.1  # of a call of the plain service
+PLAIN_SERVICE = Service('p')
+LOOKUP = make_route('lookup', path_prefix='/lookup/', shares=(Share('p', 1),), is_public=True)
+BOOKING = make_route(
+    'booking',
+    path_prefix='/booking/',
+    kind=CallKind.non_idempotent,
+    max_upstreams=1,
+    shares=(Share('p', 1),),
+    is_public=True,
+)
+ROUTES = (replace(STREAM, is_public=True), LOOKUP, BOOKING)
+CUSTOMERS = (make_customer('first', 'key1', 'key2'), make_customer('second', 'key3'))
+
+
+@dataclass(frozen=True)
+class PlainRequest:
+    """A request as a caller repeats it, without the headers that differ between repeats."""
+
+    path: str
+    key: str = 'key1'
+    body: str = ''
+
+    def encode(self, attempt, headers=''):
+        head = f'POST {self.path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n'
+        head += f'Authorization: Token {self.key}\r\nRequest-Deadline: 2500\r\n{headers}'
+        return f'{head}Content-Length: {len(self.body)}\r\n\r\n{self.body}'.encode()
 
 
 class LinkEnd:
@@ -56,10 +84,10 @@
 
 
 class Engine:
-    """An engine with its calls; it ends shortly after it began an answer with a bad part."""
+    """An engine with its calls; it ends shortly after it began a bad one."""
 
-    def __init__(self, site, number):
-        self.site, self.number = site, number
+    def __init__(self, site, number, service='s'):
+        self.site, self.number, self.service = site, number, service
         self.address = f'10.1.0.{number}:80'
         self.born = 0
         self.restart()
@@ -91,7 +119,10 @@
             written = channel.transport.take_written()
             if written:
                 self.site.record_send(self, written)
-                self.site.clock.callLater(BEGIN_SECONDS, self.begin, channel, written)
+                if self.service == 'p':
+                    self.run_plain(channel, written)
+                else:
+                    self.site.clock.callLater(BEGIN_SECONDS, self.begin, channel, written)
             elif channel.transport.closed or channel.transport.aborted:
                 self.channels.remove(channel)
 
@@ -100,11 +131,22 @@
             return
         begin_stream(channel, header_of(written, 'Attempt-Id'))
         parts = set(parts_of(written)[:-1])
-        if parts & self.site.bad_parts:
+        if parts & self.site.bad_parts or path_and_body(written) in self.site.bad_requests:
             self.site.clock.callLater(CRASH_SECONDS, self.end_by, channel)
         else:
             self.site.clock.callLater(EVENT_SECONDS, self.send_event, channel, 1)
 
+    def run_plain(self, channel, written):
+        if path_and_body(written) in self.site.bad_requests:
+            self.site.clock.callLater(CRASH_SECONDS, self.end_by, channel)
+        else:
+            attempt = header_of(written, 'Attempt-Id')
+            self.site.clock.callLater(WORK_SECONDS, self.answer_plain, channel, attempt)
+
+    def answer_plain(self, channel, attempt):
+        if channel in self.channels:
+            answer(channel, self.site.plain_status, attempt)
+
     def end_by(self, channel):
         if channel in self.channels:
             self.crash()
@@ -143,30 +185,36 @@
         self.view.on_registrations.append(self.program._registrations_changed)
         self.program.parts.start(clock)
         self.client.start()
-        document = make_document(routes=[ROUTE], services=[MODEL_SERVICE])
+        services = [MODEL_SERVICE, PLAIN_SERVICE]
+        document = make_document(routes=ROUTES, services=services, customers=CUSTOMERS)
         self.view.apply_document(document)
         options = ServerOptions(CallAdmission(self.context).handle, clock, document.limits)
         self.factory = ServerFactory(options)
         self.identity = Identity(Role.entry, address, 'z', 'r', site.rng.getrandbits(40))
 
-    def call(self, attempt, prompt):
+    def send(self, request):
         connection = self.factory.buildProtocol(None)
         transport = Transport()
         connection.makeConnection(transport)
+        connection.dataReceived(request)
+        return transport
+
+    def call(self, attempt, prompt):
         head = f'POST /stream/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n'
         head += f'Model: m\r\nRequest-Deadline: 6000\r\nPrompt-Prefix: {prompt}\r\n\r\n'
-        connection.dataReceived(head.encode())
-        return transport
+        return self.send(head.encode())
 
 
 class CrashSite:
     """Entries and engines on one clock; ``sent`` lists each call that reached an engine."""
 
-    def __init__(self, seed=1, entries=5, engines=6, controls=3):
+    def __init__(self, seed=1, entries=5, engines=6, controls=3, plain_engines=0):
         self.clock = Reactor()
         self.clock.advance(100)
         self.rng = random.Random(seed)
         self.bad_parts = set()
+        self.bad_requests = set()
+        self.plain_status = 200
         self.dark_addresses = set()
         self.ended_seconds = []
         self.sent = []
@@ -181,6 +229,8 @@
             self.entries.append(self.make_entry(address))
         for number in range(1, engines + 1):
             self.engines.append(Engine(self, number))
+        for number in range(engines + 1, engines + plain_engines + 1):
+            self.engines.append(Engine(self, number, 'p'))
         self.send_summaries()
         self.run(0.1)
 
@@ -223,7 +273,7 @@
         engine.beats += 1
         registration = Registration(
             upstream=engine.name,
-            service='s',
+            service=engine.service,
             address=engine.address,
             zone='z',
             places=16,
@@ -245,10 +295,12 @@
         self.clock.callLater(SUMMARY_SECONDS, self.send_summaries)
 
     def record_send(self, engine, written):
-        self.sent.append((self.clock.seconds(), engine.name, set(parts_of(written))))
+        marks = {*parts_of(written), path_and_body(written)}
+        self.sent.append((self.clock.seconds(), engine.name, marks))
 
-    def sends_of(self, part):
-        return [seconds for seconds, _engine, parts in self.sent if part in parts]
+    def sends_of(self, mark):
+        """Returns when calls with a part, or with a path and body, reached engines."""
+        return [seconds for seconds, _engine, marks in self.sent if mark in marks]
 
     def run(self, seconds):
         for _ in range(round(seconds / STEP_SECONDS)):
@@ -281,6 +333,28 @@
         self.callers.append((shared_parts, caller))
         return caller
 
+    def request(self, entry, plain, headers=''):
+        """Sends a request of the plain service with an attempt id of its own."""
+        number = len(self.callers)
+        caller = entry.send(plain.encode(f'{number:016x}', headers))
+        self.callers.append(((plain,), caller))
+        return caller
+
+    def offer_requests(self, seconds, bad=(), bad_per_second=2, sound_per_second=10):
+        """Offers sound lookups and bookings, and requests that are bad from now on."""
+        self.bad_requests.update((each.path, each.body) for each in bad)
+        for _ in range(round(seconds / STEP_SECONDS)):
+            if self.rng.random() < sound_per_second * STEP_SECONDS:
+                self.request(self.rng.choice(self.entries), self.sound_request())
+            for each in bad:
+                if self.rng.random() < bad_per_second * STEP_SECONDS:
+                    self.request(self.rng.choice(self.entries), each)
+            self.run(STEP_SECONDS)
+
+    def sound_request(self):
+        kind = self.rng.choice(('lookup', 'booking'))
+        return PlainRequest(f'/{kind}/{self.rng.randrange(400)}', body='sound')
+
     def offer(self, seconds, bad_part='', sound_per_second=20, bad_per_second=1):
         """Offers sound calls, and calls with a part that is bad from now on."""
         if bad_part:
@@ -296,6 +370,10 @@
     def sound_parts(self):
         return 'c0', f'd{self.rng.randrange(12)}'
 
+    def all_statuses(self, start=0):
+        """Returns the statuses of all callers from the call ``start`` on."""
+        return [status_of(caller) for _parts, caller in self.callers[start:]]
+
     def statuses(self, part, start=0):
         """Returns the statuses that callers with a part got, from the call ``start`` on."""
         return [status_of(caller) for parts, caller in self.callers[start:] if part in parts]
@@ -306,6 +384,11 @@
     return next((line.split(': ', 1)[1] for line in lines if line.startswith(f'{name}: ')), '')
 
 
+def path_and_body(written):
+    head, _, body = written.decode('latin-1').partition('\r\n\r\n')
+    return head.split(' ')[1], body
+
+
 def parts_of(written):
     prompt = header_of(written, 'Prompt-Prefix')
     return [part.partition(':')[0] for part in prompt.split(',') if part]
