--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -5,7 +5,7 @@
 from jackdawsail import events
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.attempt import Attempt
-from jackdawsail.proxy.calls import CallerCall, DispatchDetails
+from jackdawsail.proxy.calls import CallIdentity, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.relaying import AnswerRelay, unfinished_bytes
 from jackdawsail.routing.placement import Choice
@@ -28,11 +28,12 @@
     """Writes the log lines of one call."""
 
     def __init__(
-        self, context: ProxyContext, exchange: Exchange, call: CallerCall, route: Route
+        self, context: ProxyContext, exchange: Exchange, identity: CallIdentity, route: Route
     ) -> None:
         self._context = context
         self._exchange = exchange
-        self._call = call
+        self._call = identity.call
+        self._identity = identity
         self._route = route
 
     def write(self, event: events.Event, **details: Any) -> None:
@@ -54,6 +55,8 @@
         self.write(
             ATTEMPT_ENDED,
             upstream=attempt.upstream.name,
+            engine=attempt.upstream.incarnation,
+            digest=self._identity.digest,
             end=end,
             sent=attempt.sent,
             prompt=self._call.prompt,
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -73,3 +73,27 @@
     fields = (call.key, call.host, call.model, call.prompt, call.last_event)
     encoded = [field.encode('utf8', 'replace') for field in fields]
     return call_fingerprint(*encoded, request.method, request.target, request.body)
+
+
+@dataclass(slots=True)
+class CallIdentity:
+    """What a call shares with its repeats at any entry: host, path, caller and body.
+
+    ``caller`` is the customer, or the key if no customer has it. Other headers are left out, as
+    repeats may differ in them.
+    """
+
+    call: CallerCall
+    caller: str
+    request: HttpRequest
+    _digest: str = ''
+
+    @property
+    def digest(self) -> str:
+        """Returns a digest of the identity, which is computed when it is first needed."""
+        if not self._digest:
+            request = self.request
+            fields = [field.encode('utf8', 'replace') for field in (self.caller, self.call.host)]
+            digest = call_fingerprint(*fields, request.method, request.target, request.body)
+            self._digest = digest.hex()
+        return self._digest
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -14,7 +14,7 @@
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
-from jackdawsail.proxy.calls import CallerCall, DispatchDetails, fingerprint_of
+from jackdawsail.proxy.calls import CallerCall, CallIdentity, DispatchDetails, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.part_reports import BLOCKED
 from jackdawsail.proxy.relaying import (
@@ -356,7 +356,8 @@
     allowed_seconds = min(limit_seconds, call.patience_seconds or limit_seconds)
     deadline = Deadline(context.clock, exchange.received_seconds + allowed_seconds)
     sends = SendHistory(context, route, service)
-    log = call_log.CallLog(context, exchange, call, route)
+    identity = CallIdentity(call, customer.name if customer else call.key, exchange.request)
+    log = call_log.CallLog(context, exchange, identity, route)
     task = CallTask(context, exchange, call, route, customer, sends, log, deadline)
     if call.model:
         task.fingerprint = fingerprint_of(call, exchange.request)
