--- a/bench/blame.py
+++ b/bench/blame.py
@@ -14,12 +14,12 @@
 
 from bench.blame_sketch import SketchBlame
 from bench.emulator.blame_play import SCENARIOS, Scenario, play
-from jackdawsail.routing.part_blame import PartBlame
+from jackdawsail.routing.trait_blame import TraitBlame
 from jackdawsail.wire.codec import encode
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.wire.trait_messages import SuspectCall
 
 PROCESSES = 4
-WAYS: dict[str, Callable[[], Any]] = {'table': PartBlame, 'sketch': SketchBlame}
+WAYS: dict[str, Callable[[], Any]] = {'table': TraitBlame, 'sketch': SketchBlame}
 SIZE_ENTRIES = 9
 SIZE_ENDS = 100
 SIZE_CALLS = 16
@@ -71,7 +71,7 @@
     started = time.process_time()
     blame.find_bad(SIZE_ENDS)
     check_milliseconds = (time.process_time() - started) * 1000
-    is_table = isinstance(blame, PartBlame)
+    is_table = isinstance(blame, TraitBlame)
     size = len(encode(blame.snapshot(SIZE_ENDS))) if is_table else blame.snapshot_bytes()
     return (
         f'{way:7} {parts:8} parts: {report_microseconds:.0f} µs a report, '
--- a/bench/blame_sketch.py
+++ b/bench/blame_sketch.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 from bench.usage import Observation, WindowSketch
-from jackdawsail.routing.part_blame import MAX_ENDS
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.routing.trait_blame import MAX_ENDS
+from jackdawsail.wire.trait_messages import SuspectCall
 
 SIZE = 16  # observations of one level; ten times the ends that decide
 MAX_PARTS = 2048
@@ -31,7 +31,7 @@
     ) -> None:
         """Adds one observation to the sketch of each part."""
         number = self._numbers.setdefault(engine, len(self._numbers) % (MAX_ENDS * 8))
-        parts = {part for call in calls for part in call.shared_parts}
+        parts = {part for call in calls for part in call.traits}
         for part in parts:
             sketch = self.sketches.setdefault(part, WindowSketch(SIZE, MULTIPLIER, OFFSET))
             sketch.observe(Observation(0, 1, ended_seconds, number))
--- a/bench/emulator/blame_play.py
+++ b/bench/emulator/blame_play.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from bench.emulator.simulation import Simulation
-from jackdawsail.routing.part_blame import PartBlame
-from jackdawsail.routing.part_suspicion import EARLY_EVENTS, JUST_BEGUN_EVENTS
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.routing.trait_blame import TraitBlame
+from jackdawsail.routing.trait_suspicion import EARLY_EVENTS, JUST_BEGUN_EVENTS
+from jackdawsail.wire.trait_messages import SuspectCall
 
 DELAY_SECONDS = 0.05
 EVENT_SECONDS = 0.055
@@ -85,7 +85,7 @@
     scenario: Scenario
     rng: random.Random
     simulation: Simulation = field(default_factory=Simulation)
-    blame: Any = field(default_factory=PartBlame)
+    blame: Any = field(default_factory=TraitBlame)
     figures: Figures = field(default_factory=Figures)
     engines: list[_Engine] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
@@ -244,7 +244,7 @@
 )
 
 
-def play(scenario: Scenario, seed: int, make_blame: Callable[[], Any] = PartBlame) -> Figures:
+def play(scenario: Scenario, seed: int, make_blame: Callable[[], Any] = TraitBlame) -> Figures:
     """Plays a scenario with a seed; ``make_blame`` builds the decision."""
     rng = random.Random(f'{scenario.name}/{seed}')
     return BlamePlay(scenario, rng, blame=make_blame()).run()
--- a/jackdawsail/group/call_handler.py
+++ b/jackdawsail/group/call_handler.py
@@ -15,15 +15,15 @@
 from jackdawsail import events
 from jackdawsail.consensus.interfaces import ProposeError, Replicator
 from jackdawsail.group import calls
+from jackdawsail.group.block_calls import BlockedTraitsFound, LiftBlockedTrait, ListBlockedTraits
 from jackdawsail.group.directory import addresses_for
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
-from jackdawsail.group.part_calls import BlockedPartsFound, LiftBlockedPart, ListBlockedParts
 from jackdawsail.site.machine import (
     CommandOutcome,
     StoredDocument,
     announce_weights,
-    lift_part,
+    lift_trait,
     put_document,
     set_zone_emptied,
 )
@@ -105,18 +105,18 @@
         return succeed(calls.EntriesFound(addresses, ADDRESSES_VALID_SECONDS))
 
     @_handle.register
-    def _list_blocked_parts(self, _call: ListBlockedParts) -> DeferredAnswer:
+    def _list_blocked_traits(self, _call: ListBlockedTraits) -> DeferredAnswer:
         state = self.fanout.machine.state
-        found = self.fanout.parts.blame.blocked
-        return succeed(BlockedPartsFound(state.revision, found, state.blocked_parts))
+        found = self.fanout.traits.blame.blocked
+        return succeed(BlockedTraitsFound(state.revision, found, state.blocked_traits))
 
     @_handle.register
-    def _lift_blocked_part(self, call: LiftBlockedPart) -> DeferredAnswer:
+    def _lift_blocked_trait(self, call: LiftBlockedTrait) -> DeferredAnswer:
         if not self.replicator.is_leader():
             return succeed(self._redirect())
-        if call.part not in self.fanout.machine.state.blocked_parts:
+        if call.trait not in self.fanout.machine.state.blocked_traits:
             return succeed(calls.NotFound())
-        return self._propose(lift_part(call.part), f'lift part {call.part}')
+        return self._propose(lift_trait(call.trait), f'lift trait {call.trait}')
 
     def _propose(self, command: bytes, change: str) -> DeferredAnswer:
         if not self.replicator.is_leader():
--- a/jackdawsail/group/calls.py
+++ b/jackdawsail/group/calls.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from jackdawsail.group.part_calls import BlockedPartsFound, LiftBlockedPart, ListBlockedParts
+from jackdawsail.group.block_calls import BlockedTraitsFound, LiftBlockedTrait, ListBlockedTraits
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.registry.registration import Registration
 from jackdawsail.site.document import MAX_DOCUMENT_BYTES, CallerLimits, SiteDocument
@@ -91,8 +91,8 @@
     | Deregister
     | FindEntries
     | CheckReadiness
-    | ListBlockedParts
-    | LiftBlockedPart
+    | ListBlockedTraits
+    | LiftBlockedTrait
     | InvalidCall
     | UnknownCall
 )
@@ -159,7 +159,7 @@
     | AskHost
     | DocumentFound
     | EntriesFound
-    | BlockedPartsFound
+    | BlockedTraitsFound
     | NotFound
 )
 
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -11,7 +11,7 @@
 
 from jackdawsail import events
 from jackdawsail.clocks import Clock
-from jackdawsail.group.part_evidence import PartEvidenceRelay
+from jackdawsail.group.trait_evidence import TraitEvidenceRelay
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.registry.registration import ReceivedRegistration, Registration, RegistrationTable
 from jackdawsail.site.machine import SiteMachine
@@ -41,7 +41,7 @@
     router: MessageRouter
     machine: SiteMachine
     registrations: RegistrationTable = field(default_factory=RegistrationTable)
-    parts: PartEvidenceRelay = field(init=False)
+    traits: TraitEvidenceRelay = field(init=False)
     _batched: dict[str, ReceivedRegistration] = field(default_factory=dict)
     _announced_seconds: dict[tuple[str, int], float] = field(default_factory=dict)
     # The version of the last compressed document, and its compressed body.
@@ -49,7 +49,7 @@
 
     def __post_init__(self) -> None:
         """Creates the relay of the evidence against parts of prompts."""
-        self.parts = PartEvidenceRelay(self.clock, self.router, self.machine)
+        self.traits = TraitEvidenceRelay(self.clock, self.router, self.machine)
 
     def start(self) -> None:
         """Subscribes to the events of the links and of the state machine.
@@ -57,7 +57,7 @@
         A new link gets the blocked parts before the summary, without which an entry takes
         no calls.
         """
-        self.parts.start()
+        self.traits.start()
         self.router.watch_links(self._link_opened, lambda link: None)
         self.router.register_handler(DocumentWanted, self._on_document_wanted)
         self.router.register_handler(Registrations, self._on_registrations)
@@ -81,7 +81,7 @@
             if weights in first_seen or now_seconds - announced_seconds < WEIGHTS_KEPT_SECONDS
         }
         self._announced_seconds = {**first_seen, **still_announced}
-        self.parts.site_changed()
+        self.traits.site_changed()
         self._send_whole_summary(self._subscriber_links())
 
     def send_summary(self) -> None:
--- a/jackdawsail/group/operator_calls.py
+++ b/jackdawsail/group/operator_calls.py
@@ -1,6 +1,6 @@
-"""The operators' own interface of a control host: the blocked parts of prompts.
+"""The operators' own interface of a control host: the blocked traits of calls.
 
-``GET /v1/blocked-parts`` lists them, ``DELETE /v1/blocked-parts/PART`` lifts one. Errors are
+``GET /v1/blocks`` lists them, ``DELETE /v1/blocks/TRAIT`` lifts one. Errors are
 JSON documents with a ``code`` and a ``detail``.
 """
 
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from jackdawsail.group import calls, part_calls
+from jackdawsail.group import block_calls, calls
 from jackdawsail.http1.messages import JSON_BODY, HttpAnswer, HttpRequest
 
-PATH = b'/v1/blocked-parts'
+PATH = b'/v1/blocks'
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,13 +24,13 @@
 
     def decode(self, request: HttpRequest) -> calls.Call:
         """Decodes a call."""
-        path, _, part = request.target.removeprefix(PATH).partition(b'/')
+        path, _, trait = request.target.removeprefix(PATH).partition(b'/')
         if path or not request.target.startswith(PATH):
             return self.site.decode(request)
-        if request.method == b'GET' and not part:
-            return part_calls.ListBlockedParts()
-        if request.method == b'DELETE' and part:
-            return part_calls.LiftBlockedPart(unquote(part.decode('latin-1')))
+        if request.method == b'GET' and not trait:
+            return block_calls.ListBlockedTraits()
+        if request.method == b'DELETE' and trait:
+            return block_calls.LiftBlockedTrait(unquote(trait.decode('latin-1')))
         return calls.UnknownCall()
 
     def encode(self, answer: calls.Answer, target: bytes) -> HttpAnswer:
@@ -52,7 +52,7 @@
 
 @singledispatch
 def _content(answer: object) -> Content:
-    return 404, {'code': 'not-found', 'detail': 'no such blocked part'}
+    return 404, {'code': 'not-found', 'detail': 'no such blocked trait'}
 
 
 @_content.register
@@ -71,6 +71,6 @@
 
 
 @_content.register
-def _found(answer: part_calls.BlockedPartsFound) -> Content:
-    items = [{'part': part, 'stored': part in answer.stored} for part in answer.parts]
+def _found(answer: block_calls.BlockedTraitsFound) -> Content:
+    items = [{'trait': trait, 'stored': trait in answer.stored} for trait in answer.traits]
     return 200, {'revision': answer.revision, 'items': items}
--- a/jackdawsail/group/replicated_lists.py
+++ b/jackdawsail/group/replicated_lists.py
@@ -16,18 +16,18 @@
     """The entries that share the limits, and the blocked parts of prompts."""
 
     entries: EntryList
-    blocked_parts: BlockList
+    blocked_traits: BlockList
 
     def update(self, linked: Sequence[MemberHost]) -> None:
         """Proposes the changes that the lists need; ``linked`` are the linked entries."""
         self.entries.update(linked)
-        self.blocked_parts.update()
+        self.blocked_traits.update()
 
 
 def make_replicated_lists(
     clock: Clock, replicator: Replicator, fanout: SiteFanout
 ) -> ReplicatedLists:
     """Builds the lists; a part that an entry blocks is proposed at once."""
-    block_list = BlockList(replicator, fanout.machine, fanout.parts.blame)
-    fanout.parts.on_blocked = block_list.update
+    block_list = BlockList(replicator, fanout.machine, fanout.traits.blame)
+    fanout.traits.on_blocked = block_list.update
     return ReplicatedLists(EntryList(clock, replicator, fanout.machine), block_list)
--- a/jackdawsail/group/part_evidence.py
+++ b/jackdawsail/group/trait_evidence.py
@@ -1,4 +1,4 @@
-"""Relays the evidence against parts of prompts, and keeps it for processes that start.
+"""Relays the evidence against traits of calls, and keeps it for processes that start.
 
 Every control host keeps all evidence, so that it outlives the loss of any of them and needs
 no leader. What an entry or another control host adds is relayed once, in batches.
@@ -9,40 +9,40 @@
 
 from jackdawsail.clocks import Clock
 from jackdawsail.message_router import MessageRouter
-from jackdawsail.routing.part_blame import PartBlame
+from jackdawsail.routing.trait_blame import TraitBlame
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
-from jackdawsail.wire.part_messages import BlockedParts, PartEvidence
+from jackdawsail.wire.trait_messages import BlockedTraits, TraitEvidence
 
 # The reports of all entries about one engine arrive within some tens of milliseconds.
 RELAY_SECONDS = 0.02
 
 
 @dataclass(slots=True)
-class PartEvidenceRelay:
-    """Owns the evidence of a control host; ``on_blocked`` is called when an entry blocks a part."""
+class TraitEvidenceRelay:
+    """Owns the evidence of a control host; ``on_blocked`` is called when an entry blocks a trait."""
 
     clock: Clock
     router: MessageRouter
     machine: SiteMachine
-    blame: PartBlame = field(default_factory=PartBlame)
+    blame: TraitBlame = field(default_factory=TraitBlame)
     on_blocked: Callable[[], None] = lambda: None
-    _unsent: list[tuple[float, PartEvidence]] = field(default_factory=list)
-    _sent_parts: tuple[str, ...] = ()
+    _unsent: list[tuple[float, TraitEvidence]] = field(default_factory=list)
+    _sent_traits: tuple[str, ...] = ()
 
     def start(self) -> None:
         """Subscribes to the links and to the evidence of entries and control hosts."""
         self.router.watch_links(self._link_opened, lambda link: None)
-        self.router.register_handler(PartEvidence, self._on_evidence)
+        self.router.register_handler(TraitEvidence, self._on_evidence)
 
     def site_changed(self) -> None:
         """Sends the stored block list to all entries if it has changed."""
         state = self.machine.state
-        if state.blocked_parts == self._sent_parts:
+        if state.blocked_traits == self._sent_traits:
             return
-        self._sent_parts = state.blocked_parts
-        self.blame.apply_stored(state.revision, state.blocked_parts)
+        self._sent_traits = state.blocked_traits
+        self.blame.apply_stored(state.revision, state.blocked_traits)
         for link in _links_of(self.router, Role.entry):
             link.send(self._stored_list())
 
@@ -53,7 +53,7 @@
         if role in {Role.entry, Role.control}:
             link.send(self.blame.snapshot(self.clock.seconds()))
 
-    def _on_evidence(self, _link: Link, evidence: PartEvidence) -> None:
+    def _on_evidence(self, _link: Link, evidence: TraitEvidence) -> None:
         now_seconds = self.clock.seconds()
         added = self.blame.merge(evidence, now_seconds)
         if added.is_empty:
@@ -71,25 +71,25 @@
             for received_seconds, evidence in self._unsent
         ]
         self._unsent.clear()
-        relayed = PartEvidence(
+        relayed = TraitEvidence(
             min(evidence.revision for evidence in batch),
             [end for evidence in batch for end in evidence.ends],
             [answer for evidence in batch for answer in evidence.sound],
-            [part for evidence in batch for part in evidence.blocked],
+            [trait for evidence in batch for trait in evidence.blocked],
         )
         for link in _links_of(self.router, Role.entry, Role.control):
             link.send(relayed)
 
-    def _stored_list(self) -> BlockedParts:
+    def _stored_list(self) -> BlockedTraits:
         state = self.machine.state
-        return BlockedParts(state.revision, list(state.blocked_parts))
+        return BlockedTraits(state.revision, list(state.blocked_traits))
 
 
 def _links_of(router: MessageRouter, *roles: Role) -> list[Link]:
     return [link for link in list(router.links) if link.peer and link.peer.role in roles]
 
 
-def _older(evidence: PartEvidence, seconds: float) -> PartEvidence:
+def _older(evidence: TraitEvidence, seconds: float) -> TraitEvidence:
     """Returns evidence as it is to be sent some time after it was received."""
     return replace(
         evidence,
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -9,7 +9,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.codecs import TrafficCodec
 from jackdawsail.proxy.limit_reports import LimitReports
-from jackdawsail.proxy.part_reports import PartReports
+from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
 from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
@@ -47,12 +47,12 @@
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
     shares: EntryShares = field(init=False)
-    parts: PartReports = field(init=False)
+    traits: TraitReports = field(init=False)
     limits: LimitReports = field(init=False)
 
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site, and its reports."""
-        self.parts = PartReports(self.clock, self.pool)
+        self.traits = TraitReports(self.clock, self.pool)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.limits = LimitReports(self.clock, self.upstreams, self.shares)
         self.view.on_change.append(self._update_shares)
--- a/jackdawsail/proxy/engine_ends.py
+++ b/jackdawsail/proxy/engine_ends.py
@@ -13,7 +13,7 @@
 from jackdawsail.clocks import Clock
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.routing.upstreams import Upstream
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.wire.trait_messages import SuspectCall
 
 MAX_KNOWN_ENDS = 64
 
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -40,7 +40,7 @@
     'Calls at engines that ended while their answers were waited for or had just begun.',
     registry=REGISTRY,
 )
-BLOCKED_PARTS = Gauge(
+BLOCKED_TRAITS = Gauge(
     'jackdawsail_proxy_blocked_parts',
     'Parts of prompts whose calls are refused, as they crash engines.',
     registry=REGISTRY,
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -12,7 +12,7 @@
 from jackdawsail.proxy.context import ProxyContext, make_proxy_context
 from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS, EntryDatagrams
 from jackdawsail.proxy.draining import CallerDrain
-from jackdawsail.proxy.part_exchange import PartExchange
+from jackdawsail.proxy.trait_exchange import TraitExchange
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
@@ -36,7 +36,7 @@
     relay: PieceRelay
     drain: CallerDrain
     datagrams: EntryDatagrams
-    parts: PartExchange
+    traits: TraitExchange
     stopping: bool = False
     _loops: list[Any] = field(default_factory=list)
     _settling: Any = None
@@ -45,7 +45,7 @@
         """Opens the ports and connects to the control hosts."""
         view = self.context.view
         self.client.on_connected = self._link_opened
-        self.parts.start(self.process.reactor)
+        self.traits.start(self.process.reactor)
         view.on_change.append(self._site_changed)
         view.on_registrations.append(self._registrations_changed)
         self.client.start()
@@ -117,7 +117,7 @@
 
     def _link_opened(self, link: Link) -> None:
         self._send_status(link)
-        self.parts.send_snapshot(link)
+        self.traits.send_snapshot(link)
 
     def _send_status(self, link: Link) -> None:
         address = self.process.settings.listening.callers
@@ -130,7 +130,7 @@
     def _on_drained(self, _outcome: None) -> None:
         for loop in self._loops:
             loop.stop()
-        self.parts.stop()
+        self.traits.stop()
         self.relay.stop()
         self.client.stop()
 
@@ -142,5 +142,5 @@
     relay = make_piece_relay(process, context.view, codecs.origin)
     callers = ServerFactory(ServerOptions(CallAdmission(context).handle, process.reactor))
     drain, datagrams = CallerDrain(context, callers), EntryDatagrams(context)
-    parts = PartExchange(context.parts, client)
-    return EntryProgram(process, codecs, client, context, relay, drain, datagrams, parts)
+    traits = TraitExchange(context.traits, client)
+    return EntryProgram(process, codecs, client, context, relay, drain, datagrams, traits)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -16,7 +16,6 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, DispatchDetails, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.part_reports import BLOCKED
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
@@ -26,6 +25,7 @@
 )
 from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
+from jackdawsail.proxy.trait_reports import BLOCKED
 from jackdawsail.proxy.watch import EngineWatch
 from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.placement import Choice, Refusal
@@ -116,7 +116,7 @@
         if self.relay.started and not started_before:
             _record_first_event(self, attempt)
         new_events = self.relay.received_events - events_before
-        self.context.parts.events_received(self.call, attempt, new_events)
+        self.context.traits.events_received(self.call, attempt, new_events)
         if not may_go_on:
             attempt.cancel()
             attempt.upstream.call_failed(self.context.clock.seconds())
@@ -155,7 +155,7 @@
         elif end is AttemptEnd.unreached:
             self._place()
         elif end is AttemptEnd.broken:
-            self.context.parts.answer_broken(self.call, attempt, self._continue)
+            self.context.traits.answer_broken(self.call, attempt, self._continue)
         else:
             self._continue(is_risky=False)
 
@@ -191,7 +191,7 @@
         if self.deadline.remaining_seconds < MIN_REMAINING_SECONDS:
             self._time_out()
             return
-        if self.context.parts.is_blocked(self.call):
+        if self.context.traits.is_blocked(self.call):
             metrics.BLOCKED_CALLS.inc()
             self._refuse(BLOCKED)
             return
@@ -258,7 +258,7 @@
 
     def has_alternative(self) -> bool:
         """Returns whether another upstream could take the call now."""
-        if self.context.parts.is_blocked(self.call):
+        if self.context.traits.is_blocked(self.call):
             return False
         return isinstance(select_upstream(self.context, self.selection()), Choice)
 
@@ -333,7 +333,7 @@
     took_seconds = now_seconds - attempt.started_seconds
     attempt.upstream.call_answered(took_seconds, now_seconds, failed=failed)
     if not failed:
-        task.context.parts.answer_sound(task.call, attempt)
+        task.context.traits.answer_sound(task.call, attempt)
 
 
 def _record_first_event(task: CallTask, attempt: Attempt) -> None:
--- a/jackdawsail/proxy/part_exchange.py
+++ b/jackdawsail/proxy/trait_exchange.py
@@ -1,29 +1,29 @@
-"""Exchanges the evidence against parts of prompts between an entry and the control hosts."""
+"""Exchanges the evidence against traits of calls between an entry and the control hosts."""
 
 from dataclasses import dataclass
 from typing import Any
 
-from jackdawsail.proxy.part_reports import PartReports
+from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.loops import start_loop
 from jackdawsail.wire.link import Link
-from jackdawsail.wire.part_messages import BlockedParts, PartEvidence
+from jackdawsail.wire.trait_messages import BlockedTraits, TraitEvidence
 
 CHECK_SECONDS = 0.1
 
 
 @dataclass(slots=True)
-class PartExchange:
+class TraitExchange:
     """Sends what this entry adds to the evidence, and records what the others add."""
 
-    reports: PartReports
+    reports: TraitReports
     client: SiteClient
     _loop: Any = None
 
     def start(self, reactor: Any) -> None:
         """Registers the message handlers and starts to check the evidence."""
-        self.client.router.register_handler(PartEvidence, self._on_evidence)
-        self.client.router.register_handler(BlockedParts, self._on_blocked_parts)
+        self.client.router.register_handler(TraitEvidence, self._on_evidence)
+        self.client.router.register_handler(BlockedTraits, self._on_blocked_parts)
         self.reports.on_evidence = self._send
         self._loop = start_loop(reactor, self.reports.check, CHECK_SECONDS)
 
@@ -37,21 +37,21 @@
         if not snapshot.is_empty:
             link.send(snapshot)
 
-    def _send(self, evidence: PartEvidence) -> None:
+    def _send(self, evidence: TraitEvidence) -> None:
         for link in self.client.links():
             link.send(evidence)
 
-    def _on_evidence(self, _link: Link, evidence: PartEvidence) -> None:
+    def _on_evidence(self, _link: Link, evidence: TraitEvidence) -> None:
         added = self.reports.blame.merge(evidence, self.reports.clock.seconds())
         if added.blocked:
             self.reports.log_blocked(added.blocked, 'another entry')
         if added.ends:
             self.reports.check()
 
-    def _on_blocked_parts(self, _link: Link, message: BlockedParts) -> None:
+    def _on_blocked_parts(self, _link: Link, message: BlockedTraits) -> None:
         blame = self.reports.blame
         before = set(blame.blocked)
-        if not blame.apply_stored(message.revision, message.parts):
+        if not blame.apply_stored(message.revision, message.traits):
             return
         after = set(blame.blocked)
         if after - before:
--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/trait_suspicion.py
@@ -1,17 +1,18 @@
-"""Weighs which part of a prompt the ends of engines speak against (pure).
+"""Weighs which trait of calls the ends of engines speak against (pure).
 
-A bad part ends each engine that begins an answer under it. It is therefore among the parts of
+A trait is what calls have in common: a part of their prompts. A bad one ends each engine that
+begins an answer under it. It is therefore among the traits of
 one end after the other, in different calls. The calls that had just begun are the likely
-cause of an end. Engines that end together count once, by the share of them that a part was
+cause of an end. Engines that end together count once, by the share of them that a trait was
 involved in, and many of them not at all, since loss of power, a restart of a data centre or
-a deployment ends many at the same time. A part that many calls have is involved in any end,
+a deployment ends many at the same time. A trait that many calls have is involved in any end,
 so it takes more of them.
 """
 
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.wire.trait_messages import SuspectCall
 
 MIN_MOMENTS = 3
 MIN_CALLS = 2  # different ones; the repeat of a call may meet a second engine's end by chance
@@ -23,37 +24,37 @@
 WAITING_WEIGHT = 0.5  # of a call whose answer had not just begun, against 1 for one that had
 REPEAT_WEIGHT = 0.5  # of a call that was on an earlier engine when that ended
 USUAL_CALLS_PER_END = 1.5
-MIN_COVERED_SHARE = 0.7  # of the ends since a part was first involved
+MIN_COVERED_SHARE = 0.7  # of the ends since a trait was first involved
 SAME_MOMENT_SECONDS = 0.15  # entries see the end of one engine within some tens of milliseconds
 MASS_ENDS = 4  # so many engines at the same moment are not ended by calls
-# A sound part in use shows an answer that goes well by then, after a wait for a slot.
+# A sound trait in use shows an answer that goes well by then, after a wait for a slot.
 MIN_AGE_SECONDS = 0.9  # of the first end
 
 JUST_BEGUN_EVENTS = 3  # an answer with more events has not just begun
-EARLY_EVENTS = 6  # an answer with more events is past the begin that a bad part crashes
+EARLY_EVENTS = 6  # an answer with more events is past the begin that a bad trait crashes
 
 
 @dataclass(slots=True)
 class EngineEnd:
-    """The end of one engine and the calls that may have caused it, by their own parts.
+    """The end of one engine and the calls that may have caused it, by their own traits.
 
-    ``parts`` are the suspected ones, ``explained`` is true once one is known to be bad.
+    ``traits`` are the suspected ones, ``explained`` is true once one is known to be bad.
     """
 
     ended_seconds: float
     calls: dict[str, SuspectCall] = field(default_factory=dict)
-    parts: set[str] = field(default_factory=set)
+    traits: set[str] = field(default_factory=set)
     explained: bool = False
 
     def explain(self) -> None:
-        """Records that the cause of the end is known, so that it speaks against no other part."""
+        """Records that the cause of the end is known, so that it speaks against no other trait."""
         self.explained = True
-        self.parts.clear()
+        self.traits.clear()
 
 
 @dataclass(frozen=True, slots=True)
 class _Moment:
-    """A moment at which engines ended: the calls with one part, and the share of these engines."""
+    """A moment at which engines ended: the calls with one trait, and the share of these engines."""
 
     calls: list[SuspectCall]
     engine_share: float
@@ -61,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """What speaks against one part: its moments; ``first_seconds`` is the time of the first."""
+    """What speaks against one trait: its moments; ``first_seconds`` is the time of the first."""
 
     moments: list[_Moment]
     first_seconds: float
@@ -73,13 +74,13 @@
         return sum(len(moment.calls) for moment in self.moments)
 
     @property
-    def own_parts(self) -> set[str]:
-        """Returns the parts that identify the calls."""
-        return {call.own_part for moment in self.moments for call in moment.calls}
+    def identities(self) -> set[str]:
+        """Returns the traits that identify the calls."""
+        return {call.identity for moment in self.moments for call in moment.calls}
 
     @property
     def is_usual(self) -> bool:
-        """Returns whether many calls have the part, so that any end involves some of them."""
+        """Returns whether many calls have the trait, so that any end involves some of them."""
         return self.calls > USUAL_CALLS_PER_END * self.ends
 
     def score(self) -> float:
@@ -88,37 +89,37 @@
         score: float = 0
         for moment in self.moments:
             score += moment.engine_share * max(_weight(call, seen) for call in moment.calls)
-            seen.update(call.own_part for call in moment.calls)
+            seen.update(call.identity for call in moment.calls)
         return score
 
 
-def find_bad_part(ends: Collection[EngineEnd], now_seconds: float) -> str:
-    """Returns the part that the ends show to be bad; empty if they show none.
+def find_bad_trait(ends: Collection[EngineEnd], now_seconds: float) -> str:
+    """Returns the trait that the ends show to be bad; empty if they show none.
 
-    Of parts with equal scores it is the one with the fewest calls. If these are equal as well,
+    Of traits with equal scores it is the one with the fewest calls. If these are equal as well,
     more ends must tell them apart.
     """
     single = _without_mass_ends(ends)
     enough = {
-        part: suspicion
-        for part, suspicion in _suspicions(single, MIN_MOMENTS).items()
+        trait: suspicion
+        for trait, suspicion in _suspicions(single, MIN_MOMENTS).items()
         if _is_enough(suspicion, single, now_seconds)
     }
-    ranked = sorted((-each.score(), each.calls, part) for part, each in enough.items())
+    ranked = sorted((-each.score(), each.calls, trait) for trait, each in enough.items())
     if not ranked:
         return ''
-    part = ranked[0][-1]
+    trait = ranked[0][-1]
     is_tied = len(ranked) > 1 and ranked[0][:2] == ranked[1][:2]
-    return '' if is_tied and len(enough[part].moments) < SURE_MOMENTS else part
+    return '' if is_tied and len(enough[trait].moments) < SURE_MOMENTS else trait
 
 
 def is_risky(ends: Collection[EngineEnd], call: SuspectCall) -> bool:
     """Returns whether a call may be the cause of the end that it was just part of.
 
-    That is the case if one of its parts was involved in an earlier end, in another call.
+    That is the case if one of its traits was involved in an earlier end, in another call.
     """
     suspicions = _suspicions(_without_mass_ends(ends), MIN_CALLS)
-    return any(_is_serious(suspicions[part]) for part in call.shared_parts if part in suspicions)
+    return any(_is_serious(suspicions[trait]) for trait in call.traits if trait in suspicions)
 
 
 def _without_mass_ends(ends: Collection[EngineEnd]) -> list[EngineEnd]:
@@ -138,11 +139,11 @@
 
 
 def _suspicions(ends: Collection[EngineEnd], min_ends: int) -> dict[str, _Suspicion]:
-    """Returns what speaks against each part that was involved in at least ``min_ends``."""
+    """Returns what speaks against each trait that was involved in at least ``min_ends``."""
     ends_by_part: dict[str, list[EngineEnd]] = {}
     for end in ends:
-        for part in end.parts:
-            ends_by_part.setdefault(part, []).append(end)
+        for trait in end.traits:
+            ends_by_part.setdefault(trait, []).append(end)
     return {
         suspected: _suspicion_of(suspected, involved, ends)
         for suspected, involved in ends_by_part.items()
@@ -150,22 +151,24 @@
     }
 
 
-def _suspicion_of(part: str, involved: list[EngineEnd], ends: Collection[EngineEnd]) -> _Suspicion:
-    others = [end for end in ends if not end.explained and part not in end.parts]
-    moments = [_moment_of(part, together, others) for together in _moments_of(involved)]
+def _suspicion_of(
+    trait: str, involved: list[EngineEnd], ends: Collection[EngineEnd]
+) -> _Suspicion:
+    others = [end for end in ends if not end.explained and trait not in end.traits]
+    moments = [_moment_of(trait, together, others) for together in _moments_of(involved)]
     return _Suspicion(moments, min(end.ended_seconds for end in involved), len(involved))
 
 
-def _moment_of(part: str, together: list[EngineEnd], others: list[EngineEnd]) -> _Moment:
-    """Returns a moment of a part; ``others`` are the ends that it was not involved in."""
-    calls = [call for end in together for call in end.calls.values() if part in call.shared_parts]
+def _moment_of(trait: str, together: list[EngineEnd], others: list[EngineEnd]) -> _Moment:
+    """Returns a moment of a trait; ``others`` are the ends that it was not involved in."""
+    calls = [call for end in together for call in end.calls.values() if trait in call.traits]
     at_seconds = together[0].ended_seconds
     near = [end for end in others if abs(end.ended_seconds - at_seconds) < SAME_MOMENT_SECONDS]
     return _Moment(calls, len(together) / (len(together) + len(near)))
 
 
 def _is_serious(suspicion: _Suspicion) -> bool:
-    has_other_call = len(suspicion.own_parts) >= MIN_CALLS
+    has_other_call = len(suspicion.identities) >= MIN_CALLS
     return has_other_call and not suspicion.is_usual and suspicion.score() >= RISKY_SCORE
 
 
@@ -173,7 +176,7 @@
     moments = len(suspicion.moments)
     if moments < MIN_MOMENTS or now_seconds - suspicion.first_seconds < MIN_AGE_SECONDS:
         return False
-    calls = len(suspicion.own_parts)
+    calls = len(suspicion.identities)
     score = suspicion.score()
     if moments >= SURE_MOMENTS and calls >= SURE_CALLS and score >= SURE_SCORE:
         return True
@@ -187,7 +190,7 @@
 
 def _weight(call: SuspectCall, seen: set[str]) -> float:
     weight = 1.0 if call.just_begun else WAITING_WEIGHT
-    return weight * REPEAT_WEIGHT if call.own_part in seen else weight
+    return weight * REPEAT_WEIGHT if call.identity in seen else weight
 
 
 def _ended_seconds(end: EngineEnd) -> float:
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -15,7 +15,7 @@
 from jackdawsail.wire.site_messages import MemberHost
 
 SNAPSHOT_FORMAT = 3  # format 1 has no entries, 2 no blocked parts
-MAX_BLOCKED_PARTS = 256
+MAX_BLOCKED_TRAITS = 256
 
 
 class CommandOutcome(StrEnum):
@@ -43,7 +43,7 @@
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
     ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address,
-    ``blocked_parts`` are the parts of prompts that crash engines, the earliest blocked first.
+    ``blocked_traits`` are the parts of prompts that crash engines, the earliest blocked first.
     """
 
     revision: int = 0
@@ -51,7 +51,7 @@
     emptied_zones: tuple[str, ...] = ()
     weight_versions: tuple[tuple[str, int], ...] = ()
     sharing_entries: tuple[MemberHost, ...] = ()
-    blocked_parts: tuple[str, ...] = ()
+    blocked_traits: tuple[str, ...] = ()
 
 
 def put_document(document: StoredDocument) -> bytes:
@@ -77,14 +77,14 @@
     return cbor2.dumps(['entries', [_encode_host(host) for host in added], list(removed)])
 
 
-def block_part(part: str) -> bytes:
-    """Encodes the command that blocks a part of prompts."""
-    return cbor2.dumps(['part', part, True])
+def block_trait(trait: str) -> bytes:
+    """Encodes the command that blocks a trait of prompts."""
+    return cbor2.dumps(['part', trait, True])
 
 
-def lift_part(part: str) -> bytes:
-    """Encodes the command that lifts the block of a part of prompts."""
-    return cbor2.dumps(['part', part, False])
+def lift_trait(trait: str) -> bytes:
+    """Encodes the command that lifts the block of a trait of prompts."""
+    return cbor2.dumps(['part', trait, False])
 
 
 class SiteMachine:
@@ -111,20 +111,20 @@
         zones = list(state.emptied_zones)
         weights = [list(pair) for pair in state.weight_versions]
         entries = [_encode_host(host) for host in state.sharing_entries]
-        lists = [zones, weights, entries, list(state.blocked_parts)]
+        lists = [zones, weights, entries, list(state.blocked_traits)]
         return cbor2.dumps([SNAPSHOT_FORMAT, state.revision, document_fields, *lists])
 
     def restore(self, snapshot: bytes) -> None:
         """Replaces the state with a snapshot."""
         revision, document_fields, *lists = cbor2.loads(snapshot)[1:]
-        zones, weights, entries, parts = (*lists, [], [])[:4]
+        zones, weights, entries, traits = (*lists, [], [])[:4]
         self.state = SiteState(
             revision,
             StoredDocument(*document_fields),
             tuple(zones),
             tuple((model, version) for model, version in weights),
             tuple(MemberHost(*fields) for fields in entries),
-            tuple(parts),
+            tuple(traits),
         )
         self.on_change()
 
@@ -169,12 +169,12 @@
     return replace(state, sharing_entries=kept), CommandOutcome.accepted
 
 
-def _change_part(state: SiteState, part: str, blocked: bool) -> Change:
-    if blocked == (part in state.blocked_parts):
+def _change_trait(state: SiteState, trait: str, blocked: bool) -> Change:
+    if blocked == (trait in state.blocked_traits):
         return state, CommandOutcome.unchanged
-    others = [other for other in state.blocked_parts if other != part]
-    parts = [*others, part][-MAX_BLOCKED_PARTS:] if blocked else others
-    return replace(state, blocked_parts=tuple(parts)), CommandOutcome.accepted
+    others = [other for other in state.blocked_traits if other != trait]
+    traits = [*others, trait][-MAX_BLOCKED_TRAITS:] if blocked else others
+    return replace(state, blocked_traits=tuple(traits)), CommandOutcome.accepted
 
 
 def _encode_host(host: MemberHost) -> list[str]:
@@ -186,5 +186,5 @@
     'zone': _change_zone,
     'weights': _change_weights,
     'entries': _change_entries,
-    'part': _change_part,
+    'part': _change_trait,
 }
--- a/jackdawsail/ui/client.py
+++ b/jackdawsail/ui/client.py
@@ -74,7 +74,7 @@
         return {'revision': page['revision'], 'items': rows}
 
     def delete(self, path: str) -> dict[str, Any]:
-        """Deletes a resource, for example ``/v1/blocked-parts/3f``."""
+        """Deletes a resource, for example ``/v1/blocks/3f``."""
         return self._request('DELETE', path, None)
 
     def command(
--- a/jackdawsail/ui/main.py
+++ b/jackdawsail/ui/main.py
@@ -8,10 +8,10 @@
 from jackdawsail import __version__
 from jackdawsail.errors import UserError
 from jackdawsail.ui import (
+    block_commands,
     config_commands,
     customer_commands,
     explain_command,
-    part_commands,
     release_commands,
     status_commands,
     voter_commands,
@@ -29,7 +29,7 @@
     zone_commands.host_app,
     status_commands.calls_app,
     voter_commands.voters_app,
-    part_commands.part_app,
+    block_commands.block_app,
     config_commands.config_app,
 )
 COMMANDS = (
--- a/jackdawsail/wire/part_messages.py
+++ b/jackdawsail/wire/trait_messages.py
@@ -1,4 +1,7 @@
-"""Messages about parts of prompts that may crash engines, between entries and control hosts."""
+"""Messages about traits of calls that may crash engines, between entries and control hosts.
+
+A trait is what a call has in common with others, such as a part of its prompt.
+"""
 
 from dataclasses import dataclass, field
 
@@ -9,12 +12,12 @@
 class SuspectCall:
     """A call on an engine that ended, whose answer had just begun or was still waited for.
 
-    ``own_part`` is the part of its prompt that no other call has, ``shared_parts`` are the
-    others. ``just_begun`` is true if its first events had arrived and not many more.
+    ``identity`` tells it from other calls, ``traits`` are what it has in common with them.
+    ``just_begun`` is true if its first events had arrived and not many more.
     """
 
-    own_part: str
-    shared_parts: list[str]
+    identity: str
+    traits: list[str]
     just_begun: bool
 
 
@@ -32,18 +35,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AgedSoundAnswer:
-    """A part under which an answer went well, and the seconds since that answer began."""
+    """A trait under which an answer went well, and the seconds since that answer began."""
 
-    part: str
+    trait: str
     begun_age_seconds: float
 
 
-@message('site-part-evidence')
-class PartEvidence:
-    """Entry to control, and control to entries and control hosts: what speaks for or against parts.
+@message('site-trait-evidence')
+class TraitEvidence:
+    """Entry to control, and control to entries and control hosts: what speaks for or against traits.
 
-    ``blocked`` are parts that an entry has found to be bad. ``revision`` is that of the
-    stored block list which the sender knew; a part that was lifted later is not blocked again.
+    ``blocked`` are traits that an entry has found to be bad. ``revision`` is that of the
+    stored block list which the sender knew; a trait that was lifted later is not blocked again.
     """
 
     revision: int
@@ -57,9 +60,9 @@
         return not (self.ends or self.sound or self.blocked)
 
 
-@message('site-blocked-parts')
-class BlockedParts:
+@message('site-blocked-traits')
+class BlockedTraits:
     """Control to entries: the stored block list, at the revision of its last change."""
 
     revision: int
-    parts: list[str]
+    traits: list[str]
--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -183,7 +183,7 @@
         self.client.on_connected = self.program._link_opened
         self.view = self.context.view
         self.view.on_registrations.append(self.program._registrations_changed)
-        self.program.parts.start(clock)
+        self.program.traits.start(clock)
         self.client.start()
         services = [MODEL_SERVICE, PLAIN_SERVICE]
         document = make_document(routes=ROUTES, services=services, customers=CUSTOMERS)
--- a/test/proxy/test_bad_prompt_parts.py
+++ b/test/proxy/test_bad_prompt_parts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jackdawsail.wire.part_messages import SuspectCall
+from jackdawsail.wire.trait_messages import SuspectCall
 from test.http1.ends import reset
 from test.proxy.crash_site import CrashSite
 from test.proxy.world import MODEL_SERVICE, STREAM_HEADERS, World, answer
@@ -26,7 +26,7 @@
 
 
 def is_blocked(entry):
-    return BAD in entry.context.parts.blame.blocked
+    return BAD in entry.context.traits.blame.blocked
 
 
 def sends_during(site, seconds, **rates):
@@ -99,7 +99,7 @@
     blocked_site.close_links(control.router)
     restarted = blocked_site.restart_control(0)
     blocked_site.run(0.01)
-    assert restarted.fanout.parts.blame.blocked == (BAD,)
+    assert restarted.fanout.traits.blame.blocked == (BAD,)
 
 
 def test_an_entry_that_was_cut_off_learns_what_was_blocked_meanwhile(site):
@@ -119,7 +119,7 @@
 @pytest.mark.parametrize(('status', 'is_cleared'), [(200, True), (400, False), (500, False)])
 def test_only_a_success_speaks_for_the_parts_of_its_prompt(status, is_cleared):
     world = World(2, MODEL_SERVICE)
-    blame = world.context.parts.blame
+    blame = world.context.traits.blame
     blame.record_end('i-9/1', world.reactor.seconds(), [SuspectCall('own', ['a'], True)], 100)
     world.reactor.advance(1)
     headers = f'{STREAM_HEADERS}Prompt-Prefix: a:1,b:1\r\n'
@@ -143,7 +143,7 @@
     """Ends of engines, and breaks of answers, that no call has caused."""
 
     def assert_nothing_is_blocked(self, site):
-        assert all(entry.context.parts.blame.blocked == () for entry in site.entries)
+        assert all(entry.context.traits.blame.blocked == () for entry in site.entries)
 
     @pytest.mark.parametrize('seed', range(4))
     def test_crashes_by_chance(self, seed):
@@ -170,7 +170,7 @@
                 for channel in channels:
                     reset(channel)
         self.assert_nothing_is_blocked(site)
-        assert all(not entry.context.parts.blame.snapshot(0).ends for entry in site.entries)
+        assert all(not entry.context.traits.blame.snapshot(0).ends for entry in site.entries)
 
     def test_engines_that_leave_as_planned(self, site):
         for engine in site.engines[:5]:
@@ -179,7 +179,7 @@
             engine.crash()
             site.offer(1)
         self.assert_nothing_is_blocked(site)
-        assert all(not entry.context.parts.blame.snapshot(0).ends for entry in site.entries)
+        assert all(not entry.context.traits.blame.snapshot(0).ends for entry in site.entries)
 
     def test_hosts_without_power_or_cut_off(self, site):
         for engine in site.engines[:5]:
@@ -188,4 +188,4 @@
             engine.crash()
         site.offer(1)
         self.assert_nothing_is_blocked(site)
-        assert all(not entry.context.parts.blame.snapshot(0).ends for entry in site.entries)
+        assert all(not entry.context.traits.blame.snapshot(0).ends for entry in site.entries)
--- a/test/routing/test_part_blame.py
+++ b/test/routing/test_trait_blame.py
@@ -7,15 +7,15 @@
 from hypothesis import strategies as st
 
 from bench.emulator.blame_play import Scenario, play
-from jackdawsail.routing.part_blame import (
+from jackdawsail.routing.trait_blame import (
     MAX_BLOCKED,
     MAX_CALLS_PER_END,
     MAX_ENDS,
     MAX_SOUND,
-    PartBlame,
+    TraitBlame,
 )
-from jackdawsail.routing.part_suspicion import SAME_MOMENT_SECONDS
-from jackdawsail.wire.part_messages import AgedEnd, AgedSoundAnswer, PartEvidence, SuspectCall
+from jackdawsail.routing.trait_suspicion import SAME_MOMENT_SECONDS
+from jackdawsail.wire.trait_messages import AgedEnd, AgedSoundAnswer, SuspectCall, TraitEvidence
 
 MAX_SENDS_AFTER = 3
 
@@ -35,7 +35,7 @@
 
 
 def test_a_part_of_one_end_after_the_other_is_bad():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2], 'bad')
     assert find(blame, 2) == []
     end_engines(blame, [3], 'bad', first=2)
@@ -44,7 +44,7 @@
 
 
 def test_an_answer_that_began_after_the_ends_speaks_for_its_part():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2], 'sound')
     assert blame.record_sound('sound', 2.1)
     end_engines(blame, [3, 4], 'sound', first=2)
@@ -52,14 +52,14 @@
 
 
 def test_an_answer_that_began_before_an_end_does_not_speak_for_its_part():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2, 3], 'bad')
     blame.record_sound('bad', 0.9)
     assert find(blame, 4) == ['bad']
 
 
 def test_evidence_of_an_old_end_that_arrives_late_does_not_count_again():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2, 3], 'sound')
     blame.record_sound('sound', 3.5)
     blame.record_end('i-1', 2, [call(9, 'sound')], 4)
@@ -68,14 +68,14 @@
 
 
 def test_an_answer_that_is_known_before_the_end_it_clears_counts():
-    blame = PartBlame()
+    blame = TraitBlame()
     assert not blame.record_sound('sound', 9)
     end_engines(blame, [1, 3, 5], 'sound')
     assert (find(blame, 6), blame.suspected_among(['sound'])) == ([], [])
 
 
 def test_a_report_of_an_end_with_another_time_revives_no_evidence():
-    blame = PartBlame()
+    blame = TraitBlame()
     blame.record_end('i-1', 9, [call(1, 'sound')], 10)
     assert not blame.record_sound('sound', 5)
     blame.record_end('i-1', 1, [], 10)
@@ -83,7 +83,7 @@
 
 
 def test_an_end_beside_ends_of_others_counts_by_its_share_of_them():
-    blame = PartBlame()
+    blame = TraitBlame()
     for number in range(4):
         blame.record_end(f'i-{number}', number, [call(number, 'sound')], number)
         blame.record_end(f'j-{number}', number, [call(f'x{number}', f'other{number}')], number)
@@ -91,27 +91,27 @@
 
 
 def test_engines_that_end_together_count_once():
-    blame = PartBlame()
+    blame = TraitBlame()
     times = [1, 1, 1 + SAME_MOMENT_SECONDS / 2, 3, 3, 3 + SAME_MOMENT_SECONDS / 2]
     end_engines(blame, times, 'sound')
     assert find(blame, 9) == []
 
 
 def test_many_engines_that_end_together_do_not_count():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1] * 4 + [2] * 4 + [3] * 6 + [4] * 4, 'sound')
     assert find(blame, 9) == []
 
 
 def test_the_repeat_of_one_call_that_meets_further_ends_blocks_no_part():
-    blame = PartBlame()
+    blame = TraitBlame()
     for number, seconds in enumerate((1, 2, 3, 4, 5, 6)):
         blame.record_end(f'i-{number}', seconds, [call(0, 'sound')], seconds)
     assert find(blame, 7) == []
 
 
 def test_a_part_that_is_in_few_of_many_ends_is_not_bad():
-    blame = PartBlame()
+    blame = TraitBlame()
     for number in range(12):
         parts = ['sound'] if number % 4 == 0 else [f'other{number}']
         blame.record_end(f'i-{number}', number, [call(number, *parts)], number)
@@ -119,7 +119,7 @@
 
 
 def test_parts_beside_a_bad_one_are_not_blocked_with_it():
-    blame = PartBlame()
+    blame = TraitBlame()
     for number in range(4):
         calls = [call(number, 'first', 'bad', f'd{number}'), call(f'x{number}', 'first', 'e')]
         calls.append(call(f'y{number}', 'first', 'e', just_begun=False))
@@ -130,7 +130,7 @@
 
 
 def test_a_lifted_part_is_not_blocked_again_by_older_evidence():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2, 3], 'bad')
     find(blame, 3)
     older = blame.snapshot(3)
@@ -144,18 +144,18 @@
 
 
 def test_an_older_stored_list_changes_nothing():
-    blame = PartBlame()
+    blame = TraitBlame()
     blame.apply_stored(6, ['bad'])
     assert not blame.apply_stored(5, [])
     assert blame.blocked == ('bad',)
 
 
 def test_a_process_that_starts_gets_the_whole_evidence():
-    blame = PartBlame()
+    blame = TraitBlame()
     end_engines(blame, [1, 2], 'bad', 'first')
     blame.record_sound('first', 2.5)
     blame.block('other')
-    started = PartBlame()
+    started = TraitBlame()
     started.merge(blame.snapshot(10), 110)
     started.record_end('i-9', 112, [call(9, 'bad', 'first')], 112)
     assert find(started, 112) == ['bad']
@@ -178,7 +178,7 @@
 )
 SOUND = st.builds(AgedSoundAnswer, st.sampled_from(['a', 'b', 'c']), st.floats(0, 9))
 EVIDENCE = st.builds(
-    PartEvidence,
+    TraitEvidence,
     st.just(0),
     st.lists(ENDS, max_size=3),
     st.lists(SOUND, max_size=2),
@@ -189,7 +189,7 @@
 @settings(max_examples=400)
 @given(st.lists(EVIDENCE, max_size=6), st.randoms(use_true_random=False))
 def test_evidence_that_is_repeated_adds_nothing(messages, rng):
-    blame = PartBlame()
+    blame = TraitBlame()
     for message in messages:
         blame.merge(message, 100)
     repeated = list(messages)
@@ -201,13 +201,13 @@
 
 
 def test_memory_is_bounded_against_any_number_of_parts():
-    blame = PartBlame()
+    blame = TraitBlame()
     rng = random.Random(1)
     for number in range(3000):
         calls = [call(f'{number}/{each}', f'p{rng.random()}') for each in range(100)]
         blame.record_end(f'i-{number}', number, calls, number)
         blame.block(f'b{number}')
-        blame.record_sound(calls[0].shared_parts[0], number + 1)
+        blame.record_sound(calls[0].traits[0], number + 1)
     snapshot = blame.snapshot(3000)
     assert len(snapshot.ends) <= MAX_ENDS
     assert all(len(end.calls) <= MAX_CALLS_PER_END for end in snapshot.ends)
--- a/test/site/test_machine.py
+++ b/test/site/test_machine.py
@@ -10,9 +10,9 @@
     SiteState,
     StoredDocument,
     announce_weights,
-    block_part,
+    block_trait,
     change_entries,
-    lift_part,
+    lift_trait,
     put_document,
     set_zone_emptied,
 )
@@ -80,14 +80,14 @@
     machine = SiteMachine()
     machine.restore(cbor2.dumps([2, 7, [5, 'd', b'b'], [], [], [['10.0.0.1', 'z', 'r']]]))
     assert machine.state.sharing_entries == tuple(entries('10.0.0.1'))
-    assert machine.state.blocked_parts == ()
+    assert machine.state.blocked_traits == ()
 
 
 COMMANDS = st.one_of(
     st.builds(put, st.integers(1, 6), st.sampled_from('ab')),
     st.builds(set_zone_emptied, st.sampled_from('xy'), emptied=st.booleans()),
-    st.builds(block_part, st.sampled_from('pq')),
-    st.builds(lift_part, st.sampled_from('pq')),
+    st.builds(block_trait, st.sampled_from('pq')),
+    st.builds(lift_trait, st.sampled_from('pq')),
     st.builds(announce_weights, st.sampled_from('mn'), st.integers(1, 4)),
     st.builds(
         change_entries,
--- a/test/ui/test_part_commands.py
+++ b/test/ui/test_block_commands.py
@@ -11,7 +11,7 @@
 from jackdawsail.http1.messages import make_request
 from jackdawsail.ui.exit_codes import ExitCode
 from jackdawsail.ui.main import make_app
-from test.group.test_part_evidence import BLOCK, World
+from test.group.test_trait_evidence import BLOCK, World
 
 
 class ControlHost(BaseHTTPRequestHandler):
@@ -56,13 +56,13 @@
 
 
 def test_blocked_parts_are_listed_and_one_is_lifted(run):
-    assert 'bad' in run('part', 'list')
-    assert 'lifted' in run('part', 'lift', 'bad')
+    assert 'bad' in run('block', 'list')
+    assert 'lifted' in run('block', 'lift', 'bad')
     assert ControlHost.world.stored == ()
-    assert '"items": []' in run('part', 'list', '--json')
+    assert '"items": []' in run('block', 'list', '--json')
 
 
 def test_a_part_that_is_not_blocked_is_reported_as_not_found(run):
     with pytest.raises(UserError) as error:
-        run('part', 'lift', 'other')
+        run('block', 'lift', 'other')
     assert error.value.exit_code == ExitCode.not_found
