A request that crashes engines is blocked at every entry

What callers saw: a lookup ended engine after engine of a plain service, its repeats within one call two of three within 90 ms, and came again as soon as they were back (17 ends in 17 s). All other calls of the service were refused meanwhile.

Cause: each broken call was treated alone, and repeated. Only parts of prompts were known as what calls have in common; plain services have none, and the repeats of one call were no evidence.

A request is now a trait beside the parts of prompts, known by host, path, caller and body. It goes through the same evidence, relay, block list and commands. One that was never answered is blocked after the third end and not repeated after the second; one that was answered takes another end, as a copy of a popular request may be on any engine. A call without an earlier end behind it is repeated at once, without waiting for the check of its engine.

Tests: the reactor of the tests lists checks of refused connections apart from connections, as every broken call is followed by one now; calls of the crash site have bodies, without which they were all one request.

--- a/bench/blame.py
+++ b/bench/blame.py
@@ -1,4 +1,4 @@
-"""Figures of the blocking of parts that crash engines, by the product and by sketches.
+"""Figures of the blocking of parts and requests that crash engines, and of parts by sketches.
 
 The figures of each scenario are over all seeds: ends before the block (mean and most), sends
 after it, sound calls refused or not repeated, and sound parts blocked.
@@ -14,6 +14,7 @@
 
 from bench.blame_sketch import SketchBlame
 from bench.emulator.blame_play import SCENARIOS, Scenario, play
+from bench.emulator.request_play import REQUEST_SCENARIOS, RequestScenario, play_requests
 from jackdawsail.routing.trait_blame import TraitBlame
 from jackdawsail.wire.codec import encode
 from jackdawsail.wire.trait_messages import SuspectCall
@@ -30,6 +31,8 @@
     with Pool(PROCESSES) as pool:
         for line in pool.imap(partial(_figures, seeds=seeds, way=way), SCENARIOS):
             print(line)  # noqa: T201
+        for line in pool.imap(partial(_request_figures, seeds=seeds), REQUEST_SCENARIOS):
+            print(line)  # noqa: T201
     for name in WAYS:
         for parts in (100, 10_000, 1_000_000):
             print(_cost(name, parts))  # noqa: T201
@@ -52,6 +55,21 @@
     )
 
 
+def _request_figures(scenario: RequestScenario, *, seeds: int) -> str:
+    plays = [play_requests(scenario, seed) for seed in range(seeds)]
+    ends = [count for each in plays for count in each.ends.values()] or [0]
+    sends_after = [count for each in plays for count in each.sends_after.values()]
+    return (
+        f'{scenario.name:32} ends under each {statistics.mean(ends):.2f}, most {max(ends)}; '
+        f'of all at most {max(sum(each.ends.values()) for each in plays)}; '
+        f'sends 3 s after the third {max(sends_after, default=0)}; '
+        f'sound {sum(each.sound_calls for each in plays)}, '
+        f'refused {sum(each.sound_refused for each in plays)}, '
+        f'not repeated {sum(each.withheld for each in plays)}; '
+        f'sound requests blocked {sum(len(each.blocked) for each in plays)}'
+    )
+
+
 def _cost(way: str, parts: int) -> str:
     """Measures the reports of SIZE_ENDS ends by all entries, with one of ``parts`` parts each."""
     rng = random.Random(1)
--- a/bench/emulator/blame_play.py
+++ b/bench/emulator/blame_play.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from bench.emulator.simulation import Simulation
+from jackdawsail.routing.part_suspicion import EARLY_EVENTS, JUST_BEGUN_EVENTS
 from jackdawsail.routing.trait_blame import TraitBlame
-from jackdawsail.routing.trait_suspicion import EARLY_EVENTS, JUST_BEGUN_EVENTS
 from jackdawsail.wire.trait_messages import SuspectCall
 
 DELAY_SECONDS = 0.05
--- a/jackdawsail/http1/channel_pool.py
+++ b/jackdawsail/http1/channel_pool.py
@@ -52,7 +52,7 @@
         self.on_connected(self)
 
 
-class _RefusalCheck(protocol.ClientFactory):
+class RefusalCheck(protocol.ClientFactory):
     """One attempt to connect that only shows whether anything listens at the address."""
 
     noisy = False
@@ -61,9 +61,11 @@
         self._on_checked = on_checked
 
     def buildProtocol(self, addr: Any) -> protocol.Protocol:  # noqa: N802 - Twisted's name
+        """Returns the connection, which is closed once it is open."""
         return _CheckConnection(self._on_checked)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Reports whether the host has refused the connection."""
         self._on_checked(reason is not None and reason.check(PeerRefusedError) is not None)
 
 
@@ -139,7 +141,7 @@
         """
         host, _, port = address.rpartition(':')
         bind = (self.bind_address, 0) if self.bind_address else None
-        check = _RefusalCheck(on_checked)
+        check = RefusalCheck(on_checked)
         self.reactor.connectTCP(host, int(port), check, self.connect_seconds, bind)
 
     def release(self, channel: ClientChannel) -> None:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -62,8 +62,9 @@
 class Attempt:
     """One attempt; owns its channel to the upstream until the answer ends.
 
-    ``sent_seconds`` is when the request was written, ``begun_seconds`` when the head of a
-    success arrived, None before that. ``received_events`` is the number of complete events
+    ``sent_seconds`` is when the request was written, ``head_seconds`` when the head of an answer
+    arrived that says that the request ran, ``begun_seconds`` the same of a success; both are None
+    before that. ``received_events`` is the number of complete events
     since then.
     """
 
@@ -79,6 +80,7 @@
         self.head: ReceivedHead | None = None
         self.started_seconds = context.clock.seconds()
         self.sent_seconds = self.started_seconds
+        self.head_seconds: float | None = None
         self.begun_seconds: float | None = None
         self.last_received_seconds = self.started_seconds
         self._context = context
@@ -149,8 +151,9 @@
             return False
         self.last_received_seconds = self._context.clock.seconds()
         self.head = ReceivedHead(head, decoded)
-        if head.status in SUCCESS and not decoded.not_run:
-            self.begun_seconds = self.last_received_seconds
+        if not decoded.not_run:
+            self.head_seconds = self.last_received_seconds
+            self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.hear(self.upstream, decoded.limit)
         self._owner.attempt_head(self, self.head)
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -5,6 +5,7 @@
 from jackdawsail.http1.messages import HttpRequest
 from jackdawsail.routing.late_calls import call_fingerprint
 from jackdawsail.routing.named_limits import NamedLimit
+from jackdawsail.routing.request_suspicion import request_trait
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,11 @@
     request: HttpRequest
     _digest: str = ''
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Returns what may be blamed for the end of an engine: parts of the prompt, the request."""
+        return (*self.call.shared_parts, request_trait(self.digest))
+
     @property
     def digest(self) -> str:
         """Returns a digest of the identity, which is computed when it is first needed."""
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -41,13 +41,13 @@
     registry=REGISTRY,
 )
 BLOCKED_TRAITS = Gauge(
-    'jackdawsail_proxy_blocked_parts',
-    'Parts of prompts whose calls are refused, as they crash engines.',
+    'jackdawsail_proxy_blocked_traits',
+    'Parts of prompts and requests whose calls are refused, as they crash engines.',
     registry=REGISTRY,
 )
 BLOCKED_CALLS = Counter(
     'jackdawsail_proxy_blocked_calls',
-    'Calls that were not sent to an upstream because a part of their prompt is blocked.',
+    'Calls that were not sent to an upstream because a part of their prompt, or the request, is blocked.',
     registry=REGISTRY,
 )
 ENTRIES = Gauge(
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -64,6 +64,7 @@
     call: CallerCall
     route: Route
     customer: Customer | None
+    identity: CallIdentity
     sends: SendHistory
     log: call_log.CallLog
     deadline: Deadline
@@ -116,7 +117,7 @@
         if self.relay.started and not started_before:
             _record_first_event(self, attempt)
         new_events = self.relay.received_events - events_before
-        self.context.traits.events_received(self.call, attempt, new_events)
+        self.context.traits.events_received(self.identity, attempt, new_events)
         if not may_go_on:
             attempt.cancel()
             attempt.upstream.call_failed(self.context.clock.seconds())
@@ -155,7 +156,7 @@
         elif end is AttemptEnd.unreached:
             self._place()
         elif end is AttemptEnd.broken:
-            self.context.traits.answer_broken(self.call, attempt, self._continue)
+            self.context.traits.answer_broken(self.identity, attempt, self._continue)
         else:
             self._continue(is_risky=False)
 
@@ -164,7 +165,7 @@
         if self._closed:
             return
         if is_risky:
-            self._fail(502, 'a part of the prompt may have ended the upstream')
+            self._fail(502, 'the call may have ended the upstream')
         elif _may_continue(self) and self.sends.take_further_upstream():
             self._place()
         else:
@@ -191,7 +192,7 @@
         if self.deadline.remaining_seconds < MIN_REMAINING_SECONDS:
             self._time_out()
             return
-        if self.context.traits.is_blocked(self.call):
+        if self.context.traits.is_blocked(self.identity):
             metrics.BLOCKED_CALLS.inc()
             self._refuse(BLOCKED)
             return
@@ -258,7 +259,7 @@
 
     def has_alternative(self) -> bool:
         """Returns whether another upstream could take the call now."""
-        if self.context.traits.is_blocked(self.call):
+        if self.context.traits.is_blocked(self.identity):
             return False
         return isinstance(select_upstream(self.context, self.selection()), Choice)
 
@@ -333,7 +334,7 @@
     took_seconds = now_seconds - attempt.started_seconds
     attempt.upstream.call_answered(took_seconds, now_seconds, failed=failed)
     if not failed:
-        task.context.traits.answer_sound(task.call, attempt)
+        task.context.traits.answer_sound(task.identity, attempt)
 
 
 def _record_first_event(task: CallTask, attempt: Attempt) -> None:
@@ -358,7 +359,7 @@
     sends = SendHistory(context, route, service)
     identity = CallIdentity(call, customer.name if customer else call.key, exchange.request)
     log = call_log.CallLog(context, exchange, identity, route)
-    task = CallTask(context, exchange, call, route, customer, sends, log, deadline)
+    task = CallTask(context, exchange, call, route, customer, identity, sends, log, deadline)
     if call.model:
         task.fingerprint = fingerprint_of(call, exchange.request)
         now_seconds = context.clock.seconds()
--- a/jackdawsail/routing/trait_blame.py
+++ b/jackdawsail/routing/trait_blame.py
@@ -1,23 +1,25 @@
 """The evidence against traits of calls that may crash engines, shared by all entries (pure).
 
 An engine that ends takes along every call on it, so one end speaks against many traits. An
-answer that began after it and goes well speaks for its traits. ``trait_suspicion`` decides when
-the ends show a trait to be bad.
+answer that began after it and goes well clears its traits. ``part_suspicion`` and
+``request_suspicion`` decide when the ends show a trait to be bad.
 
 All state is bounded, whatever the number of traits: the last MAX_ENDS ends, each with at most
 MAX_CALLS_PER_END calls.
 """
 
+import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Any
 
-from jackdawsail.routing.trait_suspicion import (
-    MIN_AGE_SECONDS,
-    EngineEnd,
-    find_bad_trait,
-    is_risky,
+from jackdawsail.routing.ended_engines import EngineEnd
+from jackdawsail.routing.part_suspicion import MIN_AGE_SECONDS, find_bad_part, is_risky
+from jackdawsail.routing.request_suspicion import (
+    find_bad_requests,
+    is_request,
+    is_risky_request,
 )
 from jackdawsail.wire.trait_messages import AgedEnd, AgedSoundAnswer, SuspectCall, TraitEvidence
 
@@ -53,6 +55,7 @@
         self._lifted_revisions: OrderedDict[str, int] = OrderedDict()
         self.stored_revision = 0
         self._check_until_seconds = -math.inf
+        self._suspected: set[str] | None = None
 
     @property
     def blocked(self) -> tuple[str, ...]:
@@ -70,17 +73,25 @@
             return ''
         return next((trait for trait in traits if trait in self._blocked), '')
 
+    @property
+    def suspected(self) -> set[str]:
+        """Returns the traits that were involved in the end of an engine and are not cleared."""
+        if self._suspected is None:
+            self._suspected = {trait for end in self._ends.values() for trait in end.traits}
+        return self._suspected
+
     def suspected_among(self, traits: Iterable[str]) -> list[str]:
-        """Returns the traits that were involved in the end of an engine."""
-        if not self._ends:
-            return []
-        return [
-            trait for trait in traits if any(trait in end.traits for end in self._ends.values())
-        ]
+        """Returns the traits that were involved in the end of an engine and are not cleared."""
+        return [trait for trait in traits if trait in self.suspected]
 
     def is_risky(self, call: SuspectCall) -> bool:
         """Returns whether a call may be the cause of the end that it was just part of."""
-        return bool(self.suspected_among(call.traits)) and is_risky(self._ends.values(), call)
+        ends = self._ends.values()
+        suspected = self.suspected_among(call.traits)
+        is_risky_again = any(
+            is_risky_request(ends, each) for each in filter(is_request, suspected)
+        )
+        return is_risky_again or (bool(suspected) and is_risky(ends, call))
 
     def record_end(
         self, engine: str, ended_seconds: float, calls: Iterable[SuspectCall], now_seconds: float
@@ -88,8 +99,11 @@
         """Records the end of an engine; returns the calls that were not known yet."""
         self._drop_old_ends(now_seconds)
         end = self._ends.setdefault(engine, EngineEnd(ended_seconds))
+        end.first_seen_seconds = min(end.first_seen_seconds, ended_seconds)
         added = [call for call in calls if call.identity not in end.calls]
-        if end.explained or any(self.blocked_among(call.traits) for call in added):
+        self._suspected = None
+        traits = [trait for call in added for trait in call.traits]
+        if end.explained or self.blocked_among(itertools.filterfalse(is_request, traits)):
             end.explain()
             return []
         added = added[: MAX_CALLS_PER_END - len(end.calls)]
@@ -97,6 +111,9 @@
         for call in added:
             end.calls[call.identity] = call
             end.traits.update(trait for trait in call.traits if self._may_explain(trait, end))
+        bad_request = end.bad_request or self.blocked_among(traits)
+        if bad_request:
+            end.explain_by_request(bad_request)
         return added
 
     def record_sound(self, trait: str, begun_seconds: float) -> bool:
@@ -111,6 +128,7 @@
         ]
         for end in cleared:
             end.traits.discard(trait)
+            self._suspected = None
         # Remembered for ends whose reports arrive later.
         known_seconds = self._sound_seconds.get(trait, begun_seconds)
         self._sound_seconds[trait] = max(known_seconds, begun_seconds)
@@ -121,14 +139,18 @@
         """Blocks the traits that the evidence shows to be bad, and returns them.
 
         Call it after new evidence and, as a trait needs some age to be found bad, periodically.
+        A bad part explains the ends of the requests that have it, so parts come first.
         """
         if now_seconds > self._check_until_seconds:
             return []
         bad: list[str] = []
-        while trait := find_bad_trait(self._ends.values(), now_seconds):
-            bad.append(trait)
-            self.block(trait)
-        return bad
+        while part := find_bad_part(self._ends.values(), now_seconds):
+            bad.append(part)
+            self.block(part)
+        requests = find_bad_requests(self._ends.values(), now_seconds)
+        for request in requests:
+            self.block(request)
+        return bad + requests
 
     def block(self, trait: str) -> bool:
         """Blocks a trait, which explains the ends that it was involved in.
@@ -139,8 +161,13 @@
             return False
         self._blocked[trait] = None
         _keep_newest(self._blocked, MAX_BLOCKED)
+        self._suspected = None
         for end in self._ends.values():
-            if trait in end.traits:
+            if trait not in end.traits:
+                continue
+            if is_request(trait):
+                end.explain_by_request(trait)
+            else:
                 end.explain()
         return True
 
@@ -200,6 +227,7 @@
 
     def _lift(self, trait: str, revision: int) -> None:
         self._blocked.pop(trait, None)
+        self._suspected = None
         for end in self._ends.values():
             end.traits.discard(trait)
         self._lifted_revisions[trait] = revision
@@ -218,7 +246,14 @@
             first = next(iter(self._ends.values()))
             if len(self._ends) < MAX_ENDS and first.ended_seconds > oldest_seconds:
                 return
-            self._ends.popitem(last=False)
+            self._suspected = None
+            del self._ends[self._least_useful_end()]
+
+    def _least_useful_end(self) -> str:
+        """Returns the oldest end without a suspected trait, or the oldest of all."""
+        return next(
+            (key for key, end in self._ends.items() if not end.traits), next(iter(self._ends))
+        )
 
 
 def _keep_newest(entries: OrderedDict[str, Any], most: int) -> None:
--- a/jackdawsail/wire/trait_messages.py
+++ b/jackdawsail/wire/trait_messages.py
@@ -1,6 +1,7 @@
 """Messages about traits of calls that may crash engines, between entries and control hosts.
 
-A trait is what a call has in common with others, such as a part of its prompt.
+A trait is what a call has in common with others: a part of its prompt, or the whole request,
+which its repeats share.
 """
 
 from dataclasses import dataclass, field
@@ -13,12 +14,16 @@
     """A call on an engine that ended, whose answer had just begun or was still waited for.
 
     ``identity`` tells it from other calls, ``traits`` are what it has in common with them.
-    ``just_begun`` is true if its first events had arrived and not many more.
+    ``just_begun`` is true if its first events had arrived and not many more. It was sent
+    ``sent_age_seconds`` before the end. ``was_answered`` is true if the entry has seen its
+    request answered by an engine before.
     """
 
     identity: str
     traits: list[str]
     just_begun: bool
+    sent_age_seconds: float = 0
+    was_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/http1/ends.py
+++ b/test/http1/ends.py
@@ -5,6 +5,8 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from jackdawsail.http1.channel_pool import RefusalCheck
+
 
 class Transport(StringTransport):
     """A transport that records an abort and a close."""
@@ -31,14 +33,20 @@
 
 
 class Reactor(Clock):
-    """Records connection attempts in ``pending_connects``; the test opens or refuses each of them."""
+    """Records connection attempts in ``pending_connects``; the test opens or refuses each of them.
+
+    Those that only check whether an address refuses connections are in ``pending_checks``.
+    """
 
     def __init__(self):
         super().__init__()
         self.pending_connects = []
+        self.pending_checks = []
 
     def connectTCP(self, host, port, factory, timeout, bind):
-        self.pending_connects.append((f'{host}:{port}', factory))
+        is_check = isinstance(factory, RefusalCheck)
+        pending = self.pending_checks if is_check else self.pending_connects
+        pending.append((f'{host}:{port}', factory))
         return self
 
     def disconnect(self):
--- a/test/http1/test_channel_pool.py
+++ b/test/http1/test_channel_pool.py
@@ -6,7 +6,7 @@
 from twisted.python.failure import Failure
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from test.http1.ends import Reactor
+from test.http1.ends import Reactor, Transport
 
 
 @pytest.fixture
@@ -14,7 +14,7 @@
     reactor = Reactor()
     answers = []
     ChannelPool(reactor, reactor).check_refused('10.0.0.1:80', answers.append)
-    [(address, factory)] = reactor.pending_connects
+    [(address, factory)] = reactor.pending_checks
     assert address == '10.0.0.1:80'
     return reactor, factory, answers
 
@@ -33,7 +33,8 @@
 
 
 def test_a_connection_that_opens_is_closed_again(check):
-    reactor, _factory, answers = check
-    connection = reactor.accept()
+    _reactor, factory, answers = check
+    connection = factory.buildProtocol(None)
+    connection.makeConnection(Transport())
     assert connection.transport.closed
     assert answers == [False]
--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.python.failure import Failure
 
+from jackdawsail.group.replicated_lists import make_replicated_lists
 from jackdawsail.http1.channel_pool import CONNECT_SECONDS
 from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.proxy.admission import CallAdmission
@@ -53,8 +54,10 @@
     path: str
     key: str = 'key1'
     body: str = ''
+    model: str = ''
 
     def encode(self, attempt, headers=''):
+        headers += f'Model: {self.model}\r\n' if self.model else ''
         head = f'POST {self.path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n'
         head += f'Authorization: Token {self.key}\r\nRequest-Deadline: 2500\r\n{headers}'
         return f'{head}Content-Length: {len(self.body)}\r\n\r\n{self.body}'.encode()
@@ -201,8 +204,8 @@
 
     def call(self, attempt, prompt):
         head = f'POST /stream/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\n'
-        head += f'Model: m\r\nRequest-Deadline: 6000\r\nPrompt-Prefix: {prompt}\r\n\r\n'
-        return self.send(head.encode())
+        head += f'Model: m\r\nRequest-Deadline: 6000\r\nPrompt-Prefix: {prompt}\r\n'
+        return self.send(f'{head}Content-Length: {len(attempt)}\r\n\r\n{attempt}'.encode())
 
 
 class CrashSite:
@@ -237,6 +240,7 @@
     def make_control(self, number):
         host = Host(self.clock)
         host.identity = Identity(Role.control, f'10.8.0.{number}', 'z', 'r', number)
+        make_replicated_lists(host.clock, host.replicator, host.fanout)
         return host
 
     def make_entry(self, address):
@@ -262,6 +266,17 @@
                     end.is_open = False
                     end.router.link_closed(end, 'closed')
 
+    def restart_all(self):
+        """Restarts all entries and control hosts; only what control hosts have stored remains."""
+        stored = [control.machine.snapshot() for control in self.controls]
+        for process in (*self.controls, *(entry.client for entry in self.entries)):
+            self.close_links(process.router)
+        self.controls = [self.make_control(number) for number in range(len(stored))]
+        for control, snapshot in zip(self.controls, stored, strict=True):
+            control.machine.restore(snapshot)
+        self.entries = [self.make_entry(entry.address) for entry in self.entries]
+        self.send_summaries()
+
     def restart_control(self, number):
         self.controls[number] = self.make_control(number)
         for entry in self.entries:
@@ -310,8 +325,9 @@
     def pump(self):
         """Opens or refuses the requested connections and reads what was written on them."""
         by_address = {engine.address: engine for engine in self.engines}
-        while self.clock.pending_connects:
-            address, factory = self.clock.pending_connects.pop(0)
+        while self.clock.pending_connects or self.clock.pending_checks:
+            pending = self.clock.pending_checks or self.clock.pending_connects
+            address, factory = pending.pop(0)
             engine = by_address[address]
             if engine.alive:
                 engine.accept(factory)
--- a/test/routing/test_trait_blame.py
+++ b/test/routing/test_trait_blame.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from bench.emulator.blame_play import Scenario, play
+from jackdawsail.routing.ended_engines import SAME_MOMENT_SECONDS
 from jackdawsail.routing.trait_blame import (
     MAX_BLOCKED,
     MAX_CALLS_PER_END,
@@ -14,7 +15,6 @@
     MAX_SOUND,
     TraitBlame,
 )
-from jackdawsail.routing.trait_suspicion import SAME_MOMENT_SECONDS
 from jackdawsail.wire.trait_messages import AgedEnd, AgedSoundAnswer, SuspectCall, TraitEvidence
 
 MAX_SENDS_AFTER = 3
