--- a/jackdawsail/platform/traffic.py
+++ b/jackdawsail/platform/traffic.py
@@ -5,15 +5,21 @@
 
 import math
 import re
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
 
 from jackdawsail.http1.messages import Headers, HttpAnswerHead, HttpRequest, end_to_end_headers
 from jackdawsail.platform.fields import MILLISECOND
 from jackdawsail.proxy.calls import CallerCall, DispatchDetails, UpstreamHead
 from jackdawsail.routing.named_limits import NamedLimit
+from jackdawsail.routing.rest import MAX_REST_SECONDS, RequestedRest
 
 MAX_VERSION_DIGITS = 18
+REFUSALS = frozenset((429, 503))
+NOT_LEAVING = frozenset((b'', b'0'))
 MAX_PROMPT_PARTS = 64
 _DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{0,9})?|\.\d{1,9}')
+_SECONDS = re.compile(rb'\d{1,400}(\.\d{0,400})?|\.\d{1,400}')
 _AUTHORIZATION_SCHEME = b'token '
 _NOT_FORWARDED = frozenset(
     (
@@ -86,6 +92,8 @@
         weight_version=_version_number(head.header(b'weight-versions')),
         cold_seconds=_non_negative_number(head.header(b'cold-ms')) * MILLISECOND,
         limit=_named_limit(head.header(b'server-limit')),
+        rest=_requested_rest(head) if head.status in REFUSALS else None,
+        is_leaving=head.header(b'server-leaving').strip() not in NOT_LEAVING,
     )
 
 
@@ -125,6 +133,29 @@
     return NamedLimit(float(value) if is_decimal else None)
 
 
+def _requested_rest(head: HttpAnswerHead) -> RequestedRest | None:
+    """Parses ``Retry-After``: seconds, also fractions, or a date, which counts from ``Date``."""
+    value = head.header(b'retry-after').strip()
+    if not value:
+        return None
+    if _SECONDS.fullmatch(value):
+        return RequestedRest(min(MAX_REST_SECONDS, float(value)))
+    until, sent = _http_date(value), _http_date(head.header(b'date'))
+    if until is None or sent is None:
+        return RequestedRest(None)
+    rest_seconds = (until - sent).total_seconds()
+    return RequestedRest(min(MAX_REST_SECONDS, max(0, rest_seconds)))
+
+
+def _http_date(value: bytes) -> datetime | None:
+    """Parses a date of HTTP; a date without a time zone is in UTC."""
+    try:
+        date = parsedate_to_datetime(value.decode('latin-1'))
+    except (ValueError, OverflowError):
+        return None
+    return date.replace(tzinfo=date.tzinfo or UTC)
+
+
 def _non_negative_number(value: bytes) -> float:
     """Parses a non-negative number; returns 0 for other text and for infinity or NaN."""
     try:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -15,6 +15,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import DispatchDetails, UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.upstream_signals import log_signals
 from jackdawsail.routing.upstreams import Upstream
 
 SUCCESS = range(200, 300)
@@ -156,6 +157,7 @@
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.hear(self.upstream, decoded.limit)
+        log_signals(self.upstream, decoded)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
             self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -6,6 +6,7 @@
 from jackdawsail.routing.late_calls import call_fingerprint
 from jackdawsail.routing.named_limits import NamedLimit
 from jackdawsail.routing.request_suspicion import request_trait
+from jackdawsail.routing.rest import RequestedRest
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,8 @@
     """Metadata in the head of an upstream's answer.
 
     ``not_run`` means that the upstream did not run the call and never will.
+    ``rest`` is the time for which the upstream wants no calls from this entry, None if it names
+    none, and ``is_leaving`` is true if it accepts no new calls and ends soon.
     ``weight_version`` is 0 if the answer does not give it. ``limit`` is what it names of the
     calls that the upstream takes from all entries together, None if it names no limit.
     """
@@ -67,6 +70,8 @@
     weight_version: int
     cold_seconds: float
     limit: NamedLimit | None = None
+    rest: RequestedRest | None = None
+    is_leaving: bool = False
 
 
 def fingerprint_of(call: CallerCall, request: HttpRequest) -> bytes:
