An upstream that turned a call away and asked for rest gets no call for so long

What callers saw: two of six engines turned every call away for 8 s and asked for 3 s of rest each time. They got 10 to 36 calls a second, as an engine that turns calls away looks idle. The refused sends used up the retry budget, and calls were refused though four engines had room.

The rest is recorded by entry and incarnation, and is one of the conditions that every choice of an upstream keeps, so that repeats, streams that continue and the way back to suspended upstreams keep it too. Calls that wait for a connection are placed again; the check whether an engine has ended is left out. Afterwards one call runs at a time, and twice as many after each answer.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -15,7 +15,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import DispatchDetails, UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.upstream_signals import log_signals
+from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.upstreams import Upstream
 
 SUCCESS = range(200, 300)
@@ -157,7 +157,7 @@
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.hear(self.upstream, decoded.limit)
-        log_signals(self.upstream, decoded)
+        record_signals(self.upstream, decoded, self.last_received_seconds)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
             self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
@@ -206,12 +206,17 @@
             if channel is not None:
                 channel.close()
             return
+        now_seconds = self._context.clock.seconds()
         if channel is None:
             self._finish()
-            self.upstream.call_failed(self._context.clock.seconds())
+            self.upstream.call_failed(now_seconds)
             self._owner.attempt_failed(self, AttemptEnd.unreached, 'no connection')
-            return
-        self._send(channel, request)
+        elif self.upstream.accepts_calls(now_seconds):
+            self._send(channel, request)
+        else:
+            channel.close()
+            self._finish()
+            self._owner.attempt_failed(self, AttemptEnd.unreached, 'rests or leaves since')
 
     def _send(self, channel: ClientChannel, request: HttpRequest) -> None:
         self._channel = channel
--- a/jackdawsail/proxy/engine_ends.py
+++ b/jackdawsail/proxy/engine_ends.py
@@ -51,6 +51,10 @@
             self.on_ended(upstream, self._ended_seconds[engine], [call])
             on_known()
             return
+        if not upstream.accepts_calls(self.clock.seconds()):
+            # It has ended as planned, or wants to be left alone.
+            on_known()
+            return
         check = self._checks.get(engine)
         if check is None:
             check = _Check(upstream, self.clock.seconds())
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -13,6 +13,7 @@
     choose_engine,
     choose_service,
     make_refusal,
+    make_rest_refusal,
 )
 from jackdawsail.routing.shared_limits import keeps_named_limit
 from jackdawsail.routing.upstreams import Upstream
@@ -99,6 +100,9 @@
     if service is None:
         return make_refusal('service is not configured', context.rng)
     candidates = _candidates(context, selection, service)
+    now_seconds = context.clock.seconds()
+    if not candidates:
+        return _refuse_without_candidates(context, selection, service, now_seconds)
     placed = PlacedCall(
         target_seconds=selection.route.target_seconds,
         region=context.settings.region,
@@ -107,7 +111,6 @@
         return choose_service(placed, candidates, context.rng)
     if _yields_to_calls_in_time(context, selection, service.engine, candidates):
         return make_refusal('late, and calls in time are being refused', context.rng)
-    now_seconds = context.clock.seconds()
     return choose_engine(
         placed, service.engine, candidates, now_seconds, context.rng, context.entries
     )
@@ -158,13 +161,39 @@
     return [candidate for candidate in allowed if candidate.name not in selection.tried]
 
 
+def _refuse_without_candidates(
+    context: ProxyContext, selection: Selection, service: Service, now_seconds: float
+) -> Refusal:
+    """Returns the refusal of a call; if all upstreams rest, with the time until the first ends."""
+    regions = selection.allowed_regions()
+    rest_ends_seconds = [
+        upstream.rest.until_seconds
+        for upstream in context.upstreams.usable(
+            service.name, context.view.control_received_seconds
+        )
+        if _is_within(context, regions, upstream)
+    ]
+    rest_seconds = min(rest_ends_seconds, default=now_seconds) - now_seconds
+    if rest_seconds > 0:
+        return make_rest_refusal(rest_seconds, context.rng)
+    return make_refusal('no engine' if service.engine else 'no upstream', context.rng)
+
+
+def _is_within(context: ProxyContext, regions: set[str] | None, upstream: Upstream) -> bool:
+    """Returns whether an upstream's data centre is in service and its region allowed."""
+    if upstream.registration.zone in context.view.emptied_zones:
+        return False
+    return regions is None or upstream.region in regions
+
+
 def _is_allowed(
     context: ProxyContext, constraints: _Constraints, service: Service, upstream: Upstream
 ) -> bool:
     now_seconds = context.clock.seconds()
-    if upstream.registration.zone in context.view.emptied_zones:
+    if not _is_within(context, constraints.regions, upstream):
         return False
-    if constraints.regions is not None and upstream.region not in constraints.regions:
+    if not upstream.rest.allows(upstream.calls + upstream.sends.pending, now_seconds):
+        metrics.WITHHELD.labels('rest').inc()
         return False
     if service.engine is not None and not constraints.weights.allows(upstream, now_seconds):
         return False
--- a/jackdawsail/proxy/upstream_signals.py
+++ b/jackdawsail/proxy/upstream_signals.py
@@ -8,10 +8,15 @@
 UPSTREAM_LEAVING = events.define(436, 'info', 'upstream says in an answer that it is leaving')
 
 
-def log_signals(upstream: Upstream, head: UpstreamHead) -> None:
-    """Logs the rest that an upstream asks for, and that it is leaving."""
+def record_signals(upstream: Upstream, head: UpstreamHead, now_seconds: float) -> None:
+    """Records the rest that an upstream asks for, and logs that it is leaving."""
     if head.rest is not None:
-        rest_seconds = head.rest.rest_seconds
-        events.log(REST_REQUESTED, engine=upstream.incarnation, rest_seconds=rest_seconds)
+        is_extended = upstream.rest.extend(head.rest, now_seconds)
+        events.log(
+            REST_REQUESTED,
+            engine=upstream.incarnation,
+            rest_seconds=head.rest.rest_seconds,
+            is_extended=is_extended,
+        )
     if head.is_leaving and not upstream.registration.leaving:
         events.log(UPSTREAM_LEAVING, engine=upstream.incarnation)
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -92,6 +92,12 @@
     return Refusal(reason, rng.uniform(RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_MAX_SECONDS))
 
 
+def make_rest_refusal(rest_seconds: float, rng: random.Random) -> Refusal:
+    """Returns the refusal while all upstreams rest; callers return spread over a second after it."""
+    spread_seconds = rng.uniform(0, RETRY_AFTER_MAX_SECONDS - RETRY_AFTER_MIN_SECONDS)
+    return Refusal('all upstreams rest', rest_seconds + spread_seconds)
+
+
 def expected_wait_seconds(
     upstream: Upstream, engine: EngineClass, now_seconds: float, entries: int = 1
 ) -> float:
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -4,6 +4,7 @@
 limits read this state; no decisions are made here.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
     RegistrationTable,
 )
 from jackdawsail.routing.named_limits import LimitRecord
+from jackdawsail.routing.rest import RestRecord
 from jackdawsail.routing.sends import SendRecord
 from jackdawsail.wire.site_messages import EngineLoad
 
@@ -23,6 +25,7 @@
 FIRST_EVENT_HALF_LIFE_SECONDS = 2.0  # a slow engine is used again after a few of these
 FIRST_SUSPENSION_SECONDS = 0.5  # a restarting upstream serves again after about a second
 MAX_SUSPENSION_SECONDS = 4.0
+MAX_RESTS = 1024  # remembered incarnations, twice the engines of a large site
 REPORT_VALID_SECONDS = 1.0  # ten times the longest interval between reports of an agent
 
 
@@ -40,7 +43,8 @@
 
     ``calls`` is the number of this entry's calls that were sent there and have not ended,
     ``sends`` records its last sends, and ``first_event_mean_seconds`` is the recent mean
-    time to a first event. ``limit`` is the limit on its calls that it names.
+    time to a first event. ``limit`` is the limit on its calls that it names, ``rest`` the time for
+    which it wants none from this entry.
     """
 
     registration: Registration
@@ -58,6 +62,7 @@
     first_event_mean_seconds: float = 0
     first_event_recorded_seconds: float = 0
     limit: LimitRecord = field(default_factory=LimitRecord)
+    rest: RestRecord = field(default_factory=RestRecord)
 
     @property
     def name(self) -> str:
@@ -103,6 +108,7 @@
             return
         self.failure_share -= FAILURE_WEIGHT * self.failure_share
         self.suspensions = 0
+        self.rest.call_answered(now_seconds)
         previous_mean_seconds = self.mean_answer_seconds or took_seconds
         self.mean_answer_seconds = previous_mean_seconds + MEAN_WEIGHT * (
             took_seconds - previous_mean_seconds
@@ -140,6 +146,10 @@
         """Returns whether the upstream is suspended after a failure."""
         return now_seconds < self.suspended_until_seconds
 
+    def accepts_calls(self, now_seconds: float) -> bool:
+        """Returns whether the upstream is neither leaving nor resting."""
+        return not self.registration.leaving and not self.rest.is_resting(now_seconds)
+
     def is_cold(self, now_seconds: float) -> bool:
         """Returns whether the upstream has reported that it is still cold after its start."""
         return now_seconds < self.cold_until_seconds
@@ -169,6 +179,7 @@
     region_by_zone: dict[str, str] = field(default_factory=dict)
     _upstreams: dict[str, Upstream] = field(default_factory=dict)
     _by_address: dict[str, Upstream] = field(default_factory=dict)
+    _rests: OrderedDict[str, RestRecord] = field(default_factory=OrderedDict)
 
     def refresh(self, registrations: RegistrationTable) -> None:
         """Applies all registrations; an address belongs to its youngest incarnation."""
@@ -221,6 +232,14 @@
         """Returns an upstream by its id."""
         return self._upstreams.get(name)
 
+    def _rest_of(self, incarnation: str) -> RestRecord:
+        """Returns the record of an incarnation, also if it was forgotten for a while."""
+        rest = self._rests.setdefault(incarnation, RestRecord())
+        self._rests.move_to_end(incarnation)
+        if len(self._rests) > MAX_RESTS:
+            self._rests.popitem(last=False)
+        return rest
+
     def _merge(self, previous: dict[str, Upstream], received: ReceivedRegistration) -> Upstream:
         registration = received.registration
         upstream = previous.get(registration.upstream)
@@ -232,6 +251,7 @@
             # An incarnation under the id of its predecessor may receive calls sent to that one.
             sends = SendRecord() if upstream is None else upstream.sends
             upstream = Upstream(registration, received.received_seconds, region, sends=sends)
+            upstream.rest = self._rest_of(upstream.incarnation)
         upstream.registration = registration
         upstream.received_seconds = received.received_seconds
         if registration.cold_seconds > 0:
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -16,6 +16,7 @@
 from jackdawsail.platform.registrations import decode_registration
 from jackdawsail.platform.settings import decode_settings
 from jackdawsail.proxy.calls import DispatchDetails
+from jackdawsail.routing.rest import MAX_REST_SECONDS
 from jackdawsail.site.document import CallKind
 
 ROUTE = {
@@ -376,3 +377,59 @@
     limit = traffic.decode_upstream_head(head).limit
     assert (limit is None) == (not value.strip())
     assert limit is None or limit.calls_per_second is None or limit.calls_per_second >= 0
+
+
+def requested_rest(value, status=503, date=b''):
+    headers = ((b'Retry-After', value), (b'Date', date))
+    decoded = traffic.decode_upstream_head(HttpAnswerHead(status, b'X', headers))
+    return decoded.rest and decoded.rest.rest_seconds
+
+
+@pytest.mark.parametrize(
+    ('value', 'rest_seconds'),
+    [
+        (b'3', 3),
+        (b' 0.25 ', 0.25),
+        (b'.5', 0.5),
+        (b'0', 0),
+        (b'999999999999', MAX_REST_SECONDS),
+        (b'9' * 400, MAX_REST_SECONDS),
+        (b'-1', None),
+        (b'1e3', None),
+        (b'inf', None),
+        (b'soon', None),
+        (b'', None),
+    ],
+)
+def test_rest_that_a_refusal_asks_for_is_decoded(value, rest_seconds):
+    assert requested_rest(value) == rest_seconds
+
+
+@pytest.mark.parametrize(
+    ('date', 'rest_seconds'),
+    [
+        (b'Fri, 04 Dec 2026 15:00:00 GMT', 4),
+        (b'Fri, 04 Dec 2026 15:00:09 GMT', 0),
+        (b'', None),
+        (b'yesterday', None),
+    ],
+)
+def test_a_date_to_rest_until_counts_from_the_date_of_the_answer(date, rest_seconds):
+    assert requested_rest(b'Fri, 04 Dec 2026 15:00:04 GMT', date=date) == rest_seconds
+
+
+@pytest.mark.parametrize('status', [200, 421, 500])
+def test_only_a_refusal_asks_for_rest(status):
+    assert requested_rest(b'3', status) is None
+
+
+@pytest.mark.parametrize(('value', 'is_leaving'), [(b'1', True), (b'0', False), (b'', False)])
+def test_an_answer_says_whether_the_upstream_is_leaving(value, is_leaving):
+    head = HttpAnswerHead(200, b'OK', ((b'Server-Leaving', value),))
+    assert traffic.decode_upstream_head(head).is_leaving == is_leaving
+
+
+@given(st.binary(max_size=40), st.binary(max_size=40))
+def test_any_rest_and_date_are_decoded_or_left_out(value, date):
+    rest_seconds = requested_rest(value, date=date)
+    assert rest_seconds is None or 0 <= rest_seconds <= MAX_REST_SECONDS
