An upstream that says in an answer that it is leaving gets no further call

What callers saw: calls were sent to engines that had announced their end in their answers, until a heartbeat said so to a control host and the entry heard of it; an engine that is cut off from control, or reports nothing, went on to get calls until it ended under them.

The entry marks the incarnation in its table of registrations, where a leaving one stays so whatever its heartbeats contain, also after it was forgotten. Calls that wait for a connection to it are placed again, and its end is a planned one that is no evidence against its calls.

Evidence: test_upstream_that_says_it_is_leaving_gets_no_call_any_more failed before.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -157,7 +157,7 @@
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.hear(self.upstream, decoded.limit)
-        record_signals(self.upstream, decoded, self.last_received_seconds)
+        record_signals(self._context, self.upstream, decoded)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
             self._refusal_timeout.start(REFUSAL_BODY_SECONDS)
--- a/jackdawsail/registry/registration.py
+++ b/jackdawsail/registry/registration.py
@@ -6,10 +6,12 @@
 one that arrives late does not take the address back.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
 TOMBSTONE_SECONDS = 60.0  # late reports of an upstream that has left arrive for about as long
+MAX_KNOWN_LEAVING = 1024  # incarnations; several replacements of all engines of a large site
 SILENCE_HEARTBEATS = 3.5  # missed heartbeats after which an upstream counts as silent
 
 
@@ -62,6 +64,7 @@
     """The newest registration of each upstream."""
 
     _received: dict[str, ReceivedRegistration] = field(default_factory=dict)
+    _known_leaving: OrderedDict[tuple[str, int], None] = field(default_factory=OrderedDict)
 
     def update(self, registration: Registration, received_seconds: float) -> bool:
         """Stores a registration if it is newer than the one held; returns whether it was.
@@ -73,11 +76,24 @@
             return False
         if held is not None and _revokes_leaving(held.registration, registration):
             registration = replace(registration, leaving=True)
+        if _incarnation(registration) in self._known_leaving:
+            registration = replace(registration, leaving=True)
         self._received[registration.upstream] = ReceivedRegistration(
             registration, received_seconds
         )
         return True
 
+    def mark_leaving(self, registration: Registration) -> None:
+        """Marks an incarnation as leaving, whatever its heartbeats contain and when they arrive."""
+        incarnation = _incarnation(registration)
+        self._known_leaving[incarnation] = None
+        if len(self._known_leaving) > MAX_KNOWN_LEAVING:
+            self._known_leaving.popitem(last=False)
+        held = self._received.get(registration.upstream)
+        if held is not None and _incarnation(held.registration) == incarnation:
+            left = replace(held.registration, leaving=True)
+            self._received[registration.upstream] = replace(held, registration=left)
+
     def mark_gone(self, upstream: str, received_seconds: float) -> Registration | None:
         """Marks an upstream as gone; returns its registration, None if it is unknown."""
         held = self._received.get(upstream)
@@ -115,6 +131,10 @@
         return holders
 
 
+def _incarnation(registration: Registration) -> tuple[str, int]:
+    return registration.upstream, registration.born_milliseconds
+
+
 def _revokes_leaving(held: Registration, new: Registration) -> bool:
     """Returns whether an incarnation that was leaving reports that it is not."""
     return held.leaving and held.born_milliseconds == new.born_milliseconds and not new.leaving
--- a/test/proxy/test_resting_upstreams.py
+++ b/test/proxy/test_resting_upstreams.py
@@ -4,6 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jackdawsail.proxy.calls import UpstreamHead
+from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.rest import EASING_SECONDS, RequestedRest, RestRecord
 from test.http1.ends import close, reset
 from test.proxy.world import (
@@ -218,6 +220,65 @@
     return float(head.split('retry-after: ')[1].split('\r\n')[0])
 
 
+class TestLeavingUpstream:
+    """An upstream that says in an answer that it is leaving."""
+
+    def leave(self, world, number=1):
+        upstream = world.context.upstreams.get(f'i-{number}')
+        head = UpstreamHead(200, 'a1', False, 1, 0, is_leaving=True)
+        record_signals(world.context, upstream, head)
+
+    def accepts(self, world, number=1):
+        upstream = world.context.upstreams.get(f'i-{number}')
+        return upstream is not None and upstream.accepts_calls(world.reactor.seconds())
+
+    @pytest.mark.parametrize('sequence', [1, 7])
+    def test_its_heartbeats_do_not_bring_it_back(self, world, sequence):
+        self.leave(world)
+        world.register(1, sequence=sequence)
+        assert not self.accepts(world)
+
+    def test_it_is_left_alone_after_it_was_forgotten(self, world):
+        self.leave(world)
+        world.context.view.registrations.forget_old(world.reactor.seconds() + 100)
+        world.context.upstreams.refresh(world.context.view.registrations)
+        world.register(1, sequence=7)
+        assert not self.accepts(world)
+
+    def test_another_incarnation_under_its_id_gets_calls(self, world):
+        self.leave(world)
+        world.register(1, born_milliseconds=99)
+        assert self.accepts(world)
+
+    def test_an_answer_of_its_predecessor_says_nothing_of_an_incarnation(self, world):
+        predecessor = world.context.upstreams.get('i-1')
+        world.register(1, born_milliseconds=99)
+        head = UpstreamHead(200, 'a1', False, 1, 0, is_leaving=True)
+        record_signals(world.context, predecessor, head)
+        assert self.accepts(world)
+
+    def test_calls_that_waited_for_a_connection_go_elsewhere(self, world):
+        begin_call(world)
+        address = target_of(world)
+        self.leave(world, int(address.split('.')[3].split(':')[0]))
+        assert world.accept().transport.value() == b''
+        assert target_of(world) != address
+
+    def test_a_stream_that_runs_there_goes_on(self, world):
+        caller = begin_call(world)
+        serve(world, headers='Server-Leaving: 1\r\n')
+        assert status_of(caller) == 200
+
+    def test_its_end_blames_no_call(self, world):
+        begin_call(world)
+        address = target_of(world)
+        channel = world.accept()
+        self.leave(world, int(address.split('.')[3].split(':')[0]))
+        close(channel)
+        assert world.reactor.pending_checks == []
+        assert world.context.traits.blame.suspected == set()
+
+
 def test_upstream_that_says_it_is_leaving_gets_no_call_any_more(world):
     begin_call(world)
     leaving = target_of(world)
