An upstream that says in an answer that it is cold is limited as a cold one

Cold-Ms was decoded and nothing acted on it; the cold state came from registrations only, which an upstream that turns cold again may send later. Found while listing what upstreams say of themselves and nobody reads. The test failed before.

--- a/jackdawsail/proxy/upstream_signals.py
+++ b/jackdawsail/proxy/upstream_signals.py
@@ -10,9 +10,13 @@
 
 
 def record_signals(context: ProxyContext, upstream: Upstream, head: UpstreamHead) -> None:
-    """Records the rest that an upstream asks for in an answer, and that it is leaving."""
+    """Records what an answer says of its upstream: cold, wants rest, or is leaving."""
+    now_seconds = context.clock.seconds()
+    if head.cold_seconds > 0:
+        cold_until_seconds = now_seconds + head.cold_seconds
+        upstream.cold_until_seconds = max(upstream.cold_until_seconds, cold_until_seconds)
     if head.rest is not None:
-        is_extended = upstream.rest.extend(head.rest, context.clock.seconds())
+        is_extended = upstream.rest.extend(head.rest, now_seconds)
         events.log(
             REST_REQUESTED,
             engine=upstream.incarnation,
--- a/test/proxy/test_cold_limit.py
+++ b/test/proxy/test_cold_limit.py
@@ -158,3 +158,13 @@
                 world.register(1, born_milliseconds=step + 1)
         site.clock.advance(rng.choice([0.01, 0.03, 0.1]))
     assert 0 < site.most_in_a_second() <= LIMIT
+
+
+def test_upstream_that_says_it_is_cold_in_an_answer_is_limited_as_a_cold_one():
+    world = World(1, Service('s', cold_requests_per_second=COLD_RATE), BOUNDS)
+    world.call()
+    answer(world.accept(), headers='Cold-Ms: 2000\r\n')
+    upstream = world.context.upstreams.get('i-1')
+    now_seconds = world.reactor.seconds()
+    assert upstream.is_cold(now_seconds + 1.9)
+    assert not upstream.is_cold(now_seconds + 2.1)
