Suspected traits are counted as they change; calls of one session are different calls

Two calls of a session on one engine had the same identity, so that a request could be suspected of an end without its call; find_bad would have raised on it. A property test found it.

--- a/jackdawsail/proxy/trait_reports.py
+++ b/jackdawsail/proxy/trait_reports.py
@@ -112,7 +112,7 @@
         if not is_suspected:
             on_known(False)
         suspect = SuspectCall(
-            identity.call.own_part or identity.digest,
+            f'{identity.call.own_part}/{identity.digest}',
             list(identity.traits),
             attempt.begun_seconds is not None and attempt.received_events <= JUST_BEGUN_EVENTS,
             self.clock.seconds() - attempt.sent_seconds,
--- a/jackdawsail/routing/trait_blame.py
+++ b/jackdawsail/routing/trait_blame.py
@@ -11,7 +11,8 @@
 import itertools
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Set
+from contextlib import contextmanager
 from typing import Any
 
 from jackdawsail.routing.ended_engines import EngineEnd
@@ -55,7 +56,8 @@
         self._lifted_revisions: OrderedDict[str, int] = OrderedDict()
         self.stored_revision = 0
         self._check_until_seconds = -math.inf
-        self._suspected: set[str] | None = None
+        # By trait the number of ends that speak against it.
+        self._suspected: dict[str, int] = {}
 
     @property
     def blocked(self) -> tuple[str, ...]:
@@ -74,15 +76,13 @@
         return next((trait for trait in traits if trait in self._blocked), '')
 
     @property
-    def suspected(self) -> set[str]:
+    def suspected(self) -> Set[str]:
         """Returns the traits that were involved in the end of an engine and are not cleared."""
-        if self._suspected is None:
-            self._suspected = {trait for end in self._ends.values() for trait in end.traits}
-        return self._suspected
+        return self._suspected.keys()
 
     def suspected_among(self, traits: Iterable[str]) -> list[str]:
         """Returns the traits that were involved in the end of an engine and are not cleared."""
-        return [trait for trait in traits if trait in self.suspected]
+        return [trait for trait in traits if trait in self._suspected]
 
     def is_risky(self, call: SuspectCall) -> bool:
         """Returns whether a call may be the cause of the end that it was just part of."""
@@ -100,20 +100,22 @@
         self._drop_old_ends(now_seconds)
         end = self._ends.setdefault(engine, EngineEnd(ended_seconds))
         end.first_seen_seconds = min(end.first_seen_seconds, ended_seconds)
-        added = [call for call in calls if call.identity not in end.calls]
-        self._suspected = None
+        unknown = {call.identity: call for call in calls if call.identity not in end.calls}
+        added = list(unknown.values())
         traits = [trait for call in added for trait in call.traits]
         if end.explained or self.blocked_among(itertools.filterfalse(is_request, traits)):
-            end.explain()
+            with self._counting(end):
+                end.explain()
             return []
         added = added[: MAX_CALLS_PER_END - len(end.calls)]
         self._check_until_seconds = now_seconds + 2 * MIN_AGE_SECONDS
-        for call in added:
-            end.calls[call.identity] = call
-            end.traits.update(trait for trait in call.traits if self._may_explain(trait, end))
-        bad_request = end.bad_request or self.blocked_among(traits)
-        if bad_request:
-            end.explain_by_request(bad_request)
+        with self._counting(end):
+            for call in added:
+                end.calls[call.identity] = call
+                end.traits.update(trait for trait in call.traits if self._may_explain(trait, end))
+            bad_request = end.bad_request or self.blocked_among(traits)
+            if bad_request:
+                end.explain_by_request(bad_request)
         return added
 
     def record_sound(self, trait: str, begun_seconds: float) -> bool:
@@ -127,8 +129,8 @@
             if trait in end.traits and end.ended_seconds < begun_seconds
         ]
         for end in cleared:
-            end.traits.discard(trait)
-            self._suspected = None
+            with self._counting(end):
+                end.traits.discard(trait)
         # Remembered for ends whose reports arrive later.
         known_seconds = self._sound_seconds.get(trait, begun_seconds)
         self._sound_seconds[trait] = max(known_seconds, begun_seconds)
@@ -161,14 +163,14 @@
             return False
         self._blocked[trait] = None
         _keep_newest(self._blocked, MAX_BLOCKED)
-        self._suspected = None
         for end in self._ends.values():
             if trait not in end.traits:
                 continue
-            if is_request(trait):
-                end.explain_by_request(trait)
-            else:
-                end.explain()
+            with self._counting(end):
+                if is_request(trait):
+                    end.explain_by_request(trait)
+                else:
+                    end.explain()
         return True
 
     def apply_stored(self, revision: int, traits: Iterable[str]) -> bool:
@@ -227,9 +229,9 @@
 
     def _lift(self, trait: str, revision: int) -> None:
         self._blocked.pop(trait, None)
-        self._suspected = None
         for end in self._ends.values():
-            end.traits.discard(trait)
+            with self._counting(end):
+                end.traits.discard(trait)
         self._lifted_revisions[trait] = revision
         _keep_newest(self._lifted_revisions, MAX_BLOCKED)
 
@@ -243,19 +245,32 @@
     def _drop_old_ends(self, now_seconds: float) -> None:
         oldest_seconds = now_seconds - REMEMBERED_SECONDS
         while self._ends:
-            first = next(iter(self._ends.values()))
-            if len(self._ends) < MAX_ENDS and first.ended_seconds > oldest_seconds:
+            first, end = next(iter(self._ends.items()))
+            is_old = end.ended_seconds <= oldest_seconds
+            if len(self._ends) < MAX_ENDS and not is_old:
                 return
-            self._suspected = None
-            del self._ends[self._least_useful_end()]
-
-    def _least_useful_end(self) -> str:
-        """Returns the oldest end without a suspected trait, or the oldest of all."""
-        return next(
-            (key for key, end in self._ends.items() if not end.traits), next(iter(self._ends))
-        )
+            dropped = self._ends.pop(first if is_old else _least_useful(self._ends))
+            with self._counting(dropped):
+                dropped.traits.clear()
+
+    @contextmanager
+    def _counting(self, end: EngineEnd) -> Iterator[None]:
+        """Counts what changes in the suspected traits of an end."""
+        before = frozenset(end.traits)
+        yield
+        for cleared in before - end.traits:
+            self._suspected[cleared] -= 1
+            if not self._suspected[cleared]:
+                del self._suspected[cleared]
+        for added in end.traits - before:
+            self._suspected[added] = self._suspected.get(added, 0) + 1
 
 
 def _keep_newest(entries: OrderedDict[str, Any], most: int) -> None:
     while len(entries) > most:
         entries.popitem(last=False)
+
+
+def _least_useful(ends: OrderedDict[str, EngineEnd]) -> str:
+    """Returns the oldest engine whose end suspects no trait, or the oldest of all."""
+    return next((engine for engine, end in ends.items() if not end.traits), next(iter(ends)))
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -208,3 +208,16 @@
     from twisted.python.failure import Failure
 
     return Failure(Refused())
+
+
+def test_calls_of_one_session_on_an_engine_that_ends_are_different_calls(site):
+    for body in ('one', 'two'):
+        headers = 'Prompt-Prefix: c0:40,5e55:100\r\n'
+        site.request(site.entries[0], PlainRequest('/stream/x', body=body, model='m'), headers)
+    site.run(0.05)
+    for engine in site.engines:
+        if engine.service == 's':
+            engine.crash()
+    site.run(1)
+    ends = site.entries[0].context.traits.blame.snapshot(0).ends
+    assert sum(len(end.calls) for end in ends) == 2
--- a/test/routing/test_trait_blame.py
+++ b/test/routing/test_trait_blame.py
@@ -241,3 +241,19 @@
         assert played.blocked_seconds is not None
         assert played.sends_after <= MAX_SENDS_AFTER
         assert played.sound_refused <= played.sound_calls / 500
+
+
+@settings(max_examples=400)
+@given(st.lists(EVIDENCE, max_size=8), st.lists(st.sampled_from('abc'), max_size=2))
+def test_the_suspected_traits_are_those_of_the_ends_whatever_happens(messages, lifted):
+    blame = TraitBlame()
+    for number, message in enumerate(messages):
+        blame.merge(message, 100)
+        if number % 3 == 1:
+            blame.apply_stored(number + 1, blame.blocked)
+    blame.apply_stored(99, [trait for trait in blame.blocked if trait not in lifted])
+    ends = blame.snapshot(100).ends
+    assert blame.suspected <= {
+        trait for end in ends for call in end.calls for trait in call.traits
+    }
+    assert all(blame.suspected_among(end.calls[0].traits) or len(end.calls) > 1 for end in ends)
