--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     'emulate',
     'blame',
     'limits',
+    'rest',
 )
 
 
--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -20,8 +20,8 @@
 from bench.emulator.simulation import Simulation
 from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS
 from jackdawsail.proxy.watch import WATCH_INTERVAL_SECONDS
-from jackdawsail.registry.registration import RegistrationTable
 from jackdawsail.routing.named_limits import NamedLimit
+from jackdawsail.routing.rest import RequestedRest
 from jackdawsail.site.document import (
     CallKind,
     EngineClass,
@@ -145,18 +145,23 @@
         """
         self._heartbeat_count += 1
         now_seconds = self.simulation.seconds()
-        registrations = RegistrationTable()
         live_hosts: list[tuple[Host, str]] = [
             (each, ENGINES) for each in self.engines if each.alive
         ]
         live_hosts.extend((each, SERVICES) for each in self.services)
-        for host, service in live_hosts:
-            registrations.update(
-                registration_of(host, service, self.deployment, self._heartbeat_count), now_seconds
-            )
+        registrations = [
+            registration_of(host, service, self.deployment, self._heartbeat_count)
+            for host, service in live_hosts
+        ]
         for entry, view in zip(self.entries, self.views, strict=True):
             view.control_received_seconds = now_seconds
-            entry.context.upstreams.refresh(registrations)
+            live_names = {registration.upstream for registration in registrations}
+            for received in view.registrations.all():
+                if received.registration.upstream not in live_names:
+                    view.registrations.mark_gone(received.registration.upstream, now_seconds)
+            for registration in registrations:
+                view.registrations.update(registration, now_seconds)
+            entry.context.upstreams.refresh(view.registrations)
         self.simulation.call_later(HEARTBEAT_SECONDS / 4, self._send_heartbeats)
 
     def _send_reports(self) -> None:
@@ -207,18 +212,23 @@
         self.simulation.call_later(WATCH_INTERVAL_SECONDS, self._check_streams)
 
     def _apply_change(self, change: ScheduledChange) -> None:
-        if change.kind == 'engines':
-            self._change_engine_count(change)
-        elif change.kind == 'weights':
-            self._announce_weights(change.count)
-        elif change.kind in {'limit', 'no-limit'}:
-            self._change_limit(change)
-        elif change.kind in {'restart', 'cut'}:
-            self._disturb_entries(change)
-        else:
-            for view in self.views:
-                emptied = {change.zone} if change.kind == 'empty' else set()
-                view.emptied_zones = frozenset(emptied)
+        apply = {
+            'engines': self._change_engine_count,
+            'weights': self._announce_weights,
+            'limit': self._change_limit,
+            'no-limit': self._change_limit,
+            'rest': self._close_engines,
+            'leave': self._close_engines,
+            'restart': self._disturb_entries,
+            'cut': self._disturb_entries,
+        }
+        apply.get(change.kind, self._change_service_state)(change)
+
+    def _change_service_state(self, change: ScheduledChange) -> None:
+        """Takes a data centre out of service, or back into it."""
+        for view in self.views:
+            emptied = {change.zone} if change.kind == 'empty' else set()
+            view.emptied_zones = frozenset(emptied)
 
     def _change_engine_count(self, change: ScheduledChange) -> None:
         zone = next(each for each in self.deployment.zones if each.name == change.zone)
@@ -239,6 +249,16 @@
         for engine in zone_engines[: change.count]:
             engine.limit = limit
 
+    def _close_engines(self, change: ScheduledChange) -> None:
+        """Lets engines turn calls away and ask for rest, or say that they are leaving."""
+        zone_engines = [each for each in self.engines if each.zone == change.zone]
+        for engine in zone_engines[: change.count]:
+            if change.kind == 'leave':
+                engine.leaving = True
+            else:
+                is_closed = change.rest_seconds >= 0
+                engine.rest = RequestedRest(change.rest_seconds) if is_closed else None
+
     def _disturb_entries(self, change: ScheduledChange) -> None:
         """Restarts entries, or separates them from the others; callers keep using them."""
         zone_entries = [each for each in self.entries if each.zone.name == change.zone]
@@ -256,7 +276,8 @@
             )
             entry.context = started.context
 
-    def _announce_weights(self, version: int) -> None:
+    def _announce_weights(self, change: ScheduledChange) -> None:
+        version = change.count
         announced_seconds = self.simulation.seconds()
         for view in self.views:
             target = WeightTarget(version, announced_seconds)
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -86,15 +86,29 @@
     ``weights`` announces ``count`` as a new version; ``empty`` and ``refill`` take a
     data centre out of service and back. With ``limit`` the first ``count`` engines of a data
     centre name ``calls_per_second`` in their answers, with ``no-limit`` they no longer do.
+    With ``rest`` they turn calls away and ask for ``rest_seconds`` of rest, with -1 no longer; with
+    ``leave`` they say in their answers that they are leaving.
     ``restart`` starts the first ``count`` entries of a data centre anew, ``cut`` separates
     them from all other entries.
     """
 
     at_seconds: float
-    kind: Literal['engines', 'weights', 'empty', 'refill', 'limit', 'no-limit', 'restart', 'cut']
+    kind: Literal[
+        'engines',
+        'weights',
+        'empty',
+        'refill',
+        'limit',
+        'no-limit',
+        'rest',
+        'leave',
+        'restart',
+        'cut',
+    ]
     zone: str = ''
     count: int = 0
     calls_per_second: float = 0
+    rest_seconds: float = 0
 
 
 class Deployment(_Section):
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -12,6 +12,7 @@
 from bench.emulator.deployment import EngineModel
 from bench.emulator.simulation import Simulation
 from jackdawsail.routing.named_limits import NamedLimit
+from jackdawsail.routing.rest import RequestedRest
 
 
 @dataclass(slots=True, eq=False)
@@ -42,7 +43,8 @@
 class EmulatedEngine:
     """An engine with a queue and a batch; ``version`` 0 means that it has no weights.
 
-    ``limit`` is what it names in its answers, and ``arrived_seconds`` lists all its calls.
+    ``limit`` is what it names in its answers, and ``arrived_seconds`` lists all its calls. With
+    ``rest`` it turns calls away and asks for it; ``leaving`` is what it says in its answers.
     """
 
     simulation: Simulation
@@ -57,6 +59,8 @@
     cold_until_seconds: float = 0
     busy_seconds: float = 0
     limit: NamedLimit | None = None
+    rest: RequestedRest | None = None
+    leaving: bool = False
     arrived_seconds: list[float] = field(default_factory=list)
     waiting: list[EngineStream] = field(default_factory=list)
     prefilling: list[EngineStream] = field(default_factory=list)
@@ -81,7 +85,7 @@
         weights, and after a crash.
         """
         self.arrived_seconds.append(self.simulation.seconds())
-        closed = self.switching_to or not self.version or not self.alive
+        closed = self.switching_to or not self.version or not self.alive or self.rest
         if closed or len(self.waiting) >= self.model.queue:
             return False
         stream.remaining_prompt_tokens = stream.prompt_tokens
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -9,10 +9,11 @@
 from bench.emulator.engine import EmulatedEngine, EmulatedService, EngineStream
 from bench.emulator.policies import Policy
 from bench.emulator.simulation import Simulation
-from jackdawsail.proxy.calls import CallerCall
+from jackdawsail.proxy.calls import CallerCall, UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
+from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.registry.registration import ModelVersion, Registration
 from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.moving import should_move
@@ -65,6 +66,8 @@
     hosts: dict[str, Host]
     refused: int = 0
     is_cut_off: bool = False
+    sends: list[tuple[float, str]] = field(default_factory=list)
+    heads: list[tuple[float, str, UpstreamHead]] = field(default_factory=list)
     streams: list['_DispatchedCall'] = field(default_factory=list)
 
     def receive_call(self, call: EmulatedCall) -> None:
@@ -147,12 +150,25 @@
         dispatched.weight_version = upstream.version_of(MODEL, self.simulation.seconds())
         if call.prompt_tokens:
             self.streams.append(dispatched)
+        self.sends.append((self.simulation.seconds(), upstream.name))
         if host is not None:
             self.simulation.call_later(delay_seconds, dispatched.arrive, host, rank)
 
-    def handle_not_run(self, call: EmulatedCall, history: SendHistory, upstream: Upstream) -> None:
+    def handle_head(self, upstream: Upstream, host: Host | None, *, is_refusal: bool) -> None:
+        """Records what the head of an answer says of its upstream."""
+        if not isinstance(host, EmulatedEngine):
+            return
+        rest = host.rest if is_refusal else None
+        head = UpstreamHead(200, '', is_refusal, 0, 0, host.limit, rest, host.leaving)
+        self.heads.append((self.simulation.seconds(), upstream.name, head))
+        record_signals(self.context, upstream, head)
+
+    def handle_not_run(
+        self, call: EmulatedCall, history: SendHistory, upstream: Upstream, host: Host
+    ) -> None:
         """Repeats a call that an upstream reported as not run, or refuses it."""
         upstream.calls -= 1
+        self.handle_head(upstream, host, is_refusal=True)
         history.record_not_run(upstream.name)
         if history.take_repeat():
             self._dispatch(call, history)
@@ -206,7 +222,7 @@
             )
         if not accepted:
             self._remove_stream()
-            arguments = (self.call, self.history, self.upstream)
+            arguments = (self.call, self.history, self.upstream, host)
             self.entry.simulation.call_later(
                 self.delay_seconds, self.entry.handle_not_run, *arguments
             )
@@ -222,6 +238,7 @@
         now_seconds = self.entry.simulation.seconds()
         if events == 1 and self.host is not None:
             self.entry.context.limits.hear(self.upstream, self.host.limit)
+            self.entry.handle_head(self.upstream, self.host, is_refusal=False)
         if events == 1:
             self.upstream.record_first_event(now_seconds - self.sent_seconds, now_seconds)
         self.call.events += 1
