--- a/jackdawsail/routing/request_suspicion.py
+++ b/jackdawsail/routing/request_suspicion.py
@@ -19,7 +19,7 @@
 MIN_ENDS = 3
 SURE_ENDS = 4
 RISKY_ENDS = 2
-MIN_ROUNDS = 2  # of ends whose calls were sent after the round before
+MIN_ROUNDS = 3  # of ends whose calls were sent after the round before
 # A request that many callers send shows an answer that goes well by then. Counted until it was
 # sent the last time, as no engine may be left that could answer.
 MIN_TRIED_SECONDS = 0.9
