--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 
 import pytest
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.python.failure import Failure
 
 from jackdawsail.routing.request_suspicion import is_request
 from test.http1.ends import close
@@ -204,9 +206,6 @@
 
 
 def refused():
-    from twisted.internet.error import ConnectionRefusedError as Refused
-    from twisted.python.failure import Failure
-
     return Failure(Refused())
 
 
@@ -221,3 +220,36 @@
     site.run(1)
     ends = site.entries[0].context.traits.blame.snapshot(0).ends
     assert sum(len(end.calls) for end in ends) == 2
+
+
+class TestPlannedEnds:
+    """An engine that was leaving has ended as planned, so that its calls are not suspected."""
+
+    def begin_call(self):
+        world = World(2)
+        world.call()
+        channel = world.accept()
+        number = 1 if world.context.upstreams.get('i-1').calls else 2
+        return world, channel, number
+
+    def suspected_after_end(self, world):
+        for _address, factory in world.reactor.pending_checks:
+            factory.clientConnectionFailed(None, refused())
+        return set(world.context.traits.blame.suspected)
+
+    def test_it_was_leaving_when_its_calls_broke_off(self):
+        world, channel, number = self.begin_call()
+        world.register(number, leaving=True, sequence=2)
+        close(channel)
+        assert self.suspected_after_end(world) == set()
+
+    def test_the_entry_hears_of_it_during_the_check(self):
+        world, channel, number = self.begin_call()
+        close(channel)
+        world.register(number, leaving=True, sequence=2)
+        assert self.suspected_after_end(world) == set()
+
+    def test_otherwise_they_are(self):
+        world, channel, _number = self.begin_call()
+        close(channel)
+        assert len(self.suspected_after_end(world)) == 1
--- a/test/proxy/test_named_limits.py
+++ b/test/proxy/test_named_limits.py
@@ -10,7 +10,7 @@
 from jackdawsail.proxy.limit_reports import REPEAT_SECONDS
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeBounds
-from jackdawsail.wire.site_messages import NamedLimitsTold
+from jackdawsail.wire.site_messages import NamedLimitsTold, ToldLimit
 from test.http1.ends import Reactor
 from test.proxy.world import World, answer, sent_on, status_of
 
@@ -277,3 +277,13 @@
 
 def limit_headers(limit):
     return () if limit is None else ((b'Server-Limit', limit.encode()),)
+
+
+def test_a_limit_that_another_entry_reports_is_not_that_of_the_next_engine_at_the_id():
+    world = World(1)
+    world.register(1, born_milliseconds=99)
+    reports = world.context.limits
+    reports.receive(NamedLimitsTold([ToldLimit('i-1/1', 2.0, 0.1)]))
+    assert world.context.upstreams.get('i-1').limit.calls_per_second is None
+    reports.receive(NamedLimitsTold([ToldLimit('i-1/99', 3.0, 0.1)]))
+    assert world.context.upstreams.get('i-1').limit.calls_per_second == 3
--- a/test/routing/test_trait_blame.py
+++ b/test/routing/test_trait_blame.py
@@ -94,13 +94,21 @@
     blame = TraitBlame()
     times = [1, 1, 1 + SAME_MOMENT_SECONDS / 2, 3, 3, 3 + SAME_MOMENT_SECONDS / 2]
     end_engines(blame, times, 'sound')
-    assert find(blame, 9) == []
+    assert find(blame, 4) == []
 
 
 def test_many_engines_that_end_together_do_not_count():
     blame = TraitBlame()
     end_engines(blame, [1] * 4 + [2] * 4 + [3] * 6 + [4] * 4, 'sound')
-    assert find(blame, 9) == []
+    assert find(blame, 5) == []
+
+
+def test_a_part_that_several_calls_on_each_engine_have_is_not_bad():
+    blame = TraitBlame()
+    for number in range(4):
+        calls = [call(f'{number}/{each}', 'popular', f'd{number}') for each in range(3)]
+        blame.record_end(f'i-{number}', number, calls, number)
+    assert find(blame, 4) == []
 
 
 def test_the_repeat_of_one_call_that_meets_further_ends_blocks_no_part():
