--- a/test/mutants.py
+++ b/test/mutants.py
@@ -26,6 +26,9 @@
 
 CONSENSUS, PROXY, ROUTING = 'test/consensus', 'test/proxy', 'test/routing'
 HTTP = 'test/http1'
+TRAITS = 'test/routing/test_trait_blame.py'
+REQUESTS = 'test/routing/test_request_suspicion.py'
+RESTING = 'test/proxy/test_resting_upstreams.py'
 MUTANTS = (
     Mutant('consensus/election.py', "core.voted_for in {'', request.sender}", 'True', CONSENSUS),
     Mutant(
@@ -215,6 +218,77 @@
         'if False:',
         'test/group',
     ),
+    Mutant(
+        'routing/ended_engines.py',
+        'for moment in moments_of(ends) if len(moment) < MASS_ENDS',
+        'for moment in moments_of(ends)',
+        TRAITS,
+    ),
+    Mutant('routing/part_suspicion.py', 'or suspicion.is_usual or', 'or', TRAITS),
+    Mutant(
+        'routing/request_suspicion.py',
+        'count >= SURE_ENDS and suspicion.rounds >= MIN_ROUNDS',
+        'True',
+        REQUESTS,
+    ),
+    Mutant('routing/request_suspicion.py', 'suspicion.rounds >= MIN_ROUNDS', 'True', REQUESTS),
+    Mutant(
+        'routing/request_suspicion.py',
+        'self.was_answered and tried_seconds < MIN_TRIED_SECONDS',
+        'False',
+        REQUESTS,
+    ),
+    Mutant(
+        'routing/request_suspicion.py',
+        'is_known or len(self.ends) >= SURE_ENDS',
+        'True',
+        REQUESTS,
+    ),
+    Mutant('routing/request_suspicion.py', 'return is_equal and shared', 'return False', REQUESTS),
+    Mutant('routing/trait_blame.py', 'end.explain_by_request(bad_request)', 'pass', REQUESTS),
+    Mutant(
+        'routing/rest.py',
+        'until_seconds <= max(self.until_seconds, now_seconds)',
+        'False',
+        RESTING,
+    ),
+    Mutant('routing/rest.py', 'or calls < 2**self._doublings', 'or True', RESTING),
+    Mutant(
+        'proxy/selection.py',
+        'if not upstream.rest.allows(upstream.calls + upstream.sends.pending, now_seconds):',
+        'if False:',
+        RESTING,
+    ),
+    Mutant(
+        'proxy/attempt.py',
+        'elif self.upstream.accepts_calls(now_seconds):',
+        'elif channel is not None:',
+        RESTING,
+    ),
+    Mutant(
+        'proxy/engine_ends.py',
+        'if not upstream.accepts_calls(self.clock.seconds()):',
+        'if False:',
+        RESTING,
+    ),
+    Mutant(
+        'proxy/engine_ends.py',
+        'refused and not check.upstream.registration.leaving',
+        'refused',
+        'test/proxy/test_crashing_requests.py',
+    ),
+    Mutant(
+        'proxy/limit_reports.py',
+        'upstream is None or upstream.incarnation != told.upstream',
+        'upstream is None',
+        'test/proxy/test_named_limits.py',
+    ),
+    Mutant(
+        'registry/registration.py',
+        'if _incarnation(registration) in self._known_leaving:',
+        'if False:',
+        RESTING,
+    ),
 )
 
 
