--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -35,7 +35,7 @@
 from jackdawsail.wire.site_messages import (
     EngineLoad,
     MemberHost,
-    NamedLimitsTold,
+    NamedLimitsReported,
     SiteSummary,
 )
 
@@ -195,14 +195,14 @@
         """Sends the new refusals and the named limits of every entry to all entries."""
         now_seconds = self.simulation.seconds()
         for entry in self.entries:
-            limits = entry.context.limits.take_untold()
+            limits = entry.context.limits.take_pending()
             fingerprints = entry.context.refused_calls.take_unsent()
             others = [] if entry.is_cut_off else self.entries
             for other in others:
                 for fingerprint in fingerprints:
                     other.context.refused_calls.record(fingerprint, now_seconds)
                 if limits and not other.is_cut_off:
-                    other.context.limits.receive(NamedLimitsTold(limits))
+                    other.context.limits.receive(NamedLimitsReported(limits))
         self.simulation.call_later(SEND_INTERVAL_SECONDS, self._share_reports)
 
     def _check_streams(self) -> None:
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -237,7 +237,7 @@
             return
         now_seconds = self.entry.simulation.seconds()
         if events == 1 and self.host is not None:
-            self.entry.context.limits.hear(self.upstream, self.host.limit)
+            self.entry.context.limits.record(self.upstream, self.host.limit)
             self.entry.handle_head(self.upstream, self.host, is_refusal=False)
         if events == 1:
             self.upstream.record_first_event(now_seconds - self.sent_seconds, now_seconds)
--- a/bench/rest.py
+++ b/bench/rest.py
@@ -1,7 +1,7 @@
 """Calls to engines that ask for rest or say that they are leaving, in the emulator.
 
 Two engines turn all calls away from 6 s to 14 s and ask for rest; another one says from 6 s on in
-its answers that it is leaving. Judged is what each entry sends after what it was told itself.
+its answers that it is leaving. Judged is what each entry sends after the answers that it got itself.
 """
 
 import statistics
@@ -63,23 +63,23 @@
     """Returns the most sends of an entry to an engine during a rest that it was asked for."""
     most = 0
     for entry in day.entries:
-        for told_seconds, engine, head in entry.heads:
+        for said_seconds, engine, head in entry.heads:
             if head.rest is not None and head.rest.rest_seconds:
-                until_seconds = told_seconds + head.rest.rest_seconds
-                since_seconds = told_seconds + TOLERANCE_SECONDS
+                until_seconds = said_seconds + head.rest.rest_seconds
+                since_seconds = said_seconds + TOLERANCE_SECONDS
                 sends = [sent for sent, name in entry.sends if name == engine]
                 most = max(most, sum(since_seconds < sent < until_seconds for sent in sends))
     return most
 
 
 def after_leaving(day: DaySimulation) -> int:
-    """Returns the most sends of an entry to an engine that had told it that it is leaving."""
+    """Returns the most sends of an entry to an engine after an answer that says that it is leaving."""
     most = 0
     for entry in day.entries:
-        told = {name: seconds for seconds, name, head in reversed(entry.heads) if head.is_leaving}
-        for engine, told_seconds in told.items():
+        said = {name: seconds for seconds, name, head in reversed(entry.heads) if head.is_leaving}
+        for engine, said_seconds in said.items():
             sends = [sent for sent, name in entry.sends if name == engine]
-            most = max(most, sum(sent > told_seconds for sent in sends))
+            most = max(most, sum(sent > said_seconds for sent in sends))
     return most
 
 
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -156,7 +156,7 @@
             self.head_seconds = self.last_received_seconds
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
-            self._context.limits.hear(self.upstream, decoded.limit)
+            self._context.limits.record(self.upstream, decoded.limit)
         record_signals(self._context, self.upstream, decoded)
         self._owner.attempt_head(self, self.head)
         if decoded.not_run and not self.ended:
--- a/jackdawsail/proxy/datagrams.py
+++ b/jackdawsail/proxy/datagrams.py
@@ -13,7 +13,7 @@
 
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.wire.codec import decode, encode
-from jackdawsail.wire.site_messages import EngineLoad, NamedLimitsTold, RefusedCallsTold
+from jackdawsail.wire.site_messages import EngineLoad, NamedLimitsReported, RefusedCallsReported
 
 SEND_INTERVAL_SECONDS = 0.05  # a tenth of the shortest retry time given to callers
 MAX_FINGERPRINTS = 100  # per datagram, so that it fits into one packet
@@ -53,8 +53,8 @@
         listener = DatagramListener(
             {
                 EngineLoad: self._on_load,
-                RefusedCallsTold: self._on_refused,
-                NamedLimitsTold: self.context.limits.receive,
+                RefusedCallsReported: self._on_refused,
+                NamedLimitsReported: self.context.limits.receive,
             }
         )
         self._port = reactor.listenUDP(settings.link_port, listener, settings.address)
@@ -66,11 +66,11 @@
         """
         fingerprints = self.context.refused_calls.take_unsent()
         for refused in _batches(fingerprints, MAX_FINGERPRINTS):
-            self._send_to_entries(RefusedCallsTold(refused))
-        for limits in _batches(self.context.limits.take_untold(), MAX_LIMITS):
-            self._send_to_entries(NamedLimitsTold(limits))
+            self._send_to_entries(RefusedCallsReported(refused))
+        for limits in _batches(self.context.limits.take_pending(), MAX_LIMITS):
+            self._send_to_entries(NamedLimitsReported(limits))
 
-    def _send_to_entries(self, message: RefusedCallsTold | NamedLimitsTold) -> None:
+    def _send_to_entries(self, message: RefusedCallsReported | NamedLimitsReported) -> None:
         datagram = encode(message)
         settings = self.context.settings
         for entry in self.context.view.entries():
@@ -80,7 +80,7 @@
     def _on_load(self, load: EngineLoad) -> None:
         self.context.upstreams.apply_load(load, self.context.clock.seconds())
 
-    def _on_refused(self, message: RefusedCallsTold) -> None:
+    def _on_refused(self, message: RefusedCallsReported) -> None:
         now_seconds = self.context.clock.seconds()
         for fingerprint in message.fingerprints:
             self.context.refused_calls.record(fingerprint, now_seconds)
--- a/jackdawsail/proxy/limit_reports.py
+++ b/jackdawsail/proxy/limit_reports.py
@@ -1,6 +1,6 @@
-"""What the entries hear of the limits that upstreams name in their answers.
+"""Records the limits that upstreams name in their answers, and reports them to other entries.
 
-An entry tells the others at once when it hears a limit that is new to it. For entries that
+An entry reports a limit that is new to it at once. For entries that
 start or missed that, a few entries repeat each limit; which ones is decided by the order in
 which its units are dealt out.
 """
@@ -13,7 +13,7 @@
 from jackdawsail.routing.named_limits import NamedLimit
 from jackdawsail.routing.shares import EntryShares
 from jackdawsail.routing.upstreams import Upstream, UpstreamTable
-from jackdawsail.wire.site_messages import NamedLimitsTold, ToldLimit
+from jackdawsail.wire.site_messages import NamedLimitsReported, ReportedLimit
 
 REPEAT_SECONDS = 1.0
 REPEATING_ENTRIES = 3  # some of them may be cut off
@@ -24,50 +24,50 @@
 
 @dataclass(slots=True)
 class LimitReports:
-    """Records the limits that upstreams name, and says what to tell the other entries."""
+    """Records the limits that upstreams name, and which are to be reported to other entries."""
 
     clock: Clock
     upstreams: UpstreamTable
     shares: EntryShares
-    _untold: dict[str, Upstream] = field(default_factory=dict)
+    _pending: dict[str, Upstream] = field(default_factory=dict)
     _repeated_seconds: float = 0
 
-    def hear(self, upstream: Upstream, limit: NamedLimit | None) -> None:
+    def record(self, upstream: Upstream, limit: NamedLimit | None) -> None:
         """Records what an answer of an upstream names, None if it names no limit."""
-        if upstream.limit.hear(limit, self.clock.seconds()):
-            self._untold[upstream.incarnation] = upstream
+        if upstream.limit.record(limit, self.clock.seconds()):
+            self._pending[upstream.incarnation] = upstream
             _log_change(upstream, 'own answer')
 
-    def receive(self, message: NamedLimitsTold) -> None:
-        """Records what another entry has heard."""
+    def receive(self, message: NamedLimitsReported) -> None:
+        """Records the limits that another entry reports."""
         now_seconds = self.clock.seconds()
-        for told in message.limits:
-            upstream = self.upstreams.get(told.upstream.rpartition('/')[0])
-            if upstream is None or upstream.incarnation != told.upstream:
+        for reported in message.limits:
+            upstream = self.upstreams.get(reported.upstream.rpartition('/')[0])
+            if upstream is None or upstream.incarnation != reported.upstream:
                 continue
-            value = told.calls_per_second
+            value = reported.calls_per_second
             limit = None if value is None else NamedLimit(value)
-            if upstream.limit.hear(limit, now_seconds - told.age_seconds):
+            if upstream.limit.record(limit, now_seconds - reported.age_seconds):
                 _log_change(upstream, 'another entry')
 
-    def take_untold(self) -> list[ToldLimit]:
-        """Returns the limits to tell the other entries now: new ones, or those to repeat."""
+    def take_pending(self) -> list[ReportedLimit]:
+        """Returns the limits to report to the other entries now: new ones, or those to repeat."""
         now_seconds = self.clock.seconds()
-        untold: Iterable[Upstream] = self._untold.values()
+        pending: Iterable[Upstream] = self._pending.values()
         if now_seconds - self._repeated_seconds >= REPEAT_SECONDS:
             self._repeated_seconds = now_seconds
             repeated = {each.incarnation: each for each in self._repeated(now_seconds)}
-            untold = {**repeated, **self._untold}.values()
-        told = [
-            ToldLimit(
+            pending = {**repeated, **self._pending}.values()
+        reported = [
+            ReportedLimit(
                 upstream.incarnation,
                 upstream.limit.calls_per_second,
-                now_seconds - upstream.limit.heard_seconds,
+                now_seconds - upstream.limit.recorded_seconds,
             )
-            for upstream in untold
+            for upstream in pending
         ]
-        self._untold.clear()
-        return told
+        self._pending.clear()
+        return reported
 
     def _repeated(self, now_seconds: float) -> Iterable[Upstream]:
         if not self.shares.is_listed:
--- a/jackdawsail/routing/ended_engines.py
+++ b/jackdawsail/routing/ended_engines.py
@@ -33,7 +33,7 @@
         return not self.explained and not self.bad_request
 
     def explain(self) -> None:
-        """Records that a part is the cause, so that the end speaks against no other trait."""
+        """Records that a part is the cause, so that the end counts against no other trait."""
         self.explained = True
         self.traits.clear()
 
--- a/jackdawsail/routing/named_limits.py
+++ b/jackdawsail/routing/named_limits.py
@@ -22,37 +22,37 @@
 class LimitRecord:
     """The newest limit that is known of one upstream.
 
-    ``calls_per_second`` is None while it names none, ``heard_seconds`` when this was heard last.
-    ``ended_seconds`` is when a limit was last heard to have ended.
+    ``calls_per_second`` is None while it names none, ``recorded_seconds`` when that was recorded last.
+    ``ended_seconds`` is when the end of a limit was recorded last.
 
     Example::
 
         record = LimitRecord()
-        record.hear(NamedLimit(1.5), 10.0)
+        record.record(NamedLimit(1.5), 10.0)
         record.calls_per_second == 1.5
     """
 
     calls_per_second: float | None = None
-    heard_seconds: float = -math.inf
+    recorded_seconds: float = -math.inf
     ended_seconds: float = -math.inf
 
-    def hear(self, limit: NamedLimit | None, heard_seconds: float) -> bool:
+    def record(self, limit: NamedLimit | None, recorded_seconds: float) -> bool:
         """Records what an answer named, None if nothing; returns whether the limit changed.
 
         A limit that cannot be read leaves the one that is known.
         """
         if limit is None:
-            if heard_seconds < self.heard_seconds + OVERTAKING_SECONDS:
+            if recorded_seconds < self.recorded_seconds + OVERTAKING_SECONDS:
                 return False
-            return self._replace(None, heard_seconds)
-        if limit.calls_per_second is None or heard_seconds < self.heard_seconds:
+            return self._replace(None, recorded_seconds)
+        if limit.calls_per_second is None or recorded_seconds < self.recorded_seconds:
             return False
-        return self._replace(limit.calls_per_second, heard_seconds)
+        return self._replace(limit.calls_per_second, recorded_seconds)
 
-    def _replace(self, calls_per_second: float | None, heard_seconds: float) -> bool:
+    def _replace(self, calls_per_second: float | None, recorded_seconds: float) -> bool:
         changed = calls_per_second != self.calls_per_second
         if changed and calls_per_second is None:
-            self.ended_seconds = heard_seconds
+            self.ended_seconds = recorded_seconds
         self.calls_per_second = calls_per_second
-        self.heard_seconds = heard_seconds
+        self.recorded_seconds = recorded_seconds
         return changed
--- a/jackdawsail/routing/part_suspicion.py
+++ b/jackdawsail/routing/part_suspicion.py
@@ -1,4 +1,4 @@
-"""Weighs which part of a prompt the ends of engines speak against (pure).
+"""Decides which part of a prompt has ended engines (pure).
 
 A bad part ends each engine that begins an answer under it. It is therefore among the parts of
 one end after the other, in different calls. The calls that had just begun are the likely
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """What speaks against one part: its moments; ``first_seconds`` is the time of the first."""
+    """The evidence against one part: its moments; ``first_seconds`` is the time of the first."""
 
     part: str
     moments: list[_Moment]
@@ -111,7 +111,7 @@
 
 
 def _suspicions(ends: Collection[EngineEnd], min_ends: int) -> dict[str, _Suspicion]:
-    """Returns what speaks against each part that was involved in at least ``min_ends``."""
+    """Returns the evidence against each part that was involved in at least ``min_ends``."""
     ends_by_part: dict[str, list[EngineEnd]] = {}
     for end in ends:
         for part in itertools.filterfalse(is_request, end.traits):
--- a/jackdawsail/routing/request_suspicion.py
+++ b/jackdawsail/routing/request_suspicion.py
@@ -1,8 +1,8 @@
-"""Weighs which requests the ends of engines speak against (pure).
+"""Decides which requests have ended engines (pure).
 
 A bad request ends each engine that begins to run it, comes again, and is never answered. One
 that was never answered is blocked by the ends of MIN_ENDS engines. A sound request that was moved
-along with a bad one may be on the same engines; then one more end must tell them apart.
+along with a bad one may be on the same engines; then one more end decides.
 
 A request that was answered before may have turned bad, but may also be one that many callers
 send, so that a copy of it is on any engine. It takes one more end, time for another answer, and
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class _RequestSuspicion:
-    """The ends that speak against one request, in order.
+    """The ends that count against one request, in order.
 
     ``rounds`` is one more than the number of times it was sent after the end before, the last time
     at ``sent_seconds``.
--- a/jackdawsail/routing/trait_blame.py
+++ b/jackdawsail/routing/trait_blame.py
@@ -1,6 +1,6 @@
 """The evidence against traits of calls that may crash engines, shared by all entries (pure).
 
-An engine that ends takes along every call on it, so one end speaks against many traits. An
+An engine that ends takes along every call on it, so one end counts against many traits. An
 answer that began after it and goes well clears its traits. ``part_suspicion`` and
 ``request_suspicion`` decide when the ends show a trait to be bad.
 
@@ -56,7 +56,7 @@
         self._lifted_revisions: OrderedDict[str, int] = OrderedDict()
         self.stored_revision = 0
         self._check_until_seconds = -math.inf
-        # By trait the number of ends that speak against it.
+        # By trait the number of ends that count against it.
         self._suspected: dict[str, int] = {}
 
     @property
@@ -119,7 +119,7 @@
         return added
 
     def record_sound(self, trait: str, begun_seconds: float) -> bool:
-        """Records an answer that went well; returns whether that speaks for a suspected trait.
+        """Records an answer that went well; returns whether it clears a suspected trait.
 
         It says nothing about ends after the answer began, as a trait may turn bad.
         """
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -120,7 +120,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ToldLimit:
+class ReportedLimit:
     """The limit that an upstream named, None if it named none, and the seconds since then.
 
     ``upstream`` names its incarnation.
@@ -132,14 +132,14 @@
 
 
 @message('site-named-limits')
-class NamedLimitsTold:
+class NamedLimitsReported:
     """Entry to entries, as one datagram: limits that upstreams named in answers to the sender."""
 
-    limits: list[ToldLimit]
+    limits: list[ReportedLimit]
 
 
 @message('site-refused-calls')
-class RefusedCallsTold:
+class RefusedCallsReported:
     """Entry to entries, as one datagram: the fingerprints of calls that the sender refused."""
 
     fingerprints: list[bytes]
--- a/jackdawsail/wire/trait_messages.py
+++ b/jackdawsail/wire/trait_messages.py
@@ -48,7 +48,7 @@
 
 @message('site-trait-evidence')
 class TraitEvidence:
-    """Entry to control, and control to entries and control hosts: what speaks for or against traits.
+    """Entry to control, and control to entries and control hosts: evidence for or against traits.
 
     ``blocked`` are traits that an entry has found to be bad. ``revision`` is that of the
     stored block list which the sender knew; a trait that was lifted later is not blocked again.
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -279,7 +279,7 @@
     ),
     Mutant(
         'proxy/limit_reports.py',
-        'upstream is None or upstream.incarnation != told.upstream',
+        'upstream is None or upstream.incarnation != reported.upstream',
         'upstream is None',
         'test/proxy/test_named_limits.py',
     ),
--- a/test/proxy/test_datagrams.py
+++ b/test/proxy/test_datagrams.py
@@ -10,7 +10,7 @@
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.codec import encode
-from jackdawsail.wire.site_messages import MemberHost, Members, RefusedCallsTold
+from jackdawsail.wire.site_messages import MemberHost, Members, RefusedCallsReported
 
 ADDRESSES = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
 
@@ -68,6 +68,6 @@
 def test_an_undecodable_or_unexpected_datagram_is_dropped():
     handled = []
     listener = DatagramListener({SimpleNamespace: handled.append})
-    for datagram in (b'', b'\xff\xff', encode(RefusedCallsTold([b'x']))):
+    for datagram in (b'', b'\xff\xff', encode(RefusedCallsReported([b'x']))):
         listener.datagramReceived(datagram, ('1.2.3.4', 1))
     assert handled == []
--- a/test/proxy/test_named_limits.py
+++ b/test/proxy/test_named_limits.py
@@ -10,13 +10,13 @@
 from jackdawsail.proxy.limit_reports import REPEAT_SECONDS
 from jackdawsail.site.document import Service
 from jackdawsail.site.node import NodeBounds
-from jackdawsail.wire.site_messages import NamedLimitsTold, ToldLimit
+from jackdawsail.wire.site_messages import NamedLimitsReported, ReportedLimit
 from test.http1.ends import Reactor
 from test.proxy.world import World, answer, sent_on, status_of
 
 BOUNDS = NodeBounds(retry_slack=220, cold_ratio=1.5, cold_slack=5)
 WINDOW_SECONDS = 4.0
-TOLD_SECONDS = 0.5  # an entry counts from so long after it has heard the limit
+KNOWN_SECONDS = 0.5  # an entry counts from so long after it has recorded the limit
 STEP_SECONDS = 0.05
 
 
@@ -33,7 +33,7 @@
         self.rng = random.Random(seed)
         self.limit = limit
         self.sent = []
-        self.heard_seconds = {}
+        self.recorded_seconds = {}
         self.callers = []
         self.addresses = [f'10.9.0.{number}' for number in range(1, entries + 1)]
         self.worlds = [self.make_world(address) for address in self.addresses]
@@ -69,7 +69,7 @@
             self.sent.append((self.clock.seconds(), world))
             if self.limit is not None:
                 headers += f'Server-Limit: {self.limit}\r\n'
-                self.heard_seconds.setdefault(world, self.clock.seconds())
+                self.recorded_seconds.setdefault(world, self.clock.seconds())
         channel = self.clock.accept()
         assert b'i-' in sent_on(channel)
         answer(channel, headers=headers)
@@ -78,11 +78,12 @@
         self.clock.advance(STEP_SECONDS)
 
     def most_in_a_window(self, from_seconds=0):
-        """Returns the most calls in any window, of entries that had heard the limit before."""
+        """Returns the most calls in any window, of entries that knew the limit before."""
         sent_seconds = [
             seconds
             for seconds, world in self.sent
-            if seconds >= max(from_seconds, self.heard_seconds.get(world, seconds) + TOLD_SECONDS)
+            if seconds
+            >= max(from_seconds, self.recorded_seconds.get(world, seconds) + KNOWN_SECONDS)
         ]
         return max(
             (
@@ -103,15 +104,15 @@
 
 
 class TestSharing:
-    """Entries that restart, join, or have not heard the limit themselves."""
+    """Entries that restart, join, or do not know the limit from an answer."""
 
     def exchange(self, site):
-        """Delivers to each entry what the others have to tell."""
-        told = [(world, world.context.limits.take_untold()) for world in site.worlds]
+        """Delivers to each entry what the others report."""
+        told = [(world, world.context.limits.take_pending()) for world in site.worlds]
         for sender, limits in told:
             for world in site.worlds:
                 if world is not sender and limits:
-                    world.context.limits.receive(NamedLimitsTold(limits))
+                    world.context.limits.receive(NamedLimitsReported(limits))
 
     def offer(self, site, seconds, calls_per_second=40):
         for _ in range(round(seconds / STEP_SECONDS)):
@@ -123,13 +124,13 @@
         site.worlds[number] = site.make_world(address, site.clock.seconds())
 
     @pytest.mark.parametrize('entries', [9, 48])
-    def test_entries_that_have_not_heard_the_limit_themselves_keep_it(self, entries):
+    def test_entries_that_know_the_limit_from_others_keep_it(self, entries):
         site = Site(entries, 1)
         self.offer(site, 12)
         told = [world for world in site.worlds if limit_of(world) is not None]
         assert len(told) == entries
-        assert len(site.heard_seconds) < entries
-        site.heard_seconds = dict.fromkeys(site.worlds, 0)
+        assert len(site.recorded_seconds) < entries
+        site.recorded_seconds = dict.fromkeys(site.worlds, 0)
         assert site.most_in_a_window(site.clock.seconds() - 8) <= 4
 
     @pytest.mark.parametrize('entries', [9, 48])
@@ -139,10 +140,10 @@
         for number in range(entries):
             self.restart(site, number)
             self.offer(site, 0.4)
-        site.heard_seconds = dict.fromkeys({world for _, world in site.sent}, 0)
+        site.recorded_seconds = dict.fromkeys({world for _, world in site.sent}, 0)
         assert 0 < site.most_in_a_window(108) <= most_allowed(2)
 
-    def test_an_entry_that_restarts_is_told_the_limit_that_nobody_hears_any_more(self):
+    def test_an_entry_that_restarts_gets_the_limit_that_no_answer_names_any_more(self):
         site = Site(9, 0)
         self.offer(site, 6)
         self.restart(site, 3)
@@ -160,7 +161,7 @@
             for world in site.worlds:
                 world.know_entries(site.addresses)
             self.offer(site, 1)
-        site.heard_seconds = dict.fromkeys(site.worlds, 0)
+        site.recorded_seconds = dict.fromkeys(site.worlds, 0)
         assert 0 < site.most_in_a_window(108) <= most_allowed(2)
 
     def test_an_entry_that_is_cut_off_keeps_its_part(self):
@@ -174,7 +175,7 @@
             world.know_entries(site.addresses)
         site.worlds.append(cut_off)
         self.offer(site, 10)
-        site.heard_seconds = dict.fromkeys(site.worlds, 0)
+        site.recorded_seconds = dict.fromkeys(site.worlds, 0)
         assert 0 < site.most_in_a_window(108) <= most_allowed(2)
 
     def test_a_limit_that_has_ended_is_forgotten_by_all(self):
@@ -187,7 +188,7 @@
         self.offer(site, 4)
         assert len(site.sent) - sent > 4 * 10
 
-    def test_the_end_of_a_limit_of_0_is_heard_with_little_traffic(self):
+    def test_the_end_of_a_limit_of_0_is_recorded_with_little_traffic(self):
         site = Site(9, 0)
         self.offer(site, 8)
         site.limit = None
@@ -209,7 +210,7 @@
                 site.worlds.append(site.make_world(site.addresses[-1], site.clock.seconds()))
                 for world in site.worlds:
                     world.know_entries(site.addresses)
-        site.heard_seconds = dict.fromkeys({world for _, world in site.sent}, 0)
+        site.recorded_seconds = dict.fromkeys({world for _, world in site.sent}, 0)
         assert site.most_in_a_window(106) <= most_allowed(limit)
 
 
@@ -220,52 +221,52 @@
         self.site = Site(1, 1)
         [self.world] = self.site.worlds
 
-    def hear(self, limit, seconds=1.0):
+    def record(self, limit, seconds=1.0):
         """Lets the upstream answer one call, whatever limit is known."""
         self.site.clock.advance(seconds)
         upstream = self.world.context.upstreams.get('i-1')
         head = HttpAnswerHead(200, b'OK', limit_headers(limit), Framing.length)
-        self.world.context.limits.hear(upstream, decode_upstream_head(head).limit)
+        self.world.context.limits.record(upstream, decode_upstream_head(head).limit)
         return upstream.limit.calls_per_second
 
     def test_the_newest_limit_counts(self):
-        assert [self.hear('2'), self.hear('0.5'), self.hear(' 7.25 ')] == [2, 0.5, 7.25]
+        assert [self.record('2'), self.record('0.5'), self.record(' 7.25 ')] == [2, 0.5, 7.25]
 
     @pytest.mark.parametrize('unreadable', ['many', '-1', 'nan', 'inf', '1e3', '1 2', '1' * 400])
     def test_a_limit_that_cannot_be_read_leaves_the_one_that_is_known(self, unreadable):
-        assert [self.hear('2'), self.hear(unreadable)] == [2, 2]
-        assert self.hear(None) is None
-        assert self.hear(unreadable) is None
+        assert [self.record('2'), self.record(unreadable)] == [2, 2]
+        assert self.record(None) is None
+        assert self.record(unreadable) is None
 
     def test_an_answer_without_a_limit_ends_it(self):
-        assert [self.hear('2'), self.hear(None)] == [2, None]
+        assert [self.record('2'), self.record(None)] == [2, None]
 
     def test_an_answer_without_a_limit_that_was_overtaken_does_not_end_it(self):
-        assert [self.hear('2'), self.hear(None, 0.05)] == [2, 2]
+        assert [self.record('2'), self.record(None, 0.05)] == [2, 2]
 
     def test_calls_that_wait_for_connections_count(self):
-        assert self.hear('1') == 1
+        assert self.record('1') == 1
         for _ in range(20):
             self.world.call()
         addresses = [address for address, _factory in self.world.reactor.pending_connects]
         assert addresses.count('10.0.0.1:80') == 4
 
-    def test_calls_sent_before_the_limit_was_heard_count(self):
+    def test_calls_sent_before_the_limit_was_recorded_count(self):
         self.site.limit = None
         self.site.offer(2, 40)
-        assert self.hear('1', 0) == 1
+        assert self.record('1', 0) == 1
         sent = len(self.site.sent)
         self.site.offer(1, 40)
         assert len(self.site.sent) == sent
 
     def test_a_new_incarnation_has_named_no_limit(self):
-        self.hear('0')
+        self.record('0')
         self.world.register(1, born_milliseconds=9)
         assert self.world.context.upstreams.get('i-1').limit.calls_per_second is None
 
     def test_without_another_upstream_the_excess_is_refused_at_once(self):
         self.world.register(2, leaving=True, sequence=9)
-        self.hear('1')
+        self.record('1')
         self.site.offer(2, 40)
         statuses = [status_of(caller) for caller in self.site.callers]
         assert (statuses.count(200), set(statuses)) == (4, {200, 503})
@@ -283,7 +284,7 @@
     world = World(1)
     world.register(1, born_milliseconds=99)
     reports = world.context.limits
-    reports.receive(NamedLimitsTold([ToldLimit('i-1/1', 2.0, 0.1)]))
+    reports.receive(NamedLimitsReported([ReportedLimit('i-1/1', 2.0, 0.1)]))
     assert world.context.upstreams.get('i-1').limit.calls_per_second is None
-    reports.receive(NamedLimitsTold([ToldLimit('i-1/99', 3.0, 0.1)]))
+    reports.receive(NamedLimitsReported([ReportedLimit('i-1/99', 3.0, 0.1)]))
     assert world.context.upstreams.get('i-1').limit.calls_per_second == 3
