--- a/bench/emulator/blame_play.py
+++ b/bench/emulator/blame_play.py
@@ -8,8 +8,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Any
 
+from bench.emulator.ending_engine import EndingEngine
 from bench.emulator.simulation import Simulation
 from jackdawsail.routing.part_suspicion import EARLY_EVENTS, JUST_BEGUN_EVENTS
 from jackdawsail.routing.trait_blame import TraitBlame
@@ -70,14 +72,6 @@
     attempt: int = 0
 
 
-@dataclass(slots=True, eq=False)
-class _Engine:
-    number: int
-    incarnation: int = 0
-    alive: bool = True
-    calls: list[_Call] = field(default_factory=list)
-
-
 @dataclass(slots=True, eq=False)
 class BlamePlay:
     """One play of a scenario; all decisions are those of the product."""
@@ -87,16 +81,16 @@
     simulation: Simulation = field(default_factory=Simulation)
     blame: Any = field(default_factory=TraitBlame)
     figures: Figures = field(default_factory=Figures)
-    engines: list[_Engine] = field(default_factory=list)
+    engines: list[EndingEngine[_Call]] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
 
     def run(self) -> Figures:
         """Plays the scenario."""
         scenario = self.scenario
-        self.engines = [_Engine(number) for number in range(scenario.engines)]
-        self._repeat(scenario.calls_per_second, self._sound_call)
-        if scenario.bad_per_second:
-            self._repeat(scenario.bad_per_second, self._bad_call)
+        self.engines = [EndingEngine(number) for number in range(scenario.engines)]
+        calls = self.simulation.call_at_random
+        calls(scenario.calls_per_second, self.rng, self._sound_call)
+        calls(scenario.bad_per_second, self.rng, self._bad_call)
         for _ in range(scenario.chance_ends):
             at_seconds = 3 + self.rng.uniform(0, scenario.chance_span_seconds)
             self.simulation.call_later(at_seconds, self._end_by_chance)
@@ -105,13 +99,6 @@
         self.figures.sound_blocked = [part for part in self.blame.blocked if part != BAD]
         return self.figures
 
-    def _repeat(self, rate: float, action: Callable[[], None]) -> None:
-        def act() -> None:
-            action()
-            self.simulation.call_later(self.rng.expovariate(rate), act)
-
-        self.simulation.call_later(self.rng.expovariate(rate), act)
-
     def _parts(self) -> list[str]:
         first = self.rng.choice(('first0', 'first0', 'first1'))
         common = f'common{min(int(self.rng.expovariate(0.15)), 40)}'
@@ -143,12 +130,12 @@
         call.attempt += 1
         call.events = 0
         call.begun_seconds = None
-        engine = min(self.rng.sample(alive, min(2, len(alive))), key=_load)
+        engine = min(self.rng.sample(alive, min(2, len(alive))), key=attrgetter('load'))
         engine.calls.append(call)
         wait_seconds = self.rng.uniform(0.05, 0.3)
         self.simulation.call_later(wait_seconds, self._begin, engine, call, call.attempt)
 
-    def _begin(self, engine: _Engine, call: _Call, attempt: int) -> None:
+    def _begin(self, engine: EndingEngine[_Call], call: _Call, attempt: int) -> None:
         if call not in engine.calls or call.attempt != attempt:
             return
         now_seconds = self.simulation.seconds()
@@ -158,7 +145,7 @@
             self.simulation.call_later(crash_seconds, self._crash, engine, call, attempt)
         self.simulation.call_later(EVENT_SECONDS, self._event, engine, call, attempt)
 
-    def _event(self, engine: _Engine, call: _Call, attempt: int) -> None:
+    def _event(self, engine: EndingEngine[_Call], call: _Call, attempt: int) -> None:
         if call not in engine.calls or call.attempt != attempt:
             return
         call.events += 1
@@ -174,7 +161,7 @@
         for part in self.blame.suspected_among(parts):
             self.blame.record_sound(part, begun_seconds)
 
-    def _crash(self, engine: _Engine, call: _Call, attempt: int) -> None:
+    def _crash(self, engine: EndingEngine[_Call], call: _Call, attempt: int) -> None:
         if call in engine.calls and call.attempt == attempt:
             if self.figures.blocked_seconds is None:
                 self.figures.ends_before += 1
@@ -187,15 +174,12 @@
         for engine in self.rng.sample(alive, min(len(alive), self.scenario.together)):
             self._end(engine)
 
-    def _end(self, engine: _Engine) -> None:
-        calls = engine.calls
-        engine.calls = []
-        engine.alive = False
+    def _end(self, engine: EndingEngine[_Call]) -> None:
+        calls = engine.end()
         suspects = [_suspect(call) for call in calls if call.events <= EARLY_EVENTS]
-        name = f'{engine.number}/{engine.incarnation}'
         now_seconds = self.simulation.seconds()
-        self.simulation.call_later(DELAY_SECONDS, self._learn, name, now_seconds, suspects)
-        self.simulation.call_later(DOWN_SECONDS, self._restart, engine)
+        self.simulation.call_later(DELAY_SECONDS, self._learn, engine.name, now_seconds, suspects)
+        self.simulation.call_later(DOWN_SECONDS, engine.restart)
         for call in calls:
             self.simulation.call_later(
                 DELAY_SECONDS + 0.001, self._repeat_call, call, _suspect(call), call.events
@@ -221,10 +205,6 @@
         self._find_bad()
         self.simulation.call_later(CHECK_SECONDS, self._check)
 
-    def _restart(self, engine: _Engine) -> None:
-        engine.alive = True
-        engine.incarnation += 1
-
 
 SCENARIOS = (
     Scenario('one bad part, 0.3 a second', bad_per_second=0.3),
@@ -253,7 +233,3 @@
 def _suspect(call: _Call) -> SuspectCall:
     just_begun = call.begun_seconds is not None and call.events <= JUST_BEGUN_EVENTS
     return SuspectCall(call.own_part, list(call.parts), just_begun)
-
-
-def _load(engine: _Engine) -> int:
-    return len(engine.calls)
--- a/bench/emulator/request_play.py
+++ b/bench/emulator/request_play.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from operator import attrgetter
 from typing import Any
 
+from bench.emulator.ending_engine import EndingEngine
 from bench.emulator.simulation import Simulation
 from jackdawsail.routing.request_suspicion import request_trait
 from jackdawsail.routing.trait_blame import TraitBlame
@@ -85,14 +87,6 @@
         return request_trait(self.name)
 
 
-@dataclass(slots=True, eq=False)
-class _Engine:
-    number: int
-    incarnation: int = 0
-    alive: bool = True
-    calls: list[_Call] = field(default_factory=list)
-
-
 @dataclass(slots=True, eq=False)
 class RequestPlay:
     """One play of a scenario; all decisions are those of the product."""
@@ -102,7 +96,7 @@
     simulation: Simulation = field(default_factory=Simulation)
     blame: TraitBlame = field(default_factory=TraitBlame)
     figures: RequestFigures = field(default_factory=RequestFigures)
-    engines: list[_Engine] = field(default_factory=list)
+    engines: list[EndingEngine[_Call]] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
     third_seconds: dict[str, float] = field(default_factory=dict)
     answered: set[str] = field(default_factory=set)
@@ -110,15 +104,15 @@
     def run(self) -> RequestFigures:
         """Plays the scenario."""
         scenario = self.scenario
-        self.engines = [_Engine(number) for number in range(scenario.engines)]
-        self._repeat(scenario.lookups_per_second, lambda: _Call(f'lookup{next(self.numbers)}'))
-        self._repeat(scenario.popular_per_second, lambda: _Call(POPULAR))
-        self._repeat(
+        self.engines = [EndingEngine(number) for number in range(scenario.engines)]
+        self._offer(scenario.lookups_per_second, lambda: _Call(f'lookup{next(self.numbers)}'))
+        self._offer(scenario.popular_per_second, lambda: _Call(POPULAR))
+        self._offer(
             scenario.bookings_per_second,
             lambda: _Call(f'booking{next(self.numbers)}', is_booking=True),
         )
         for name in self.bad_names:
-            self._repeat(scenario.bad_per_second, partial(self._bad_call, name))
+            self._offer(scenario.bad_per_second, partial(self._bad_call, name))
         for _ in range(scenario.chance_ends):
             self.simulation.call_later(self.rng.uniform(3, 30), self._end_by_chance)
         self._check()
@@ -132,15 +126,13 @@
         """Returns the names of the bad requests."""
         return [f'bad{number}' for number in range(self.scenario.crashers)]
 
-    def _repeat(self, rate: float, make_call: Callable[[], _Call]) -> None:
-        def act() -> None:
+    def _offer(self, calls_per_second: float, make_call: Callable[[], _Call]) -> None:
+        def offer() -> None:
             call = make_call()
             self.figures.sound_calls += not call.is_bad
             self._place(call)
-            self.simulation.call_later(self.rng.expovariate(rate), act)
 
-        if rate:
-            self.simulation.call_later(self.rng.expovariate(rate), act)
+        self.simulation.call_at_random(calls_per_second, self.rng, offer)
 
     def _bad_call(self, name: str) -> _Call:
         return _Call(name, is_bad=True, is_booking=self.scenario.bad_is_booking)
@@ -159,7 +151,7 @@
             after[call.name] = after.get(call.name, 0) + 1
         call.attempts += 1
         call.sent_seconds = now_seconds
-        engine = min(self.rng.sample(alive, min(2, len(alive))), key=lambda each: len(each.calls))
+        engine = min(self.rng.sample(alive, min(2, len(alive))), key=attrgetter('load'))
         engine.calls.append(call)
         if call.is_bad and now_seconds >= self.scenario.bad_from_seconds:
             crash_seconds = self.rng.uniform(*self.scenario.crash_seconds)
@@ -176,7 +168,7 @@
         retry_seconds = self.rng.uniform(0, self.scenario.retry_seconds)
         self.simulation.call_later(retry_seconds, self._place, again)
 
-    def _answer(self, engine: _Engine, call: _Call) -> None:
+    def _answer(self, engine: EndingEngine[_Call], call: _Call) -> None:
         if call in engine.calls:
             engine.calls.remove(call)
             self.answered.add(call.name)
@@ -186,7 +178,7 @@
                     DELAY_SECONDS, self.blame.record_sound, call.trait, head_seconds
                 )
 
-    def _crash(self, engine: _Engine, call: _Call) -> None:
+    def _crash(self, engine: EndingEngine[_Call], call: _Call) -> None:
         if call in engine.calls:
             ends = self.figures.ends
             ends[call.name] = ends.get(call.name, 0) + 1
@@ -200,19 +192,16 @@
         for number, engine in enumerate(ending):
             self.simulation.call_later(number * self.scenario.gap_seconds, self._end, engine)
 
-    def _end(self, engine: _Engine) -> None:
+    def _end(self, engine: EndingEngine[_Call]) -> None:
         if not engine.alive:
             return
-        calls = engine.calls
-        engine.calls = []
-        engine.alive = False
+        calls = engine.end()
         now_seconds = self.simulation.seconds()
         suspects = {id(call): self._suspect(call, now_seconds) for call in calls}
-        name = f'{engine.number}/{engine.incarnation}'
         self.simulation.call_later(
-            DELAY_SECONDS, self._learn, name, now_seconds, list(suspects.values())
+            DELAY_SECONDS, self._learn, engine.name, now_seconds, list(suspects.values())
         )
-        self.simulation.call_later(DOWN_SECONDS, self._restart, engine)
+        self.simulation.call_later(DOWN_SECONDS, engine.restart)
         for call in calls:
             self.simulation.call_later(
                 DELAY_SECONDS + 0.001, self._continue, call, suspects[id(call)]
@@ -240,10 +229,6 @@
         self.blame.find_bad(self.simulation.seconds())
         self.simulation.call_later(CHECK_SECONDS, self._check)
 
-    def _restart(self, engine: _Engine) -> None:
-        engine.alive = True
-        engine.incarnation += 1
-
 
 REQUEST_SCENARIOS = (
     RequestScenario('one bad lookup, 0.5 a second', crashers=1, bad_per_second=0.5),
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +26,18 @@
         at_seconds = self._now_seconds + delay_seconds
         heapq.heappush(self._scheduled, (at_seconds, next(self._sequence), function, arguments))
 
+    def call_at_random(
+        self, calls_per_second: float, rng: random.Random, function: Callable[[], None]
+    ) -> None:
+        """Schedules calls at random times, so many a second on average."""
+
+        def call() -> None:
+            function()
+            self.call_later(rng.expovariate(calls_per_second), call)
+
+        if calls_per_second:
+            self.call_later(rng.expovariate(calls_per_second), call)
+
     def run(self, until_seconds: float) -> None:
         """Runs all calls up to and including a time, which the clock shows afterwards."""
         while self._scheduled and self._scheduled[0][0] <= until_seconds:
