--- a/jackdawsail/routing/request_suspicion.py
+++ b/jackdawsail/routing/request_suspicion.py
@@ -6,7 +6,7 @@
 
 A request that was answered before may have turned bad, but may also be one that many callers
 send, so that a copy of it is on any engine. It takes one more end, time for another answer, and
-ends of which not all are of copies that were sent before the first of them.
+MIN_ROUNDS, so that ends of copies which were all sent before do not suffice.
 """
 
 from collections.abc import Collection
