Weights: a relay that has failed is tried after the others for 2 s

With the first relay of a region without power, every agent there waited 0.6 s for a connection before each of its 96 pieces until the list of members had changed (1.7 s, or never for a relay that is alive but unreachable from the agent), and after version_ms no engine on the old weights may be used.

Cause: the fetcher asked the sources in the same order for each piece, whatever had happened the time before.

Ruled out: leaving out a failed relay, as the origin would then be asked while relays are up.

Change: a relay that has failed within SOURCE_REST_SECONDS goes behind the other relays, before the origin. A relay that answers 404 has not failed.

Before: test_relay_that_was_lost_delays_only_one_piece failed, the lost relay was asked for each piece.

--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -27,6 +28,7 @@
 OK = 200
 NOT_FOUND = 404
 NOT_HELD = 'not held'  # reason for a 404, which a relay sends when its own sources are unreachable
+SOURCE_REST_SECONDS = 2.0  # by then a relay that was lost is out of the list of members
 BYPASS_SECONDS = 10.0  # several times what a relay needs once a source is reachable again
 
 FetchedT = TypeVar('FetchedT')
@@ -53,12 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PieceFetcher:
-    """Fetches for one process; ``sources`` lists the sources of a model, the nearest first."""
+    """Fetches for one process; ``sources`` lists the sources of a model, the nearest first.
+
+    A relay that has failed is tried after the others for ``SOURCE_REST_SECONDS``.
+    """
 
     pool: ChannelPool
     codec: OriginCodec
     sources: Callable[[str], list[Source]]
-    _failing: set[str] = field(default_factory=set)
+    _failed_seconds: dict[str, float] = field(default_factory=dict)
     _relay_misses: _RelayMisses = field(default_factory=_RelayMisses)
 
     async def fetch_list(self, model: str, version: int) -> Result[PieceList, str]:
@@ -91,19 +96,29 @@
         """Tries the sources in order and returns the first success, or the last failure."""
         reason = 'no source is known'
         relays_answer = False
-        for source in self.sources(model):
+        for source in self._order_sources(model):
             if source.is_origin and relays_answer and not self._may_bypass_relays():
                 break
             outcome = await fetch_from(source)
             if isinstance(outcome, Success):
-                self._log_recovery(source)
+                self._record_success(source)
                 self._relay_misses.since_seconds = None
                 return outcome
             reason = outcome.failure()
             relays_answer = relays_answer or reason == NOT_HELD
-            self._log_failure(source, what, reason)
+            self._record_failure(source, what, reason)
         return Failure(reason)
 
+    def _order_sources(self, model: str) -> list[Source]:
+        """Returns the sources with relays that failed recently behind the other relays."""
+        rested_seconds = self.pool.clock.seconds() - SOURCE_REST_SECONDS
+
+        def rank(source: Source) -> tuple[bool, bool]:
+            failed_seconds = self._failed_seconds.get(source.address, -math.inf)
+            return source.is_origin, failed_seconds > rested_seconds
+
+        return sorted(self.sources(model), key=rank)
+
     def _may_bypass_relays(self) -> bool:
         return self._relay_misses.duration_seconds(self.pool.clock.seconds()) > BYPASS_SECONDS
 
@@ -139,19 +154,20 @@
             return self.codec.piece_target(pieces.model, pieces.version, index)
         return relay_piece_target(pieces.model, pieces.version, index)
 
-    def _log_failure(self, source: Source, what: str, reason: str) -> None:
-        """Logs the first failure of a source, and no further ones until it has recovered.
+    def _record_failure(self, source: Source, what: str, reason: str) -> None:
+        """Records a failure of a source; logs only the first one until it has recovered.
 
         A relay that answers 404 does not count as failed: it logs itself why it has
         nothing to send.
         """
-        if source.address not in self._failing and reason != NOT_HELD:
-            self._failing.add(source.address)
+        if reason == NOT_HELD:
+            return
+        if source.address not in self._failed_seconds:
             events.log(FETCH_FAILED, source=source.address, what=what, reason=reason)
+        self._failed_seconds[source.address] = self.pool.clock.seconds()
 
-    def _log_recovery(self, source: Source) -> None:
-        if source.address in self._failing:
-            self._failing.discard(source.address)
+    def _record_success(self, source: Source) -> None:
+        if self._failed_seconds.pop(source.address, None) is not None:
             events.log(SOURCE_RECOVERED, source=source.address)
 
 
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -265,6 +265,32 @@
     assert fetch_one(fetcher) == Success(b'body')
 
 
+OTHER_RELAY = Source('other.1:7701', is_origin=False)
+
+
+def test_relay_that_was_lost_delays_only_one_piece(monkeypatch):
+    pool = Pool(relay=UNREACHABLE, other=HELD, origin=HELD)
+    fetcher = make_fetcher(monkeypatch, pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
+    for _ in range(10):
+        assert fetch_one(fetcher) == Success(b'body')
+    assert pool.addresses == [RELAY.address] + [OTHER_RELAY.address] * 10
+
+
+def test_relay_that_failed_is_tried_again_later_and_before_the_origin(monkeypatch):
+    pool = Pool(relay=UNREACHABLE, other=UNREACHABLE, origin=HELD)
+    fetcher = make_fetcher(monkeypatch, pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
+    assert fetch_one(fetcher) == Success(b'body')
+    pool.outcomes['relay'] = HELD
+    assert fetch_one(fetcher) == Success(b'body')
+    assert pool.addresses[3:] == [RELAY.address]
+    pool.outcomes['relay'] = UNREACHABLE
+    fetch_one(fetcher)
+    pool.outcomes.update(relay=HELD, other=HELD)
+    pool.clock.advance(2.1)
+    fetch_one(fetcher)
+    assert pool.addresses[-1] == RELAY.address
+
+
 def test_failing_source_is_logged_once_until_it_recovers(monkeypatch):
     pool, written = Pool(origin=UNREACHABLE), []
     monkeypatch.setattr(
