Weights: the pieces of a version are divided among the relays of a region

Cause: all agents of a region fetched all pieces from the first relay of the region, in the same order. 15 agents and 2.36 MB are 14 s on an entry's link of 20 Mbit/s, and 1.7 s where it has 1,000.

Change: for each piece the relays of a region are ranked by the piece's digest. A relay prefetches those for which it ranks first; agents follow the order in which pieces arrive at their relays, each with an order of its own in runs of 8. 8 to 24 relays a region, one for 3 agents. A relay asks only relays that rank before it, also where two know different entries, so that none waits for another in a circle.

Three tests of relays assumed that the first relay of a region prefetches all pieces; they now ask the same of the first relay of the piece.

--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -128,6 +128,18 @@
         all_members = self._members_by_control.values()
         return sorted({agent.address for members in all_members for agent in members.agents})
 
+    def count_agents(self, region: str) -> int:
+        """Returns the number of agents of a region that any control host sees."""
+        all_members = self._members_by_control.values()
+        return len(
+            {
+                agent.address
+                for members in all_members
+                for agent in members.agents
+                if agent.region == region
+            }
+        )
+
     def _add_weight_version(self, model: str, version: int, announced_seconds: float) -> None:
         held = self.weights.get(model, ())
         if all(target.version != version for target in held):
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -20,6 +20,7 @@
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder, PieceList
 from jackdawsail.staging.engine_calls import EngineCalls
 from jackdawsail.staging.piece_fetcher import PieceFetcher, matches_digest
+from jackdawsail.staging.piece_order import agent_order
 from jackdawsail.staging.waves import may_change_over
 
 CONCURRENT_FETCHES = 1  # more would queue on this host's link ahead of the prompts of live calls
@@ -169,7 +170,8 @@
 
     async def _stage_missing(self, staged: StagedPieces) -> bool:
         missing = staged.missing()
-        pending = deque(missing)
+        digests = staged.pieces.digests
+        pending = deque(agent_order(self.settings, self.view, digests, missing))
         workers = [
             Deferred.fromCoroutine(self._stage_pending(staged, pending))
             for _ in range(CONCURRENT_FETCHES)
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -16,8 +16,8 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchLimits, fetch
-from jackdawsail.http1.messages import make_request
+from jackdawsail.http1.fetch import DeferredAnswer, FetchLimits, fetch
+from jackdawsail.http1.messages import HttpRequest, make_request
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.sources import OriginCodec, Source
 
@@ -33,6 +33,7 @@
 
 FetchedT = TypeVar('FetchedT')
 FetchFrom = Callable[[Source], Awaitable[Result[FetchedT, str]]]
+Transport = Callable[[ChannelPool, str, HttpRequest, FetchLimits], DeferredAnswer]
 
 FETCH_FAILED = events.define(
     560, 'warning', 'piece or piece list could not be fetched from a source'
@@ -55,14 +56,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PieceFetcher:
-    """Fetches for one process; ``sources`` lists the sources of a model, the nearest first.
+    """Fetches for one process.
 
-    A relay that has failed is tried after the others for ``SOURCE_REST_SECONDS``.
+    ``sources`` lists the sources of an item, the nearest first, by the digest of a piece or by
+    the model of a list. A relay that has failed is tried after the others for
+    ``SOURCE_REST_SECONDS``.
     """
 
     pool: ChannelPool
     codec: OriginCodec
     sources: Callable[[str], list[Source]]
+    transport: Transport = fetch
     _failed_seconds: dict[str, float] = field(default_factory=dict)
     _relay_misses: _RelayMisses = field(default_factory=_RelayMisses)
 
@@ -87,16 +91,16 @@
             return outcome
 
         return await self._fetch_from_any(
-            pieces.model, f'piece {index} of {pieces.model} {pieces.version}', fetch_from
+            pieces.digests[index], f'piece {index} of {pieces.model} {pieces.version}', fetch_from
         )
 
     async def _fetch_from_any(
-        self, model: str, what: str, fetch_from: FetchFrom[FetchedT]
+        self, key: str, what: str, fetch_from: FetchFrom[FetchedT]
     ) -> Result[FetchedT, str]:
         """Tries the sources in order and returns the first success, or the last failure."""
         reason = 'no source is known'
         relays_answer = False
-        for source in self._order_sources(model):
+        for source in self._order_sources(key):
             if source.is_origin and relays_answer and not self._may_bypass_relays():
                 break
             outcome = await fetch_from(source)
@@ -109,7 +113,7 @@
             self._record_failure(source, what, reason)
         return Failure(reason)
 
-    def _order_sources(self, model: str) -> list[Source]:
+    def _order_sources(self, key: str) -> list[Source]:
         """Returns the sources with relays that failed recently behind the other relays."""
         rested_seconds = self.pool.clock.seconds() - SOURCE_REST_SECONDS
 
@@ -117,7 +121,7 @@
             failed_seconds = self._failed_seconds.get(source.address, -math.inf)
             return source.is_origin, failed_seconds > rested_seconds
 
-        return sorted(self.sources(model), key=rank)
+        return sorted(self.sources(key), key=rank)
 
     def _may_bypass_relays(self) -> bool:
         return self._relay_misses.duration_seconds(self.pool.clock.seconds()) > BYPASS_SECONDS
@@ -139,7 +143,7 @@
 
     async def _get_body(self, source: Source, target: bytes, limits: FetchLimits) -> Any:
         request = make_request(b'GET', source.address, target)
-        outcome = await fetch(self.pool, source.address, request, limits)
+        outcome = await self.transport(self.pool, source.address, request, limits)
         if isinstance(outcome, Failure):
             return outcome
         answer = outcome.unwrap()
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -167,7 +167,7 @@
     view = SiteView()
     pool = ChannelPool(reactor, reactor, settings.address, SOURCE_CONNECT_SECONDS)
     fetcher = PieceFetcher(
-        pool, codecs.origin, lambda model: sources_for(process.settings, view, model)
+        pool, codecs.origin, lambda key: sources_for(process.settings, view, key)
     )
     calls = EngineCalls(pool, codecs.engine, settings.engine_address)
     changeover = Changeover(reactor, view, calls, fetcher, settings)
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -1,20 +1,18 @@
 """Keeps the newest weights on an entry and serves them to the agents near by.
 
-Concurrent requests for a piece share one fetch. The relay that ranks first in its
-region prefetches a whole version when the version is announced and, at the bootstrap of
-a site, whatever the origin holds, so that engines added later do not depend on the
-origin. Any relay prefetches the rest of a version once a piece of it is requested,
-since a piece fetched only on request crosses the links on its way one after the
-other.
+Concurrent requests for a piece share one fetch. A relay prefetches the pieces for which
+it ranks first in its region when a version is announced and, at the bootstrap of a site,
+those of whatever the origin holds, so that engines added later do not depend on the
+origin. It also prefetches the rest of them once a piece of the version is requested,
+since a piece fetched only on request crosses the links on its way one after the other.
 """
 
 import json
+import math
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import unquote
 
-from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, gatherResults
 
 from jackdawsail import events
@@ -25,15 +23,20 @@
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
+from jackdawsail.staging.held_pieces import LIST, HeldVersion
 from jackdawsail.staging.piece_fetcher import PieceFetcher
+from jackdawsail.staging.piece_order import relayed_pieces
 from jackdawsail.staging.sources import (
     RELAY_PORT_OFFSET,
     OriginCodec,
     rank_relays,
-    sources_for,
+    sources_for_relay,
 )
+from jackdawsail.wire.site_messages import MemberHost
 
-CONCURRENT_FETCHES = 3  # keep the origin's link busy; fetches in progress are lost if it fails
+# Fetches of a region's relays together that keep the origin's link busy; those in progress are
+# lost if it fails.
+CONCURRENT_FETCHES = 3
 REQUEST_RECENT_SECONDS = 0.6  # agents that still want a version request its next piece within it
 PREFETCH_SECONDS = 60.0  # after a version was announced; later it is fetched only on request
 RETRY_SECONDS = 0.15  # between checks of whether the sources are reachable; one fetch a check
@@ -42,25 +45,12 @@
 NEWEST = 0  # requests the version that the origin holds, whatever its number
 VersionKey = tuple[str, int]
 
-RELAY_FILLED = events.define(561, 'info', 'relay holds all pieces of a weight version')
+RELAY_FILLED = events.define(561, 'info', 'relay holds its pieces of a weight version')
 RELAY_INCOMPLETE = events.define(
-    562, 'warning', 'relay could not fetch all pieces of a weight version'
+    562, 'warning', 'relay could not fetch its pieces of a weight version'
 )
 
 
-@dataclass(slots=True)
-class HeldVersion:
-    """The list and the pieces of one version, and the waiters of fetches in progress.
-
-    ``bodies`` and ``waiters`` are keyed by the index of a piece.
-    """
-
-    pieces: PieceList | None = None
-    bodies: dict[int, bytes] = field(default_factory=dict)
-    waiters: dict[int, list[Deferred[Any]]] = field(default_factory=dict)
-    is_incomplete_logged: bool = False
-
-
 class PieceRelay:
     """Fetches, keeps and serves the pieces on one entry."""
 
@@ -77,7 +67,7 @@
         """Listens for agents and other relays, and starts to prefetch."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
-        options = ServerOptions(self._handle_request, self._process.reactor)
+        options = ServerOptions(self.handle_request, self._process.reactor)
         listen_http(self._process, address, ServerFactory(options))
         self._check_loop = start_loop(self._process.reactor, self.site_changed, RETRY_SECONDS)
 
@@ -92,14 +82,14 @@
         failed fill is restarted.
         """
         for model, version in self._prefetches():
-            if self._ranks_first(model):
+            if (model, version) not in self._fill_started and self._is_relay():
                 self._start_fill(model, version)
         for model, version in list(self._last_request_seconds):
             if self._is_wanted(model, version):
                 self._start_fill(model, version)
 
     def _prefetches(self) -> list[VersionKey]:
-        """Returns the versions that the first relay of a region fetches before any request."""
+        """Returns the versions that the relays of a region fetch before any request."""
         targets_by_model = self._view.weights
         now_seconds = self._process.reactor.seconds()
         due = [
@@ -133,10 +123,12 @@
             self._fill_started.add((model, version))
             self._run(self._fill(model, version))
 
-    def _ranks_first(self, model: str) -> bool:
-        settings = self._process.settings
-        ranked = rank_relays(self._view.entries(), settings.region, model)
-        return bool(ranked) and ranked[0].address == settings.address
+    def _is_relay(self) -> bool:
+        """Returns whether this entry is among the relays of its region."""
+        return any(relay.address == self._process.settings.address for relay in self._relays())
+
+    def _relays(self) -> list[MemberHost]:
+        return rank_relays(self._view, self._process.settings.region, '')
 
     async def _fill(self, model: str, version: int) -> None:
         pieces = await self._get_list(model, version)
@@ -144,24 +136,27 @@
             self._fill_started.discard((model, version))
             return
         held = self._held_version(pieces.model, pieces.version)
-        pending = deque(index for index in range(len(pieces.digests)) if index not in held.bodies)
+        relayed = relayed_pieces(self._process.settings, self._view, pieces.digests)
+        pending = deque(index for index in relayed if index not in held.bodies)
         # A single fetch shows whether the sources are reachable.
         if pending and await self._get_piece(pieces, pending.popleft()) is not None:
+            fetches = math.ceil(CONCURRENT_FETCHES / max(1, len(self._relays())))
             workers = [
-                self._as_deferred(self._fill_pending(pieces, pending))
-                for _ in range(CONCURRENT_FETCHES)
+                self._as_deferred(self._fill_pending(pieces, pending)) for _ in range(fetches)
             ]
             await gatherResults(workers)
-        self._record_fill(model, version, pieces)
+        self._record_fill((model, version), pieces, relayed)
 
-    def _record_fill(self, model: str, version: int, pieces: PieceList) -> None:
+    def _record_fill(self, key: VersionKey, pieces: PieceList, relayed: list[int]) -> None:
         held = self._held_version(pieces.model, pieces.version)
-        details = {'model': model, 'version': pieces.version, 'pieces': len(held.bodies)}
-        if len(held.bodies) == len(pieces.digests):
-            self._last_request_seconds.pop((model, version), None)
+        present = sum(index in held.bodies for index in relayed)
+        details = {'model': pieces.model, 'version': pieces.version, 'pieces': present}
+        if present == len(relayed):
+            held.is_filled = True
+            self._last_request_seconds.pop(key, None)
             events.log(RELAY_FILLED, **details)
             return
-        self._fill_started.discard((model, version))
+        self._fill_started.discard(key)
         if not held.is_incomplete_logged:
             held.is_incomplete_logged = True
             events.log(RELAY_INCOMPLETE, **details)
@@ -177,30 +172,22 @@
     async def _get_list(self, model: str, version: int) -> PieceList | None:
         held = self._held_version(model, version)
         if held.pieces is None:
-            outcome = await self._fetcher.fetch_list(model, version)
-            if isinstance(outcome, Failure):
+            found = await held.share(LIST, lambda: self._fetcher.fetch_list(model, version))
+            if found is None:
                 return None
-            held.pieces = outcome.unwrap()
+            held.pieces = found
             # The origin's newest version is also held under its number.
             self._held[model, held.pieces.version] = held
         return held.pieces
 
     async def _get_piece(self, pieces: PieceList, index: int) -> bytes | None:
         held = self._held_version(pieces.model, pieces.version)
-        if index in held.bodies:
-            return held.bodies[index]
-        if index in held.waiters:
-            shared: Deferred[Any] = Deferred()
-            held.waiters[index].append(shared)
-            return await shared
-        held.waiters[index] = []
-        outcome = await self._fetcher.fetch_piece(pieces, index)
-        body = outcome.unwrap() if isinstance(outcome, Success) else None
-        if body is not None:
+        if index not in held.bodies:
+            body = await held.share(index, lambda: self._fetcher.fetch_piece(pieces, index))
+            if body is None:
+                return None
             held.bodies[index] = body
-        for waiter in held.waiters.pop(index):
-            waiter.callback(body)
-        return body
+        return held.bodies[index]
 
     def _held_version(self, model: str, version: int) -> HeldVersion:
         key = (model, version)
@@ -215,7 +202,8 @@
             self._fill_started.intersection_update(self._held)
         return self._held[key]
 
-    def _handle_request(self, exchange: Exchange) -> None:
+    def handle_request(self, exchange: Exchange) -> None:
+        """Answers a request for a piece list or a piece."""
         segments = exchange.request.target.decode('latin-1').strip('/').split('/')
         if len(segments) != 4 or segments[0] != 'weights' or not segments[2].isdigit():
             exchange.answer(HttpAnswer(404))
@@ -238,9 +226,8 @@
             exchange.answer(HttpAnswer(404) if body is None else HttpAnswer(200, body))
 
     def _record_request(self, model: str, version: int) -> None:
-        """Records a request and fetches the rest of an incomplete version."""
-        held = self._held_version(model, version)
-        if held.pieces is not None and len(held.bodies) < len(held.pieces.digests):
+        """Records a request and fetches the rest of the pieces that this relay prefetches."""
+        if not self._held_version(model, version).is_filled:
             self._last_request_seconds[model, version] = self._process.reactor.seconds()
             self._start_fill(model, version)
 
@@ -260,5 +247,5 @@
     """Builds the piece relay of an entry."""
     reactor = process.reactor
     pool = ChannelPool(reactor, reactor, process.settings.address, SOURCE_CONNECT_SECONDS)
-    fetcher = PieceFetcher(pool, codec, lambda model: sources_for(process.settings, view, model))
+    fetcher = PieceFetcher(pool, codec, lambda key: sources_for_relay(process.settings, view, key))
     return PieceRelay(process, view, fetcher)
--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -1,11 +1,14 @@
 """Sources of weights: relays on entries near by, and the origin behind them.
 
-All engines of a site load a version at the same time over narrow links. Therefore
-one copy goes from the origin to a relay in its region, and one from there to a relay
-in each other region; the agents of a region fetch from its relay.
+All engines of a site load a version at the same time over narrow links. Therefore one
+copy goes from the origin to the relays in its region, and one from there to the relays
+of each other region; the agents of a region fetch from its relays. The pieces are
+divided among the relays of a region by rendezvous hash, so that no single link carries
+the copies of all agents.
 """
 
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from returns.result import Result
@@ -17,7 +20,9 @@
 from jackdawsail.wire.site_messages import MemberHost
 
 RELAY_PORT_OFFSET = 1  # from the first internal port
-RELAYS_PER_REGION = 2  # tried before the next region or the origin
+AGENTS_PER_RELAY = 3  # their links together are narrower than a relay's
+RELAYS_PER_REGION = range(8, 25)  # all may fetch from an origin at once, which limits connections
+RELAYS_TRIED = 2  # for a piece, before the next region or the origin
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,30 +42,59 @@
     is_origin: bool
 
 
-def rank_relays(entries: Sequence[MemberHost], region: str, model: str) -> list[MemberHost]:
-    """Returns the entries of a region in the order in which they relay a model's weights.
+def rank_relays(view: SiteView, region: str, key: str) -> list[MemberHost]:
+    """Returns the relays of a region in the order in which they relay one item.
 
-    Every process that knows the same entries computes the same order. Leaving
-    entries are excluded, because their pieces are lost when they stop.
+    ``key`` is the digest of a piece, or the model for its piece lists. Every process that
+    knows the same hosts computes the same order. Leaving entries are excluded, because
+    their pieces are lost when they stop.
     """
-    candidates = [entry for entry in entries if entry.region == region and not entry.leaving]
-    by_address = {entry.address: entry for entry in candidates}
-    return [by_address[address] for address in rank_zones(model, sorted(by_address))]
+    entries = view.entries()
+    by_address = {
+        entry.address: entry for entry in entries if entry.region == region and not entry.leaving
+    }
+    needed = math.ceil(view.count_agents(region) / AGENTS_PER_RELAY)
+    count = min(max(needed, RELAYS_PER_REGION.start), RELAYS_PER_REGION.stop - 1)
+    relays = rank_zones(region, sorted(by_address))[:count]
+    return [by_address[address] for address in rank_zones(key, relays)]
 
 
-def sources_for(settings: NodeSettings, view: SiteView, model: str) -> list[Source]:
-    """Returns the sources from which a process fetches a model's pieces, the nearest first."""
-    entries = view.entries()
-    origin_home = origin_region(settings, view)
-    regions = list(dict.fromkeys((settings.region, origin_home)))
-    sources: list[Source] = []
-    for region in regions:
-        ranked = rank_relays(entries, region, model)
+def sources_for(settings: NodeSettings, view: SiteView, key: str) -> list[Source]:
+    """Returns the sources from which an agent fetches an item, the nearest first.
+
+    ``key`` is the same as for ``rank_relays``.
+    """
+    return _list_sources(settings, view, key, lambda ranked: ranked)
+
+
+def sources_for_relay(settings: NodeSettings, view: SiteView, key: str) -> list[Source]:
+    """Returns the sources from which a relay fetches an item, the nearest first.
+
+    A relay fetches only from relays that rank before it, so that there are no cycles, also
+    while processes know different entries.
+    """
+
+    def keep_earlier(ranked: list[MemberHost]) -> list[MemberHost]:
         addresses = [relay.address for relay in ranked]
-        if settings.address in addresses:
-            # A relay fetches only from relays ranked before it, so that there are no cycles.
-            ranked = ranked[: addresses.index(settings.address)]
-        sources.extend(_relay_source(settings, relay) for relay in ranked[:RELAYS_PER_REGION])
+        order = rank_zones(key, sorted({*addresses, settings.address}))
+        return ranked[: order.index(settings.address)]
+
+    return _list_sources(settings, view, key, keep_earlier)
+
+
+def _list_sources(
+    settings: NodeSettings,
+    view: SiteView,
+    key: str,
+    select: Callable[[list[MemberHost]], list[MemberHost]],
+) -> list[Source]:
+    sources: list[Source] = []
+    own_relays = select(rank_relays(view, settings.region, key))
+    sources.extend(_relay_source(settings, relay) for relay in own_relays[:RELAYS_TRIED])
+    origin_home = origin_region(settings, view)
+    if origin_home != settings.region:
+        home_relays = rank_relays(view, origin_home, key)
+        sources.extend(_relay_source(settings, relay) for relay in home_relays[:RELAYS_TRIED])
     return [*sources, *origin_sources(view)]
 
 
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
@@ -16,7 +17,7 @@
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.piece_fetcher import matches_digest
 from jackdawsail.staging.relay import PieceRelay
-from jackdawsail.staging.sources import Source, rank_relays, sources_for
+from jackdawsail.staging.sources import Source, rank_relays, sources_for, sources_for_relay
 from jackdawsail.wire.site_messages import MemberHost, Members
 from test.site.documents import ENGINE, make_document
 
@@ -28,23 +29,28 @@
 REGIONS = {f'z{region}': f'r{region}' for region in (1, 2, 3)}
 ORIGIN = Service('o', origin_address='1.2.3.4:9', origin_zone='z2')
 
-PIECES = PieceList('m', 2, (hashlib.sha256(b'body').hexdigest(),))
+DIGEST = hashlib.sha256(b'body').hexdigest()
+PIECES = PieceList('m', 2, (DIGEST,))
 
 
-def make_view():
+def make_view(entries=ENTRIES, agents=()):
     view = SiteView()
     view.apply_document(make_document(services=[Service('s', engine=ENGINE), ORIGIN]))
-    view.apply_members('c', Members(['c'], ENTRIES, []))
+    view.apply_members('c', Members(['c'], list(entries), list(agents)))
     return view
 
 
-def source_addresses(address, region):
+def source_addresses(address, region, list_sources=sources_for, view=None, key='m'):
     settings = NodeSettings('n', address, f'z{region[1:]}', region, REGIONS, link_port=7700)
-    return [source.address for source in sources_for(settings, make_view(), 'm')]
+    return [source.address for source in list_sources(settings, view or make_view(), key)]
 
 
-def first_relay_of(region):
-    return rank_relays(ENTRIES, region, 'm')[0].address
+def ranked_addresses(region, key='m'):
+    return [relay.address for relay in rank_relays(make_view(), region, key)]
+
+
+def first_relay_of(region, key='m'):
+    return ranked_addresses(region, key)[0]
 
 
 def test_agent_prefers_relays_near_by_and_tries_the_origin_last():
@@ -55,31 +61,51 @@
 
 
 def test_first_relay_of_a_region_fetches_from_the_one_in_the_origins_region():
-    addresses = source_addresses(first_relay_of('r1'), 'r1')
+    addresses = source_addresses(first_relay_of('r1'), 'r1', sources_for_relay)
     assert addresses[0] == f'{first_relay_of("r2")}:7701'
 
 
 def test_first_relay_in_the_origins_region_fetches_from_the_origin():
-    assert source_addresses(first_relay_of('r2'), 'r2')[-1] == '1.2.3.4:9'
-    assert f'{first_relay_of("r2")}:7701' not in source_addresses(first_relay_of('r2'), 'r2')
+    assert source_addresses(first_relay_of('r2'), 'r2', sources_for_relay) == ['1.2.3.4:9']
 
 
 def test_relays_never_depend_on_each_other_in_a_cycle():
     for region in ('r1', 'r2', 'r3'):
         for entry in (each for each in ENTRIES if each.region == region):
-            hosts = [
-                address.rpartition(':')[0] for address in source_addresses(entry.address, region)
-            ]
-            ranked = [relay.address for relay in rank_relays(ENTRIES, region, 'm')]
+            sources = source_addresses(entry.address, region, sources_for_relay)
+            hosts = [address.rpartition(':')[0] for address in sources]
+            ranked = ranked_addresses(region)
             behind = ranked[ranked.index(entry.address) :]
             assert not set(hosts) & set(behind)
 
 
+@pytest.mark.parametrize('key', ['m', 'a', 'b', 'c', 'd'])
+def test_relays_that_know_different_entries_do_not_depend_on_each_other(key):
+    region = [entry for entry in ENTRIES if entry.region == 'r2']
+    edges = set()
+    for entry in region:
+        for missing in region:
+            view = make_view([each for each in ENTRIES if each is not missing])
+            sources = source_addresses(entry.address, 'r2', sources_for_relay, view, key)
+            edges |= {(entry.address, source.rpartition(':')[0]) for source in sources}
+    assert not {(after, before) for before, after in edges} & edges
+
+
 def test_leaving_entry_is_no_relay():
-    first = rank_relays(ENTRIES, 'r1', 'm')[0]
-    leaving = [replace(entry, leaving=entry == first) for entry in ENTRIES]
-    assert first.address not in [relay.address for relay in rank_relays(leaving, 'r1', 'm')]
-    assert len(rank_relays(leaving, 'r1', 'm')) == 2
+    first = first_relay_of('r1')
+    leaving = [replace(entry, leaving=entry.address == first) for entry in ENTRIES]
+    ranked = rank_relays(make_view(leaving), 'r1', 'm')
+    assert first not in [relay.address for relay in ranked]
+    assert len(ranked) == 2
+
+
+def test_relays_of_a_region_are_bounded_and_more_with_more_agents():
+    entries = [MemberHost(f'10.2.0.{host}', 'z2', 'r2') for host in range(1, 60)]
+    agents = [MemberHost(f'10.2.9.{host}', 'z2', 'r2') for host in range(1, 250)]
+    counts = [
+        len(rank_relays(make_view(entries, agents[:count]), 'r2', 'm')) for count in (0, 30, 249)
+    ]
+    assert counts == [8, 10, 24]
 
 
 def test_piece_with_another_digest_is_invalid():
@@ -111,11 +137,12 @@
     def __init__(self, pieces=PIECES):
         self.waiting = []
         self.lists = []
+        self.list_answer = None
         self.pieces = pieces
 
     async def fetch_list(self, model, version):
         self.lists.append(version)
-        return Success(self.pieces)
+        return await self.list_answer if self.list_answer else Success(self.pieces)
 
     async def fetch_piece(self, pieces, index):
         answer = Deferred()
@@ -135,9 +162,29 @@
     assert len(fetcher.waiting) == 1
 
 
+def test_concurrent_requests_for_a_list_share_one_fetch():
+    fetcher = Fetcher()
+    answer = Deferred()
+    fetcher.list_answer = answer
+    relay = PieceRelay(None, make_view(), fetcher)
+    requests = [Deferred.fromCoroutine(relay._get_list('m', 2)) for _ in range(3)]
+    assert fetcher.lists == [2]
+    answer.callback(Success(PIECES))
+    assert [request.result for request in requests] == [PIECES] * 3
+
+
+def test_request_for_a_list_after_a_failed_one_fetches_it_again():
+    fetcher = Fetcher()
+    fetcher.list_answer = succeed(Failure('reset'))
+    relay = PieceRelay(None, make_view(), fetcher)
+    requests = [Deferred.fromCoroutine(relay._get_list('m', 2)) for _ in range(2)]
+    assert [request.result for request in requests] == [None, None]
+    assert fetcher.lists == [2, 2]
+
+
 def test_relay_retries_a_fill_after_its_sources_were_unreachable():
     view, fetcher = make_view(), Fetcher()
-    own = first_relay_of('r2')
+    own = first_relay_of('r2', DIGEST)
     view.weights['m'] = (WeightTarget(2, 0.0),)
     relay = PieceRelay(make_process(own), view, fetcher)
     relay.site_changed()
@@ -161,7 +208,7 @@
     assert len(fetcher.waiting) == 2
 
 
-MANY = PieceList('m', 1, tuple(hashlib.sha256(b'body').hexdigest() for _ in range(20)))
+MANY = PieceList('m', 1, (DIGEST,) * 20)
 
 
 def answer_all(fetcher):
@@ -172,17 +219,17 @@
     return answered
 
 
-def test_request_for_one_piece_prefetches_the_others():
+def test_request_for_one_piece_prefetches_the_others_of_the_relay():
     fetcher = Fetcher(MANY)
-    relay = PieceRelay(make_process('10.2.0.9'), make_view(), fetcher)
+    relay = PieceRelay(make_process(first_relay_of('r2', DIGEST)), make_view(), fetcher)
     exchange = Exchange(b'/weights/m/1/0')
-    relay._handle_request(exchange)
+    relay.handle_request(exchange)
     assert answer_all(fetcher) == 20
     assert [answer.status for answer in exchange.answers] == [200]
 
 
-def test_only_the_first_relay_prefetches_the_origins_version_at_bootstrap():
-    first = first_relay_of('r2')
+def test_only_the_first_relay_of_a_piece_prefetches_the_origins_version_at_bootstrap():
+    first = first_relay_of('r2', DIGEST)
     for entry in (each for each in ENTRIES if each.region == 'r2'):
         fetcher = Fetcher(MANY)
         relay = PieceRelay(make_process(entry.address, may_bootstrap=True), make_view(), fetcher)
@@ -191,7 +238,7 @@
         assert answer_all(fetcher) == (20 if entry.address == first else 0)
         # An agent that requests the version by its number finds the pieces there.
         if entry.address == first:
-            relay._handle_request(Exchange(b'/weights/m/1/3'))
+            relay.handle_request(Exchange(b'/weights/m/1/3'))
             assert len(fetcher.waiting) == 20
             assert fetcher.lists == [0]
 
@@ -205,9 +252,8 @@
 
 def test_one_fetch_is_tried_per_check_while_the_sources_are_unreachable():
     fetcher = Fetcher(MANY)
-    relay = PieceRelay(
-        make_process(first_relay_of('r2'), may_bootstrap=True), make_view(), fetcher
-    )
+    own = first_relay_of('r2', DIGEST)
+    relay = PieceRelay(make_process(own, may_bootstrap=True), make_view(), fetcher)
     for check in range(5):
         relay.site_changed()
         assert len(fetcher.waiting) == check + 1
@@ -232,10 +278,9 @@
 UNREACHABLE = Failure('no connection')
 
 
-def make_fetcher(monkeypatch, pool, *sources):
-    monkeypatch.setattr(piece_fetcher_module, 'fetch', pool.fetch)
+def make_fetcher(pool, *sources):
     codec = SimpleNamespace(piece_target=lambda *_: b'/p')
-    return piece_fetcher_module.PieceFetcher(pool, codec, lambda model: list(sources))
+    return piece_fetcher_module.PieceFetcher(pool, codec, lambda key: list(sources), pool.fetch)
 
 
 RELAY = Source('relay.1:7701', is_origin=False)
@@ -246,18 +291,18 @@
     return Deferred.fromCoroutine(fetcher.fetch_piece(PIECES, 0)).result
 
 
-def test_origin_is_not_asked_while_a_relay_answers_not_found(monkeypatch):
+def test_origin_is_not_asked_while_a_relay_answers_not_found():
     pool = Pool(relay=NOT_HELD, origin=HELD)
-    fetcher = make_fetcher(monkeypatch, pool, RELAY, ORIGIN_SOURCE)
+    fetcher = make_fetcher(pool, RELAY, ORIGIN_SOURCE)
     for _ in range(5):
         assert isinstance(fetch_one(fetcher), Failure)
         pool.clock.advance(1)
     assert set(pool.addresses) == {RELAY.address}
 
 
-def test_origin_is_asked_if_no_relay_answers_or_all_answer_not_found_for_long(monkeypatch):
+def test_origin_is_asked_if_no_relay_answers_or_all_answer_not_found_for_long():
     pool = Pool(relay=UNREACHABLE, origin=HELD)
-    fetcher = make_fetcher(monkeypatch, pool, RELAY, ORIGIN_SOURCE)
+    fetcher = make_fetcher(pool, RELAY, ORIGIN_SOURCE)
     assert fetch_one(fetcher) == Success(b'body')
     pool.outcomes['relay'] = NOT_HELD
     assert isinstance(fetch_one(fetcher), Failure)
@@ -268,17 +313,17 @@
 OTHER_RELAY = Source('other.1:7701', is_origin=False)
 
 
-def test_relay_that_was_lost_delays_only_one_piece(monkeypatch):
+def test_relay_that_was_lost_delays_only_one_piece():
     pool = Pool(relay=UNREACHABLE, other=HELD, origin=HELD)
-    fetcher = make_fetcher(monkeypatch, pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
+    fetcher = make_fetcher(pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
     for _ in range(10):
         assert fetch_one(fetcher) == Success(b'body')
     assert pool.addresses == [RELAY.address] + [OTHER_RELAY.address] * 10
 
 
-def test_relay_that_failed_is_tried_again_later_and_before_the_origin(monkeypatch):
+def test_relay_that_failed_is_tried_again_later_and_before_the_origin():
     pool = Pool(relay=UNREACHABLE, other=UNREACHABLE, origin=HELD)
-    fetcher = make_fetcher(monkeypatch, pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
+    fetcher = make_fetcher(pool, RELAY, OTHER_RELAY, ORIGIN_SOURCE)
     assert fetch_one(fetcher) == Success(b'body')
     pool.outcomes['relay'] = HELD
     assert fetch_one(fetcher) == Success(b'body')
@@ -296,7 +341,7 @@
     monkeypatch.setattr(
         piece_fetcher_module.events, 'log', lambda event, **details: written.append(event.number)
     )
-    fetcher = make_fetcher(monkeypatch, pool, ORIGIN_SOURCE)
+    fetcher = make_fetcher(pool, ORIGIN_SOURCE)
     for _ in range(10):
         fetch_one(fetcher)
     pool.outcomes['origin'] = HELD
@@ -307,8 +352,8 @@
 
 def test_relay_stops_fetching_a_version_that_is_no_longer_requested():
     view, fetcher = make_view(), Fetcher(MANY)
-    relay = PieceRelay(make_process(first_relay_of('r2')), view, fetcher)
-    relay._handle_request(Exchange(b'/weights/m/1/0'))
+    relay = PieceRelay(make_process(first_relay_of('r2', DIGEST)), view, fetcher)
+    relay.handle_request(Exchange(b'/weights/m/1/0'))
     relay._process.reactor.advance(2)
     view.weights['m'] = (WeightTarget(2, 0.0),)
     assert answer_all(fetcher) < 10
@@ -316,8 +361,8 @@
 
 def test_check_that_finds_a_version_complete_continues_with_the_next():
     fetcher = Fetcher(MANY)
-    relay = PieceRelay(make_process('10.2.0.9'), make_view(), fetcher)
-    relay._handle_request(Exchange(b'/weights/m/1/0'))
+    relay = PieceRelay(make_process(first_relay_of('r2', DIGEST)), make_view(), fetcher)
+    relay.handle_request(Exchange(b'/weights/m/1/0'))
     fetcher.waiting[0].callback(Success(b'body'))
     for answer in fetcher.waiting[1:]:
         answer.callback(Failure('digest differs'))
