Weights: a late second copy of a piece no longer shifts the pieces after it

What callers saw: nothing yet; looked for after a report of operators of similar systems. A source that sends a second copy of a piece late, on a connection that is in use again, gave that copy as the answer to the next request. The digest showed it, but the connection went back to the pool with the right answer still to come, so that each later piece on it got the one before: a relay or agent could stage nothing more from this source until the connection broke.

Cause: a fetched answer was checked after its connection had been released. Calls to engines compare the id of the attempt; weights have no id, but a digest.

Change: the check (digest of a piece, version of a list) runs before the release. A faulty answer ends its connection, and the next request opens another one.

Looked at and left: reports and orders of the engine on the same host carry neither id nor digest; a report in the place of the next one would be one poll old.

--- a/bench/emulator/staging_play.py
+++ b/bench/emulator/staging_play.py
@@ -16,7 +16,7 @@
 from twisted.internet.task import Clock
 
 from bench.emulator.links import Link, Network, Transfer
-from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits
+from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, FindFault
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.site.document import EngineClass, Service, SiteDocument
@@ -273,7 +273,11 @@
         pool: Any = SimpleNamespace(clock=self.clock)
 
         def fetch_from(
-            _pool: Any, address: str, request: HttpRequest, limits: FetchLimits
+            _pool: Any,
+            address: str,
+            request: HttpRequest,
+            limits: FetchLimits,
+            _find_fault: FindFault,
         ) -> Deferred[Result[FetchedAnswer, str]]:
             return _Fetch(self, own, address, limits).start(request)
 
--- a/jackdawsail/http1/fetch.py
+++ b/jackdawsail/http1/fetch.py
@@ -1,5 +1,6 @@
 """Sends small requests and collects the complete answers, within limits on time and size."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -32,15 +33,21 @@
 
 
 DeferredAnswer = Deferred[Result[FetchedAnswer, str]]
+FindFault = Callable[[FetchedAnswer], str]
+
+
+def _no_fault(_answer: FetchedAnswer) -> str:
+    return ''
 
 
 class _AnswerCollector:
     """Collects one answer; fails once it exceeds one of its limits."""
 
-    def __init__(self, pool: ChannelPool, limits: FetchLimits) -> None:
+    def __init__(self, pool: ChannelPool, limits: FetchLimits, find_fault: FindFault) -> None:
         self.done: DeferredAnswer = Deferred()
         self._pool = pool
         self._limits = limits
+        self._find_fault = find_fault
         self._channel: ClientChannel | None = None
         self._status = 0
         self._body = bytearray()
@@ -74,11 +81,18 @@
             self._give_up(f'body over {self._limits.body_bytes} bytes')
 
     def answer_complete(self) -> None:
-        """Returns the channel to the pool and fires ``done`` with the answer."""
-        channel = self._channel
-        if channel is not None:
-            self._pool.release(channel)
-        self._finish(Success(FetchedAnswer(self._status, bytes(self._body))))
+        """Returns the channel to the pool and fires ``done`` with the answer.
+
+        After a faulty answer the next one on the channel could be the one due now.
+        """
+        answer = FetchedAnswer(self._status, bytes(self._body))
+        fault = self._find_fault(answer)
+        if fault:
+            self._give_up(fault)
+            return
+        if self._channel is not None:
+            self._pool.release(self._channel)
+        self._finish(Success(answer))
 
     def answer_failed(self, reason: BreakReason) -> None:
         """Fires ``done`` with the reason of the failure."""
@@ -107,13 +121,18 @@
 
 
 def fetch(
-    pool: ChannelPool, address: str, request: HttpRequest, limits: FetchLimits
+    pool: ChannelPool,
+    address: str,
+    request: HttpRequest,
+    limits: FetchLimits,
+    find_fault: FindFault = _no_fault,
 ) -> DeferredAnswer:
     """Sends a request to ``host:port``; fires with the answer or with a failure reason.
 
     The limits on time are checked every ``TIME_CHECK_SECONDS``. An answer with an error
-    status is a success.
+    status is a success. ``find_fault`` returns why a complete answer cannot belong to the
+    request, or an empty string; such an answer is a failure and ends its connection.
     """
-    collector = _AnswerCollector(pool, limits)
+    collector = _AnswerCollector(pool, limits, find_fault)
     pool.acquire(address, lambda channel: collector.send(channel, request))
     return collector.done
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -9,14 +9,14 @@
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 from returns.result import Failure, Result, Success
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import DeferredAnswer, FetchLimits, fetch
+from jackdawsail.http1.fetch import DeferredAnswer, FetchLimits, FindFault, fetch
 from jackdawsail.http1.messages import HttpRequest, make_request
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.sources import OriginCodec, Source
@@ -33,7 +33,7 @@
 
 FetchedT = TypeVar('FetchedT')
 FetchFrom = Callable[[Source], Awaitable[Result[FetchedT, str]]]
-Transport = Callable[[ChannelPool, str, HttpRequest, FetchLimits], DeferredAnswer]
+Transport = Callable[[ChannelPool, str, HttpRequest, FetchLimits, FindFault], DeferredAnswer]
 
 FETCH_FAILED = events.define(
     560, 'warning', 'piece or piece list could not be fetched from a source'
@@ -81,14 +81,12 @@
     async def fetch_piece(self, pieces: PieceList, index: int) -> Result[bytes, str]:
         """Fetches one piece; a body with another digest counts as a failure of its source."""
 
+        def find_fault(body: bytes) -> str:
+            return '' if matches_digest(pieces, index, body) else 'digest differs'
+
         async def fetch_from(source: Source) -> Result[bytes, str]:
             target = self._piece_target(source, pieces, index)
-            outcome = await self._get_body(source, target, PIECE_LIMITS)
-            if isinstance(outcome, Success) and not matches_digest(
-                pieces, index, outcome.unwrap()
-            ):
-                return Failure('digest differs')
-            return outcome
+            return await self._get_body(source, target, PIECE_LIMITS, find_fault)
 
         return await self._fetch_from_any(
             pieces.digests[index], f'piece {index} of {pieces.model} {pieces.version}', fetch_from
@@ -133,17 +131,32 @@
             target = self.codec.list_target(model, version)
         else:
             target = relay_list_target(model, version)
-        outcome = await self._get_body(source, target, LIST_LIMITS)
-        if isinstance(outcome, Failure):
-            return outcome
-        decoded = self.codec.decode_list(outcome.unwrap())
-        if isinstance(decoded, Success) and version not in {0, decoded.unwrap().version}:
-            return Failure('list is of another version')
-        return decoded
 
-    async def _get_body(self, source: Source, target: bytes, limits: FetchLimits) -> Any:
+        def find_fault(body: bytes) -> str:
+            decoded = self.codec.decode_list(body)
+            if isinstance(decoded, Failure):
+                return decoded.failure()
+            is_wanted = version in {0, decoded.unwrap().version}
+            return '' if is_wanted else 'list is of another version'
+
+        outcome = await self._get_body(source, target, LIST_LIMITS, find_fault)
+        return outcome.bind(self.codec.decode_list)
+
+    async def _get_body(
+        self,
+        source: Source,
+        target: bytes,
+        limits: FetchLimits,
+        find_fault: Callable[[bytes], str],
+    ) -> Result[bytes, str]:
         request = make_request(b'GET', source.address, target)
-        outcome = await self.transport(self.pool, source.address, request, limits)
+        outcome = await self.transport(
+            self.pool,
+            source.address,
+            request,
+            limits,
+            lambda answer: find_fault(answer.body) if answer.status == OK else '',
+        )
         if isinstance(outcome, Failure):
             return outcome
         answer = outcome.unwrap()
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -268,9 +268,11 @@
         self.addresses = []
         self.clock = Clock()
 
-    def fetch(self, _pool, address, _request, _limits):
+    def fetch(self, _pool, address, _request, _limits, find_fault):
         self.addresses.append(address)
-        return succeed(self.outcomes[address.partition('.')[0]])
+        outcome = self.outcomes[address.partition('.')[0]]
+        fault = find_fault(outcome.unwrap()) if isinstance(outcome, Success) else ''
+        return succeed(Failure(fault) if fault else outcome)
 
 
 HELD = Success(FetchedAnswer(200, b'body'))
