Streams: the rest of a begun stream waits in a queue that is too long for new calls

Its first engine had been left, the next one refused it (503, not run), and at all others the queues were too long for a new call in time.

Cause: placement asked of the rest of a stream what it asks of a new call, a wait under a quarter of the objective, and the refusal of a call that has begun breaks it off. What the first engine had made was lost with it, and the caller could not tell it from a failure.

Ruled out: waiting in the entry and asking again, which takes the same time and loses the place in the queue; keeping the first engine until the other one has accepted, which needs two attempts of a call at once and helps only where the first engine is still sound.

Change: PlacedCall.is_begun; the rest of a stream may wait up to 1.2 s, as callers leave after two seconds without an event. Moves by choice (engine changes over, silence) still ask for a short queue.

Tests: TestStream.test_is_not_aborted_though_its_next_engine_refuses_it_and_queues_are_too_long_for_new_calls failed before (aborted at once); test_the_rest_of_a_begun_stream_waits_in_the_shortest_queue_though_new_calls_are_refused is the decision alone.

--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -28,7 +28,8 @@
 class Selection:
     """A call that needs an upstream, and the upstreams that it has tried.
 
-    ``is_late`` is true for a retried call that can no longer be served in time.
+    ``is_late`` is true for a retried call that can no longer be served in time, ``is_begun``
+    for the rest of a stream that has no engine any more.
     """
 
     service: str
@@ -38,6 +39,7 @@
     tried: tuple[str, ...] = ()
     pinned_version: int = 0
     is_late: bool = False
+    is_begun: bool = False
 
     @property
     def engine_rank(self) -> int | None:
@@ -106,6 +108,7 @@
     placed = PlacedCall(
         target_seconds=selection.route.target_seconds,
         region=context.settings.region,
+        is_begun=selection.is_begun,
     )
     if service.engine is None:
         return choose_service(placed, candidates, context.rng)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -6,7 +6,7 @@
 retry after.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -196,7 +196,8 @@
             metrics.BLOCKED_CALLS.inc()
             self._refuse(BLOCKED)
             return
-        selection = self.selection()
+        started = self.relay is not None and self.relay.started
+        selection = replace(self.selection(), is_begun=started)
         decision = place_call(self.context, selection)
         if isinstance(decision, Refusal):
             self._refuse(decision)
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -3,7 +3,9 @@
 This matters when more streams arrive than the engines have slots, and unevenly. A queue
 at an engine that is longer than the latency objective makes every stream behind it late,
 and the engines generate no more because of it. So a call that would wait longer than a
-share of its objective is refused at once with a time to retry after.
+share of its objective is refused at once with a time to retry after. The rest of a stream
+that has begun is no new call: it is late by now, what was generated would be lost with it,
+and its caller stays for seconds, so it waits in any queue that ends before that.
 
 Plain services have few slots and uneven speeds. For them the upstream with the lowest
 expected time is chosen.
@@ -21,6 +23,9 @@
 USUAL_FIRST_EVENT_SECONDS = 0.25  # to the first event at a healthy engine; the excess is lag
 JITTER_SECONDS = 0.01  # spreads the choices of entries that have the same reports
 MAX_WAIT_SHARE = 0.25  # of the objective; the rest is for prompt, first passes and network
+# For the rest of a stream; callers leave after two seconds without an event, a few tenths of
+# which have passed already.
+CONTINUE_WAIT_SECONDS = 1.2
 DEFAULT_CALL_SECONDS = 0.05  # expected of a plain service that has not answered yet
 FAILURE_PENALTY = 10.0  # factor by which a share of failures lengthens the expected time
 RETRY_AFTER_MIN_SECONDS = 0.5  # a refused caller retries after some streams have ended
@@ -29,10 +34,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacedCall:
-    """The properties of a call that placement uses."""
+    """The properties of a call that placement uses.
+
+    ``is_begun`` is true for the rest of a stream whose first engine was lost.
+    """
 
     target_seconds: float
     region: str
+    is_begun: bool = False
+
+    @property
+    def max_wait_seconds(self) -> float:
+        """Returns the longest wait at an engine that is worth more than a refusal."""
+        return CONTINUE_WAIT_SECONDS if self.is_begun else self.target_seconds * MAX_WAIT_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,8 +80,7 @@
         Choice(candidate, expected_wait_seconds(candidate, engine, now_seconds, entries))
         for candidate in candidates
     ]
-    max_wait_seconds = call.target_seconds * MAX_WAIT_SHARE
-    in_time = [choice for choice in choices if choice.wait_seconds <= max_wait_seconds]
+    in_time = [choice for choice in choices if choice.wait_seconds <= call.max_wait_seconds]
     if not in_time:
         return make_refusal('queues are too long', rng)
     return min(
--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -78,6 +78,25 @@
         assert b'failed' not in caller.value()
         assert not caller.value().endswith(b'0\r\n\r\n')
 
+    def test_is_not_aborted_though_its_next_engine_refuses_it_and_queues_are_too_long_for_new_calls(
+        self,
+    ):
+        world = World(3, MODEL_SERVICE)
+        caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for number in (1, 2, 3):
+            world.report(number, running=16, waiting=6)
+        reset(first)
+        answer(world.accept(), 503, headers='Not-Executed: 1\r\n')
+        third = world.accept()
+        assert b'Last-Event-Id: 1' in sent_on(third)
+        begin_stream(third)
+        third.dataReceived(event(2) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+        assert status_of(world.call('/stream/x', 'a2', STREAM_HEADERS, 'POST')) == 503
+
     def test_is_aborted_when_no_engine_can_continue_it(self):
         world, caller = self.begin(upstreams=1)
         channel = world.accept()
--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -60,8 +61,8 @@
     return upstream
 
 
-def choose(candidates, seed=1):
-    return choose_engine(CALL, ENGINE, candidates, NOW, random.Random(seed))
+def choose(candidates, seed=1, call=CALL):
+    return choose_engine(call, ENGINE, candidates, NOW, random.Random(seed))
 
 
 def test_the_less_loaded_engine_is_chosen():
@@ -89,6 +90,14 @@
     assert RETRY_AFTER_MIN_SECONDS <= refused.retry_after_seconds <= RETRY_AFTER_MAX_SECONDS
 
 
+def test_the_rest_of_a_begun_stream_waits_in_the_shortest_queue_though_new_calls_are_refused():
+    begun = replace(CALL, is_begun=True)
+    longer, shorter = (make_upstream(number, 16, waiting) for number, waiting in ((1, 9), (2, 7)))
+    assert isinstance(choose([longer, shorter]), Refusal)
+    assert choose([longer, shorter], call=begun).upstream is shorter
+    assert isinstance(choose([make_upstream(1, running=16, waiting=900)], call=begun), Refusal)
+
+
 @pytest.mark.parametrize('running', range(16))
 def test_no_call_is_refused_while_a_slot_is_free(running):
     assert isinstance(choose([make_upstream(1, running=running)]), Choice)
