Streams: a stalled engine that sends a byte now and then is left like a silent one

What callers saw: nothing yet; looked for after a report of operators of similar systems. An engine that had stalled inside an event but sent a byte or a comment line now and then never counted as silent, so its streams stayed there until their deadline, while callers leave after two seconds without an event.

Cause: the watch measured the time since any byte of the answer.

Change: it measures the time since the answer advanced: its head, a complete event, or 512 bytes of one, so that a long event over a narrow link is no stall. Streams of callers that read slowly are not measured, as before; streams that may not be repeated are never left.

Tests: test_leaves_a_stalled_engine_that_sends_a_byte_now_and_then (a byte, a comment) failed before; test_stays_at_an_engine_whose_long_event_arrives_slowly passes on both.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -23,6 +23,7 @@
 # The head of a refusal says all; its body is read only so that the channel can be reused.
 REFUSAL_BODY_SECONDS = 0.1
 REFUSAL_BODY_BYTES = 65_536
+PROGRESS_BYTES = 512  # of an event; an engine that sends less within the time-out has stalled
 
 
 class AttemptEnd(StrEnum):
@@ -65,8 +66,9 @@
 
     ``sent_seconds`` is when the request was written, ``head_seconds`` when the head of an answer
     arrived that says that the request ran, ``begun_seconds`` the same of a success; both are None
-    before that. ``received_events`` is the number of complete events
-    since then.
+    before that. ``received_events`` is the number of complete events since then.
+    ``last_progress_seconds`` is when the answer last advanced, by its head, a complete event or
+    PROGRESS_BYTES of one.
     """
 
     def __init__(
@@ -83,7 +85,7 @@
         self.sent_seconds = self.started_seconds
         self.head_seconds: float | None = None
         self.begun_seconds: float | None = None
-        self.last_received_seconds = self.started_seconds
+        self.last_progress_seconds = self.started_seconds
         self._context = context
         self._owner = owner
         self._attempt_id = attempt_id
@@ -91,6 +93,7 @@
         self._connector: Any = None
         self._reused_channel = False
         self._refusal_bytes = 0
+        self._unfinished_bytes = 0
         self._refusal_timeout = Timeout(context.clock, self._end_refusal)
 
     def start(
@@ -117,13 +120,18 @@
         if is_paused == self.is_paused or self.ended:
             return
         self.is_paused = is_paused
-        self.last_received_seconds = self._context.clock.seconds()
+        self.last_progress_seconds = self._context.clock.seconds()
         if self._channel is not None:
             if is_paused:
                 self._channel.pause()
             else:
                 self._channel.resume()
 
+    def record_progress(self) -> None:
+        """Records that the answer advances; the owner calls it for each complete event."""
+        self.last_progress_seconds = self._context.clock.seconds()
+        self._unfinished_bytes = 0
+
     def cancel(self) -> None:
         """Abandons the attempt; closes the channel so that a running upstream notices at once."""
         if self.ended:
@@ -150,10 +158,10 @@
         lacks_attempt_id = not decoded.attempt and head.status in SUCCESS
         if is_other_call or lacks_attempt_id:
             return False
-        self.last_received_seconds = self._context.clock.seconds()
+        self.last_progress_seconds = self._context.clock.seconds()
         self.head = ReceivedHead(head, decoded)
         if not decoded.not_run:
-            self.head_seconds = self.last_received_seconds
+            self.head_seconds = self.last_progress_seconds
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
         if decoded.limit is not None or head.status in SUCCESS:
             self._context.limits.record(self.upstream, decoded.limit)
@@ -165,9 +173,11 @@
 
     def answer_body(self, body: bytes) -> None:
         """Handles the next part of the body."""
-        self.last_received_seconds = self._context.clock.seconds()
         if self.ended or self.head is None:
             return
+        self._unfinished_bytes += len(body)
+        if self._unfinished_bytes >= PROGRESS_BYTES:
+            self.record_progress()
         if not self.head.decoded.not_run:
             self._owner.attempt_body(self, body)
             return
@@ -223,7 +233,7 @@
         self.upstream.sends.pending -= 1
         self.sent = True
         self.sent_seconds = self._context.clock.seconds()
-        self.last_received_seconds = self.sent_seconds
+        self.last_progress_seconds = self.sent_seconds
         self.upstream.call_sent(self.sent_seconds)
         self._owner.attempt_sent(self)
         channel.send(request, self)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -117,6 +117,8 @@
         if self.relay.started and not started_before:
             _record_first_event(self, attempt)
         new_events = self.relay.received_events - events_before
+        if new_events:
+            attempt.record_progress()
         self.context.traits.events_received(self.identity, attempt, new_events)
         if not may_go_on:
             attempt.cancel()
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -1,6 +1,6 @@
 """Watches the engine of a stream and moves the stream to another one when necessary.
 
-A stream leaves an engine that has been silent for too long, or that is about to load
+A stream leaves an engine that has completed no event for too long, or that is about to load
 other weights while much of the stream is left, but only if another engine can take over.
 A stream that has not begun at an engine on overdue weights leaves it in any case, so
 that it does not start there.
@@ -67,7 +67,7 @@
         begun = call.relay is not None and call.relay.started
         now_seconds = call.context.clock.seconds()
         # An attempt that is not read, since its caller reads too slowly, is not silent.
-        silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_received_seconds
+        silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
         if not begun and call.selection().must_leave_engine(call.context, attempt.weight_version):
             call.abandon(attempt, f'not begun on weights {attempt.weight_version}')
         elif self._should_move(attempt) and self._take_alternative(moving=True):
--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -119,6 +119,34 @@
         second.dataReceived(event(2) + b'0\r\n\r\n')
         assert caller.value().endswith(b'0\r\n\r\n')
 
+    @pytest.mark.parametrize('trickle', [b'1\r\nx\r\n', b'3\r\n:\n\n\r\n'])
+    def test_leaves_a_stalled_engine_that_sends_a_byte_now_and_then(self, trickle):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for _ in range(6):
+            world.reactor.advance(0.2)
+            if not first.transport.aborted:
+                first.dataReceived(trickle)
+        assert first.transport.aborted
+        second = world.accept()
+        begin_stream(second)
+        second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
+    def test_stays_at_an_engine_whose_long_event_arrives_slowly(self):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for _ in range(10):
+            world.reactor.advance(0.2)
+            first.dataReceived(b'c8\r\n' + b'x' * 200 + b'\r\n')
+        assert not first.transport.aborted
+        first.dataReceived(b'2\r\n\n\n\r\n0\r\n\r\n')
+        assert caller.value().endswith(b'0\r\n\r\n')
+
     def changing_over(self, hint='Length-Hint: 120\r\n', other_running=3):
         world = World(2, MODEL_SERVICE)
         headers = STREAM_HEADERS + hint
