Draining: connections that wait to be accepted are answered, not reset, when the port closes

When a stopping entry stops taking calls, connections that were open on the callers' side but not accepted yet were reset, with a request that was never read. Those just accepted could be closed as idle in the same check, before their first request was read.

Cause: closing a listening port resets its queue; the check closed each connection without a request in progress at once.

Change: the queue is accepted before the port is closed, and a connection is closed as idle only if it was so at the check before, 0.1 s earlier. The calls get 503 with a time to retry.

What remains: a request that crosses the close of a kept connection.

--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail import events
-from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server import ServerConnection, ServerFactory
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.site.loops import start_loop
 
@@ -34,6 +34,7 @@
     callers: ServerFactory
     drained: Deferred[None] = field(default_factory=Deferred)
     port: Any = None
+    _idle_before: set[ServerConnection] = field(default_factory=set)
     _started_seconds: float = 0
     _loop: Any = None
 
@@ -52,9 +53,12 @@
         elapsed_seconds = self.context.clock.seconds() - self._started_seconds
         if elapsed_seconds >= REFUSE_AFTER_SECONDS and not self.context.refusing:
             self._refuse()
+        idle = set(self.callers.idle())
         if elapsed_seconds >= CLOSE_IDLE_AFTER_SECONDS:
-            for connection in self.callers.idle():
+            # A connection that was just accepted may have a request that is not read yet.
+            for connection in idle & self._idle_before:
                 connection.close()
+        self._idle_before = idle
         all_closed = self.context.running == 0 and self.callers.open_count == 0
         limit_seconds = self.context.settings.bounds.stop_seconds - EXIT_RESERVE_SECONDS
         if (all_closed and self.context.refusing) or elapsed_seconds >= limit_seconds:
@@ -66,4 +70,6 @@
         self.context.refusing = True
         events.log(REFUSING_CALLS, running=self.context.running, open=self.callers.open_count)
         if self.port is not None:
+            # Closing the port resets the connections that wait to be accepted.
+            self.port.doRead()
             self.port.stopListening()
--- a/test/proxy/test_draining.py
+++ b/test/proxy/test_draining.py
@@ -1,5 +1,9 @@
 """A stopping entry serves its callers for a while and cuts none of them off."""
 
+import socket
+
+from twisted.internet.selectreactor import SelectReactor
+
 from jackdawsail.proxy.draining import CallerDrain
 from test.http1.ends import close
 from test.proxy.test_calls import status_of
@@ -11,6 +15,9 @@
 
     closed = False
 
+    def doRead(self):
+        pass
+
     def stopListening(self):
         self.closed = True
 
@@ -61,3 +68,27 @@
     close(caller.connection)
     stopping.wait(0.2)
     assert stopping.ended == [None]
+
+
+def test_connections_that_wait_to_be_accepted_are_answered_and_not_reset():
+    stopping = Stopping()
+    reactor = SelectReactor()
+    stopping.drain.port = reactor.listenTCP(0, stopping.world.factory, interface='127.0.0.1')
+    callers = []
+    stopping.wait(2.7)
+    for number in range(5):
+        caller = socket.create_connection(stopping.drain.port.socket.getsockname())
+        caller.sendall(
+            f'GET /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a{number}\r\n\r\n'.encode()
+        )
+        caller.settimeout(5)
+        callers.append(caller)
+    for _ in range(5):
+        stopping.wait(0.1)
+        reactor.iterate(0.01)
+    answers = [caller.recv(4096) for caller in callers]
+    for caller in callers:
+        caller.close()
+    reactor.iterate(0.01)
+    assert [answer.split()[1:2] for answer in answers] == [[b'503']] * 5
+    assert all(b'retry-after' in answer.lower() for answer in answers)
