Tests: a play of a site in memory depends on its seed alone

Cause: two things came from outside the seed. The random numbers of an entry were seeded with the incarnation of its process, drawn anew by each run; and the links of a process and the connections of a server were sets, iterated in the order of addresses in memory.

Change: links and connections are kept in the order in which they were opened; the plays give each entry an incarnation that follows from seed and address. test_plays_with_the_same_seed_are_the_same failed before.

--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -303,7 +303,7 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self._open_connections: set[ServerConnection] = set()
+        self._open_connections: dict[ServerConnection, None] = {}
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802 - Twisted's name
         """Makes the protocol of a new connection."""
@@ -323,16 +323,18 @@
 class _TrackedConnection(ServerConnection):
     """A connection that adds itself to its factory's set while it is open."""
 
-    def __init__(self, options: ServerOptions, open_connections: set[ServerConnection]) -> None:
+    def __init__(
+        self, options: ServerOptions, open_connections: dict[ServerConnection, None]
+    ) -> None:
         super().__init__(options)
         self._open_connections = open_connections
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
-        self._open_connections.add(self)
+        self._open_connections[self] = None
         super().connectionMade()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
-        self._open_connections.discard(self)
+        self._open_connections.pop(self, None)
         super().connectionLost(reason)
 
 
--- a/jackdawsail/message_router.py
+++ b/jackdawsail/message_router.py
@@ -18,7 +18,8 @@
     """Implements ``LinkOwner`` for all links of a process."""
 
     def __init__(self) -> None:
-        self.links: set[Link] = set()
+        # In the order in which they were opened, so that sends do not depend on addresses in memory.
+        self.links: dict[Link, None] = {}
         self._handlers: dict[type, MessageHandler] = {}
         self._opened_watchers: list[LinkWatcher] = []
         self._closed_watchers: list[LinkWatcher] = []
@@ -36,7 +37,7 @@
 
     def link_opened(self, link: Link) -> None:
         """Records and logs a new link, and calls the watchers."""
-        self.links.add(link)
+        self.links[link] = None
         events.log(events.LINK_OPENED, peer=_peer_name(link))
         for watcher in self._opened_watchers:
             watcher(link)
@@ -51,7 +52,7 @@
 
     def link_closed(self, link: Link, reason: str) -> None:
         """Removes and logs a closed link, and calls the watchers."""
-        self.links.discard(link)
+        self.links.pop(link, None)
         events.log(events.LINK_CLOSED, peer=_peer_name(link), reason=reason)
         for watcher in self._closed_watchers:
             watcher(link)
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -53,12 +53,13 @@
         elapsed_seconds = self.context.clock.seconds() - self._started_seconds
         if elapsed_seconds >= REFUSE_AFTER_SECONDS and not self.context.refusing:
             self._refuse()
-        idle = set(self.callers.idle())
+        idle = self.callers.idle()
         if elapsed_seconds >= CLOSE_IDLE_AFTER_SECONDS:
             # A connection that was just accepted may have a request that is not read yet.
-            for connection in idle & self._idle_before:
-                connection.close()
-        self._idle_before = idle
+            for connection in idle:
+                if connection in self._idle_before:
+                    connection.close()
+        self._idle_before = set(idle)
         all_closed = self.context.running == 0 and self.callers.open_count == 0
         limit_seconds = self.context.settings.bounds.stop_seconds - EXIT_RESERVE_SECONDS
         if (all_closed and self.context.refusing) or elapsed_seconds >= limit_seconds:
--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -178,7 +178,10 @@
             bounds=NodeBounds(retry_slack=200, cold_ratio=1.5, cold_slack=5),
         )
         clock = site.clock
-        process = NodeProcess(clock, settings, Role.entry, started_seconds=clock.seconds() - 60)
+        incarnation = random.Random(f'{site.seed}/{address}').getrandbits(40)
+        process = NodeProcess(
+            clock, settings, Role.entry, incarnation, started_seconds=clock.seconds() - 60
+        )
         codecs = SimpleNamespace(traffic=CODEC, calls=None, decode_document=None, origin=None)
         self.program = make_entry_program(process, codecs)
         self.context = self.program.context
@@ -214,6 +217,7 @@
     def __init__(self, seed=1, entries=5, engines=6, controls=3, plain_engines=0):
         self.clock = Reactor()
         self.clock.advance(100)
+        self.seed = seed
         self.rng = random.Random(seed)
         self.bad_parts = set()
         self.bad_requests = set()
--- a/test/proxy/test_bad_prompt_parts.py
+++ b/test/proxy/test_bad_prompt_parts.py
@@ -189,3 +189,11 @@
         site.offer(1)
         self.assert_nothing_is_blocked(site)
         assert all(not entry.context.traits.blame.snapshot(0).ends for entry in site.entries)
+
+
+def test_plays_with_the_same_seed_are_the_same():
+    sites = [CrashSite(5) for _ in range(2)]
+    for site in sites:
+        site.offer(8, BAD)
+    first, second = ([(at, name) for at, name, _marks in site.sent] for site in sites)
+    assert first == second
--- a/test/proxy/test_readiness.py
+++ b/test/proxy/test_readiness.py
@@ -30,7 +30,7 @@
         self.view = program.context.view
         self.view.on_change.append(program._site_changed)
         self.link = Link(Role.control)
-        program.client.router.links.add(self.link)
+        program.client.router.links[self.link] = None
         self.revision = 0
 
     def list_entries(self, *entries):
