--- a/bench/staging.py
+++ b/bench/staging.py
@@ -10,7 +10,7 @@
 
 
 def run(only: str = '') -> int:
-    """Prints a line for each site whose name begins with ``only``."""
+    """Prints a line for each site whose name contains ``only``."""
     configure_logging('bench', 'staging', 'error')
     for scenario in SCENARIOS:
         if only not in scenario.name:
--- a/jackdawsail/staging/piece_order.py
+++ b/jackdawsail/staging/piece_order.py
@@ -11,7 +11,7 @@
 
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
-from jackdawsail.staging.sources import origin_region, rank_relays
+from jackdawsail.staging.sources import origin_region, relays_of
 from jackdawsail.weights.placement import rank_zones
 
 PIECES_PER_RUN = 8  # about as many as the relays of a region fetch at the same time
@@ -71,7 +71,7 @@
     view: SiteView, region: str, digests: Sequence[str], order: Iterable[int]
 ) -> Mapping[str, list[int]]:
     """Returns the pieces of each relay of a region, by its address, in the given order."""
-    addresses = sorted(relay.address for relay in rank_relays(view, region, ''))
+    addresses = [relay.address for relay in relays_of(view, region)]
     shares: dict[str, list[int]] = defaultdict(list)
     if addresses:
         for index in order:
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -29,7 +29,7 @@
 from jackdawsail.staging.sources import (
     RELAY_PORT_OFFSET,
     OriginCodec,
-    rank_relays,
+    relays_of,
     sources_for_relay,
 )
 from jackdawsail.wire.site_messages import MemberHost
@@ -128,7 +128,7 @@
         return any(relay.address == self._process.settings.address for relay in self._relays())
 
     def _relays(self) -> list[MemberHost]:
-        return rank_relays(self._view, self._process.settings.region, '')
+        return relays_of(self._view, self._process.settings.region)
 
     async def _fill(self, model: str, version: int) -> None:
         pieces = await self._get_list(model, version)
--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -21,7 +21,8 @@
 
 RELAY_PORT_OFFSET = 1  # from the first internal port
 AGENTS_PER_RELAY = 3  # their links together are narrower than a relay's
-RELAYS_PER_REGION = range(8, 25)  # all may fetch from an origin at once, which limits connections
+MIN_RELAYS = 8  # of a region; a lost one then holds up an eighth of the pieces
+MAX_RELAYS = 24  # all may fetch from an origin at once, which limits its connections
 RELAYS_TRIED = 2  # for a piece, before the next region or the origin
 
 
@@ -42,21 +43,30 @@
     is_origin: bool
 
 
-def rank_relays(view: SiteView, region: str, key: str) -> list[MemberHost]:
-    """Returns the relays of a region in the order in which they relay one item.
+def relays_of(view: SiteView, region: str) -> list[MemberHost]:
+    """Returns the entries of a region that relay weights, sorted by address.
 
-    ``key`` is the digest of a piece, or the model for its piece lists. Every process that
-    knows the same hosts computes the same order. Leaving entries are excluded, because
-    their pieces are lost when they stop.
+    Leaving entries are excluded, because their pieces are lost when they stop.
     """
-    entries = view.entries()
     by_address = {
-        entry.address: entry for entry in entries if entry.region == region and not entry.leaving
+        entry.address: entry
+        for entry in view.entries()
+        if entry.region == region and not entry.leaving
     }
     needed = math.ceil(view.count_agents(region) / AGENTS_PER_RELAY)
-    count = min(max(needed, RELAYS_PER_REGION.start), RELAYS_PER_REGION.stop - 1)
-    relays = rank_zones(region, sorted(by_address))[:count]
-    return [by_address[address] for address in rank_zones(key, relays)]
+    count = min(max(needed, MIN_RELAYS), MAX_RELAYS)
+    addresses = rank_zones(region, sorted(by_address))[:count]
+    return [by_address[address] for address in sorted(addresses)]
+
+
+def rank_relays(view: SiteView, region: str, key: str) -> list[MemberHost]:
+    """Returns the relays of a region in the order in which they relay one item.
+
+    ``key`` is the digest of a piece, or the model for its piece lists. Every process that
+    knows the same hosts computes the same order.
+    """
+    by_address = {relay.address: relay for relay in relays_of(view, region)}
+    return [by_address[address] for address in rank_zones(key, sorted(by_address))]
 
 
 def sources_for(settings: NodeSettings, view: SiteView, key: str) -> list[Source]:
--- a/test/staging/test_piece_order.py
+++ b/test/staging/test_piece_order.py
@@ -7,7 +7,7 @@
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.piece_order import PIECES_PER_RUN, agent_order, relayed_pieces
-from jackdawsail.staging.sources import rank_relays
+from jackdawsail.staging.sources import relays_of
 from jackdawsail.wire.site_messages import MemberHost, Members
 from test.site.documents import ENGINE, make_document
 
@@ -45,7 +45,7 @@
 
 def test_piece_stays_at_its_relay_when_another_one_is_lost():
     few = [entry for entry in ENTRIES if entry.region == 'r2' or entry in ENTRIES[:8]]
-    lost, *others = rank_relays(make_view(few), 'r1', '')
+    lost, *others = relays_of(make_view(few), 'r1')
     rest = make_view([entry for entry in few if entry != lost])
     for relay in others:
         settings = settings_of(relay.address, 'r1')
