Fan-out: agents no longer get the registrations of all upstreams

Cause (one part of it): each control host sent every heartbeat of every upstream to all linked processes, also to agents, which place no calls and never read them: about 42 messages a second to each of 46 agents (50 upstreams, a heartbeat each 1.2 s), and in an agent nothing removed old ones from the table. A message costs 25 to 135 us to decode (one to eight registrations) besides its frame; bytes between regions are priced.

Change: registrations and departures go to entries and control hosts only.

--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -1,4 +1,4 @@
-"""Sends the site's state and the upstream registrations to every linked process.
+"""Sends the site's state to all linked processes, registrations to those that place calls.
 
 Changes are sent immediately. A summary is also sent periodically, so that a
 process which missed a change receives it with the next summary. Registrations that
@@ -116,17 +116,23 @@
         last_registration = self.registrations.mark_gone(upstream, self.clock.seconds())
         if last_registration is not None:
             self._log_change(last_registration, 'goodbye')
-        for link in list(self.router.links):
+        for link in self._placing_links():
             link.send(UpstreamLeft(upstream))
 
     def _subscriber_links(self) -> list[Link]:
         links = list(self.router.links)
         return [link for link in links if link.peer and link.peer.role is not Role.control]
 
+    def _placing_links(self) -> list[Link]:
+        """Returns the links to all processes but agents, which place no calls."""
+        links = list(self.router.links)
+        return [link for link in links if link.peer and link.peer.role is not Role.agent]
+
     def _link_opened(self, link: Link) -> None:
         if link.peer is not None and link.peer.role is not Role.control:
             self._send_whole_summary([link])
-        link.send(self._with_ages(self.registrations.all()))
+        if link.peer is not None and link.peer.role is not Role.agent:
+            link.send(self._with_ages(self.registrations.all()))
 
     def _on_document_wanted(self, link: Link, wanted: DocumentWanted) -> None:
         state = self.machine.state
@@ -150,7 +156,7 @@
 
     def _send_registrations(self, received: list[ReceivedRegistration]) -> None:
         message = self._with_ages(received)
-        for link in list(self.router.links):
+        for link in self._placing_links():
             link.send(message)
 
     def _with_ages(self, received: Any) -> Registrations:
