Links: one function for the links to processes of given roles

MessageRouter.links_to(*roles) takes their place; who gets state and who gets registrations are two named tuples of roles in group/fanout.py. Docstrings there still spoke of parts where traits are meant. No change of what is sent.

--- a/jackdawsail/entry/tracker_runner.py
+++ b/jackdawsail/entry/tracker_runner.py
@@ -196,9 +196,8 @@
 
     def _send_to_control(self, message: object) -> None:
         """Sends to every control host, because the leader may be changing."""
-        for link in list(self._router.links):
-            if link.peer and link.peer.role is Role.control:
-                link.send(message)
+        for link in self._router.links_to(Role.control):
+            link.send(message)
 
     def _perform(self, effect: Effect) -> None:
         if isinstance(effect, SendToAgent):
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -28,6 +28,8 @@
     UpstreamLeft,
 )
 
+SUBSCRIBERS = (Role.entry, Role.agent)  # of the site's state; control hosts replicate it
+REGISTRATION_READERS = (Role.entry, Role.control)  # agents place no calls
 BATCH_SECONDS = 0.1  # a twelfth of the heartbeat interval
 WEIGHTS_KEPT_SECONDS = 60.0  # several times the longest changeover
 UPSTREAM_CHANGED = events.define(240, 'info', 'upstream registered, changed or left')
@@ -48,13 +50,13 @@
     _compressed: tuple[int, bytes] = (0, b'')
 
     def __post_init__(self) -> None:
-        """Creates the relay of the evidence against parts of prompts."""
+        """Creates the relay of the evidence against traits of calls."""
         self.traits = TraitEvidenceRelay(self.clock, self.router, self.machine)
 
     def start(self) -> None:
         """Subscribes to the events of the links and of the state machine.
 
-        A new link gets the blocked parts before the summary, without which an entry takes
+        A new link gets the blocked traits before the summary, without which an entry takes
         no calls.
         """
         self.traits.start()
@@ -82,17 +84,17 @@
         }
         self._announced_seconds = {**first_seen, **still_announced}
         self.traits.site_changed()
-        self._send_whole_summary(self._subscriber_links())
+        self._send_whole_summary(self.router.links_to(*SUBSCRIBERS))
 
     def send_summary(self) -> None:
         """Sends the summary to every linked entry and agent; also serves as a heartbeat."""
         summary = self._summary()
-        for link in self._subscriber_links():
+        for link in self.router.links_to(*SUBSCRIBERS):
             link.send(summary)
 
     def send_members(self, members: Members) -> None:
         """Sends the list of linked processes to every entry and agent."""
-        for link in self._subscriber_links():
+        for link in self.router.links_to(*SUBSCRIBERS):
             link.send(members)
 
     def register(self, registration: Registration, source: str) -> bool:
@@ -116,22 +118,14 @@
         last_registration = self.registrations.mark_gone(upstream, self.clock.seconds())
         if last_registration is not None:
             self._log_change(last_registration, 'goodbye')
-        for link in self._placing_links():
+        for link in self.router.links_to(*REGISTRATION_READERS):
             link.send(UpstreamLeft(upstream))
 
-    def _subscriber_links(self) -> list[Link]:
-        links = list(self.router.links)
-        return [link for link in links if link.peer and link.peer.role is not Role.control]
-
-    def _placing_links(self) -> list[Link]:
-        """Returns the links to all processes but agents, which place no calls."""
-        links = list(self.router.links)
-        return [link for link in links if link.peer and link.peer.role is not Role.agent]
-
     def _link_opened(self, link: Link) -> None:
-        if link.peer is not None and link.peer.role is not Role.control:
+        role = link.peer.role if link.peer else None
+        if role in SUBSCRIBERS:
             self._send_whole_summary([link])
-        if link.peer is not None and link.peer.role is not Role.agent:
+        if role in REGISTRATION_READERS:
             link.send(self._with_ages(self.registrations.all()))
 
     def _on_document_wanted(self, link: Link, wanted: DocumentWanted) -> None:
@@ -156,7 +150,7 @@
 
     def _send_registrations(self, received: list[ReceivedRegistration]) -> None:
         message = self._with_ages(received)
-        for link in self._placing_links():
+        for link in self.router.links_to(*REGISTRATION_READERS):
             link.send(message)
 
     def _with_ages(self, received: Any) -> Registrations:
--- a/jackdawsail/group/linked.py
+++ b/jackdawsail/group/linked.py
@@ -44,8 +44,9 @@
         )
 
     def _hosts(self, role: Role) -> list[MemberHost]:
-        links = [link for link in self.router.links if link.peer and link.peer.role is role]
-        by_address = {host.address: host for host in map(self._as_host, links)}
+        by_address = {
+            host.address: host for host in map(self._as_host, self.router.links_to(role))
+        }
         return [by_address[address] for address in sorted(by_address)]
 
     def _as_host(self, link: Link) -> MemberHost:
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -94,8 +94,8 @@
             self._add_control(host)
 
     def _live_controls(self) -> list[str]:
-        links = self.fanout.router.links
-        return [link.peer.name for link in links if link.peer and link.peer.role is Role.control]
+        links = self.fanout.router.links_to(Role.control)
+        return [link.peer.name for link in links if link.peer]
 
     def _link_opened(self, link: Link) -> None:
         if link.peer is None:
--- a/jackdawsail/group/trait_evidence.py
+++ b/jackdawsail/group/trait_evidence.py
@@ -43,7 +43,7 @@
             return
         self._sent_traits = state.blocked_traits
         self.blame.apply_stored(state.revision, state.blocked_traits)
-        for link in _links_of(self.router, Role.entry):
+        for link in self.router.links_to(Role.entry):
             link.send(self._stored_list())
 
     def _link_opened(self, link: Link) -> None:
@@ -77,7 +77,7 @@
             [answer for evidence in batch for answer in evidence.sound],
             [trait for evidence in batch for trait in evidence.blocked],
         )
-        for link in _links_of(self.router, Role.entry, Role.control):
+        for link in self.router.links_to(Role.entry, Role.control):
             link.send(relayed)
 
     def _stored_list(self) -> BlockedTraits:
@@ -85,10 +85,6 @@
         return BlockedTraits(state.revision, list(state.blocked_traits))
 
 
-def _links_of(router: MessageRouter, *roles: Role) -> list[Link]:
-    return [link for link in list(router.links) if link.peer and link.peer.role in roles]
-
-
 def _older(evidence: TraitEvidence, seconds: float) -> TraitEvidence:
     """Returns evidence as it is to be sent some time after it was received."""
     return replace(
--- a/jackdawsail/message_router.py
+++ b/jackdawsail/message_router.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from jackdawsail import events
+from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 
 MessageHandler = Callable[[Link, Any], None]
@@ -35,6 +36,10 @@
         self._opened_watchers.append(opened)
         self._closed_watchers.append(closed)
 
+    def links_to(self, *roles: Role) -> list[Link]:
+        """Returns the open links to processes of these roles, in the order in which they opened."""
+        return [link for link in self.links if link.peer and link.peer.role in roles]
+
     def link_opened(self, link: Link) -> None:
         """Records and logs a new link, and calls the watchers."""
         self.links[link] = None
--- a/jackdawsail/relay/region_links.py
+++ b/jackdawsail/relay/region_links.py
@@ -123,7 +123,7 @@
             link.send(self._leader_notice())
 
     def _entries(self) -> list[Link]:
-        return [link for link in self.router.links if _role(link) is Role.entry]
+        return self.router.links_to(Role.entry)
 
     def _leader_notice(self) -> LeaderNotice:
         return LeaderNotice(self.own_name, max(self.term, 0), is_self=True)
--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -74,8 +74,7 @@
 
     def links(self) -> list[Link]:
         """Returns the open links to control hosts."""
-        links = list(self.router.links)
-        return [link for link in links if link.peer and link.peer.role is Role.control]
+        return self.router.links_to(Role.control)
 
     def dial_known(self) -> None:
         """Connects to every control host that is a seed or that another control host reports."""
