--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -74,7 +74,7 @@
 
     ``key`` is the same as for ``rank_relays``.
     """
-    return _list_sources(settings, view, key, lambda ranked: ranked)
+    return _list_sources(settings, view, key, rank_relays(view, settings.region, key))
 
 
 def sources_for_relay(settings: NodeSettings, view: SiteView, key: str) -> list[Source]:
@@ -84,23 +84,16 @@
     while processes know different entries.
     """
 
-    def keep_earlier(ranked: list[MemberHost]) -> list[MemberHost]:
-        addresses = [relay.address for relay in ranked]
-        order = rank_zones(key, sorted({*addresses, settings.address}))
-        return ranked[: order.index(settings.address)]
-
-    return _list_sources(settings, view, key, keep_earlier)
+    ranked = rank_relays(view, settings.region, key)
+    addresses = {settings.address, *(relay.address for relay in ranked)}
+    rank = rank_zones(key, sorted(addresses)).index(settings.address)
+    return _list_sources(settings, view, key, ranked[:rank])
 
 
 def _list_sources(
-    settings: NodeSettings,
-    view: SiteView,
-    key: str,
-    select: Callable[[list[MemberHost]], list[MemberHost]],
+    settings: NodeSettings, view: SiteView, key: str, own_relays: list[MemberHost]
 ) -> list[Source]:
-    sources: list[Source] = []
-    own_relays = select(rank_relays(view, settings.region, key))
-    sources.extend(_relay_source(settings, relay) for relay in own_relays[:RELAYS_TRIED])
+    sources = [_relay_source(settings, relay) for relay in own_relays[:RELAYS_TRIED]]
     origin_home = origin_region(settings, view)
     if origin_home != settings.region:
         home_relays = rank_relays(view, origin_home, key)
