Site view: hosts that control hosts see are merged when they change, not at each use

entries() merged and sorted the lists of all control hosts at each call: for every report that an agent sends, and since the pieces of weights are divided, several times for each piece. It changes with the links of a control host only. What callers get is the same.

--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -37,6 +37,8 @@
     on_change: list[Callable[[], None]] = field(default_factory=list)
     on_registrations: list[Callable[[], None]] = field(default_factory=list)
     _members_by_control: dict[str, Members] = field(default_factory=dict)
+    _entries: list[MemberHost] = field(default_factory=list)
+    _agent_regions: dict[str, str] = field(default_factory=dict)
     _sharing_revision: int = 0
 
     @property
@@ -86,11 +88,13 @@
     def apply_members(self, control: str, members: Members) -> None:
         """Records which processes a control host sees."""
         self._members_by_control[control] = members
+        self._merge_members()
         self._notify_change()
 
     def forget_control(self, control: str) -> None:
         """Removes the processes that a control host reported, after its link has closed."""
         self._members_by_control.pop(control, None)
+        self._merge_members()
 
     def registrations_changed(self) -> None:
         """Calls the listeners after a change of the registrations."""
@@ -106,11 +110,7 @@
 
         An entry that any of them reports as leaving counts as leaving.
         """
-        hosts = [
-            entry for members in self._members_by_control.values() for entry in members.entries
-        ]
-        by_address = {host.address: host for host in sorted(hosts, key=lambda host: host.leaving)}
-        return [by_address[address] for address in sorted(by_address)]
+        return list(self._entries)
 
     def newest_weights(self, model: str) -> WeightTarget | None:
         """Returns the highest announced version of a model; None if there is none."""
@@ -124,21 +124,22 @@
         return sorted({model for engine in engines for model in engine.models})
 
     def agents(self) -> list[str]:
-        """Returns the addresses of the agents that any control host sees."""
-        all_members = self._members_by_control.values()
-        return sorted({agent.address for members in all_members for agent in members.agents})
+        """Returns the addresses of the agents that any control host sees, sorted."""
+        return sorted(self._agent_regions)
 
     def count_agents(self, region: str) -> int:
         """Returns the number of agents of a region that any control host sees."""
-        all_members = self._members_by_control.values()
-        return len(
-            {
-                agent.address
-                for members in all_members
-                for agent in members.agents
-                if agent.region == region
-            }
-        )
+        return sum(each == region for each in self._agent_regions.values())
+
+    def _merge_members(self) -> None:
+        """Merges what the control hosts see, as it changes far less often than it is read."""
+        all_members = list(self._members_by_control.values())
+        hosts = [entry for members in all_members for entry in members.entries]
+        by_address = {host.address: host for host in sorted(hosts, key=lambda host: host.leaving)}
+        self._entries = [by_address[address] for address in sorted(by_address)]
+        self._agent_regions = {
+            agent.address: agent.region for members in all_members for agent in members.agents
+        }
 
     def _add_weight_version(self, model: str, version: int, announced_seconds: float) -> None:
         held = self.weights.get(model, ())
