--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -158,7 +158,7 @@
         lacks_attempt_id = not decoded.attempt and head.status in SUCCESS
         if is_other_call or lacks_attempt_id:
             return False
-        self.last_progress_seconds = self._context.clock.seconds()
+        self.record_progress()
         self.head = ReceivedHead(head, decoded)
         if not decoded.not_run:
             self.head_seconds = self.last_progress_seconds
