--- a/jackdawsail/proxy/trait_reports.py
+++ b/jackdawsail/proxy/trait_reports.py
@@ -64,7 +64,7 @@
     def is_blocked(self, identity: CallIdentity) -> bool:
         """Returns whether a trait of a call is blocked, so that no engine may get it."""
         # Without a blocked trait the call's digest need not be computed.
-        return self.blame.has_blocked and bool(self.blame.blocked_among(identity.traits))
+        return bool(self.blame.blocked) and bool(self.blame.blocked_among(identity.traits))
 
     def events_received(self, identity: CallIdentity, attempt: AnswerProgress, count: int) -> None:
         """Counts events of an answer, which clears its traits once it is past its begin."""
--- a/jackdawsail/routing/trait_blame.py
+++ b/jackdawsail/routing/trait_blame.py
@@ -64,11 +64,6 @@
         """Returns the blocked traits, the earliest first."""
         return tuple(self._blocked)
 
-    @property
-    def has_blocked(self) -> bool:
-        """Returns whether any trait is blocked."""
-        return bool(self._blocked)
-
     @property
     def unstored(self) -> tuple[str, ...]:
         """Returns the blocked traits that the stored block list does not have yet."""
@@ -76,6 +71,8 @@
 
     def blocked_among(self, traits: Iterable[str]) -> str:
         """Returns the first blocked trait among those of a call; empty if there is none."""
+        if not self._blocked:
+            return ''
         return next((trait for trait in traits if trait in self._blocked), '')
 
     @property
