Loops: all programs repeat their actions through one function

Programs of the platform had start_loop(), which outlives an error since; those of the own interface (agent, entry, relay, control, consensus, links) made a LoopingCall each, with its clock, and ended for good with the first error of an action, unseen until the Deferred was collected. jackdawsail/loops.py takes both: make_loop() returns a loop that is started later, start_loop() starts it.

Test: test/test_loops.py, moved, with the same assertions.

--- a/bench/emulator/staging_play.py
+++ b/bench/emulator/staging_play.py
@@ -31,8 +31,8 @@
     piece_target,
 )
 from jackdawsail.http1.messages import HttpAnswer
+from jackdawsail.loops import start_loop
 from jackdawsail.site.document import EngineClass, Service, SiteDocument
-from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView, WeightTarget
 from jackdawsail.staging.changeover import Changeover
--- a/jackdawsail/agent/entry_links.py
+++ b/jackdawsail/agent/entry_links.py
@@ -3,9 +3,8 @@
 import random
 from collections.abc import Callable
 
-from twisted.internet.task import LoopingCall
-
 from jackdawsail.agent.status import AgentStatus
+from jackdawsail.loops import make_loop
 from jackdawsail.membership.leases import Lease
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.process import ProcessContext
@@ -51,8 +50,7 @@
         self._tracker_watcher: Callable[[Link | None], None] = _ignore_tracker
         self._links: dict[str, Link] = {}
         self._dialers = _make_dialers(context, router)
-        self._loop = LoopingCall(self.send_heartbeats)
-        self._loop.clock = context.reactor
+        self._loop = make_loop(context.reactor, self.send_heartbeats)
         router.watch_links(self._on_link_opened, self._on_link_closed)
         router.register_handler(HeartbeatAck, self._on_heartbeat_ack)
         router.register_handler(StateSnapshot, self._apply_state)
--- a/jackdawsail/agent/weights_manager.py
+++ b/jackdawsail/agent/weights_manager.py
@@ -17,6 +17,7 @@
 from jackdawsail.agent.release_task import ReleaseTask
 from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.switcher import Authority, Phase, ReadyRelease, RequestPermit, Switcher
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.process import ProcessContext
 from jackdawsail.program import require_section
@@ -115,8 +116,7 @@
             self._step()
 
     def _repeat(self, action: Any, seconds: float) -> None:
-        loop = LoopingCall(action)
-        loop.clock = self._context.reactor
+        loop = make_loop(self._context.reactor, action)
         loop.start(seconds)
         self._loops.append(loop)
 
--- a/jackdawsail/agent/work_runner.py
+++ b/jackdawsail/agent/work_runner.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
 from jackdawsail.agent.answer_batcher import AnswerBatcher
 from jackdawsail.agent.service_permit import ServicePermit
 from jackdawsail.agent.status import AgentStatus
 from jackdawsail.agent.upstream import Job, UpstreamClient, UpstreamRun
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.routing.agent_scheduler import AgentScheduler, Effects, Reply, StartWork, StopWork
 from jackdawsail.routing.answers import AnswerBuilder
@@ -61,8 +61,7 @@
         self._runs: dict[str, _RunningJob] = {}
         self._drain_waiters: list[Deferred[None]] = []
         self.batcher = AnswerBatcher(deps.reactor)
-        self._loop = LoopingCall(self.tick)
-        self._loop.clock = deps.reactor
+        self._loop = make_loop(deps.reactor, self.tick)
         deps.router.register_handler(Reserve, self._on_reserve)
         deps.router.register_handler(CancelReserve, self._on_cancel_reserve)
         deps.router.register_handler(Work, self._on_work)
--- a/jackdawsail/control/leader_tasks.py
+++ b/jackdawsail/control/leader_tasks.py
@@ -11,6 +11,7 @@
 from jackdawsail.control.proposer import Proposer
 from jackdawsail.control.rollout import RolloutEvaluator
 from jackdawsail.control.zone_leases import ZoneView
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.state.commands import Apply, LedgerEntryLost, ReleaseFinish, ReleaseManifest
 from jackdawsail.state.replica import Record
@@ -132,7 +133,6 @@
     """Registers the handlers of tracker reports and starts the periodic tasks."""
     router.register_handler(ManifestReport, leader_tasks.report_manifest)
     router.register_handler(ReleaseProblem, leader_tasks.report_problem)
-    loop = LoopingCall(leader_tasks.run)
-    loop.clock = leader_tasks.lease_handler.reactor
+    loop = make_loop(leader_tasks.lease_handler.reactor, leader_tasks.run)
     loop.start(LEADER_TASK_INTERVAL_SECONDS, now=False)
     return loop
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -5,7 +5,6 @@
 
 from returns.result import Result
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
 from jackdawsail.consensus.configuration import host_of
@@ -26,6 +25,7 @@
 from jackdawsail.control.forwarding import Forwarding, refused_answer
 from jackdawsail.control.raft_links import LinkHandlers, RaftLinks
 from jackdawsail.control.raft_messages import RaftHello
+from jackdawsail.loops import make_loop
 
 LEADERSHIP_CHANGED = events.define(201, 'info', 'leader, term or leader lease changed')
 GROUP_BOOTSTRAPPED = events.define(222, 'info', 'new consensus group bootstrapped')
@@ -70,11 +70,8 @@
         self._forwarding = Forwarding(host, links)
         self._watchers: list[Callback] = []
         self._last_leadership: tuple[str, int, bool] = ('', 0, False)
-        self._loops: list[Any] = [
-            LoopingCall(self._tick),
-            LoopingCall(self._send_hellos),
-            LoopingCall(self.host.save_commit_index),
-        ]
+        actions = (self._tick, self._send_hellos, host.save_commit_index)
+        self._loops = [make_loop(host.clock, action) for action in actions]
 
     def start(self) -> None:
         """Connects to the other control hosts and takes part in the group."""
@@ -97,7 +94,6 @@
             SAVE_COMMIT_INTERVAL_SECONDS,
         )
         for loop, interval_seconds in zip(self._loops, intervals_seconds, strict=True):
-            loop.clock = self.host.clock
             loop.start(interval_seconds)
 
     def stop(self) -> Deferred[None]:
--- a/jackdawsail/entry/control_links.py
+++ b/jackdawsail/entry/control_links.py
@@ -3,10 +3,9 @@
 import random
 from typing import Any
 
-from twisted.internet.task import LoopingCall
-
 from jackdawsail import events
 from jackdawsail.entry.state_fanout import StateFanout
+from jackdawsail.loops import make_loop
 from jackdawsail.membership.leases import Lease
 from jackdawsail.membership.zone_table import ZoneTable
 from jackdawsail.message_router import MessageRouter
@@ -52,8 +51,7 @@
         self._links = _LeaderTable()
         self._directory_requested_seconds: float = 0
         self._directory_revision = -1
-        self._loop = LoopingCall(self.renew)
-        self._loop.clock = context.reactor
+        self._loop = make_loop(context.reactor, self.renew)
         self._dialers = _make_dialers(context, router)
         router.watch_links(self._on_link_opened, self._on_link_closed)
         router.register_handler(LeaderNotice, self._on_leader_notice)
--- a/jackdawsail/entry/ledger_client.py
+++ b/jackdawsail/entry/ledger_client.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.wire.claim_messages import (
     CallQuery,
@@ -65,8 +65,7 @@
         self._claims: dict[str, _Claim] = {}
         self._settlements: dict[str, _Settlement] = {}
         self._queries: dict[str, Deferred[CallState]] = {}
-        self._loop = LoopingCall(self.tick)
-        self._loop.clock = reactor
+        self._loop = make_loop(reactor, self.tick)
         router.register_handler(ClaimReply, self._on_claim_reply)
         router.register_handler(SettleReply, self._on_settle_reply)
         router.register_handler(CallState, self._on_call_state)
--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
 from jackdawsail.bounded_http import BoundedSite
@@ -12,6 +11,7 @@
 from jackdawsail.entry.request_components import make_request_components
 from jackdawsail.entry.tracker_runner import make_tracker_runner
 from jackdawsail.entry.web import CallersResource, RouteHandlers
+from jackdawsail.loops import make_loop
 from jackdawsail.process import ProcessContext
 from jackdawsail.settings.models import EntrySettings
 from jackdawsail.wire.link import LinkServerFactory
@@ -39,8 +39,7 @@
             self.links.peers,
         )
         self._ports: list[Any] = []
-        self._sync_loop = LoopingCall(self._sync_with_control)
-        self._sync_loop.clock = context.reactor
+        self._sync_loop = make_loop(context.reactor, self._sync_with_control)
 
     def start(self) -> None:
         """Listens for links and callers, dials the control hosts and logs the ready event."""
--- a/jackdawsail/entry/stages/dispatch.py
+++ b/jackdawsail/entry/stages/dispatch.py
@@ -7,10 +7,9 @@
 from functools import singledispatchmethod
 from typing import Any, Protocol
 
-from twisted.internet.task import LoopingCall
-
 from jackdawsail.entry.metrics import LATENCY
 from jackdawsail.entry.stages.choose import Chooser
+from jackdawsail.loops import make_loop
 from jackdawsail.routing.dispatch_effects import (
     BeginAnswer,
     Effects,
@@ -73,8 +72,7 @@
         self._link_of = link_of
         self._budget = budget
         self._requests: dict[str, tuple[RequestDispatch, AnswerSink]] = {}
-        self._loop = LoopingCall(self.tick)
-        self._loop.clock = reactor
+        self._loop = make_loop(reactor, self.tick)
 
     @property
     def running(self) -> int:
--- a/jackdawsail/entry/tracker_runner.py
+++ b/jackdawsail/entry/tracker_runner.py
@@ -14,6 +14,7 @@
 from jackdawsail.entry.manifest_builder import ManifestBuilder
 from jackdawsail.entry.remote_entries import RemoteEntries
 from jackdawsail.entry.tracker_plans import InterRegionRate, Planner
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.process import ProcessContext
 from jackdawsail.weights.target import Records
@@ -146,8 +147,7 @@
         return self._context.reactor.seconds()
 
     def _repeat(self, action: Any, seconds: float) -> None:
-        loop = LoopingCall(action)
-        loop.clock = self._context.reactor
+        loop = make_loop(self._context.reactor, action)
         loop.start(seconds, now=False)
         self._loops.append(loop)
 
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -15,8 +15,8 @@
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.group.replicated_lists import ReplicatedLists, make_replicated_lists
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.loops import start_loop
 from jackdawsail.message_router import MessageRouter
-from jackdawsail.site.loops import start_loop
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http, listen_links
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -13,8 +13,8 @@
 
 from jackdawsail import events
 from jackdawsail.http1.server import ServerConnection, ServerFactory
+from jackdawsail.loops import start_loop
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.site.loops import start_loop
 
 CHECK_INTERVAL_SECONDS = 0.1
 # Callers keep a resolved address for two seconds; a long stream takes four more.
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -7,6 +7,7 @@
 
 from jackdawsail.group import calls
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.loops import start_loop
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import EntryCodecs
 from jackdawsail.proxy.context import ProxyContext, make_proxy_context
@@ -14,7 +15,6 @@
 from jackdawsail.proxy.draining import CallerDrain
 from jackdawsail.proxy.trait_exchange import TraitExchange
 from jackdawsail.site.client import SiteClient
-from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.staging.relay import PieceRelay, make_piece_relay
--- a/jackdawsail/proxy/trait_exchange.py
+++ b/jackdawsail/proxy/trait_exchange.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from jackdawsail.loops import start_loop
 from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.site.client import SiteClient
-from jackdawsail.site.loops import start_loop
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.trait_messages import BlockedTraits, TraitEvidence
 
--- a/jackdawsail/relay/main.py
+++ b/jackdawsail/relay/main.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 
 from jackdawsail import events
 from jackdawsail.control.fanout import RevisionFanout, connect_fan_out
+from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.process import ProcessContext
 from jackdawsail.program import require_section, run_program
@@ -37,8 +37,7 @@
         self._router = MessageRouter()
         self._links = _make_links(context, settings, self._router)
         connect_forwarder(self._router, lambda: self._links.leader)
-        self._loop = LoopingCall(self._links.renew)
-        self._loop.clock = context.reactor
+        self._loop = make_loop(context.reactor, self._links.renew)
         rng = random.Random(context.identity.incarnation)
         self._dialers = [
             Dialer(context.reactor, address, context.link_settings, self._router, rng)
--- a/jackdawsail/site/running.py
+++ b/jackdawsail/site/running.py
@@ -19,8 +19,8 @@
 from jackdawsail import events
 from jackdawsail.errors import UserError
 from jackdawsail.log_output import LogOutput
+from jackdawsail.loops import start_loop
 from jackdawsail.site.clock import use_boot_clock
-from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_metrics
 from jackdawsail.wire.identity import Role
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -9,9 +9,9 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.loops import start_loop
 from jackdawsail.site.client import DecodeDocument, SiteClient
 from jackdawsail.site.document import EngineClass
-from jackdawsail.site.loops import start_loop
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -19,7 +19,7 @@
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
-from jackdawsail.site.loops import start_loop
+from jackdawsail.loops import start_loop
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
--- a/jackdawsail/wire/link.py
+++ b/jackdawsail/wire/link.py
@@ -11,7 +11,6 @@
 
 from returns.result import Success
 from twisted.internet import protocol
-from twisted.internet.task import LoopingCall
 from websockets.client import ClientProtocol
 from websockets.frames import Frame, Opcode
 from websockets.http11 import Request, Response
@@ -20,6 +19,7 @@
 from websockets.uri import parse_uri
 
 from jackdawsail.clocks import Clock
+from jackdawsail.loops import make_loop
 from jackdawsail.wire.backlog import Backlog
 from jackdawsail.wire.codec import decode, encode
 from jackdawsail.wire.handshake import Handshake
@@ -215,8 +215,7 @@
     def _finish_handshake(self, peer: Identity) -> None:
         self.peer = peer
         self._handshake_timer.cancel()
-        self._keepalive_loop = LoopingCall(self._check_silence)
-        self._keepalive_loop.clock = self._clock
+        self._keepalive_loop = make_loop(self._clock, self._check_silence)
         self._keepalive_loop.start(self._settings.keepalive_seconds, now=False)
         self._owner.link_opened(self)
 
--- a/test/site/test_loops.py
+++ b/test/test_loops.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.task import Clock
 
-from jackdawsail.site import loops
+from jackdawsail import loops
 
 
 def test_unexpected_error_in_a_periodic_action_does_not_end_it(monkeypatch):
