--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -26,6 +26,13 @@
         caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
         return world, caller
 
+    def begun(self):
+        world, caller = self.begin()
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        return world, caller, first
+
     def test_events_are_forwarded_at_once_and_complete(self):
         world, caller = self.begin()
         channel = world.accept()
@@ -56,10 +63,7 @@
         assert text.endswith(b'0\r\n\r\n')
 
     def test_is_not_mixed_from_two_weight_versions(self):
-        world, caller = self.begin()
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
+        world, caller, first = self.begun()
         other = 2 if b'i-1' in sent_on(first) else 1
         world.register(other, version=2, sequence=2)
         reset(first)
@@ -68,10 +72,7 @@
 
     @pytest.mark.parametrize('status', [500, 400, 504])
     def test_is_not_ended_as_complete_by_a_failure_of_the_engine_that_continues_it(self, status):
-        world, caller = self.begin()
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
+        world, caller, first = self.begun()
         reset(first)
         answer(world.accept(), status, body=b'id: 2\ndata: failed\n\nrest')
         assert caller.aborted
@@ -107,10 +108,7 @@
         assert not caller.value().endswith(b'0\r\n\r\n')
 
     def test_leaves_a_silent_engine(self):
-        world, caller = self.begin()
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
+        world, caller, first = self.begun()
         for _ in range(6):
             world.reactor.advance(0.2)
         assert first.transport.aborted
@@ -121,10 +119,7 @@
 
     @pytest.mark.parametrize('trickle', [b'1\r\nx\r\n', b'3\r\n:\n\n\r\n'])
     def test_leaves_a_stalled_engine_that_sends_a_byte_now_and_then(self, trickle):
-        world, caller = self.begin()
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
+        world, caller, first = self.begun()
         for _ in range(6):
             world.reactor.advance(0.2)
             if not first.transport.aborted:
@@ -136,10 +131,7 @@
         assert caller.value().endswith(b'0\r\n\r\n')
 
     def test_stays_at_an_engine_whose_long_event_arrives_slowly(self):
-        world, caller = self.begin()
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
+        world, caller, first = self.begun()
         for _ in range(10):
             world.reactor.advance(0.2)
             first.dataReceived(b'c8\r\n' + b'x' * 200 + b'\r\n')
