--- a/jackdawsail/group/replicated_lists.py
+++ b/jackdawsail/group/replicated_lists.py
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True)
 class ReplicatedLists:
-    """The entries that share the limits, and the blocked parts of prompts."""
+    """The entries that share the limits, and the blocked traits of calls."""
 
     entries: EntryList
     blocked_traits: BlockList
--- a/jackdawsail/proxy/trait_exchange.py
+++ b/jackdawsail/proxy/trait_exchange.py
@@ -23,7 +23,7 @@
     def start(self, reactor: Any) -> None:
         """Registers the message handlers and starts to check the evidence."""
         self.client.router.register_handler(TraitEvidence, self._on_evidence)
-        self.client.router.register_handler(BlockedTraits, self._on_blocked_parts)
+        self.client.router.register_handler(BlockedTraits, self._on_blocked_traits)
         self.reports.on_evidence = self._send
         self._loop = start_loop(reactor, self.reports.check, CHECK_SECONDS)
 
@@ -48,7 +48,7 @@
         if added.ends:
             self.reports.check()
 
-    def _on_blocked_parts(self, _link: Link, message: BlockedTraits) -> None:
+    def _on_blocked_traits(self, _link: Link, message: BlockedTraits) -> None:
         blame = self.reports.blame
         before = set(blame.blocked)
         if not blame.apply_stored(message.revision, message.traits):
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -1,4 +1,4 @@
-"""The replicated state of a site: document, emptied zones, weights, entries, blocked parts.
+"""The replicated state of a site: document, emptied zones, weights, entries, blocked traits.
 
 Commands and snapshots are encoded as CBOR. The document is stored as the operator
 sent it, so that it can be read back unchanged. Documents are compared by the digest
@@ -14,7 +14,7 @@
 
 from jackdawsail.wire.site_messages import MemberHost
 
-SNAPSHOT_FORMAT = 3  # format 1 has no entries, 2 no blocked parts
+SNAPSHOT_FORMAT = 3  # format 1 has no entries, 2 no blocked traits
 MAX_BLOCKED_TRAITS = 256
 
 
@@ -43,7 +43,7 @@
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
     ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address,
-    ``blocked_traits`` are the parts of prompts that crash engines, the earliest blocked first.
+    ``blocked_traits`` are the traits of calls that crash engines, the earliest blocked first.
     """
 
     revision: int = 0
@@ -78,12 +78,12 @@
 
 
 def block_trait(trait: str) -> bytes:
-    """Encodes the command that blocks a trait of prompts."""
+    """Encodes the command that blocks a trait of calls."""
     return cbor2.dumps(['part', trait, True])
 
 
 def lift_trait(trait: str) -> bytes:
-    """Encodes the command that lifts the block of a trait of prompts."""
+    """Encodes the command that lifts the block of a trait of calls."""
     return cbor2.dumps(['part', trait, False])
 
 
--- a/jackdawsail/staging/sources.py
+++ b/jackdawsail/staging/sources.py
@@ -83,7 +83,6 @@
     A relay fetches only from relays that rank before it, so that there are no cycles, also
     while processes know different entries.
     """
-
     ranked = rank_relays(view, settings.region, key)
     addresses = {settings.address, *(relay.address for relay in ranked)}
     rank = rank_zones(key, sorted(addresses)).index(settings.address)
