--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -27,7 +27,7 @@
 
     ``running`` is the number of calls being served. ``refusing`` is true once the entry
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
-    ``shares`` are its parts of the limits on sums over all entries. ``parts`` holds what is
+    ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
     upstreams name.
     """
