Staging: the order of pieces is not computed while none is missing

An agent of the second wave with all pieces staged goes through its changeover at each poll of its engine, 33 times a second for some three seconds, and since the division of the pieces computed their order each time: 0.8 ms without a known origin, twice that with one (97 entries, 54 agents). It returns before that now. The event of completed staging is logged as before, once.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -170,6 +170,9 @@
 
     async def _stage_missing(self, staged: StagedPieces) -> bool:
         missing = staged.missing()
+        if not missing:
+            self._failing = False
+            return True
         digests = staged.pieces.digests
         pending = deque(agent_order(self.settings, self.view, digests, missing))
         workers = [
@@ -179,7 +182,7 @@
         await gatherResults(workers)
         complete = not staged.missing()
         self._failing = self._failing and not complete
-        if complete and missing:
+        if complete:
             events.log(STAGING_COMPLETE, model=self.model, version=staged.pieces.version)
         return complete
 
