--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -1,5 +1,6 @@
 """Log lines of a call: each decision with its inputs and their age or version."""
 
+import math
 from typing import Any
 
 from jackdawsail import events
@@ -8,6 +9,7 @@
 from jackdawsail.proxy.calls import CallIdentity, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.relaying import AnswerRelay, unfinished_bytes
+from jackdawsail.proxy.selection import weights_left_seconds
 from jackdawsail.routing.placement import Choice
 from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.site.document import Route
@@ -64,6 +66,7 @@
             written_seconds=_age_seconds(attempt.begun_seconds, now_seconds),
             framing=attempt.framing,
             unfinished_bytes=unfinished_bytes(relay, attempt.head),
+            **self._weights_of(attempt.weight_version),
         )
 
     def dispatched(
@@ -96,8 +99,21 @@
             prompt=self._call.prompt,
             last_event=dispatch_details.last_event,
             weight_version=dispatch_details.weight_version,
+            **self._weights_of(upstream.version_of(self._call.model, now_seconds)),
         )
 
+    def _weights_of(self, version: int) -> dict[str, Any]:
+        """Returns the fields for the weights of an upstream: their version and time left.
+
+        A call may begin there for ``weights_left_seconds``, None if no newer ones are announced.
+        """
+        left_seconds = weights_left_seconds(self._context, self._call.model, version)
+        is_limited = version and math.isfinite(left_seconds)
+        return {
+            'held_version': version,
+            'weights_left_seconds': round(left_seconds, 3) if is_limited else None,
+        }
+
 
 def _age_seconds(since_seconds: float | None, now_seconds: float) -> float | None:
     """Returns the time since an event; None if it has not occurred."""
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -55,3 +55,8 @@
     'Entries among which this entry divides the limits on sums over all entries.',
     registry=REGISTRY,
 )
+OVERDUE_ANSWERS = Counter(
+    'jackdawsail_proxy_overdue_answers',
+    'Answers that began on weights whose time limit had passed.',
+    registry=REGISTRY,
+)
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -17,7 +17,7 @@
 )
 from jackdawsail.routing.shared_limits import keeps_named_limit
 from jackdawsail.routing.upstreams import Upstream
-from jackdawsail.routing.weight_rules import WeightRule, must_recall, weight_rule
+from jackdawsail.routing.weight_rules import WeightRule, expiry_seconds, must_recall, weight_rule
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
 
 IN_TIME_RANK = 3  # before the engines' default of 5, so that other calls do not delay ours
@@ -84,6 +84,13 @@
     regions: set[str] | None
 
 
+def weights_left_seconds(context: ProxyContext, model: str, version: int) -> float:
+    """Returns the time until the limit of a model's weight version; infinite for the newest one."""
+    targets = context.view.weights.get(model, ())
+    limit_seconds = expiry_seconds(version, targets, context.settings.bounds.weights_seconds)
+    return limit_seconds - context.clock.seconds()
+
+
 def place_call(context: ProxyContext, selection: Selection) -> Choice | Refusal:
     """Chooses the upstream of a waiting call, or refuses the call.
 
--- a/jackdawsail/routing/weight_rules.py
+++ b/jackdawsail/routing/weight_rules.py
@@ -5,6 +5,7 @@
 version must be in use everywhere. After that only the new version serves.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -67,6 +68,15 @@
     return 0 < version < _highest_due(targets, due_seconds)
 
 
+def expiry_seconds(version: int, targets: Sequence[WeightTarget], within_seconds: float) -> float:
+    """Returns the time by which no call may begin on a version any more.
+
+    It is infinite while no newer version is announced.
+    """
+    newer = (target.announced_seconds for target in targets if target.version > version)
+    return min(newer, default=math.inf) + within_seconds
+
+
 def _highest_due(targets: Sequence[WeightTarget], due_seconds: float) -> int:
     due_versions = [
         target.version for target in targets if target.announced_seconds <= due_seconds
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -1,8 +1,5 @@
 """The log lines of a call state how its answer was framed and how it ended."""
 
-import pytest
-
-from jackdawsail import events
 from jackdawsail.proxy import call_log
 from test.http1.ends import close, reset
 from test.proxy.world import (
@@ -16,17 +13,6 @@
 )
 
 
-@pytest.fixture
-def logged(monkeypatch):
-    lines = []
-    monkeypatch.setattr(events, 'log', lambda kind, **fields: lines.append((kind, fields)))
-    return lines
-
-
-def lines_of(logged, kind):
-    return [fields for logged_kind, fields in logged if logged_kind is kind]
-
-
 def call_stream():
     world = World(1, MODEL_SERVICE)
     world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
@@ -37,7 +23,7 @@
     channel = call_stream()
     begin_stream(channel)
     channel.dataReceived(event(1) + b'0\r\n\r\n')
-    (line,) = lines_of(logged, call_log.CALL_ENDED)
+    (line,) = logged.of(call_log.CALL_ENDED)
     assert (line['framing'], line['unfinished_bytes']) == ('chunks', 0)
 
 
@@ -46,7 +32,7 @@
     begin_unframed_stream(channel)
     channel.dataReceived(plain_event(1) + plain_event(2)[:5])
     reset(channel)
-    (line,) = lines_of(logged, call_log.ATTEMPT_ENDED)
+    (line,) = logged.of(call_log.ATTEMPT_ENDED)
     assert (line['framing'], line['end']) == ('connection', 'broken reset')
     assert line['unfinished_bytes'] == 5
 
@@ -56,9 +42,9 @@
     begin_unframed_stream(channel)
     channel.dataReceived(plain_event(1))
     close(channel)
-    (line,) = lines_of(logged, call_log.CALL_ENDED)
+    (line,) = logged.of(call_log.CALL_ENDED)
     assert (line['framing'], line['unfinished_bytes']) == ('connection', 0)
-    assert lines_of(logged, call_log.ATTEMPT_ENDED) == []
+    assert logged.of(call_log.ATTEMPT_ENDED) == []
 
 
 def test_attempt_without_an_answer_has_no_unfinished_bytes_of_the_one_before(logged):
@@ -69,5 +55,5 @@
     first.dataReceived(plain_event(1) + plain_event(2)[:5])
     reset(first)
     reset(world.accept())
-    lines = lines_of(logged, call_log.ATTEMPT_ENDED)
+    lines = logged.of(call_log.ATTEMPT_ENDED)
     assert [line['unfinished_bytes'] for line in lines] == [5, 0]
