Log: the age of announced weights as each process counts it

The log could not tell whether a process counted the time limit of a weight version from too late a time: 322 named versions only, and a version that arrived in another way was not logged.

322 now has the age of each announced version by this process's own count. 325 is logged when an entry, agent or control host learns of a version, with the age that it starts from and its source. A call that began late (420, 426) is then compared with the age at which its entry counted.

--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -14,6 +14,7 @@
 from jackdawsail.group.trait_evidence import TraitEvidenceRelay
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.registry.registration import ReceivedRegistration, Registration, RegistrationTable
+from jackdawsail.site.announcements import AnnouncementChange, WeightTarget, log_announcements
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
@@ -76,6 +77,11 @@
         """
         now_seconds = self.clock.seconds()
         first_seen = dict.fromkeys(self.machine.state.weight_versions, now_seconds)
+        changes = [
+            AnnouncementChange(model, WeightTarget(version, now_seconds))
+            for model, version in first_seen.keys() - self._announced_seconds.keys()
+        ]
+        log_announcements(changes, now_seconds, 'replicated state')
         # An older version keeps its own changeover deadline for a while next to a newer one.
         still_announced = {
             weights: announced_seconds
--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -10,6 +10,7 @@
 
 from jackdawsail import events
 from jackdawsail.message_router import MessageRouter
+from jackdawsail.site.announcements import ages_by_version, log_announcements
 from jackdawsail.site.document import MAX_DOCUMENT_BYTES, SiteDocument
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
@@ -102,8 +103,11 @@
         self.view.apply_sharing_entries(summary)
         if self.view.wants_document(summary):
             self._request_document(link, summary.revision, now_seconds)
-        elif self.view.apply_summary(summary, now_seconds):
-            self._log_revision(link, summary)
+            return
+        applied = self.view.apply_summary(summary, now_seconds)
+        log_announcements(applied.announcements, now_seconds, _peer_name(link))
+        if applied.in_force:
+            self._log_revision(link, summary, now_seconds)
 
     def _request_document(self, link: Link, revision: int, now_seconds: float) -> None:
         requested_revision, requested_seconds = self._last_request
@@ -137,13 +141,13 @@
         self.view.apply_members(_peer_name(link), members)
         self.dial_known()
 
-    def _log_revision(self, link: Link, summary: SiteSummary) -> None:
+    def _log_revision(self, link: Link, summary: SiteSummary, now_seconds: float) -> None:
         events.log(
             REVISION_IN_FORCE,
             revision=summary.revision,
             document=summary.document_version,
             emptied_zones=summary.emptied_zones,
-            weights={announced.model: announced.version for announced in summary.weights},
+            weight_ages_seconds=ages_by_version(self.view.weights, summary.weights, now_seconds),
             control=_peer_name(link),
         )
 
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -4,17 +4,25 @@
 from dataclasses import dataclass, field
 
 from jackdawsail.registry.registration import RegistrationTable
+from jackdawsail.site.announcements import (
+    AnnouncementChange,
+    Announcements,
+    WeightTarget,
+    add_announcements,
+)
 from jackdawsail.site.document import SiteDocument
 from jackdawsail.site.routes import RouteTable, make_route_table
 from jackdawsail.wire.site_messages import MemberHost, Members, SiteSummary
 
+__all__ = ('AppliedSummary', 'SiteView', 'WeightTarget')
+
 
 @dataclass(frozen=True, slots=True)
-class WeightTarget:
-    """A weight version of a model, and when it was announced, on this process's clock."""
+class AppliedSummary:
+    """What a summary changed: whether it is in force now, and the weights that it announced."""
 
-    version: int
-    announced_seconds: float
+    in_force: bool
+    announcements: tuple[AnnouncementChange, ...] = ()
 
 
 @dataclass(slots=True)
@@ -30,7 +38,7 @@
     revision: int = 0
     table: RouteTable | None = None
     emptied_zones: frozenset[str] = frozenset()
-    weights: dict[str, tuple[WeightTarget, ...]] = field(default_factory=dict)
+    weights: Announcements = field(default_factory=dict)
     registrations: RegistrationTable = field(default_factory=RegistrationTable)
     control_received_seconds: float = 0
     sharing_entries: tuple[MemberHost, ...] = ()
@@ -50,22 +58,16 @@
         """Returns whether a summary refers to a document that has not arrived yet."""
         return summary.document_version > self.document_version
 
-    def apply_summary(self, summary: SiteSummary, now_seconds: float) -> bool:
-        """Records when a summary arrived, and applies it if it is newer and its document is held.
-
-        Returns whether it was applied.
-        """
+    def apply_summary(self, summary: SiteSummary, now_seconds: float) -> AppliedSummary:
+        """Records when a summary arrived, and applies it if it is newer and its document is held."""
         self.control_received_seconds = now_seconds
         if summary.revision <= self.revision or self.wants_document(summary):
-            return False
+            return AppliedSummary(in_force=False)
         self.revision = summary.revision
         self.emptied_zones = frozenset(summary.emptied_zones)
-        for announced in summary.weights:
-            self._add_weight_version(
-                announced.model, announced.version, now_seconds - announced.age_seconds
-            )
+        changes = add_announcements(self.weights, summary.weights, now_seconds)
         self._notify_change()
-        return True
+        return AppliedSummary(in_force=True, announcements=tuple(changes))
 
     def apply_sharing_entries(self, summary: SiteSummary) -> None:
         """Records the entries that share the limits, if the summary has newer ones.
@@ -141,12 +143,6 @@
             agent.address: agent.region for members in all_members for agent in members.agents
         }
 
-    def _add_weight_version(self, model: str, version: int, announced_seconds: float) -> None:
-        held = self.weights.get(model, ())
-        if all(target.version != version for target in held):
-            targets = [*held, WeightTarget(version, announced_seconds)]
-            self.weights[model] = tuple(sorted(targets, key=lambda target: target.version))
-
     def _notify_change(self) -> None:
         for listener in self.on_change:
             listener()
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -1,4 +1,4 @@
-"""A site document that is cut off, too long or no document at all changes nothing."""
+"""Messages of control hosts: broken documents change nothing, announcements keep their time."""
 
 import zlib
 from types import SimpleNamespace
@@ -7,10 +7,16 @@
 from returns.result import Success
 from twisted.internet.task import Clock
 
+from jackdawsail import events
 from jackdawsail.site import client as client_module
-from jackdawsail.site.client import SiteClient
+from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED
+from jackdawsail.site.client import REVISION_IN_FORCE, SiteClient
 from jackdawsail.site.view import SiteView
-from jackdawsail.wire.site_messages import DocumentPushed
+from jackdawsail.wire.site_messages import (
+    AnnouncedWeights,
+    DocumentPushed,
+    SiteSummary,
+)
 from test.site.documents import make_document
 
 COMPRESSED = zlib.compress(b'{}' * 1000)
@@ -48,3 +54,67 @@
     view, decoded = receive(COMPRESSED)
     assert decoded == []
     assert view.table is None
+
+
+class Link:
+    """Records the messages that are sent to one control host."""
+
+    def __init__(self, name):
+        self.peer = SimpleNamespace(name=name)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+class World:
+    """A client without network, whose clock is a test clock."""
+
+    def __init__(self):
+        self.clock, self.view = Clock(), SiteView()
+        process = SimpleNamespace(reactor=self.clock)
+        self.client = SiteClient(process, self.view, self.decode)
+        self.links = {name: Link(name) for name in ('control-1', 'control-2')}
+
+    def decode(self, _body):
+        return Success(make_document(1))
+
+    def receive_summary(self, revision, *weights, document=0, control='control-1'):
+        announced = [AnnouncedWeights('m', version, age) for version, age in weights]
+        message = SiteSummary(revision, document, [], announced)
+        self.client._on_summary(self.links[control], message)
+
+    def receive_document(self, control='control-1'):
+        pushed = DocumentPushed(1, 1, COMPRESSED)
+        self.client._on_document(self.links[control], pushed)
+
+    @property
+    def announced_seconds(self):
+        targets = self.view.weights.get('m', ())
+        return {target.version: target.announced_seconds for target in targets}
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    logged = []
+    monkeypatch.setattr(events, 'log', lambda kind, **fields: logged.append((kind, fields)))
+    return logged
+
+
+def test_the_log_has_the_age_of_each_announcement_as_this_process_counts_it(world, lines):
+    world.receive_summary(1, (2, 0.5))
+    world.clock.advance(3)
+    world.receive_summary(2, (2, 3.5), (3, 0.1))
+    ages = [fields['weight_ages_seconds'] for kind, fields in lines if kind is REVISION_IN_FORCE]
+    assert ages == [{'m': {2: 0.5}}, {'m': {2: 3.5, 3: 0.1}}]
+    first_ages = [
+        (fields['version'], fields['weights_age_seconds'], fields['source'])
+        for kind, fields in lines
+        if kind is WEIGHTS_ANNOUNCED
+    ]
+    assert first_ages == [(2, 0.5, 'control-1'), (3, 0.1, 'control-1')]
--- a/test/site/test_view.py
+++ b/test/site/test_view.py
@@ -18,9 +18,9 @@
     view = SiteView()
     newer = summary(4, document=2, zones=['z'])
     assert view.wants_document(newer)
-    assert not view.apply_summary(newer, 1.0)
+    assert not view.apply_summary(newer, 1.0).in_force
     assert view.apply_document(make_document(2))
-    assert view.apply_summary(newer, 1.0)
+    assert view.apply_summary(newer, 1.0).in_force
     assert view.emptied_zones == {'z'}
 
 
@@ -29,7 +29,7 @@
     view.apply_document(make_document(5))
     view.apply_summary(summary(9, 5, ['z']), 1.0)
     assert not view.apply_document(make_document(4))
-    assert not view.apply_summary(summary(8, 5, []), 2.0)
+    assert not view.apply_summary(summary(8, 5, []), 2.0).in_force
     assert view.emptied_zones == {'z'}
     assert view.document_version == 5
 
