Site client: a summary that waited for its document counts from when it was received

A summary that names a document which has not arrived is kept, and applied again once the document is there. Its ages were then taken as ages of that later moment, so an announcement came out late by the wait. The summary is now kept with the time at which it was received, and interpreted with it.

Why it works: an age is only valid at the moment of the message that tells it, and no later time enters the computation any more.

--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -41,6 +41,12 @@
 DecodeDocument = Callable[[bytes], Result[SiteDocument, str]]
 
 
+@dataclass(frozen=True, slots=True)
+class _ReceivedSummary:
+    summary: SiteSummary
+    received_seconds: float
+
+
 @dataclass(slots=True)
 class SiteClient:
     """Keeps links to all known control hosts and applies their messages to the site view.
@@ -55,7 +61,7 @@
     on_connected: Callable[[Link], None] = lambda link: None
     _dialers: dict[str, Dialer] = field(default_factory=dict)
     _last_request: tuple[int, float] = (0, 0)
-    _summaries: dict[Link, SiteSummary] = field(default_factory=dict)
+    _summaries: dict[Link, _ReceivedSummary] = field(default_factory=dict)
 
     def start(self) -> None:
         """Registers the message handlers and connects to the seeds."""
@@ -98,13 +104,19 @@
         self.view.forget_control(_peer_name(link))
 
     def _on_summary(self, link: Link, summary: SiteSummary) -> None:
+        received = _ReceivedSummary(summary, self.process.reactor.seconds())
+        self._summaries[link] = received
+        self._apply_summary(link, received)
+
+    def _apply_summary(self, link: Link, received: _ReceivedSummary) -> None:
+        """Applies a summary; its ages count from when it was received."""
+        summary = received.summary
         now_seconds = self.process.reactor.seconds()
-        self._summaries[link] = summary
         self.view.apply_sharing_entries(summary)
         if self.view.wants_document(summary):
             self._request_document(link, summary.revision, now_seconds)
             return
-        applied = self.view.apply_summary(summary, now_seconds)
+        applied = self.view.apply_summary(summary, received.received_seconds)
         log_announcements(applied.announcements, now_seconds, _peer_name(link))
         if applied.in_force:
             self._log_revision(link, summary, now_seconds)
@@ -124,8 +136,8 @@
             return
         if self.view.apply_document(outcome.unwrap()):
             events.log(DOCUMENT_IN_FORCE, version=pushed.version, control=_peer_name(link))
-        for sender, summary in list(self._summaries.items()):
-            self._on_summary(sender, summary)
+        for sender, received in list(self._summaries.items()):
+            self._apply_summary(sender, received)
 
     def _on_registrations(self, _link: Link, message: Registrations) -> None:
         now_seconds = self.process.reactor.seconds()
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -58,14 +58,14 @@
         """Returns whether a summary refers to a document that has not arrived yet."""
         return summary.document_version > self.document_version
 
-    def apply_summary(self, summary: SiteSummary, now_seconds: float) -> AppliedSummary:
+    def apply_summary(self, summary: SiteSummary, received_seconds: float) -> AppliedSummary:
         """Records when a summary arrived, and applies it if it is newer and its document is held."""
-        self.control_received_seconds = now_seconds
+        self.control_received_seconds = max(self.control_received_seconds, received_seconds)
         if summary.revision <= self.revision or self.wants_document(summary):
             return AppliedSummary(in_force=False)
         self.revision = summary.revision
         self.emptied_zones = frozenset(summary.emptied_zones)
-        changes = add_announcements(self.weights, summary.weights, now_seconds)
+        changes = add_announcements(self.weights, summary.weights, received_seconds)
         self._notify_change()
         return AppliedSummary(in_force=True, announcements=tuple(changes))
 
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -118,3 +118,11 @@
         if kind is WEIGHTS_ANNOUNCED
     ]
     assert first_ages == [(2, 0.5, 'control-1'), (3, 0.1, 'control-1')]
+
+
+def test_an_announcement_that_waits_for_a_document_is_not_counted_from_later(world):
+    world.receive_summary(1, (2, 1.0), document=1)
+    world.clock.advance(3)
+    world.receive_document()
+    assert world.view.revision == 1
+    assert world.announced_seconds == {2: -1.0}
