Weights: the time of an announcement only moves to an earlier one

A control host that has restarted reports an age of 0 for weights that were announced seconds ago. An entry or agent that heard it first kept that time, also when another control host told an earlier one.

The earliest time of a version is kept now, whoever tells it. Event 326 shows a correction and by how much. Small corrections are not logged: they are the differences in the time on the way, of which the shortest is kept.

Evidence: the test failed before with test_a_restarted_control_host_heard_first_does_not_make_an_announcement_later assert {2: 10.0, 3: 9.0} == {2: 5.0, 3: 9.0} Why it works: an age is measured on a monotonic clock from a moment at or after the commit, and grows by the time on the way. A reported time is therefore never too early, and the earliest is the nearest.

--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -72,8 +72,8 @@
 
         Weights count as announced from when this process first sees them in the state. A
         process that has just started therefore reports a later time than the others. Entries
-        keep the first time that they receive; if control hosts are lost, the period for the
-        changeover starts again.
+        and agents keep the earliest time that any control host reports; if all control hosts
+        are lost, the period for the changeover starts again for processes that start later.
         """
         now_seconds = self.clock.seconds()
         first_seen = dict.fromkeys(self.machine.state.weight_versions, now_seconds)
--- a/jackdawsail/site/announcements.py
+++ b/jackdawsail/site/announcements.py
@@ -1,7 +1,9 @@
 """The announcements of weight versions that a process knows (pure, except for the log).
 
 The time limit of a version counts from its announcement. Messages tell its age, and each
-process converts it to a time on its own clock.
+process converts it to a time on its own clock. That time can be too late, as a message was
+delayed or its sender has restarted since, but never too early. A known time therefore only
+moves to an earlier one.
 """
 
 from collections.abc import Iterable, Sequence
@@ -10,7 +12,12 @@
 from jackdawsail import events
 from jackdawsail.wire.site_messages import AnnouncedWeights
 
+EARLIER_LOG_SECONDS = 0.05  # a smaller difference is the time that messages were on the way
+
 WEIGHTS_ANNOUNCED = events.define(325, 'info', 'weight version is announced in this process')
+WEIGHTS_ANNOUNCED_EARLIER = events.define(
+    326, 'info', 'weight version was announced earlier than this process knew'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,10 +33,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnouncementChange:
-    """A version that was not known before."""
+    """A version that was not known, or that was announced earlier than was known.
+
+    ``earlier_seconds`` is how much earlier, None for a version that was not known.
+    """
 
     model: str
     target: WeightTarget
+    earlier_seconds: float | None = None
 
 
 def add_announcements(
@@ -37,16 +48,22 @@
 ) -> list[AnnouncementChange]:
     """Adds the announcements of a message to the known ones; returns the changes.
 
-    The versions of a model are in ascending order.
+    Of several times of a version the earliest is kept. The versions of a model are in
+    ascending order.
     """
     changes = []
     for weights in told:
         target = WeightTarget(weights.version, received_seconds - weights.age_seconds)
-        held = known.get(weights.model, ())
-        if all(each.version != target.version for each in held):
-            changes.append(AnnouncementChange(weights.model, target))
-            versions = sorted([*held, target], key=lambda each: each.version)
-            known[weights.model] = tuple(versions)
+        by_version = {each.version: each for each in known.get(weights.model, ())}
+        held = by_version.get(target.version)
+        if held is not None and held.announced_seconds <= target.announced_seconds:
+            continue
+        earlier_seconds = (
+            None if held is None else held.announced_seconds - target.announced_seconds
+        )
+        changes.append(AnnouncementChange(weights.model, target, earlier_seconds))
+        by_version[target.version] = target
+        known[weights.model] = tuple(by_version[version] for version in sorted(by_version))
     return changes
 
 
@@ -75,10 +92,14 @@
 ) -> None:
     """Logs the changes with the age of each version; ``source`` is where they come from."""
     for change in changes:
-        events.log(
-            WEIGHTS_ANNOUNCED,
-            model=change.model,
-            version=change.target.version,
-            weights_age_seconds=round(now_seconds - change.target.announced_seconds, 3),
-            source=source,
-        )
+        details = {
+            'model': change.model,
+            'version': change.target.version,
+            'weights_age_seconds': round(now_seconds - change.target.announced_seconds, 3),
+            'source': source,
+        }
+        if change.earlier_seconds is None:
+            events.log(WEIGHTS_ANNOUNCED, **details)
+        elif change.earlier_seconds >= EARLIER_LOG_SECONDS:
+            earlier_seconds = round(change.earlier_seconds, 3)
+            events.log(WEIGHTS_ANNOUNCED_EARLIER, earlier_seconds=earlier_seconds, **details)
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -9,7 +9,7 @@
 
 from jackdawsail import events
 from jackdawsail.site import client as client_module
-from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED
+from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED, WEIGHTS_ANNOUNCED_EARLIER
 from jackdawsail.site.client import REVISION_IN_FORCE, SiteClient
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.site_messages import (
@@ -126,3 +126,24 @@
     world.receive_document()
     assert world.view.revision == 1
     assert world.announced_seconds == {2: -1.0}
+
+
+def test_a_restarted_control_host_heard_first_does_not_make_an_announcement_later(world):
+    world.clock.advance(10)
+    world.receive_summary(1, (2, 0.0), control='control-1')
+    world.receive_summary(2, (2, 5.0), (3, 1.0), control='control-2')
+    world.receive_summary(3, (2, 0.5), (3, 0.5), control='control-1')
+    assert world.announced_seconds == {2: 5.0, 3: 9.0}
+
+
+def test_the_log_has_by_how_much_the_time_of_an_announcement_moved(world, lines):
+    world.clock.advance(10)
+    world.receive_summary(1, (2, 0.0), control='control-1')
+    world.receive_summary(2, (2, 5.0), control='control-2')
+    world.receive_summary(3, (2, 5.04), control='control-1')
+    moved = [
+        (fields['earlier_seconds'], fields['weights_age_seconds'], fields['source'])
+        for kind, fields in lines
+        if kind is WEIGHTS_ANNOUNCED_EARLIER
+    ]
+    assert moved == [(5.0, 5.0, 'control-2')]
