Weights: announcements are applied whatever the revision and the document of their summary

Three ways, one cause: the announcements of a summary were applied only together with a newer revision.

- A control host that had restarted was heard first; another one told the earlier time under the same revision, so it was ignored.
An older one, whose own limit comes first, was not learned from the others, as they told it under the same revision.
- While a summary waited for its document (a large one, a slow link), its weights were unknown.

Announcements are facts that a later one does not revoke, so they are applied from each summary. Listeners are notified of new versions, not of corrected times. A summary that waits for its document now also counts as a message of control, as it is one.

--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -115,7 +115,6 @@
         self.view.apply_sharing_entries(summary)
         if self.view.wants_document(summary):
             self._request_document(link, summary.revision, now_seconds)
-            return
         applied = self.view.apply_summary(summary, received.received_seconds)
         log_announcements(applied.announcements, now_seconds, _peer_name(link))
         if applied.in_force:
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -59,15 +59,19 @@
         return summary.document_version > self.document_version
 
     def apply_summary(self, summary: SiteSummary, received_seconds: float) -> AppliedSummary:
-        """Records when a summary arrived, and applies it if it is newer and its document is held."""
+        """Records when a summary arrived, and applies it if it is newer and its document is held.
+
+        The announcements of weights are applied in any case.
+        """
         self.control_received_seconds = max(self.control_received_seconds, received_seconds)
-        if summary.revision <= self.revision or self.wants_document(summary):
-            return AppliedSummary(in_force=False)
-        self.revision = summary.revision
-        self.emptied_zones = frozenset(summary.emptied_zones)
         changes = add_announcements(self.weights, summary.weights, received_seconds)
-        self._notify_change()
-        return AppliedSummary(in_force=True, announcements=tuple(changes))
+        in_force = summary.revision > self.revision and not self.wants_document(summary)
+        if in_force:
+            self.revision = summary.revision
+            self.emptied_zones = frozenset(summary.emptied_zones)
+        if in_force or any(change.earlier_seconds is None for change in changes):
+            self._notify_change()
+        return AppliedSummary(in_force, tuple(changes))
 
     def apply_sharing_entries(self, summary: SiteSummary) -> None:
         """Records the entries that share the limits, if the summary has newer ones.
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -147,3 +147,12 @@
         if kind is WEIGHTS_ANNOUNCED_EARLIER
     ]
     assert moved == [(5.0, 5.0, 'control-2')]
+
+
+def test_weights_are_announced_before_the_document_of_their_summary_is_there(world):
+    world.clock.advance(10)
+    world.receive_summary(1, (2, 1.0), document=1)
+    assert world.announced_seconds == {2: 9.0}
+    world.clock.advance(3)
+    world.receive_document()
+    assert (world.view.revision, world.announced_seconds) == (1, {2: 9.0})
