--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -10,6 +10,7 @@
 
 from jackdawsail import events
 from jackdawsail.message_router import MessageRouter
+from jackdawsail.site.announcements import ages_by_version, log_announcements
 from jackdawsail.site.document import MAX_DOCUMENT_BYTES, SiteDocument
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
@@ -40,6 +41,12 @@
 DecodeDocument = Callable[[bytes], Result[SiteDocument, str]]
 
 
+@dataclass(frozen=True, slots=True)
+class _ReceivedSummary:
+    summary: SiteSummary
+    received_seconds: float
+
+
 @dataclass(slots=True)
 class SiteClient:
     """Keeps links to all known control hosts and applies their messages to the site view.
@@ -54,7 +61,7 @@
     on_connected: Callable[[Link], None] = lambda link: None
     _dialers: dict[str, Dialer] = field(default_factory=dict)
     _last_request: tuple[int, float] = (0, 0)
-    _summaries: dict[Link, SiteSummary] = field(default_factory=dict)
+    _summaries: dict[Link, _ReceivedSummary] = field(default_factory=dict)
 
     def start(self) -> None:
         """Registers the message handlers and connects to the seeds."""
@@ -97,13 +104,21 @@
         self.view.forget_control(_peer_name(link))
 
     def _on_summary(self, link: Link, summary: SiteSummary) -> None:
+        received = _ReceivedSummary(summary, self.process.reactor.seconds())
+        self._summaries[link] = received
+        self._apply_summary(link, received)
+
+    def _apply_summary(self, link: Link, received: _ReceivedSummary) -> None:
+        """Applies a summary; its ages count from when it was received."""
+        summary = received.summary
         now_seconds = self.process.reactor.seconds()
-        self._summaries[link] = summary
         self.view.apply_sharing_entries(summary)
         if self.view.wants_document(summary):
             self._request_document(link, summary.revision, now_seconds)
-        elif self.view.apply_summary(summary, now_seconds):
-            self._log_revision(link, summary)
+        applied = self.view.apply_summary(summary, received.received_seconds)
+        log_announcements(applied.announcements, now_seconds, _peer_name(link))
+        if applied.in_force:
+            self._log_revision(link, summary, now_seconds)
 
     def _request_document(self, link: Link, revision: int, now_seconds: float) -> None:
         requested_revision, requested_seconds = self._last_request
@@ -120,8 +135,8 @@
             return
         if self.view.apply_document(outcome.unwrap()):
             events.log(DOCUMENT_IN_FORCE, version=pushed.version, control=_peer_name(link))
-        for sender, summary in list(self._summaries.items()):
-            self._on_summary(sender, summary)
+        for sender, received in list(self._summaries.items()):
+            self._apply_summary(sender, received)
 
     def _on_registrations(self, _link: Link, message: Registrations) -> None:
         now_seconds = self.process.reactor.seconds()
@@ -137,13 +152,13 @@
         self.view.apply_members(_peer_name(link), members)
         self.dial_known()
 
-    def _log_revision(self, link: Link, summary: SiteSummary) -> None:
+    def _log_revision(self, link: Link, summary: SiteSummary, now_seconds: float) -> None:
         events.log(
             REVISION_IN_FORCE,
             revision=summary.revision,
             document=summary.document_version,
             emptied_zones=summary.emptied_zones,
-            weights={announced.model: announced.version for announced in summary.weights},
+            weight_ages_seconds=ages_by_version(self.view.weights, summary.weights, now_seconds),
             control=_peer_name(link),
         )
 
