--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -5,15 +5,18 @@
 upstream itself can confirm that the call did not run.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
 
+from returns.result import Failure, Result
+
 from jackdawsail.clocks import Timeout
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 from jackdawsail.proxy import metrics
-from jackdawsail.proxy.calls import DispatchDetails, UpstreamHead
+from jackdawsail.proxy.calls import UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.upstreams import Upstream
@@ -26,6 +29,9 @@
 PROGRESS_BYTES = 512  # of an event; an engine that sends less within the time-out has stalled
 
 
+MakeRequest = Callable[[], Result[HttpRequest, str]]
+
+
 class AttemptEnd(StrEnum):
     """How an attempt failed: no connection, broken off, or silent for too long."""
 
@@ -89,6 +95,7 @@
         self._context = context
         self._owner = owner
         self._attempt_id = attempt_id
+        self._make_request: MakeRequest = lambda: Failure('not started')
         self._channel: ClientChannel | None = None
         self._connector: Any = None
         self._reused_channel = False
@@ -96,24 +103,21 @@
         self._unfinished_bytes = 0
         self._refusal_timeout = Timeout(context.clock, self._end_refusal)
 
-    def start(
-        self, request: HttpRequest, dispatch_details: DispatchDetails, *, fresh_channel: bool
-    ) -> None:
-        """Sends the request on an idle channel, or on a new one if ``fresh_channel`` is set."""
+    def start(self, make_request: MakeRequest, *, fresh_channel: bool) -> None:
+        """Sends the request on an idle channel, or on a new one if ``fresh_channel`` is set.
+
+        ``make_request`` is called right before the request is written; it returns why it must
+        not be sent if its permission was withdrawn.
+        """
+        self._make_request = make_request
         self.upstream.sends.pending += 1
         address = self.upstream.registration.address
-        headers = self._context.codec.upstream_headers(request, dispatch_details)
-        upstream_request = HttpRequest(request.method, request.target, headers, request.body)
         channel = None if fresh_channel else self._context.pool.acquire_idle(address)
-        if channel is not None:
+        if channel is None:
+            self._connector = self._context.pool.connect(address, self._on_connected)
+        else:
             self._reused_channel = True
-            self._send(channel, upstream_request)
-            return
-
-        def opened(new_channel: ClientChannel | None) -> None:
-            self._on_connected(new_channel, upstream_request)
-
-        self._connector = self._context.pool.connect(address, opened)
+            self._send(channel)
 
     def set_paused(self, is_paused: bool) -> None:
         """Stops or continues reading the answer, which the caller reads more slowly."""
@@ -211,24 +215,24 @@
             self.upstream.call_failed(self._context.clock.seconds())
         self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
-    def _on_connected(self, channel: ClientChannel | None, request: HttpRequest) -> None:
+    def _on_connected(self, channel: ClientChannel | None) -> None:
         if self.ended:
             if channel is not None:
                 channel.close()
-            return
-        now_seconds = self._context.clock.seconds()
-        if channel is None:
+        elif channel is None:
             self._finish()
-            self.upstream.call_failed(now_seconds)
+            self.upstream.call_failed(self._context.clock.seconds())
             self._owner.attempt_failed(self, AttemptEnd.unreached, 'no connection')
-        elif self.upstream.accepts_calls(now_seconds):
-            self._send(channel, request)
         else:
+            self._send(channel)
+
+    def _send(self, channel: ClientChannel) -> None:
+        request = self._make_request()
+        if isinstance(request, Failure):
             channel.close()
             self._finish()
-            self._owner.attempt_failed(self, AttemptEnd.unreached, 'rests or leaves since')
-
-    def _send(self, channel: ClientChannel, request: HttpRequest) -> None:
+            self._owner.attempt_failed(self, AttemptEnd.unreached, request.failure())
+            return
         self._channel = channel
         self.upstream.sends.pending -= 1
         self.sent = True
@@ -236,7 +240,7 @@
         self.last_progress_seconds = self.sent_seconds
         self.upstream.call_sent(self.sent_seconds)
         self._owner.attempt_sent(self)
-        channel.send(request, self)
+        channel.send(request.unwrap(), self)
         if self.is_paused:
             channel.pause()
 
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -209,3 +209,25 @@
     if not within_named_limit:
         metrics.WITHHELD.labels('named').inc()
     return within_named_limit
+
+
+def withdrawal_reason(context: ProxyContext, selection: Selection, chosen: Upstream) -> str:
+    """Returns why a call must not be sent any more to the upstream that was chosen for it.
+
+    It is empty if nothing was withdrawn since the choice. An incarnation that has started
+    meanwhile under the same id and address is judged by its own state. Limits on numbers of calls
+    are not checked, as they count the call already.
+    """
+    now_seconds = context.clock.seconds()
+    upstream = context.upstreams.get(chosen.name)
+    service = _service_of(context, selection.service)
+    if upstream is None or upstream.registration.address != chosen.registration.address:
+        return 'gone since'
+    if not upstream.accepts_calls(now_seconds):
+        return 'rests or leaves since'
+    if service is None or not _is_within(context, selection.allowed_regions(), upstream):
+        return 'out of service since'
+    weights = selection.current_weight_rule(context)
+    if service.engine is not None and not weights.allows(upstream, now_seconds):
+        return 'changes over, or older weights since'
+    return ''
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -14,8 +14,9 @@
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
-from jackdawsail.proxy.calls import CallerCall, CallIdentity, DispatchDetails, fingerprint_of
+from jackdawsail.proxy.calls import CallerCall, CallIdentity, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.outgoing import Deadline, dispatch_details, make_upstream_request
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
@@ -31,26 +32,12 @@
 from jackdawsail.routing.placement import Choice, Refusal
 from jackdawsail.site.document import CallKind, Customer, Route
 
-MIN_REMAINING_SECONDS = 0.02  # with less no upstream can answer in time
 SERVER_ERROR = 500
 MISDIRECTED = 421
 CUT_OFF = 'inside an event'  # how a stream ended whose last event is incomplete
 UNSERVED_RETRY_AFTER_SECONDS = 1.0  # for calls that have run nowhere
 
 
-@dataclass(frozen=True, slots=True)
-class Deadline:
-    """The time by which a call must be answered."""
-
-    clock: Any
-    at_seconds: float
-
-    @property
-    def remaining_seconds(self) -> float:
-        """Returns the time until the deadline, negative after it."""
-        return self.at_seconds - self.clock.seconds()
-
-
 @dataclass(slots=True)
 class CallTask:
     """Owns the exchange with a caller and the attempts of its call.
@@ -92,6 +79,8 @@
     def attempt_sent(self, attempt: Attempt) -> None:
         """Records that the call may run from now on, and starts to watch a stream's engine."""
         self.sends.record_send(attempt.upstream.name)
+        now_seconds = self.context.clock.seconds()
+        attempt.weight_version = attempt.upstream.version_of(self.call.model, now_seconds)
         if self.route.kind is CallKind.stream and self.route.may_repeat:
             self._watch.start(attempt)
 
@@ -191,7 +180,7 @@
     def _place(self) -> None:
         if self._closed:
             return
-        if self.deadline.remaining_seconds < MIN_REMAINING_SECONDS:
+        if self.deadline.is_over:
             self._time_out()
             return
         if self.context.traits.is_blocked(self.identity):
@@ -204,7 +193,7 @@
         if isinstance(decision, Refusal):
             self._refuse(decision)
             return
-        self._dispatch(decision, selection)
+        self._dispatch(decision)
 
     def selection(self) -> Selection:
         """Returns the current inputs for the choice of an upstream."""
@@ -219,25 +208,16 @@
             is_late=self.is_late,
         )
 
-    def _dispatch(self, choice: Choice, selection: Selection) -> None:
-        self.sends.tried.append(choice.upstream.name)
-        last_forwarded = self.relay.last_event if self.relay else 0
-        dispatch_details = DispatchDetails(
-            upstream=choice.upstream.name,
-            remaining_seconds=self.deadline.remaining_seconds,
-            customer=self.customer.name if self.customer else '',
-            last_event=str(last_forwarded) if last_forwarded else self.call.last_event,
-            weight_version=selection.expected_version(self.context),
-            engine_rank=selection.engine_rank,
-        )
-        self.log.dispatched(choice, dispatch_details, self.sends.count + 1)
-        self.attempt = Attempt(self.context, self, choice.upstream, self.call.attempt)
-        now_seconds = self.context.clock.seconds()
-        self.attempt.weight_version = choice.upstream.version_of(self.call.model, now_seconds)
+    def _dispatch(self, choice: Choice) -> None:
+        upstream = choice.upstream
+        self.sends.tried.append(upstream.name)
+        self.log.dispatched(choice, dispatch_details(self, upstream), self.sends.count + 1)
+        make_request = partial(make_upstream_request, self, upstream)
+        self.attempt = Attempt(self.context, self, upstream, self.call.attempt)
         # An idle channel may just be closing; a call that cannot be repeated avoids that risk.
         fresh_channel = not self.route.may_repeat
         self.attempt.set_paused(self.exchange.is_full)
-        self.attempt.start(self.exchange.request, dispatch_details, fresh_channel=fresh_channel)
+        self.attempt.start(make_request, fresh_channel=fresh_channel)
 
     def _not_run(self, attempt: Attempt, status: int) -> None:
         self.log.attempt_ended(attempt, f'not run, status {status}', self.relay)
--- /dev/null
+++ b/test/proxy/test_withdrawn_permissions.py
@@ -0,0 +1,114 @@
+"""What was allowed when an upstream was chosen may be withdrawn before the connection is open."""
+
+import pytest
+
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM_HEADERS,
+    World,
+    sent_on,
+    status_of,
+)
+
+
+def make_world(upstreams=1):
+    return World(upstreams, MODEL_SERVICE)
+
+
+def begin_call(world, headers=''):
+    return world.call('/stream/x', headers=STREAM_HEADERS + headers, method='POST')
+
+
+def evacuate(world):
+    world.summarize(revision=2, zones=['z'])
+
+
+def change_over(world):
+    world.report(1, running=0, switching=True)
+
+
+def announce_overdue_weights(world):
+    world.summarize(revision=2, weights=[('m', 2, 7.5)])
+
+
+def leave(world):
+    world.register(1, leaving=True, sequence=2)
+
+
+def restart_without_weights(world):
+    world.register(1, version=0, born_milliseconds=99)
+
+
+def restart_at_another_address(world):
+    world.register(1, born_milliseconds=99, address='10.0.0.9:80')
+
+
+def block_part(world):
+    world.context.traits.blame.block('part')
+
+
+WITHDRAWALS = [
+    evacuate,
+    change_over,
+    announce_overdue_weights,
+    leave,
+    restart_without_weights,
+    restart_at_another_address,
+]
+
+
+@pytest.mark.parametrize('withdraw', WITHDRAWALS)
+def test_call_is_not_sent_once_its_permission_was_withdrawn_while_it_waited_to_connect(withdraw):
+    world = make_world()
+    caller = begin_call(world)
+    withdraw(world)
+    assert sent_on(world.accept()) == b''
+    assert status_of(caller) == 503
+    assert world.context.running == 0
+    assert world.context.upstreams.get('i-1').sends.pending == 0
+
+
+def test_blocked_call_is_not_sent_though_it_was_not_blocked_when_it_waited_to_connect():
+    world = make_world()
+    caller = begin_call(world, headers='Prompt-Prefix: part:10,own:5\r\n')
+    block_part(world)
+    assert sent_on(world.accept()) == b''
+    assert status_of(caller) == 503
+
+
+def test_weights_that_become_due_while_a_call_waits_to_connect_keep_it_off_older_ones():
+    world = make_world()
+    world.summarize(revision=2, weights=[('m', 2, 6.9)])
+    begin_call(world)
+    world.register(2, version=2)
+    world.reactor.advance(0.25)
+    assert sent_on(world.accept()) == b''
+    sent = sent_on(world.accept())
+    assert b'Expect-Instance: i-2' in sent
+    assert b'Expect-Version: 2' in sent
+
+
+def test_version_that_became_due_while_a_call_waited_to_connect_is_expected_of_the_engine():
+    world = make_world()
+    world.register(1, version=2, sequence=2)
+    world.summarize(revision=2, weights=[('m', 2, 6.9)])
+    begin_call(world)
+    world.reactor.advance(0.25)
+    assert b'Expect-Version: 2' in sent_on(world.accept())
+
+
+def test_time_spent_on_connecting_is_not_given_to_the_engine():
+    world = make_world()
+    begin_call(world)
+    world.reactor.advance(0.25)
+    assert b'Request-Deadline: 5750\r\n' in sent_on(world.accept())
+
+
+def test_withdrawal_sends_a_call_to_another_upstream_that_may_still_run_it():
+    world = make_world(upstreams=2)
+    begin_call(world)
+    address = world.reactor.pending_connects[0][0]
+    number = int(address.split('.')[3].split(':')[0])
+    world.report(number, running=0, switching=True)
+    assert sent_on(world.accept()) == b''
+    assert b'Expect-Instance: i-%d' % (3 - number) in sent_on(world.accept())
