--- a/jackdawsail/proxy/admission.py
+++ b/jackdawsail/proxy/admission.py
@@ -1,6 +1,9 @@
 """Admission of calls: finds the route and the customer, or denies the call."""
 
 from dataclasses import dataclass
+from types import MappingProxyType
+
+from returns.result import Failure
 
 from jackdawsail import events
 from jackdawsail.http1.messages import HttpAnswer
@@ -9,8 +12,9 @@
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.task import make_call_task
 from jackdawsail.routing.placement import RETRY_AFTER_MAX_SECONDS, RETRY_AFTER_MIN_SECONDS
-from jackdawsail.site.routes import pick_service
+from jackdawsail.site.routes import Denial, pick_service
 
+DENIAL_STATUSES = MappingProxyType({Denial.no_route: 404, Denial.unknown_key: 401})
 STOPPING_RETRY_SECONDS = 0.05  # another entry can take the call at once
 
 CALL_WITHOUT_DOCUMENT = events.define(430, 'info', 'call refused, no site document yet')
@@ -37,16 +41,13 @@
             exchange.answer(HttpAnswer(503, b'entry is stopping', headers))
             return
         path = exchange.request.target.decode('latin-1')
-        route = table.find(call.host, path)
-        if route is None:
-            self._deny(exchange, 404, call.attempt, f'no route for {call.host}{path}')
-            return
-        customer = table.customer_of(call.key) if call.key else None
-        if customer is None and table.needs_key and not route.is_public:
-            self._deny(exchange, 401, call.attempt, f'no customer has the key, route {route.name}')
+        admission = table.admit(call.host, path, call.key)
+        if isinstance(admission, Failure):
+            self._deny(exchange, admission.failure(), call)
             return
-        service = pick_service(route.shares, self.context.rng)
-        make_call_task(self.context, exchange, call, route, service, customer).start()
+        admitted = admission.unwrap()
+        service = pick_service(admitted.route.shares, self.context.rng)
+        make_call_task(self.context, exchange, call, admitted, service).start()
 
     def _refuse_not_ready(self, exchange: Exchange, call: CallerCall) -> None:
         retry_after_seconds = self.context.rng.uniform(
@@ -63,7 +64,12 @@
         headers = self.context.codec.retry_after(retry_after_seconds)
         exchange.answer(HttpAnswer(503, b'no configuration yet', headers))
 
-    def _deny(self, exchange: Exchange, status: int, attempt: str, reason: str) -> None:
+    def _deny(self, exchange: Exchange, denial: Denial, call: CallerCall) -> None:
+        status = DENIAL_STATUSES[denial]
         version = self.context.view.document_version
-        events.log(CALL_DENIED, request=attempt, status=status, reason=reason, document=version)
+        path = exchange.request.target.decode('latin-1')
+        reason = f'{denial}, {call.host}{path}'
+        events.log(
+            CALL_DENIED, request=call.attempt, status=status, reason=reason, document=version
+        )
         exchange.answer(HttpAnswer(status, reason.encode('latin-1', 'replace')))
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -15,10 +15,15 @@
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.relaying import AnswerRelay
 from jackdawsail.proxy.selection import Selection, withdrawal_reason
+from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.trait_reports import BLOCKED
+from jackdawsail.routing.placement import Refusal
 from jackdawsail.routing.upstreams import Upstream
-from jackdawsail.site.document import Customer
+from jackdawsail.site.document import Customer, Route
+from jackdawsail.site.routes import Admission
 
+# The caller's next attempt is answered as the new configuration says.
+RECONFIGURED = Refusal('the configuration of the call has changed', 0.05)
 MIN_REMAINING_SECONDS = 0.02  # with less no upstream can answer in time
 
 
@@ -46,8 +51,10 @@
     context: ProxyContext
     exchange: Exchange
     call: CallerCall
+    route: Route
     customer: Customer | None
     identity: CallIdentity
+    sends: SendHistory
     deadline: Deadline
     relay: AnswerRelay | None
 
@@ -69,12 +76,33 @@
     )
 
 
+def withdrawn_call(task: OutgoingCall) -> Refusal | None:
+    """Returns the refusal of a call that no upstream may get any more; None if one may.
+
+    A call that has begun somewhere keeps what the configuration allowed when it was admitted.
+    """
+    if task.context.traits.is_blocked(task.identity):
+        return BLOCKED
+    table = task.context.view.table
+    if table is None or task.sends.may_have_run:
+        return None
+    path = task.exchange.request.target.decode('latin-1')
+    admission = table.admit(task.call.host, path, task.call.key)
+    admitted = Admission(task.route, task.customer)
+    if isinstance(admission, Success) and admission.unwrap().includes(
+        admitted, task.sends.service
+    ):
+        return None
+    return RECONFIGURED
+
+
 def make_upstream_request(task: OutgoingCall, upstream: Upstream) -> Result[HttpRequest, str]:
     """Returns the request to write now, or why the upstream may not get it any more."""
     if task.deadline.is_over:
         return Failure('time limit reached')
-    if task.context.traits.is_blocked(task.identity):
-        return Failure(BLOCKED.reason)
+    withdrawn = withdrawn_call(task)
+    if withdrawn is not None:
+        return Failure(withdrawn.reason)
     reason = withdrawal_reason(task.context, task.selection(), upstream)
     if reason:
         return Failure(reason)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -16,7 +16,12 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.outgoing import Deadline, dispatch_details, make_upstream_request
+from jackdawsail.proxy.outgoing import (
+    Deadline,
+    dispatch_details,
+    make_upstream_request,
+    withdrawn_call,
+)
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
@@ -31,6 +36,7 @@
 from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.placement import Choice, Refusal
 from jackdawsail.site.document import CallKind, Customer, Route
+from jackdawsail.site.routes import Admission
 
 SERVER_ERROR = 500
 MISDIRECTED = 421
@@ -183,9 +189,9 @@
         if self.deadline.is_over:
             self._time_out()
             return
-        if self.context.traits.is_blocked(self.identity):
-            metrics.BLOCKED_CALLS.inc()
-            self._refuse(BLOCKED)
+        withdrawn = withdrawn_call(self)
+        if withdrawn is not None:
+            self._refuse(withdrawn)
             return
         started = self.relay is not None and self.relay.started
         selection = replace(self.selection(), is_begun=started)
@@ -247,6 +253,8 @@
         return isinstance(select_upstream(self.context, self.selection()), Choice)
 
     def _refuse(self, refusal: Refusal) -> None:
+        if refusal is BLOCKED:
+            metrics.BLOCKED_CALLS.inc()
         if self.sends.may_have_run:
             self._fail(502, refusal.reason)
             return
@@ -331,21 +339,34 @@
     context: ProxyContext,
     exchange: Exchange,
     call: CallerCall,
-    route: Route,
+    admitted: Admission,
     service: str,
-    customer: Customer | None,
 ) -> CallTask:
     """Builds the task of a call; its deadline is the earlier of the caller's and the route's."""
-    limit_seconds = route.time_limit_seconds
-    allowed_seconds = min(limit_seconds, call.patience_seconds or limit_seconds)
-    deadline = Deadline(context.clock, exchange.received_seconds + allowed_seconds)
-    sends = SendHistory(context, route, service)
+    route, customer = admitted.route, admitted.customer
     identity = CallIdentity(call, customer.name if customer else call.key, exchange.request)
-    log = call_log.CallLog(context, exchange, identity, route)
-    task = CallTask(context, exchange, call, route, customer, identity, sends, log, deadline)
+    task = CallTask(
+        context,
+        exchange,
+        call,
+        route,
+        customer,
+        identity,
+        SendHistory(context, route, service),
+        call_log.CallLog(context, exchange, identity, route),
+        _make_deadline(context, exchange, call, route),
+    )
     if call.model:
         task.fingerprint = fingerprint_of(call, exchange.request)
         now_seconds = context.clock.seconds()
         used_seconds = context.refused_calls.seconds_since_refusal(task.fingerprint, now_seconds)
         task.is_late = is_late(used_seconds, route.target_seconds)
     return task
+
+
+def _make_deadline(
+    context: ProxyContext, exchange: Exchange, call: CallerCall, route: Route
+) -> Deadline:
+    limit_seconds = route.time_limit_seconds
+    allowed_seconds = min(limit_seconds, call.patience_seconds or limit_seconds)
+    return Deadline(context.clock, exchange.received_seconds + allowed_seconds)
--- a/jackdawsail/site/routes.py
+++ b/jackdawsail/site/routes.py
@@ -7,10 +7,33 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
+
+from returns.result import Failure, Result, Success
 
 from jackdawsail.site.document import Customer, Route, Share, SiteDocument
 
 
+class Denial(StrEnum):
+    """Why a document does not allow a call."""
+
+    no_route = 'no route'
+    unknown_key = 'no customer has the key'
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What a document allows a call: its route, and the customer of its key, if any has it."""
+
+    route: Route
+    customer: Customer | None
+
+    def includes(self, other: 'Admission', service: str) -> bool:
+        """Returns whether a call that was admitted otherwise may still go to its service."""
+        services = {share.service for share in self.route.shares if share.weight > 0}
+        return service in services and _bounds(self) == _bounds(other)
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
     """A document with its routes indexed by host and prefix, and its customers by key."""
@@ -30,6 +53,16 @@
                 return route
         return None
 
+    def admit(self, host: str, path: str, key: str) -> Result[Admission, Denial]:
+        """Returns the route and the customer of a call, or why it is denied."""
+        route = self.find(host, path)
+        if route is None:
+            return Failure(Denial.no_route)
+        customer = self.customer_of(key) if key else None
+        if customer is None and self.needs_key and not route.is_public:
+            return Failure(Denial.unknown_key)
+        return Success(Admission(route, customer))
+
     def customer_of(self, key: str) -> Customer | None:
         """Returns the customer of a key, or None."""
         return self._customers.get(key)
@@ -55,6 +88,13 @@
     return rng.choices(shares, weights)[0].service
 
 
+def _bounds(admission: Admission) -> tuple[str, tuple[str, ...], tuple[str, ...]]:
+    """Returns whom an upstream serves with a call, and where it may be."""
+    customer = admission.customer
+    name, regions = (customer.name, customer.home_regions) if customer else ('', ())
+    return name, regions, admission.route.home_regions
+
+
 def _prefixes(path: str) -> Iterator[str]:
     """Yields the prefixes of a path that end with a slash, longest first."""
     path = path.partition('?')[0]
--- a/test/proxy/test_withdrawn_permissions.py
+++ b/test/proxy/test_withdrawn_permissions.py
@@ -1,22 +1,42 @@
 """What was allowed when an upstream was chosen may be withdrawn before the connection is open."""
 
+from dataclasses import replace
+
 import pytest
 
+from jackdawsail.site.document import Share
 from test.proxy.world import (
     MODEL_SERVICE,
+    ONCE,
+    PLAIN,
+    STREAM,
     STREAM_HEADERS,
     World,
+    answer,
     sent_on,
     status_of,
 )
+from test.site.documents import make_customer, make_document
+
+KEY = 'Authorization: Token k1\r\n'
 
 
 def make_world(upstreams=1):
-    return World(upstreams, MODEL_SERVICE)
+    """Builds a world with a service of engines, a customer, and a route that needs a key."""
+    world = World(upstreams, MODEL_SERVICE)
+    change_document(world, version=2)
+    return world
+
 
+def change_document(world, version=3, route=STREAM, services=(MODEL_SERVICE,), customers=None):
+    known = (make_customer('c', 'k1'),) if customers is None else customers
+    document = make_document(version, [PLAIN, ONCE, route], services, known)
+    world.context.view.apply_document(document)
 
-def begin_call(world, headers=''):
-    return world.call('/stream/x', headers=STREAM_HEADERS + headers, method='POST')
+
+def begin_call(world, attempt='a1'):
+    headers = STREAM_HEADERS + KEY
+    return world.call('/stream/x', headers=headers, method='POST', attempt=attempt)
 
 
 def evacuate(world):
@@ -43,6 +63,27 @@
     world.register(1, born_milliseconds=99, address='10.0.0.9:80')
 
 
+def drop_route(world):
+    change_document(world, route=replace(STREAM, path_prefix='/other/'))
+
+
+def move_route(world):
+    services = (MODEL_SERVICE, replace(MODEL_SERVICE, name='t'))
+    change_document(world, route=replace(STREAM, shares=(Share('t', 1),)), services=services)
+
+
+def narrow_home_regions(world):
+    change_document(world, route=replace(STREAM, home_regions=('elsewhere',)))
+
+
+def withdraw_key(world):
+    change_document(world, customers=(make_customer('c', 'k2'),))
+
+
+def give_key_to_another_customer(world):
+    change_document(world, customers=(make_customer('d', 'k1'),))
+
+
 def block_part(world):
     world.context.traits.blame.block('part')
 
@@ -54,6 +95,11 @@
     leave,
     restart_without_weights,
     restart_at_another_address,
+    drop_route,
+    move_route,
+    narrow_home_regions,
+    withdraw_key,
+    give_key_to_another_customer,
 ]
 
 
@@ -70,7 +116,8 @@
 
 def test_blocked_call_is_not_sent_though_it_was_not_blocked_when_it_waited_to_connect():
     world = make_world()
-    caller = begin_call(world, headers='Prompt-Prefix: part:10,own:5\r\n')
+    headers = f'{STREAM_HEADERS}{KEY}Prompt-Prefix: part:10,own:5\r\n'
+    caller = world.call('/stream/x', headers=headers, method='POST')
     block_part(world)
     assert sent_on(world.accept()) == b''
     assert status_of(caller) == 503
@@ -104,6 +151,16 @@
     assert b'Request-Deadline: 5750\r\n' in sent_on(world.accept())
 
 
+def test_call_that_has_run_goes_on_though_its_key_was_withdrawn():
+    world = make_world(upstreams=2)
+    caller = begin_call(world)
+    answer(world.accept(), 500)
+    withdraw_key(world)
+    body = b'id: 1\ndata: x\n\n'
+    answer(world.accept(), body=body, headers='Weight-Versions: 1\r\n')
+    assert status_of(caller) == 200
+
+
 def test_withdrawal_sends_a_call_to_another_upstream_that_may_still_run_it():
     world = make_world(upstreams=2)
     begin_call(world)
