--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -149,13 +149,14 @@
             (each, ENGINES) for each in self.engines if each.alive
         ]
         live_hosts.extend((each, SERVICES) for each in self.services)
+        live_names = {host.name for host, _service in live_hosts}
         registrations = [
             registration_of(host, service, self.deployment, self._heartbeat_count)
             for host, service in live_hosts
+            if not (isinstance(host, EmulatedEngine) and host.is_silent)
         ]
         for entry, view in zip(self.entries, self.views, strict=True):
             view.control_received_seconds = now_seconds
-            live_names = {registration.upstream for registration in registrations}
             for received in view.registrations.all():
                 if received.registration.upstream not in live_names:
                     view.registrations.mark_gone(received.registration.upstream, now_seconds)
@@ -172,7 +173,7 @@
         self._report_count += 1
         sends_far = self._report_count % self.policy.far_every == 0
         for engine in self.engines:
-            if not engine.alive:
+            if not engine.alive or engine.is_silent:
                 continue
             load = EngineLoad(
                 engine_address=f'{engine.name}:1',
@@ -221,6 +222,7 @@
             'leave': self._close_engines,
             'restart': self._disturb_entries,
             'cut': self._disturb_entries,
+            'silence': self._silence_engines,
         }
         apply.get(change.kind, self._change_service_state)(change)
 
@@ -259,6 +261,11 @@
                 is_closed = change.rest_seconds >= 0
                 engine.rest = RequestedRest(change.rest_seconds) if is_closed else None
 
+    def _silence_engines(self, change: ScheduledChange) -> None:
+        live = [each for each in self.engines if each.alive and each.zone == change.zone]
+        for engine in live[: change.count]:
+            engine.fall_silent(change.for_seconds, reads_first=change.reads_first)
+
     def _disturb_entries(self, change: ScheduledChange) -> None:
         """Restarts entries, or separates them from the others; callers keep using them."""
         zone_entries = [each for each in self.entries if each.zone.name == change.zone]
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -88,6 +88,8 @@
     centre name ``calls_per_second`` in their answers, with ``no-limit`` they no longer do.
     With ``rest`` they turn calls away and ask for ``rest_seconds`` of rest, with -1 no longer; with
     ``leave`` they say in their answers that they are leaving.
+    With ``silence`` its first ``count`` live engines stand still ``for_seconds`` and then go on,
+    with ``reads_first`` after they have read what has arrived.
     ``restart`` starts the first ``count`` entries of a data centre anew, ``cut`` separates
     them from all other entries.
     """
@@ -104,11 +106,14 @@
         'leave',
         'restart',
         'cut',
+        'silence',
     ]
     zone: str = ''
     count: int = 0
     calls_per_second: float = 0
     rest_seconds: float = 0
+    for_seconds: float = 0
+    reads_first: bool = False
 
 
 class Deployment(_Section):
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bench.emulator.deployment import Deployment, RequestKind, Zone
 from bench.emulator.engine import EmulatedEngine, EmulatedService, EngineStream
@@ -14,6 +14,7 @@
 from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.upstream_signals import record_signals
+from jackdawsail.proxy.watch import FIRST_EVENT_TIMEOUT_SECONDS, NEXT_EVENT_TIMEOUT_SECONDS
 from jackdawsail.registry.registration import ModelVersion, Registration
 from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.moving import should_move
@@ -36,7 +37,8 @@
     """One attempt of a caller at an entry.
 
     ``on_event`` gets the number of events so far, ``on_end`` whether the answer is
-    complete, and ``on_refused`` the seconds after which to retry.
+    complete, and ``on_refused`` the seconds after which to retry. ``weight_version`` is the
+    one on which the answer has begun, 0 before that.
     """
 
     kind: RequestKind
@@ -52,6 +54,7 @@
     estimated_tokens: int = 0
     late: bool = False
     events: int = 0
+    weight_version: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -85,52 +88,67 @@
         self.context.upstreams.apply_load(load, self.simulation.seconds())
 
     def check_streams(self) -> None:
-        """Moves streams away from engines that are about to load another weight version."""
+        """Moves streams away from engines, as the product's watch does."""
         now_seconds = self.simulation.seconds()
         for dispatched in list(self.streams):
-            if dispatched.upstream.is_switching(now_seconds) and self.policy.moves_streams:
-                self._move(dispatched)
-
-    def _move(self, dispatched: '_DispatchedCall') -> None:
-        expected = likely_events(
-            self.context, dispatched.history.service, dispatched.call.estimated_tokens
-        )
-        if not should_move(dispatched.call.events, expected):
-            return
-        selection = self._selection(dispatched.call, dispatched.history, dispatched.weight_version)
+            if self._must_recall(dispatched):
+                self._abandon(dispatched)
+            elif self._should_move(dispatched) and self._take_alternative(dispatched, moving=True):
+                self._abandon(dispatched)
+            elif dispatched.is_stalled(now_seconds) and self._take_alternative(dispatched):
+                dispatched.upstream.call_failed(now_seconds)
+                self._abandon(dispatched)
+
+    def _must_recall(self, dispatched: '_DispatchedCall') -> bool:
+        if dispatched.call.events:
+            return False
+        selection = self._selection(dispatched.call, dispatched.history)
+        return selection.must_leave_engine(self.context, dispatched.weight_version)
+
+    def _should_move(self, dispatched: '_DispatchedCall') -> bool:
+        if not self.policy.moves_streams:
+            return False
+        if not dispatched.upstream.is_switching(self.simulation.seconds()):
+            return False
+        call = dispatched.call
+        expected = likely_events(self.context, dispatched.history.service, call.estimated_tokens)
+        return should_move(call.events, expected)
+
+    def _take_alternative(self, dispatched: '_DispatchedCall', *, moving: bool = False) -> bool:
+        history = dispatched.history
         with self.policy.installed():
-            chosen = select_upstream(self.context, selection)
-        if not isinstance(chosen, Choice) or not self.context.take_move(
-            dispatched.history.service
-        ):
-            return
-        if dispatched.history.take_further_upstream():
-            dispatched.cancel()
-            self._send(
-                dispatched.call, dispatched.history, chosen.upstream, selection.engine_rank or 0
-            )
-
-    def _selection(
-        self, call: EmulatedCall, history: SendHistory, pinned_version: int = 0
-    ) -> Selection:
+            chosen = select_upstream(self.context, self._selection(dispatched.call, history))
+        if not isinstance(chosen, Choice):
+            return False
+        if moving and not self.context.take_move(history.service):
+            return False
+        return history.take_further_upstream()
+
+    def _abandon(self, dispatched: '_DispatchedCall') -> None:
+        dispatched.cancel()
+        self._dispatch(dispatched.call, dispatched.history)
+
+    def _selection(self, call: EmulatedCall, history: SendHistory) -> Selection:
         return Selection(
             service=history.service,
             route=call.route,
             customer=None,
             call=_to_caller_call(call),
             tried=tuple(history.tried),
-            pinned_version=pinned_version,
+            pinned_version=call.weight_version,
             is_late=call.late,
         )
 
     def _dispatch(self, call: EmulatedCall, history: SendHistory) -> None:
-        selection = self._selection(call, history)
+        selection = replace(self._selection(call, history), is_begun=bool(call.events))
         with self.policy.installed():
             chosen = place_call(self.context, selection)
         if isinstance(chosen, Choice):
-            self._send(call, history, chosen.upstream, selection.engine_rank or 0)
-            return
-        self._refuse(call, chosen.retry_after_seconds)
+            self._send(call, history, chosen.upstream, selection)
+        elif history.may_have_run:
+            call.on_end(False)
+        else:
+            self._refuse(call, chosen.retry_after_seconds)
 
     def _refuse(self, call: EmulatedCall, retry_after_seconds: float) -> None:
         self.refused += 1
@@ -139,23 +157,28 @@
         call.on_refused(retry_after_seconds)
 
     def _send(
-        self, call: EmulatedCall, history: SendHistory, upstream: Upstream, rank: int
+        self, call: EmulatedCall, history: SendHistory, upstream: Upstream, selection: Selection
     ) -> None:
+        now_seconds = self.simulation.seconds()
         history.tried.append(upstream.name)
-        upstream.call_sent(self.simulation.seconds())
+        upstream.call_sent(now_seconds)
         history.record_send(upstream.name)
         host = self.hosts.get(upstream.name)
         delay_seconds = self.deployment.delay_seconds(self.zone.region, upstream.region)
         dispatched = _DispatchedCall(self, call, history, upstream, delay_seconds)
-        dispatched.weight_version = upstream.version_of(MODEL, self.simulation.seconds())
+        dispatched.progress_seconds = now_seconds
+        dispatched.weight_version = upstream.version_of(MODEL, now_seconds)
         if call.prompt_tokens:
             self.streams.append(dispatched)
-        self.sends.append((self.simulation.seconds(), upstream.name))
+        self.sends.append((now_seconds, upstream.name))
         if host is not None:
-            self.simulation.call_later(delay_seconds, dispatched.arrive, host, rank)
+            rank = selection.engine_rank or 0
+            expected_version = selection.expected_version(self.context)
+            arguments = (host, rank, expected_version)
+            self.simulation.call_later(delay_seconds, dispatched.arrive, *arguments)
 
     def handle_head(self, upstream: Upstream, host: Host | None, *, is_refusal: bool) -> None:
-        """Records what the head of an answer says of its upstream."""
+        """Records what the head of an answer says of its upstream, if that is an engine."""
         if not isinstance(host, EmulatedEngine):
             return
         rest = host.rest if is_refusal else None
@@ -164,16 +187,19 @@
         record_signals(self.context, upstream, head)
 
     def handle_not_run(
-        self, call: EmulatedCall, history: SendHistory, upstream: Upstream, host: Host
+        self, dispatched: '_DispatchedCall', is_misdirected: bool
     ) -> None:
         """Repeats a call that an upstream reported as not run, or refuses it."""
+        upstream, history = dispatched.upstream, dispatched.history
         upstream.calls -= 1
-        self.handle_head(upstream, host, is_refusal=True)
+        self.handle_head(upstream, dispatched.host, is_refusal=True)
+        if is_misdirected:
+            upstream.call_failed(self.simulation.seconds())
         history.record_not_run(upstream.name)
         if history.take_repeat():
-            self._dispatch(call, history)
+            self._dispatch(dispatched.call, history)
         else:
-            self._refuse(call, DEFAULT_RETRY_AFTER_SECONDS)
+            self._refuse(dispatched.call, DEFAULT_RETRY_AFTER_SECONDS)
 
 
 @dataclass(slots=True, eq=False)
@@ -186,6 +212,7 @@
     upstream: Upstream
     delay_seconds: float
     sent_seconds: float = 0
+    progress_seconds: float = 0
     weight_version: int = 0
     stream: EngineStream | None = None
     host: EmulatedEngine | None = None
@@ -200,7 +227,13 @@
             arguments = (self.stream,)
             self.entry.simulation.call_later(self.delay_seconds, self.host.cancel, *arguments)
 
-    def arrive(self, host: Host, rank: int) -> None:
+    def is_stalled(self, now_seconds: float) -> bool:
+        """Returns whether the stream has had no event for longer than an engine takes."""
+        begun = bool(self.call.events)
+        timeout_seconds = NEXT_EVENT_TIMEOUT_SECONDS if begun else FIRST_EVENT_TIMEOUT_SECONDS
+        return now_seconds - self.progress_seconds >= timeout_seconds
+
+    def arrive(self, host: Host, rank: int, expected_version: int) -> None:
         self.sent_seconds = self.entry.simulation.seconds() - self.delay_seconds
         if self.cancelled:
             return
@@ -212,20 +245,27 @@
                 rank,
                 self._delayed(self._handle_event),
                 self._delayed(self._handle_end),
+                self._handle_refusal,
+                expected_version,
+                continues=bool(self.call.events),
             )
             self.stream = stream
             self.host = host
-            accepted = host.accept(stream)
+            host.receive(stream)
         else:
             accepted = host.accept(
                 self.call.work_seconds, lambda: self._delayed(self._handle_end)(True)
             )
-        if not accepted:
-            self._remove_stream()
-            arguments = (self.call, self.history, self.upstream, host)
-            self.entry.simulation.call_later(
-                self.delay_seconds, self.entry.handle_not_run, *arguments
-            )
+            if not accepted:
+                self._handle_refusal()
+
+    def _handle_refusal(self, is_misdirected: bool = False) -> None:
+        if self.cancelled:
+            return
+        self._remove_stream()
+        self.entry.simulation.call_later(
+            self.delay_seconds, self.entry.handle_not_run, self, is_misdirected
+        )
 
     def _delayed(self, receive: Callable[..., None]) -> Callable[..., None]:
         return lambda argument: self.entry.simulation.call_later(
@@ -241,6 +281,9 @@
             self.entry.handle_head(self.upstream, self.host, is_refusal=False)
         if events == 1:
             self.upstream.record_first_event(now_seconds - self.sent_seconds, now_seconds)
+        if not self.call.weight_version and self.stream is not None:
+            self.call.weight_version = self.stream.version
+        self.progress_seconds = now_seconds
         self.call.events += 1
         self.call.on_event(self.call.events)
 
