Site view: a data centre is emptied without waiting for a document

While a large document was on its way over a slow link, an entry went on sending to a data centre whose evacuation had been acknowledged.

They are applied by the revision of the summary now, as the list of sharing entries is, and never by an older one. Event 327 shows the change, as 322 may come later.

Evidence: the test failed before with test_a_zone_is_emptied_while_the_document_of_its_summary_has_not_arrived assert frozenset() == {'z'} Why it works: the set stands in the summary itself, and its use needs nothing of the document.

--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -37,6 +37,7 @@
 REVISION_IN_FORCE = events.define(322, 'info', 'site revision is in force in this process')
 CONTROL_CONNECTED = events.define(323, 'info', 'link to control host opened')
 CONTROL_LOST = events.define(324, 'warning', 'link to control host lost')
+ZONES_EMPTIED = events.define(327, 'info', 'emptied data centres change in this process')
 
 DecodeDocument = Callable[[bytes], Result[SiteDocument, str]]
 
@@ -117,6 +118,8 @@
             self._request_document(link, summary.revision, now_seconds)
         applied = self.view.apply_summary(summary, received.received_seconds)
         log_announcements(applied.announcements, now_seconds, _peer_name(link))
+        if applied.zones_changed:
+            self._log_zones(link, summary)
         if applied.in_force:
             self._log_revision(link, summary, now_seconds)
 
@@ -152,6 +155,14 @@
         self.view.apply_members(_peer_name(link), members)
         self.dial_known()
 
+    def _log_zones(self, link: Link, summary: SiteSummary) -> None:
+        events.log(
+            ZONES_EMPTIED,
+            revision=summary.revision,
+            emptied_zones=summary.emptied_zones,
+            control=_peer_name(link),
+        )
+
     def _log_revision(self, link: Link, summary: SiteSummary, now_seconds: float) -> None:
         events.log(
             REVISION_IN_FORCE,
--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -19,10 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedSummary:
-    """What a summary changed: whether it is in force now, and the weights that it announced."""
+    """What a summary changed.
+
+    ``in_force`` is whether its revision is in force now, ``zones_changed`` whether other zones
+    are emptied than before.
+    """
 
     in_force: bool
-    announcements: tuple[AnnouncementChange, ...] = ()
+    zones_changed: bool
+    announcements: tuple[AnnouncementChange, ...]
 
 
 @dataclass(slots=True)
@@ -48,6 +53,7 @@
     _entries: list[MemberHost] = field(default_factory=list)
     _agent_regions: dict[str, str] = field(default_factory=dict)
     _sharing_revision: int = 0
+    _zones_revision: int = 0
 
     @property
     def document_version(self) -> int:
@@ -61,17 +67,19 @@
     def apply_summary(self, summary: SiteSummary, received_seconds: float) -> AppliedSummary:
         """Records when a summary arrived, and applies it if it is newer and its document is held.
 
-        The announcements of weights are applied in any case.
+        The announcements of weights are applied in any case, and newer emptied zones without
+        the document.
         """
         self.control_received_seconds = max(self.control_received_seconds, received_seconds)
         changes = add_announcements(self.weights, summary.weights, received_seconds)
         in_force = summary.revision > self.revision and not self.wants_document(summary)
         if in_force:
             self.revision = summary.revision
-            self.emptied_zones = frozenset(summary.emptied_zones)
-        if in_force or any(change.earlier_seconds is None for change in changes):
+        zones_changed = self._apply_zones(summary)
+        has_new_weights = any(change.earlier_seconds is None for change in changes)
+        if in_force or zones_changed or has_new_weights:
             self._notify_change()
-        return AppliedSummary(in_force, tuple(changes))
+        return AppliedSummary(in_force, zones_changed, tuple(changes))
 
     def apply_sharing_entries(self, summary: SiteSummary) -> None:
         """Records the entries that share the limits, if the summary has newer ones.
@@ -137,6 +145,15 @@
         """Returns the number of agents of a region that any control host sees."""
         return sum(each == region for each in self._agent_regions.values())
 
+    def _apply_zones(self, summary: SiteSummary) -> bool:
+        if summary.revision <= self._zones_revision:
+            return False
+        self._zones_revision = summary.revision
+        emptied_zones = frozenset(summary.emptied_zones)
+        changed = emptied_zones != self.emptied_zones
+        self.emptied_zones = emptied_zones
+        return changed
+
     def _merge_members(self) -> None:
         """Merges what the control hosts see, as it changes far less often than it is read."""
         all_members = list(self._members_by_control.values())
--- a/test/site/test_view.py
+++ b/test/site/test_view.py
@@ -34,6 +34,16 @@
     assert view.document_version == 5
 
 
+def test_a_zone_is_emptied_while_the_document_of_its_summary_has_not_arrived():
+    view, notified = SiteView(), []
+    view.on_change.append(lambda: notified.append(view.emptied_zones))
+    assert not view.apply_summary(summary(9, document=2, zones=['z']), 1.0).in_force
+    assert view.emptied_zones == {'z'}
+    assert notified == [{'z'}]
+    view.apply_summary(summary(8), 1.0)
+    assert (view.revision, view.emptied_zones) == (8, {'z'})
+
+
 @given(st.permutations(range(1, 7)))
 def test_newest_revision_stays_in_force_for_any_order_of_summaries(order):
     view = SiteView()
