Control hosts tell each other when weights were announced

Entries take the earliest time of all control hosts, but one that starts and has reached only the restarted host counted from too late until the next link was open. After restarts one by one nobody knew the true time.

The first Registrations on a link between control hosts now has the announced weights with their ages. The receiver keeps the earliest time, by the same function as entries. A trailing field is used, as older control hosts ignore it; they would close the link of consensus on a new kind of message.

If all of them restart at once, the time starts again for processes that start later.

--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -14,7 +14,13 @@
 from jackdawsail.group.trait_evidence import TraitEvidenceRelay
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.registry.registration import ReceivedRegistration, Registration, RegistrationTable
-from jackdawsail.site.announcements import AnnouncementChange, WeightTarget, log_announcements
+from jackdawsail.site.announcements import (
+    Announcements,
+    add_announcements,
+    announced_weights,
+    log_announcements,
+    without_old_versions,
+)
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
@@ -46,7 +52,7 @@
     registrations: RegistrationTable = field(default_factory=RegistrationTable)
     traits: TraitEvidenceRelay = field(init=False)
     _batched: dict[str, ReceivedRegistration] = field(default_factory=dict)
-    _announced_seconds: dict[tuple[str, int], float] = field(default_factory=dict)
+    _announcements: Announcements = field(default_factory=dict)
     # The version of the last compressed document, and its compressed body.
     _compressed: tuple[int, bytes] = (0, b'')
 
@@ -70,25 +76,14 @@
     def site_changed(self) -> None:
         """Records the announced weights and sends the summary of the changed state.
 
-        Weights count as announced from when this process first sees them in the state. A
-        process that has just started therefore reports a later time than the others. Entries
-        and agents keep the earliest time that any control host reports; if all control hosts
-        are lost, the period for the changeover starts again for processes that start later.
+        Weights count as announced from when this process first sees them in the state, unless
+        another control host has told an earlier time. If all control hosts are restarted at the
+        same time, the period for the changeover starts again for processes that start later.
         """
-        now_seconds = self.clock.seconds()
-        first_seen = dict.fromkeys(self.machine.state.weight_versions, now_seconds)
-        changes = [
-            AnnouncementChange(model, WeightTarget(version, now_seconds))
-            for model, version in first_seen.keys() - self._announced_seconds.keys()
+        seen = [
+            AnnouncedWeights(*pair, age_seconds=0) for pair in self.machine.state.weight_versions
         ]
-        log_announcements(changes, now_seconds, 'replicated state')
-        # An older version keeps its own changeover deadline for a while next to a newer one.
-        still_announced = {
-            weights: announced_seconds
-            for weights, announced_seconds in self._announced_seconds.items()
-            if weights in first_seen or now_seconds - announced_seconds < WEIGHTS_KEPT_SECONDS
-        }
-        self._announced_seconds = {**first_seen, **still_announced}
+        self._add_announcements(seen, 'replicated state')
         self.traits.site_changed()
         self._send_whole_summary(self.router.links_to(*SUBSCRIBERS))
 
@@ -132,7 +127,10 @@
         if role in SUBSCRIBERS:
             self._send_whole_summary([link])
         if role in REGISTRATION_READERS:
-            link.send(self._with_ages(self.registrations.all()))
+            registrations = self._with_ages(self.registrations.all())
+            weights = announced_weights(self._announcements, self.clock.seconds())
+            is_control = role is Role.control
+            link.send(replace(registrations, weights=weights) if is_control else registrations)
 
     def _on_document_wanted(self, link: Link, wanted: DocumentWanted) -> None:
         state = self.machine.state
@@ -141,11 +139,21 @@
                 DocumentPushed(state.revision, state.document.version, self._compressed_body())
             )
 
-    def _on_registrations(self, _link: Link, message: Registrations) -> None:
+    def _on_registrations(self, link: Link, message: Registrations) -> None:
         now_seconds = self.clock.seconds()
+        if message.weights:
+            self._add_announcements(message.weights, link.peer.name if link.peer else '')
         for aged in message.heard:
             self.registrations.update(aged.registration, now_seconds - aged.age_seconds)
 
+    def _add_announcements(self, told: list[AnnouncedWeights], source: str) -> None:
+        """Keeps the earliest time of each version, also of an older one with its own deadline."""
+        now_seconds = self.clock.seconds()
+        changes = add_announcements(self._announcements, told, now_seconds)
+        oldest_seconds = now_seconds - WEIGHTS_KEPT_SECONDS
+        self._announcements = without_old_versions(self._announcements, oldest_seconds)
+        log_announcements(changes, now_seconds, source)
+
     def _on_upstream_left(self, _link: Link, message: UpstreamLeft) -> None:
         self.registrations.mark_gone(message.upstream, self.clock.seconds())
 
@@ -170,10 +178,7 @@
     def _summary(self) -> SiteSummary:
         state = self.machine.state
         now_seconds = self.clock.seconds()
-        weights = [
-            AnnouncedWeights(model, version, now_seconds - announced_seconds)
-            for (model, version), announced_seconds in self._announced_seconds.items()
-        ]
+        weights = announced_weights(self._announcements, now_seconds)
         zones = list(state.emptied_zones)
         return SiteSummary(state.revision, state.document.version, zones, weights)
 
--- a/jackdawsail/site/announcements.py
+++ b/jackdawsail/site/announcements.py
@@ -67,6 +67,23 @@
     return changes
 
 
+def announced_weights(known: Announcements, now_seconds: float) -> list[AnnouncedWeights]:
+    """Returns the known announcements with their ages, for a message that is sent now."""
+    return [
+        AnnouncedWeights(model, target.version, now_seconds - target.announced_seconds)
+        for model, targets in known.items()
+        for target in targets
+    ]
+
+
+def without_old_versions(known: Announcements, oldest_seconds: float) -> Announcements:
+    """Returns the newest version of each model, and others announced after ``oldest_seconds``."""
+    return {
+        model: (*(each for each in older if each.announced_seconds > oldest_seconds), newest)
+        for model, (*older, newest) in known.items()
+    }
+
+
 def ages_by_version(
     known: Announcements, told: Iterable[AnnouncedWeights], now_seconds: float
 ) -> dict[str, dict[int, float]]:
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -70,9 +70,14 @@
 
 @message('site-registrations')
 class Registrations:
-    """Control to all processes: upstreams that have registered."""
+    """Control to entries and control hosts: upstreams that have registered.
+
+    The first one on a link between control hosts also has the announced weights. An older
+    control host ignores that field, but would close a link on which it gets a new message.
+    """
 
     heard: list[AgedRegistration]
+    weights: list[AnnouncedWeights] = field(default_factory=list)
 
 
 @message('site-goodbye')
--- a/test/group/test_fanout.py
+++ b/test/group/test_fanout.py
@@ -1,10 +1,14 @@
 """What control hosts send about announced weights."""
 
+import pytest
+
 from jackdawsail import events
 from jackdawsail.group import calls
+from jackdawsail.group.fanout import WEIGHTS_KEPT_SECONDS
 from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED
 from jackdawsail.site.view import SiteView
-from jackdawsail.wire.site_messages import SiteSummary
+from jackdawsail.wire.identity import Role
+from jackdawsail.wire.site_messages import Registrations, SiteSummary
 from test.group.test_call_handler import Host
 
 
@@ -36,3 +40,37 @@
         view.apply_summary(summary, host.clock.seconds())
     targets = {target.version: target.announced_seconds for target in view.weights['m']}
     assert targets == {2: 0.0, 3: 3.0}
+
+
+def connect(first, second):
+    """Opens a link between two control hosts, and delivers what each sends on it at first."""
+    sides = [(first, first.link(Role.control, 'c2')), (second, second.link(Role.control, 'c1'))]
+    for (_sender, sent_on), (receiver, received_on) in (sides, sides[::-1]):
+        for message in sent_on.sent_of(Registrations):
+            receiver.router.link_received(received_on, message)
+
+
+@pytest.mark.parametrize('is_restored_first', [True, False])
+def test_a_restarted_control_host_does_not_tell_a_later_time_than_the_others(is_restored_first):
+    host = Host()
+    host.ask(calls.AnnounceWeights('m', 2))
+    host.clock.advance(3)
+    host.ask(calls.AnnounceWeights('m', 3))
+    host.clock.advance(2)
+    started = restarted(host) if is_restored_first else Host(host.clock)
+    connect(started, host)
+    started.machine.restore(host.machine.snapshot())
+    host.clock.advance(1)
+    for each in (started, host):
+        announced = each.link().sent_of(SiteSummary)[0].weights
+        assert {weights.version: weights.age_seconds for weights in announced} == {2: 6.0, 3: 3.0}
+
+
+def test_a_control_host_forgets_an_older_version_after_its_changeover():
+    host = Host()
+    host.ask(calls.AnnounceWeights('m', 2))
+    host.ask(calls.AnnounceWeights('m', 3))
+    host.clock.advance(WEIGHTS_KEPT_SECONDS)
+    host.ask(calls.SetZoneEmptied('z', emptied=True))
+    announced = host.link().sent_of(SiteSummary)[0].weights
+    assert [weights.version for weights in announced] == [3]
