--- a/jackdawsail/agent/program.py
+++ b/jackdawsail/agent/program.py
@@ -102,7 +102,7 @@
         )
         base_url = parse_base_url(settings.upstream_url)
         pool = self._context.make_channel_pool(uses_tls=base_url.uses_tls)
-        client = UpstreamClient(pool, base_url)
+        client = UpstreamClient(pool, base_url, self.permit.blocked_reason)
         self._window = window
         kind = UpstreamKind(settings.upstream_kind)
         deps = WorkDependencies(
--- a/jackdawsail/agent/upstream.py
+++ b/jackdawsail/agent/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -22,11 +23,20 @@
 STALL_SECONDS = 20.0
 ANSWER_SECONDS = 600.0  # of a whole answer, far above the deadline of any request
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+WITHDRAWN = 'withdrawn'  # begins the reason of a job that may not be dispatched any more
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 
 
+# Returns the reason why no work may be dispatched at a time, or an empty string.
+BlockedReason = Callable[[float], str]
+
+
+def _never_blocked(_now_seconds: float) -> str:
+    return ''
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """One dispatched request: the work, its reservation and the release to run it on."""
@@ -70,11 +80,17 @@
         self._stall.start(STALL_SECONDS)
         self._end_limit.start(ANSWER_SECONDS)
 
-    def begin(self, pool: ChannelPool, address: str, request: HttpRequest) -> None:
-        """Sends the request on a new connection."""
+    def begin(
+        self,
+        pool: ChannelPool,
+        address: str,
+        request: HttpRequest,
+        blocked: BlockedReason = _never_blocked,
+    ) -> None:
+        """Sends the request on a new connection, unless work is blocked once it is open."""
 
         def opened(channel: ClientChannel | None) -> None:
-            self._on_connected(channel, request)
+            self._on_connected(channel, request, blocked(pool.clock.seconds()))
 
         self._connector = pool.connect(address, opened)
 
@@ -152,11 +168,16 @@
     def _on_too_long(self) -> None:
         self.failed(Outcome.unknown, 'answer-without-end')
 
-    def _on_connected(self, channel: ClientChannel | None, request: HttpRequest) -> None:
+    def _on_connected(
+        self, channel: ClientChannel | None, request: HttpRequest, blocked_reason: str
+    ) -> None:
         if channel is None:
             self.failed(Outcome.not_run, 'upstream-unreachable')
         elif self._ended:
             channel.close()
+        elif blocked_reason:
+            channel.close()
+            self.failed(Outcome.not_run, f'{WITHDRAWN}-{blocked_reason}')
         else:
             self._channel = channel
             channel.send(request, self)
@@ -264,9 +285,10 @@
 class UpstreamClient:
     """Starts jobs at one upstream over HTTP."""
 
-    def __init__(self, pool: ChannelPool, base_url: BaseUrl) -> None:
+    def __init__(self, pool: ChannelPool, base_url: BaseUrl, blocked: BlockedReason) -> None:
         self._pool = pool
         self._base_url = base_url
+        self._blocked = blocked
 
     def generate(self, job: Job, sink: JobSink) -> UpstreamRun:
         """Starts a generation on the engine."""
@@ -302,5 +324,5 @@
     ) -> UpstreamRun:
         run = UpstreamRun(self._pool.clock, sink, answer)
         request = self._base_url.make_request(method, path, (CLOSE, *headers), body)
-        run.begin(self._pool, self._base_url.address, request)
+        run.begin(self._pool, self._base_url.address, request, self._blocked)
         return run
--- a/jackdawsail/agent/work_runner.py
+++ b/jackdawsail/agent/work_runner.py
@@ -12,7 +12,7 @@
 from jackdawsail.agent.answer_batcher import AnswerBatcher
 from jackdawsail.agent.service_permit import ServicePermit
 from jackdawsail.agent.status import AgentStatus
-from jackdawsail.agent.upstream import Job, UpstreamClient, UpstreamRun
+from jackdawsail.agent.upstream import WITHDRAWN, Job, UpstreamClient, UpstreamRun
 from jackdawsail.loops import make_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.routing.agent_scheduler import AgentScheduler, Effects, Reply, StartWork, StopWork
@@ -233,11 +233,11 @@
         self._finish()
 
     def answer_failed(self, outcome: Outcome, reason: str) -> None:
-        """Sends the failure and counts it in the window, unless the caller cancelled."""
+        """Sends the failure, and counts it in the window if it is one of the upstream."""
         attempt_id = self._job.work.attempt_id
         if reason.startswith('engine-refused'):
             self._deps.window.record_refusal()
-        elif reason != 'cancelled':
+        elif not reason.startswith(('cancelled', WITHDRAWN)):
             self._deps.window.record_failure()
             events.log(WORK_FAILED, attempt=attempt_id, reason=reason, outcome=str(outcome))
         self._send(AnswerFailed(attempt_id, outcome, reason))
--- a/test/agent/test_upstream.py
+++ b/test/agent/test_upstream.py
@@ -5,18 +5,25 @@
 import pytest
 from returns.result import Success
 
+from jackdawsail.agent import upstream as agent_upstream
 from jackdawsail.agent.engine_admin import EngineAdminClient, EngineState
+from jackdawsail.agent.service_permit import GateState, ServicePermit
 from jackdawsail.agent.upstream import (
     ANSWER_SECONDS,
     MAX_ANSWER_BYTES,
     STALL_SECONDS,
     AnswerBody,
     EngineBody,
+    UpstreamClient,
     UpstreamRun,
 )
 from jackdawsail.errors import UserError
 from jackdawsail.http1.base_url import parse_base_url
 from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.membership.leases import Lease
+from jackdawsail.state.replica import StateReplica
+from jackdawsail.wire.identity import Identity, Role
+from jackdawsail.wire.work_messages import Priority, Reserve, Work
 from test.agent.test_streams import TWO_TOKENS, Sink, event
 from test.http1.ends import Reactor, close, reset
 
@@ -169,3 +176,19 @@
 def test_unusable_urls_of_an_upstream_are_rejected(url):
     with pytest.raises(UserError):
         parse_base_url(url)
+
+
+def test_job_is_not_sent_once_its_lease_has_lapsed_while_it_waited_to_connect():
+    upstream, sink = Upstream(), Sink()
+    lease = Lease()
+    lease.record_reply(lease.record_request(upstream.reactor.seconds()), 2.5, 1)
+    identity = Identity(Role.agent, 'h', 'z', 'r', 1)
+    permit = ServicePermit(identity, lease, StateReplica(), GateState(''))
+    client = UpstreamClient(upstream.pool, BASE_URL, permit.blocked_reason)
+    work = Work('a1', 1, 1, 'POST', '/x', '', b'{}', 0)
+    reserve = Reserve('a1', 'q1', 'c', 'b', '', 1, Priority.live, 1.0, '')
+    client.call(agent_upstream.Job(work, reserve, ''), sink)
+    upstream.reactor.advance(3.0)
+    channel = upstream.accept()
+    assert channel.transport.value() == b''
+    assert sink.calls == [('failed', 'not-run', 'withdrawn-no-lease')]
