--- a/test/proxy/test_withdrawn_permissions.py
+++ b/test/proxy/test_withdrawn_permissions.py
@@ -7,8 +7,6 @@
 from jackdawsail.site.document import Share
 from test.proxy.world import (
     MODEL_SERVICE,
-    ONCE,
-    PLAIN,
     STREAM,
     STREAM_HEADERS,
     World,
@@ -21,16 +19,17 @@
 KEY = 'Authorization: Token k1\r\n'
 
 
-def make_world(upstreams=1):
+def make_world(upstreams=1, route=STREAM):
     """Builds a world with a service of engines, a customer, and a route that needs a key."""
     world = World(upstreams, MODEL_SERVICE)
-    change_document(world, version=2)
+    change_document(world, route=route)
     return world
 
 
-def change_document(world, version=3, route=STREAM, services=(MODEL_SERVICE,), customers=None):
+def change_document(world, route=STREAM, services=(MODEL_SERVICE,), customers=None):
+    version = world.context.view.document_version + 1
     known = (make_customer('c', 'k1'),) if customers is None else customers
-    document = make_document(version, [PLAIN, ONCE, route], services, known)
+    document = make_document(version, [route], services, known)
     world.context.view.apply_document(document)
 
 
@@ -123,12 +122,15 @@
     assert status_of(caller) == 503
 
 
-def test_weights_that_become_due_while_a_call_waits_to_connect_keep_it_off_older_ones():
+@pytest.mark.parametrize('waited_seconds', [0.25, 2.0])
+def test_weights_that_become_due_while_a_call_waits_to_connect_keep_it_off_older_ones(
+    waited_seconds,
+):
     world = make_world()
     world.summarize(revision=2, weights=[('m', 2, 6.9)])
     begin_call(world)
     world.register(2, version=2)
-    world.reactor.advance(0.25)
+    world.reactor.advance(waited_seconds)
     assert sent_on(world.accept()) == b''
     sent = sent_on(world.accept())
     assert b'Expect-Instance: i-2' in sent
@@ -169,3 +171,16 @@
     world.report(number, running=0, switching=True)
     assert sent_on(world.accept()) == b''
     assert b'Expect-Instance: i-%d' % (3 - number) in sent_on(world.accept())
+
+
+@pytest.mark.parametrize('withdraw', [*WITHDRAWALS, block_part])
+@pytest.mark.parametrize('route', [STREAM, replace(STREAM, resumable=False)])
+def test_call_that_was_sent_to_a_silent_engine_is_never_refused_as_not_run(withdraw, route):
+    world = make_world(route=route)
+    headers = 'Prompt-Prefix: part:10,own:5\r\n'
+    caller = world.call('/stream/x', headers=STREAM_HEADERS + KEY + headers, method='POST')
+    assert sent_on(world.accept())
+    withdraw(world)
+    for _ in range(35):
+        world.reactor.advance(0.2)
+    assert status_of(caller) in {502, 504}
