--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     'blame',
     'limits',
     'rest',
+    'silence',
     'staging',
 )
 
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -16,7 +16,7 @@
 from jackdawsail.routing.named_limits import NamedLimit
 from jackdawsail.routing.rest import RequestedRest
 
-SAME_CHANNEL_SECONDS = 0.03  # between reading a call and what is behind it on its channel
+SAME_CHANNEL_SECONDS = 0.08  # between reading a call and what is behind it on its channel
 
 
 @dataclass(slots=True, eq=False)
@@ -169,7 +169,8 @@
     def _read(self) -> None:
         """Reads all that has arrived; what is behind a call on its channel comes later."""
         self._passes_before_reading = 0
-        unread, self._unread = self._unread or [], None
+        unread = self._unread or []
+        self._unread = None
         calls = [message for handle, message in unread if handle == self._accept]
         for handle, message in unread:
             if self._reads_first and handle == self._remove and message in calls:
@@ -206,7 +207,8 @@
         """Stops the engine at once; every stream ends incomplete."""
         self.alive = False
         streams = [*self.waiting, *self.prefilling, *self.decoding]
-        unread, self._unread = self._unread or [], None
+        unread = self._unread or []
+        self._unread = None
         streams.extend(message for handle, message in unread if handle == self._accept)
         for queue in (self.waiting, self.prefilling, self.decoding):
             queue.clear()
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -186,9 +186,7 @@
         self.heads.append((self.simulation.seconds(), upstream.name, head))
         record_signals(self.context, upstream, head)
 
-    def handle_not_run(
-        self, dispatched: '_DispatchedCall', is_misdirected: bool
-    ) -> None:
+    def handle_not_run(self, dispatched: '_DispatchedCall', is_misdirected: bool) -> None:
         """Repeats a call that an upstream reported as not run, or refuses it."""
         upstream, history = dispatched.upstream, dispatched.history
         upstream.calls -= 1
