--- /dev/null
+++ b/test/proxy/test_weight_limits.py
@@ -0,0 +1,82 @@
+"""Calls at the time limit for new weights, at engines that fall silent for up to 2 s.
+
+A call takes up to 0.5 s until it begins, so none may be sent without the version that it expects
+later than 2.5 s before the limit, and none that has not begun may wait 2 s before it.
+"""
+
+import pytest
+
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM_HEADERS,
+    World,
+    begin_stream,
+    event,
+    sent_on,
+    status_of,
+)
+
+WITHIN_SECONDS = 8.0  # from the announcement to the limit
+LAST_RECALL_SECONDS = 2.0  # before the limit
+
+
+def announce(world, limit_in_seconds):
+    """Announces version 2 so that its limit is due in a time."""
+    world.summarize(revision=2, weights=[('m', 2, WITHIN_SECONDS - limit_in_seconds)])
+
+
+def advance(world, for_seconds):
+    for _ in range(round(for_seconds / 0.1)):
+        world.reactor.advance(0.1)
+
+
+def call(world):
+    return world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+
+
+class TestCallNearTheLimit:
+    """A call that an entry sends less than 2.5 s before the limit."""
+
+    @pytest.mark.parametrize('limit_in_seconds', [2.4, 1.2])
+    def test_is_not_sent_to_an_engine_on_old_weights(self, limit_in_seconds):
+        world = World(2, MODEL_SERVICE)
+        announce(world, limit_in_seconds)
+        caller = call(world)
+        assert world.reactor.pending_connects == []
+        assert status_of(caller) == 503
+
+    @pytest.mark.parametrize('limit_in_seconds', [2.4, 1.2])
+    def test_names_the_version_that_it_expects(self, limit_in_seconds):
+        world = World(1, MODEL_SERVICE)
+        world.register(1, version=2, sequence=2)
+        announce(world, limit_in_seconds)
+        call(world)
+        assert b'Expect-Version: 2' in sent_on(world.accept())
+
+
+class TestCallThatHasNotBegun:
+    """A call that waits at an engine on old weights."""
+
+    def test_is_recalled_2_seconds_before_the_limit(self):
+        world = World(1, MODEL_SERVICE)
+        announce(world, limit_in_seconds=3.0)
+        call(world)
+        old = world.accept()
+        advance(world, 3.0 - LAST_RECALL_SECONDS)
+        assert old.transport.aborted
+
+    def test_is_recalled_2_seconds_before_the_limit_if_it_began_at_another_engine(self):
+        world = World(2, MODEL_SERVICE)
+        announce(world, limit_in_seconds=4.0)
+        call(world)
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for number in (1, 2):
+            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        world.reactor.advance(0.2)
+        second = world.accept()
+        assert first.transport.aborted
+        assert b'Expect-Version: 1' in sent_on(second)
+        advance(world, 3.8 - LAST_RECALL_SECONDS)
+        assert second.transport.aborted
