Mutants: announcements of weights, the revision of zones and the time of a summary

The mutant of the revision named a text that the changes to SiteView replaced; it breaks the same condition in the new text. Five are new: of several times the first or the last is kept, an older summary empties zones, a summary counts from when it is applied, control hosts ignore what others tell.

--- a/test/mutants.py
+++ b/test/mutants.py
@@ -55,7 +55,27 @@
     Mutant(
         'site/machine.py', 'if digest == held.digest else CommandOutcome.conflict', '', 'test/site'
     ),
-    Mutant('site/view.py', 'summary.revision <= self.revision or ', '', 'test/site'),
+    Mutant('site/view.py', 'summary.revision > self.revision and ', '', 'test/site'),
+    Mutant('site/view.py', 'summary.revision <= self._zones_revision', 'False', 'test/site'),
+    Mutant(
+        'site/announcements.py',
+        'held.announced_seconds <= target.announced_seconds',
+        'True',
+        'test/site',
+    ),
+    Mutant(
+        'site/announcements.py',
+        'held.announced_seconds <= target.announced_seconds',
+        'False',
+        'test/site',
+    ),
+    Mutant(
+        'site/client.py',
+        'apply_summary(summary, received.received_seconds)',
+        'apply_summary(summary, now_seconds)',
+        'test/site',
+    ),
+    Mutant('group/fanout.py', 'if message.weights:', 'if False:', 'test/group'),
     Mutant(
         'site/view.py', 'if document.version <= self.document_version:', 'if False:', 'test/site'
     ),
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -156,3 +156,4 @@
     world.clock.advance(3)
     world.receive_document()
     assert (world.view.revision, world.announced_seconds) == (1, {2: 9.0})
+    assert world.view.control_received_seconds == 10
