Weights: the last call to an engine on old weights has begun by the limit, also at a silent one

Cause: a call was sent to an engine on old weights until 1.0 s before the limit, with nothing in it that ends the permission to begin there. It was taken back by a message 0.5 s before the limit. An engine that is silent, or behind a slow link, reads that message behind the call, or after it has begun the call.

Change: the last call without an expected version leaves 2.25 s before the limit: the longest silence designed for (2 s) and the time until a call begins (0.25 s). What has not begun is recalled 2.05 s before it.

--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -1,5 +1,6 @@
 """Selects the upstream of one call: collects the inputs of placement and applies it."""
 
+import math
 from dataclasses import dataclass
 
 from jackdawsail.proxy import metrics
@@ -17,7 +18,12 @@
 )
 from jackdawsail.routing.shared_limits import keeps_named_limit
 from jackdawsail.routing.upstreams import Upstream
-from jackdawsail.routing.weight_rules import WeightRule, expiry_seconds, must_recall, weight_rule
+from jackdawsail.routing.weight_rules import (
+    WeightRule,
+    expiry_seconds,
+    recall_seconds,
+    weight_rule,
+)
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
 
 IN_TIME_RANK = 3  # before the engines' default of 5, so that other calls do not delay ours
@@ -61,11 +67,17 @@
             self.call.model, targets, within_seconds, now_seconds, self.pinned_version
         )
 
-    def must_leave_engine(self, context: ProxyContext, version: int) -> bool:
-        """Returns whether the call must no longer start at an engine on a version."""
+    def seconds_until_recall(self, context: ProxyContext, version: int) -> float:
+        """Returns for how long the call may wait at an engine on a version; infinite if always."""
+        if not version:
+            return math.inf
         targets = context.view.weights.get(self.call.model, ())
         within_seconds = context.settings.bounds.weights_seconds
-        return must_recall(version, targets, within_seconds, context.clock.seconds())
+        return recall_seconds(version, targets, within_seconds) - context.clock.seconds()
+
+    def must_leave_engine(self, context: ProxyContext, version: int) -> bool:
+        """Returns whether the call must no longer start at an engine on a version."""
+        return self.seconds_until_recall(context, version) <= 0
 
     def allowed_regions(self) -> set[str] | None:
         """Returns the regions that may serve the call; None means all."""
--- a/jackdawsail/routing/weight_rules.py
+++ b/jackdawsail/routing/weight_rules.py
@@ -1,8 +1,12 @@
 """Decides which weight versions may run a call while engines change over.
 
-In a changeover every engine of a service loads new weights within some seconds. Engines
-on the old version continue to serve until shortly before the time by which the new
-version must be in use everywhere. After that only the new version serves.
+In a changeover every engine of a service loads new weights within some seconds. No call may
+begin on the old version after the time limit by which the new one must be in use everywhere.
+
+A call that was sent cannot be held back by a later message: an engine that falls silent, or
+whose link is slow, reads the call first. So the last call to an engine on the old version is
+sent so long before the limit that it has begun by then, also at an engine that is silent
+meanwhile, and a call that has not begun is recalled while a silent engine can still read that.
 """
 
 import math
@@ -12,8 +16,10 @@
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.site.view import WeightTarget
 
-CHANGEOVER_MARGIN_SECONDS = 1.0  # before the time limit; several times the longest admitted wait
-RECALL_MARGIN_SECONDS = 0.5  # before the time limit; calls that wait on old weights are recalled
+ENGINE_SILENCE_SECONDS = 2.0  # sound engines fall silent for about one second
+BEGIN_SECONDS = 0.25  # from the send of a call until it begins, over twice the admitted wait
+LAST_SEND_MARGIN_SECONDS = ENGINE_SILENCE_SECONDS + BEGIN_SECONDS  # before the time limit
+RECALL_MARGIN_SECONDS = ENGINE_SILENCE_SECONDS + 0.05  # before it, with the way to the engine
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,18 +62,10 @@
 
     Each announced version must be in use everywhere ``within_seconds`` after its announcement.
     """
-    due_seconds = now_seconds - within_seconds + CHANGEOVER_MARGIN_SECONDS
+    due_seconds = now_seconds - within_seconds + LAST_SEND_MARGIN_SECONDS
     return WeightRule(model, _highest_due(targets, due_seconds), pinned_version)
 
 
-def must_recall(
-    version: int, targets: Sequence[WeightTarget], within_seconds: float, now_seconds: float
-) -> bool:
-    """Returns whether a call that waits at an engine on a version must be recalled."""
-    due_seconds = now_seconds - within_seconds + RECALL_MARGIN_SECONDS
-    return 0 < version < _highest_due(targets, due_seconds)
-
-
 def expiry_seconds(version: int, targets: Sequence[WeightTarget], within_seconds: float) -> float:
     """Returns the time by which no call may begin on a version any more.
 
@@ -77,6 +75,11 @@
     return min(newer, default=math.inf) + within_seconds
 
 
+def recall_seconds(version: int, targets: Sequence[WeightTarget], within_seconds: float) -> float:
+    """Returns the time at which a call that waits at an engine on a version must be recalled."""
+    return expiry_seconds(version, targets, within_seconds) - RECALL_MARGIN_SECONDS
+
+
 def _highest_due(targets: Sequence[WeightTarget], due_seconds: float) -> int:
     due_versions = [
         target.version for target in targets if target.announced_seconds <= due_seconds
