Recall: each attempt that has not begun, on time, within the retry budget

The watch looked each 0.2 s, so that a recall came up to 0.2 s late; it was never started for model calls that may not be repeated; and a recalled call went to another engine without taking a repeat from the budget, or asking how many upstreams may run it.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -33,11 +33,12 @@
 
 
 class AttemptEnd(StrEnum):
-    """How an attempt failed: no connection, broken off, or silent for too long."""
+    """How an attempt failed: no connection, broken off, silent for too long, or recalled."""
 
     unreached = 'unreached'
     broken = 'broken'
     silent = 'silent'
+    recalled = 'recalled'
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -83,11 +83,12 @@
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
-        """Records that the call may run from now on, and starts to watch a stream's engine."""
+        """Records that the call may run from now on, and starts to watch its engine."""
         self.sends.record_send(attempt.upstream.name)
         now_seconds = self.context.clock.seconds()
         attempt.weight_version = attempt.upstream.version_of(self.call.model, now_seconds)
-        if self.route.kind is CallKind.stream and self.route.may_repeat:
+        may_move = self.route.kind is CallKind.stream and self.route.may_repeat
+        if may_move or self.call.model:
             self._watch.start(attempt)
 
     def attempt_head(self, attempt: Attempt, head: ReceivedHead) -> None:
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -2,29 +2,32 @@
 
 A stream leaves an engine that has completed no event for too long, or that is about to load
 other weights while much of the stream is left, but only if another engine can take over.
-A stream that has not begun at an engine on overdue weights leaves it in any case, so
-that it does not start there.
+A call that has not begun at an engine whose weights are about to be overdue is recalled in
+any case, so that it does not begin there; if it may not be repeated, it fails.
 """
 
 from typing import Any, Protocol
 
-from jackdawsail.proxy.attempt import Attempt
+from jackdawsail.proxy.attempt import Attempt, AttemptEnd
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.relaying import AnswerRelay
 from jackdawsail.proxy.selection import Selection
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.routing.moving import should_move
+from jackdawsail.site.document import Route
 
 # Three times the latency objective; a healthy engine has sent its first event by then.
 FIRST_EVENT_TIMEOUT_SECONDS = 1.2
 NEXT_EVENT_TIMEOUT_SECONDS = 0.8  # nearly three times the longest allowed pause
 WATCH_INTERVAL_SECONDS = 0.2
+MIN_CHECK_SECONDS = 0.001  # a shorter delay is lost in the rounding of the clock
 
 
 class WatchedCall(Protocol):
     """The task of a stream, as the watch uses it."""
 
     context: ProxyContext
+    route: Route
     sends: SendHistory
     relay: AnswerRelay | None
 
@@ -37,6 +40,9 @@
     def has_alternative(self) -> bool:
         """Returns whether another upstream could take the call now."""
 
+    def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
+        """Dispatches the call to another upstream if that is allowed, or fails it."""
+
     def abandon(self, attempt: Attempt, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
 
@@ -51,9 +57,14 @@
     def start(self, attempt: Attempt) -> None:
         """Watches an attempt until it ends or is abandoned."""
         self.stop()
-        self._timer = self._call.context.clock.callLater(
-            WATCH_INTERVAL_SECONDS, self._check, attempt
+        context = self._call.context
+        recall_seconds = self._call.selection().seconds_until_recall(
+            context, attempt.weight_version
         )
+        # The recall must not wait for the next check.
+        is_near = MIN_CHECK_SECONDS < recall_seconds < WATCH_INTERVAL_SECONDS
+        delay_seconds = recall_seconds if is_near else WATCH_INTERVAL_SECONDS
+        self._timer = context.clock.callLater(delay_seconds, self._check, attempt)
 
     def stop(self) -> None:
         """Stops watching."""
@@ -63,20 +74,35 @@
     def _check(self, attempt: Attempt) -> None:
         if attempt.ended:
             return
+        if self._must_recall(attempt):
+            attempt.cancel()
+            reason = f'not begun on weights {attempt.weight_version}'
+            self._call.attempt_failed(attempt, AttemptEnd.recalled, reason)
+        elif not (self._call.route.may_repeat and self._leave(attempt)):
+            self.start(attempt)
+
+    def _leave(self, attempt: Attempt) -> bool:
+        """Moves the call to another engine if it should leave this one; returns whether it did."""
         call = self._call
         begun = call.relay is not None and call.relay.started
         now_seconds = call.context.clock.seconds()
         # An attempt that is not read, since its caller reads too slowly, is not silent.
         silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
-        if not begun and call.selection().must_leave_engine(call.context, attempt.weight_version):
-            call.abandon(attempt, f'not begun on weights {attempt.weight_version}')
-        elif self._should_move(attempt) and self._take_alternative(moving=True):
+        if self._should_move(attempt) and self._take_alternative(moving=True):
             call.abandon(attempt, f'engine changes over from weights {attempt.weight_version}')
         elif self._take_replacement(silent_seconds, begun=begun):
             attempt.upstream.call_failed(now_seconds)
             call.abandon(attempt, f'silent for {silent_seconds:.2f} s')
         else:
-            self.start(attempt)
+            return False
+        return True
+
+    def _must_recall(self, attempt: Attempt) -> bool:
+        """Returns whether the attempt has not begun, and may not begin at its engine any more."""
+        if attempt.received_events:
+            return False
+        call = self._call
+        return call.selection().must_leave_engine(call.context, attempt.weight_version)
 
     def _take_replacement(self, silent_seconds: float, *, begun: bool) -> bool:
         timeout_seconds = NEXT_EVENT_TIMEOUT_SECONDS if begun else FIRST_EVENT_TIMEOUT_SECONDS
--- a/test/proxy/test_weight_limits.py
+++ b/test/proxy/test_weight_limits.py
@@ -4,10 +4,14 @@
 later than 2.25 s before the limit, and none that has not begun may wait 2 s before it.
 """
 
+from dataclasses import replace
+
 import pytest
 
+from jackdawsail.site.node import NodeBounds
 from test.proxy.world import (
     MODEL_SERVICE,
+    STREAM,
     STREAM_HEADERS,
     World,
     begin_stream,
@@ -80,3 +84,25 @@
         assert b'Expect-Version: 1' in sent_on(second)
         advance(world, 3.8 - LAST_RECALL_SECONDS)
         assert second.transport.aborted
+
+    def test_fails_when_recalled_if_it_may_not_be_repeated(self):
+        world = World(1, MODEL_SERVICE, routes=[replace(STREAM, resumable=False)])
+        announce(world, limit_in_seconds=3.0)
+        caller = call(world)
+        old = world.accept()
+        world.register(2, version=2)
+        advance(world, 3.0 - LAST_RECALL_SECONDS)
+        assert old.transport.aborted
+        assert world.reactor.pending_connects == []
+        assert status_of(caller) == 502
+
+    def test_is_not_repeated_after_its_recall_beyond_the_retry_budget(self):
+        world = World(1, MODEL_SERVICE, bounds=NodeBounds(retry_slack=0, retry_ratio=0))
+        announce(world, limit_in_seconds=3.0)
+        caller = call(world)
+        old = world.accept()
+        world.register(2, version=2)
+        advance(world, 3.0 - LAST_RECALL_SECONDS)
+        assert old.transport.aborted
+        assert world.reactor.pending_connects == []
+        assert status_of(caller) == 502
