Changeover: engines drain while their last pieces arrive, and half of them finish a version that is followed soon

With the last call to old weights 2.25 s before the limit, engines on them served nobody until the limit: the first half ended its streams only once all pieces were staged, and the second half changed over 0.9 s before the limit. Callers got 'no engine' meanwhile.

Change: an engine of the first half stops accepting calls when its last pieces will arrive within the time that streams take to end (staging/drain.py), at most 2 s ahead; the second half changes over once entries send no more calls to old weights. Where a newer version is announced while one is being staged, the first half finishes the older one if it can be used for more than 2 s, instead of all engines dropping it.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -14,21 +14,23 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from jackdawsail import events
+from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS
 from jackdawsail.site.document import EngineClass
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
+from jackdawsail.staging.drain import DrainAhead, StagingPace
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder, PieceList
 from jackdawsail.staging.engine_calls import EngineCalls
 from jackdawsail.staging.piece_fetcher import PieceFetcher, matches_digest
 from jackdawsail.staging.piece_order import agent_order
-from jackdawsail.staging.waves import may_change_over
+from jackdawsail.staging.waves import is_in_first_half, may_change_over
 
 CONCURRENT_FETCHES = 1  # more would queue on this host's link ahead of the prompts of live calls
 RETRY_SECONDS = 0.25  # after a temporary failure: a source or the engine is unreachable
 ORDER_SETTLE_SECONDS = 1.0  # after an order, until reports show whether the engine loads
 LIST_RETRY_SECONDS = 1.0  # until the list of a newer version is requested again after a failure
 NEARLY_STAGED_SHARE = 0.1  # of the pieces; if no more are missing, they are fetched first
-WORTH_LOADING_SECONDS = 3.0  # of remaining use; loading for less delays the newer version more
+WORTH_LOADING_SECONDS = 2.0  # of remaining use; loading for less delays the newer version more
 
 STAGING_STARTED = events.define(565, 'info', 'staging of weights started')
 STAGING_COMPLETE = events.define(566, 'info', 'all pieces of a weight version are staged')
@@ -65,7 +67,9 @@
     fetcher: PieceFetcher
     settings: NodeSettings
     model: str = ''
-    switching: bool = False
+    _is_loading: bool = False
+    _drain: DrainAhead = field(default_factory=DrainAhead)
+    _pace: StagingPace = field(default_factory=StagingPace)
     _staged: StagedPieces | None = None
     _working: bool = False
     _retry_at_seconds: float = 0
@@ -82,7 +86,7 @@
             return
         self.model = engine.models[0]
         loaded = report.version_of(self.model)
-        if loaded and report.layers >= engine.layers and self._is_current(loaded):
+        if loaded and report.layers >= engine.layers and loaded >= self.wanted_version:
             self._record_loaded(loaded)
             return
         fits_memory = engine.layers * engine.layer_megabytes <= engine.memory_megabytes
@@ -96,26 +100,27 @@
         """Forgets the loaded version, as the engine may restart with another one."""
         self._confirmed_version = 0
 
+    @property
+    def switching(self) -> bool:
+        """Returns whether the engine accepts no new calls because it will load other weights."""
+        return self._is_loading or self._drain.is_active(self.clock.seconds())
+
     @property
     def wanted_version(self) -> int:
         """Returns the newest announced version; 0, for the origin's newest, if there is none."""
         target = self.view.newest_weights(self.model)
         return target.version if target else 0
 
-    def _is_current(self, loaded: int) -> bool:
-        return loaded >= self.wanted_version
-
     def _remaining_use_seconds(self) -> float:
-        """Returns for how long a version older than the newest may still be used."""
+        """Returns for how long entries still send calls to a version older than the newest."""
         target = self.view.newest_weights(self.model)
         if target is None:
             return 0
-        return (
-            target.announced_seconds + self.settings.bounds.weights_seconds - self.clock.seconds()
-        )
+        use_seconds = self.settings.bounds.weights_seconds - LAST_SEND_MARGIN_SECONDS
+        return target.announced_seconds + use_seconds - self.clock.seconds()
 
     def _record_loaded(self, loaded: int) -> None:
-        self.switching = False
+        self._is_loading = False
         if self._confirmed_version != loaded:
             self._confirmed_version = loaded
             events.log(WEIGHTS_LOADED, model=self.model, version=loaded)
@@ -129,9 +134,10 @@
         if staged is None or not await self._stage_missing(staged):
             self._retry_later('a source or the engine does not answer')
             return
+        self._drain.end()
         if not self._may_stop_serving(staged.pieces.version):
             return
-        self.switching = True
+        self._is_loading = True
         if not await self._verify_staged(staged):
             self._retry_later('staged pieces were missing or corrupt')
             return
@@ -175,6 +181,7 @@
             return True
         digests = staged.pieces.digests
         pending = deque(agent_order(self.settings, self.view, digests, missing))
+        self._pace = StagingPace(self.clock.seconds())
         workers = [
             Deferred.fromCoroutine(self._stage_pending(staged, pending))
             for _ in range(CONCURRENT_FETCHES)
@@ -196,14 +203,23 @@
             if isinstance(outcome, Failure):
                 return
             staged.present.add(index)
+            self._pace.arrived += 1
+            self._drain_ahead(staged)
+
+    def _drain_ahead(self, staged: StagedPieces) -> None:
+        """Lets running streams end while the last pieces arrive."""
+        version = staged.pieces.version
+        if self._may_stop_serving(version):
+            now_seconds = self.clock.seconds()
+            remaining_seconds = self._pace.remaining_seconds(len(staged.missing()), now_seconds)
+            self._drain.update(version, remaining_seconds, now_seconds)
 
     def _is_outdated(self, staged: StagedPieces) -> bool:
         """Returns whether a newer version should be staged instead.
 
-        A version that the engine has already loaded is outdated. Otherwise a nearly
-        staged version is finished first if it can still be used for more than
-        ``WORTH_LOADING_SECONDS``, and any version is staged further while the list of
-        the newer one cannot be fetched.
+        A version that the engine has already loaded is outdated. Otherwise a version that
+        is worth finishing is finished first, and any version is staged further while the
+        list of the newer one cannot be fetched.
         """
         wanted = self.wanted_version
         version = staged.pieces.version
@@ -211,13 +227,25 @@
             return False
         if self._report is not None and self._report.version_of(self.model) >= version:
             return True
-        nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
-        if nearly_staged and self._remaining_use_seconds() > WORTH_LOADING_SECONDS:
-            return False
         waits_for_list = (
             self._unlisted_version == wanted and self.clock.seconds() < self._list_retry_at_seconds
         )
-        return not waits_for_list
+        return not waits_for_list and not self._is_worth_finishing(staged)
+
+    def _is_worth_finishing(self, staged: StagedPieces) -> bool:
+        """Returns whether a version is worth loading although a newer one is announced.
+
+        It is if it can be used for more than ``WORTH_LOADING_SECONDS``: at once if it is
+        nearly staged, and at engines of the first half from when the rest has arrived. They
+        serve it while the others, which stage the newer one, have no usable weights.
+        """
+        missing = len(staged.missing())
+        use_seconds = self._remaining_use_seconds()
+        if missing > NEARLY_STAGED_SHARE * len(staged.pieces.digests):
+            if not is_in_first_half(self.settings.address, self.view.agents()):
+                return False
+            use_seconds -= self._pace.remaining_seconds(missing, self.clock.seconds())
+        return use_seconds > WORTH_LOADING_SECONDS
 
     async def _verify_staged(self, staged: StagedPieces) -> bool:
         for index in sorted(staged.present):
@@ -233,7 +261,7 @@
     async def _order_load(self, staged: StagedPieces) -> None:
         report = self._report
         if report is None or self._is_outdated(staged):
-            self.switching = False
+            self._is_loading = False
             return
         version = staged.pieces.version
         order = LoadWeightsOrder(self.model, version, report.orders)
@@ -259,7 +287,8 @@
         return may_change_over(own_address, self.view.agents(), age_seconds, within_seconds)
 
     def _retry_later(self, reason: str) -> None:
-        self.switching = False
+        self._drain.end()
+        self._is_loading = False
         self._retry_at_seconds = self.clock.seconds() + RETRY_SECONDS
         if not self._failing:
             self._failing = True
--- a/jackdawsail/staging/waves.py
+++ b/jackdawsail/staging/waves.py
@@ -3,13 +3,19 @@
 All engines have the new weights staged at about the same time, since their links
 have the same bandwidth, and an engine that changes over accepts no new requests
 until its running streams have ended. Therefore the first half changes over as soon
-as it can, and the second half ``SECOND_WAVE_RESERVE_SECONDS`` before the time limit
-for the new weights. The first half should serve again by then; this is not checked.
+as it can, and the second half once entries send no more calls to old weights.
+The first half should serve again by then; this is not checked.
 """
 
 from collections.abc import Sequence
 
-SECOND_WAVE_RESERVE_SECONDS = 0.9  # before the limit, at which entries stop using old weights
+from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS
+
+
+def is_in_first_half(own_address: str, agents: Sequence[str]) -> bool:
+    """Returns whether an engine belongs to the half of the engines that changes over first."""
+    sorted_agents = sorted(agents)
+    return own_address not in sorted_agents or sorted_agents.index(own_address) % 2 == 0
 
 
 def may_change_over(
@@ -25,9 +31,9 @@
 
     Example::
 
-        may_change_over('10.0.0.1', ['10.0.0.1', '10.0.0.2'], 5.5, 8.0) is True
-        may_change_over('10.0.0.2', ['10.0.0.1', '10.0.0.2'], 5.5, 8.0) is False
+        may_change_over('10.0.0.1', ['10.0.0.1', '10.0.0.2'], 5.0, 8.0) is True
+        may_change_over('10.0.0.2', ['10.0.0.1', '10.0.0.2'], 5.0, 8.0) is False
     """
-    sorted_agents = sorted(agents)
-    in_second_wave = own_address in sorted_agents and sorted_agents.index(own_address) % 2 == 1
-    return not in_second_wave or age_seconds >= within_seconds - SECOND_WAVE_RESERVE_SECONDS
+    if is_in_first_half(own_address, agents):
+        return True
+    return age_seconds >= within_seconds - LAST_SEND_MARGIN_SECONDS
