--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -23,7 +23,7 @@
 from jackdawsail.staging.engine_calls import EngineCalls
 from jackdawsail.staging.piece_fetcher import PieceFetcher, matches_digest
 from jackdawsail.staging.piece_order import agent_order
-from jackdawsail.staging.waves import is_in_first_half, may_change_over
+from jackdawsail.staging.waves import may_change_over
 
 CONCURRENT_FETCHES = 1  # more would queue on this host's link ahead of the prompts of live calls
 RETRY_SECONDS = 0.25  # after a temporary failure: a source or the engine is unreachable
@@ -217,9 +217,10 @@
     def _is_outdated(self, staged: StagedPieces) -> bool:
         """Returns whether a newer version should be staged instead.
 
-        A version that the engine has already loaded is outdated. Otherwise a version that
-        is worth finishing is finished first, and any version is staged further while the
-        list of the newer one cannot be fetched.
+        A version that the engine has already loaded is outdated. Otherwise a nearly
+        staged version is finished first if it can still be used for more than
+        ``WORTH_LOADING_SECONDS``, and any version is staged further while the list of
+        the newer one cannot be fetched.
         """
         wanted = self.wanted_version
         version = staged.pieces.version
@@ -227,25 +228,13 @@
             return False
         if self._report is not None and self._report.version_of(self.model) >= version:
             return True
+        nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
+        if nearly_staged and self._remaining_use_seconds() > WORTH_LOADING_SECONDS:
+            return False
         waits_for_list = (
             self._unlisted_version == wanted and self.clock.seconds() < self._list_retry_at_seconds
         )
-        return not waits_for_list and not self._is_worth_finishing(staged)
-
-    def _is_worth_finishing(self, staged: StagedPieces) -> bool:
-        """Returns whether a version is worth loading although a newer one is announced.
-
-        It is if it can be used for more than ``WORTH_LOADING_SECONDS``: at once if it is
-        nearly staged, and at engines of the first half from when the rest has arrived. They
-        serve it while the others, which stage the newer one, have no usable weights.
-        """
-        missing = len(staged.missing())
-        use_seconds = self._remaining_use_seconds()
-        if missing > NEARLY_STAGED_SHARE * len(staged.pieces.digests):
-            if not is_in_first_half(self.settings.address, self.view.agents()):
-                return False
-            use_seconds -= self._pace.remaining_seconds(missing, self.clock.seconds())
-        return use_seconds > WORTH_LOADING_SECONDS
+        return not waits_for_list
 
     async def _verify_staged(self, staged: StagedPieces) -> bool:
         for index in sorted(staged.present):
--- a/jackdawsail/staging/waves.py
+++ b/jackdawsail/staging/waves.py
@@ -12,12 +12,6 @@
 from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS
 
 
-def is_in_first_half(own_address: str, agents: Sequence[str]) -> bool:
-    """Returns whether an engine belongs to the half of the engines that changes over first."""
-    sorted_agents = sorted(agents)
-    return own_address not in sorted_agents or sorted_agents.index(own_address) % 2 == 0
-
-
 def may_change_over(
     own_address: str,
     agents: Sequence[str],
@@ -34,6 +28,6 @@
         may_change_over('10.0.0.1', ['10.0.0.1', '10.0.0.2'], 5.0, 8.0) is True
         may_change_over('10.0.0.2', ['10.0.0.1', '10.0.0.2'], 5.0, 8.0) is False
     """
-    if is_in_first_half(own_address, agents):
-        return True
-    return age_seconds >= within_seconds - LAST_SEND_MARGIN_SECONDS
+    sorted_agents = sorted(agents)
+    in_second_wave = own_address in sorted_agents and sorted_agents.index(own_address) % 2 == 1
+    return not in_second_wave or age_seconds >= within_seconds - LAST_SEND_MARGIN_SECONDS
