--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -31,6 +31,7 @@
     SiteDocument,
 )
 from jackdawsail.site.view import SiteView, WeightTarget
+from jackdawsail.staging.drain import DRAIN_SECONDS
 from jackdawsail.staging.waves import may_change_over
 from jackdawsail.wire.site_messages import (
     EngineLoad,
@@ -180,7 +181,7 @@
                 incarnation=1,
                 sequence=self._report_count,
                 weight_version=engine.version,
-                switching=bool(engine.switching_to),
+                switching=engine.is_draining or bool(engine.switching_to),
                 waiting=len(engine.waiting),
                 running=engine.running,
                 memory_share=0,
@@ -289,10 +290,10 @@
         for view in self.views:
             target = WeightTarget(version, announced_seconds)
             view.weights = {MODEL: (*view.weights.get(MODEL, ()), target)}
-        stage_seconds = self.deployment.engine.stage_seconds
+        drain_seconds = self.deployment.engine.stage_seconds - DRAIN_SECONDS
         for engine in self.engines:
             self.simulation.call_later(
-                stage_seconds, self._try_changeover, engine, version, announced_seconds
+                drain_seconds, self._try_changeover, engine, version, announced_seconds
             )
 
     def _try_changeover(
@@ -307,7 +308,9 @@
             retry = (self._try_changeover, engine, version, announced_seconds)
             self.simulation.call_later(CHANGEOVER_POLL_SECONDS, *retry)
             return
-        engine.start_changeover(version)
+        engine.is_draining = True
+        staged_seconds = self.deployment.engine.stage_seconds - age_seconds
+        self.simulation.call_later(max(0, staged_seconds), engine.start_changeover, version)
 
 
 def _route(kind: RequestKind) -> Route:
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -57,6 +57,7 @@
 
     ``limit`` is what it names in its answers, and ``arrived_seconds`` lists all its calls. With
     ``rest`` it turns calls away and asks for it; ``leaving`` is what it says in its answers.
+    While it is draining its agent reports that it takes no calls, so that it can load soon.
     While it is silent no pass advances, and what arrives waits unread. ``started`` lists the
     streams that got a slot.
     """
@@ -70,6 +71,7 @@
     pace: float = 1.0
     alive: bool = True
     switching_to: int = 0
+    is_draining: bool = False
     cold_until_seconds: float = 0
     busy_seconds: float = 0
     limit: NamedLimit | None = None
@@ -200,6 +202,7 @@
 
     def _change_over(self, version: int) -> None:
         self.switching_to = version
+        self.is_draining = False
         if not self._in_pass:
             self._start_pass()
 
