Changeover: an engine serves the version that it has loaded while a newer one is staged

The agent now remembers which version it ordered and serves once that one is reported. How long a version may be used went by the newest version, not by the next newer one: with 3 due and 4 just announced, 2 was finished and loaded though no entry used it.

test_engine_serves_a_version_that_was_finished_while_the_next_one_is_staged and test_nearly_staged_version_is_dropped_if_the_next_one_is_due_though_another_one_is_not failed before.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from jackdawsail import events
-from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS
+from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS, expiry_seconds
 from jackdawsail.site.document import EngineClass
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
@@ -68,6 +68,7 @@
     settings: NodeSettings
     model: str = ''
     _is_loading: bool = False
+    _ordered_version: int = 0
     _drain: DrainAhead = field(default_factory=DrainAhead)
     _pace: StagingPace = field(default_factory=StagingPace)
     _staged: StagedPieces | None = None
@@ -89,6 +90,10 @@
         if loaded and report.layers >= engine.layers and loaded >= self.wanted_version:
             self._record_loaded(loaded)
             return
+        if loaded and loaded == self._ordered_version:
+            # It serves these weights while newer ones are staged.
+            self._ordered_version = 0
+            self._is_loading = False
         fits_memory = engine.layers * engine.layer_megabytes <= engine.memory_megabytes
         is_due = self.clock.seconds() >= self._retry_at_seconds
         if fits_memory and is_due and not self._working and not report.busy:
@@ -111,13 +116,11 @@
         target = self.view.newest_weights(self.model)
         return target.version if target else 0
 
-    def _remaining_use_seconds(self) -> float:
-        """Returns for how long entries still send calls to a version older than the newest."""
-        target = self.view.newest_weights(self.model)
-        if target is None:
-            return 0
-        use_seconds = self.settings.bounds.weights_seconds - LAST_SEND_MARGIN_SECONDS
-        return target.announced_seconds + use_seconds - self.clock.seconds()
+    def _remaining_use_seconds(self, version: int) -> float:
+        """Returns for how long entries still send calls to a version; infinite for the newest."""
+        targets = self.view.weights.get(self.model, ())
+        limit_seconds = expiry_seconds(version, targets, self.settings.bounds.weights_seconds)
+        return limit_seconds - LAST_SEND_MARGIN_SECONDS - self.clock.seconds()
 
     def _record_loaded(self, loaded: int) -> None:
         self._is_loading = False
@@ -229,7 +232,7 @@
         if self._report is not None and self._report.version_of(self.model) >= version:
             return True
         nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
-        if nearly_staged and self._remaining_use_seconds() > WORTH_LOADING_SECONDS:
+        if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:
             return False
         waits_for_list = (
             self._unlisted_version == wanted and self.clock.seconds() < self._list_retry_at_seconds
@@ -259,6 +262,7 @@
         if isinstance(outcome, Failure):
             events.log(LOAD_REFUSED, reason=outcome.failure(), **details)
         else:
+            self._ordered_version = version
             events.log(LOAD_ORDERED, **details)
         # No further order is sent until reports show whether the engine loads.
         self._retry_at_seconds = self.clock.seconds() + ORDER_SETTLE_SECONDS
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -151,7 +151,7 @@
     Mutant('staging/changeover.py', 'fits_memory and is_due and', 'is_due and', 'test/staging'),
     Mutant(
         'staging/changeover.py',
-        'if nearly_staged and self._remaining_use_seconds() > WORTH_LOADING_SECONDS:',
+        'if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:',
         'if nearly_staged:',
         'test/staging',
     ),
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -192,6 +192,19 @@
     assert [order.version for order, _staged in world.engine.orders] == [3]
 
 
+def test_nearly_staged_version_is_dropped_if_the_next_one_is_due_though_another_one_is_not():
+    world = World(loaded=1)
+    world.source.missing = {(2, PIECES - 1)}
+    world.announce_weights(2)
+    world.report()
+    world.announce_weights(3)
+    world.clock.advance(7.0)
+    world.announce_weights(4)
+    world.source.missing = set()
+    world.report()
+    assert [order.version for order, _staged in world.engine.orders] == [4]
+
+
 def test_staging_continues_while_the_list_of_a_newer_version_is_unavailable():
     world = World(loaded=1)
     world.source.missing = {(2, index) for index in range(2, PIECES)}
--- a/test/staging/test_drain.py
+++ b/test/staging/test_drain.py
@@ -98,3 +98,16 @@
     assert not drain.is_active(11)
     drain.update(3, HALF_DRAIN_SECONDS, now_seconds=12)
     assert drain.is_active(12)
+
+
+def test_engine_serves_a_version_that_was_finished_while_the_next_one_is_staged():
+    world = staging_world()
+    advance_to_piece(world, PIECES - 1)
+    world.announce_weights(3)
+    while world.engine.loaded == 1 and world.clock.seconds() < 120:
+        world.report(0.1)
+    assert world.engine.loaded == 2
+    world.report(0.1)
+    world.report(1.2)
+    assert world.engine.loaded == 2
+    assert not world.changeover.switching
