Calls: the version that an engine holds is expected, and only streams are watched

With versions 2 and 3 announced and 2 due, a call to an engine on version 3 carried Expect-Version: 2; the engine refuses it with 421, which takes a repeat and suspends the engine. The held version is expected now, which is never older than the due one. Since the watch was started for model calls that are no streams: those have no event before their answer, and were left as silent after 1.2 s.

test_names_the_newer_version_that_its_engine_holds and test_is_not_left_as_silent_before_an_answer_that_is_no_stream failed before.

--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -173,7 +173,7 @@
         self.sends.append((now_seconds, upstream.name))
         if host is not None:
             rank = selection.engine_rank or 0
-            expected_version = selection.expected_version(self.context)
+            expected_version = selection.expected_version(self.context, upstream)
             arguments = (host, rank, expected_version)
             self.simulation.call_later(delay_seconds, dispatched.arrive, *arguments)
 
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -71,7 +71,7 @@
         remaining_seconds=task.deadline.remaining_seconds,
         customer=task.customer.name if task.customer else '',
         last_event=str(last_forwarded) if last_forwarded else task.call.last_event,
-        weight_version=selection.expected_version(task.context),
+        weight_version=selection.expected_version(task.context, upstream),
         engine_rank=selection.engine_rank,
     )
 
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -54,9 +54,18 @@
             return None
         return LATE_RANK if self.is_late else IN_TIME_RANK
 
-    def expected_version(self, context: ProxyContext) -> int:
-        """Returns the weight version that the engine must verify; 0 allows any."""
-        return self.current_weight_rule(context).expected_version if self.call.model else 0
+    def expected_version(self, context: ProxyContext, upstream: Upstream) -> int:
+        """Returns the weight version that an engine must verify; 0 allows any.
+
+        It is the one that the engine is known to hold, which may be newer than the due one.
+        """
+        if not self.call.model:
+            return 0
+        rule = self.current_weight_rule(context)
+        if rule.pinned_version or not rule.expected_version:
+            return rule.expected_version
+        held_version = upstream.version_of(self.call.model, context.clock.seconds())
+        return max(rule.expected_version, held_version)
 
     def current_weight_rule(self, context: ProxyContext) -> WeightRule:
         """Returns the rule for the weight versions that may run the call now."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -83,12 +83,11 @@
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
-        """Records that the call may run from now on, and starts to watch its engine."""
+        """Records that the call may run from now on, and starts to watch a stream's engine."""
         self.sends.record_send(attempt.upstream.name)
         now_seconds = self.context.clock.seconds()
         attempt.weight_version = attempt.upstream.version_of(self.call.model, now_seconds)
-        may_move = self.route.kind is CallKind.stream and self.route.may_repeat
-        if may_move or self.call.model:
+        if self.route.kind is CallKind.stream:
             self._watch.start(attempt)
 
     def attempt_head(self, attempt: Attempt, head: ReceivedHead) -> None:
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -2,7 +2,7 @@
 
 A stream leaves an engine that has completed no event for too long, or that is about to load
 other weights while much of the stream is left, but only if another engine can take over.
-A call that has not begun at an engine whose weights are about to be overdue is recalled in
+A stream that has not begun at an engine whose weights are about to be overdue is recalled in
 any case, so that it does not begin there; if it may not be repeated, it fails.
 """
 
@@ -61,9 +61,9 @@
         recall_seconds = self._call.selection().seconds_until_recall(
             context, attempt.weight_version
         )
-        # The recall must not wait for the next check.
-        is_near = MIN_CHECK_SECONDS < recall_seconds < WATCH_INTERVAL_SECONDS
-        delay_seconds = recall_seconds if is_near else WATCH_INTERVAL_SECONDS
+        delay_seconds = WATCH_INTERVAL_SECONDS
+        if 0 < recall_seconds < delay_seconds:
+            delay_seconds = max(recall_seconds, MIN_CHECK_SECONDS)
         self._timer = context.clock.callLater(delay_seconds, self._check, attempt)
 
     def stop(self) -> None:
--- a/test/proxy/test_weight_limits.py
+++ b/test/proxy/test_weight_limits.py
@@ -57,6 +57,13 @@
         call(world)
         assert b'Expect-Version: 2' in sent_on(world.accept())
 
+    def test_names_the_newer_version_that_its_engine_holds(self):
+        world = World(1, MODEL_SERVICE)
+        world.register(1, version=3, sequence=2)
+        world.summarize(revision=2, weights=[('m', 2, WITHIN_SECONDS - 2.2), ('m', 3, 3.0)])
+        call(world)
+        assert b'Expect-Version: 3' in sent_on(world.accept())
+
 
 class TestCallThatHasNotBegun:
     """A call that waits at an engine on old weights."""
@@ -106,3 +113,11 @@
         assert old.transport.aborted
         assert world.reactor.pending_connects == []
         assert status_of(caller) == 502
+
+    def test_is_not_left_as_silent_before_an_answer_that_is_no_stream(self):
+        world = World(2, MODEL_SERVICE)
+        world.call('/p/x', headers=STREAM_HEADERS, method='POST')
+        first = world.accept()
+        advance(world, 2.0)
+        assert not first.transport.aborted
+        assert world.reactor.pending_connects == []
