--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -8,7 +8,7 @@
 a length nor chunks, a connection that closes ends a whole stream and a truncated one alike.
 """
 
-from typing import Protocol
+from typing import Protocol, TypeGuard
 
 from jackdawsail.http1.event_frames import EventFrames
 from jackdawsail.http1.messages import Framing, Headers, end_to_end_headers
@@ -59,10 +59,15 @@
     return PlainRelay(exchange, head)
 
 
+def has_begun(relay: AnswerRelay | None) -> TypeGuard[AnswerRelay]:
+    """Returns whether the caller has been sent a part of the answer."""
+    return relay is not None and relay.started
+
+
 def cannot_continue(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
     """Returns whether a begun stream got a failure from the upstream that should continue it."""
-    begun = relay is not None and relay.started and relay.can_resume
-    return begun and head.decoded.status not in SUCCESS
+    is_resumed = has_begun(relay) and relay.can_resume
+    return is_resumed and head.decoded.status not in SUCCESS
 
 
 def is_cut_off(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -25,6 +25,7 @@
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
+    has_begun,
     is_cut_off,
     make_relay,
     unfinished_bytes,
@@ -94,7 +95,7 @@
         """Records a confirmation that the call did not run, or prepares to forward the answer."""
         if head.decoded.not_run:
             self.sends.record_not_run(attempt.upstream.name)
-        elif self.relay is not None and self.relay.started:
+        elif has_begun(self.relay):
             if head.decoded.status in SUCCESS:
                 self.relay.continue_from(head)
         else:
@@ -193,8 +194,7 @@
         if withdrawn is not None:
             self._refuse(withdrawn)
             return
-        started = self.relay is not None and self.relay.started
-        selection = replace(self.selection(), is_begun=started)
+        selection = replace(self.selection(), is_begun=has_begun(self.relay))
         decision = place_call(self.context, selection)
         if isinstance(decision, Refusal):
             self._refuse(decision)
@@ -203,14 +203,13 @@
 
     def selection(self) -> Selection:
         """Returns the current inputs for the choice of an upstream."""
-        started = self.relay is not None and self.relay.started
         return Selection(
             service=self.sends.service,
             route=self.route,
             customer=self.customer,
             call=self.call,
             tried=tuple(self.sends.tried),
-            pinned_version=self.relay.weight_version if started and self.relay else 0,
+            pinned_version=self.relay.weight_version if has_begun(self.relay) else 0,
             is_late=self.is_late,
         )
 
@@ -317,7 +316,7 @@
     """Returns whether another upstream can continue what the caller has received."""
     if not task.route.may_repeat:
         return False
-    return task.relay is None or not task.relay.started or task.relay.can_resume
+    return not has_begun(task.relay) or task.relay.can_resume
 
 
 def _record_complete(task: CallTask, attempt: Attempt, *, failed: bool) -> None:
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -10,7 +10,7 @@
 
 from jackdawsail.proxy.attempt import Attempt, AttemptEnd
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.relaying import AnswerRelay
+from jackdawsail.proxy.relaying import AnswerRelay, has_begun
 from jackdawsail.proxy.selection import Selection
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.routing.moving import should_move
@@ -84,7 +84,7 @@
     def _leave(self, attempt: Attempt) -> bool:
         """Moves the call to another engine if it should leave this one; returns whether it did."""
         call = self._call
-        begun = call.relay is not None and call.relay.started
+        begun = has_begun(call.relay)
         now_seconds = call.context.clock.seconds()
         # An attempt that is not read, since its caller reads too slowly, is not silent.
         silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
