--- a/test/mutants.py
+++ b/test/mutants.py
@@ -119,8 +119,15 @@
     ),
     Mutant(
         'proxy/watch.py',
-        'if not begun and call.selection()',
-        'if False and call.selection()',
+        'if self._must_recall(attempt):',
+        'if False:',
+        PROXY,
+    ),
+    Mutant('proxy/watch.py', 'if attempt.received_events:', 'if self._call.relay:', PROXY),
+    Mutant(
+        'proxy/selection.py',
+        'return max(rule.expected_version, held_version)',
+        'return rule.expected_version',
         PROXY,
     ),
     Mutant(
@@ -206,7 +213,7 @@
     Mutant('agent/upstream.py', 'self._received_bytes > MAX_ANSWER_BYTES', 'False', 'test/agent'),
     Mutant(
         'proxy/relaying.py',
-        'return begun and head.decoded.status not in SUCCESS',
+        'return is_resumed and head.decoded.status not in SUCCESS',
         'return False',
         PROXY,
     ),
@@ -287,9 +294,9 @@
         RESTING,
     ),
     Mutant(
-        'proxy/attempt.py',
-        'elif self.upstream.accepts_calls(now_seconds):',
-        'elif channel is not None:',
+        'proxy/selection.py',
+        'if not upstream.accepts_calls(now_seconds):',
+        'if False:',
         RESTING,
     ),
     Mutant(
