Streams: one is not moved so late that it would be recalled where it waits

Since the rest of a moved stream is recalled.

Where it was, it would have ended: an engine finishes what runs before it loads. A stream is moved only while it may wait at the next engine for as long as placement admits (1.2 s) before it would be recalled.

--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -14,6 +14,7 @@
 from jackdawsail.proxy.selection import Selection
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.routing.moving import should_move
+from jackdawsail.routing.placement import CONTINUE_WAIT_SECONDS
 from jackdawsail.site.document import Route
 
 # Three times the latency objective; a healthy engine has sent its first event by then.
@@ -109,7 +110,13 @@
         return silent_seconds >= timeout_seconds and self._take_alternative()
 
     def _should_move(self, attempt: Attempt) -> bool:
-        if not attempt.upstream.is_switching(self._call.context.clock.seconds()):
+        context = self._call.context
+        if not attempt.upstream.is_switching(context.clock.seconds()):
+            return False
+        # Where it stays it ends; where it waits longer than that it would be recalled.
+        version = attempt.weight_version
+        left_seconds = self._call.selection().seconds_until_recall(context, version)
+        if left_seconds < CONTINUE_WAIT_SECONDS:
             return False
         relay = self._call.relay
         forwarded_events = 0 if relay is None else relay.last_event
--- a/test/proxy/test_weight_limits.py
+++ b/test/proxy/test_weight_limits.py
@@ -92,6 +92,19 @@
         advance(world, 3.8 - LAST_RECALL_SECONDS)
         assert second.transport.aborted
 
+    def test_is_not_moved_so_late_that_it_may_be_recalled_where_it_waits(self):
+        world = World(2, MODEL_SERVICE)
+        announce(world, limit_in_seconds=3.4)
+        call(world)
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        for number in (1, 2):
+            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        advance(world, 0.6)
+        assert not first.transport.aborted
+        assert world.reactor.pending_connects == []
+
     def test_fails_when_recalled_if_it_may_not_be_repeated(self):
         world = World(1, MODEL_SERVICE, routes=[replace(STREAM, resumable=False)])
         announce(world, limit_in_seconds=3.0)
