--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -100,10 +100,11 @@
                 self._abandon(dispatched)
 
     def _must_recall(self, dispatched: '_DispatchedCall') -> bool:
-        if dispatched.call.events:
-            return False
+        return not dispatched.call.events and self._seconds_until_recall(dispatched) <= 0
+
+    def _seconds_until_recall(self, dispatched: '_DispatchedCall') -> float:
         selection = self._selection(dispatched.call, dispatched.history)
-        return selection.must_leave_engine(self.context, dispatched.weight_version)
+        return selection.seconds_until_recall(self.context, dispatched.weight_version)
 
     def _should_move(self, dispatched: '_DispatchedCall') -> bool:
         if not self.policy.moves_streams:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 from typing import Any, Protocol
 
 from returns.result import Failure, Result
@@ -96,7 +97,6 @@
         self._context = context
         self._owner = owner
         self._attempt_id = attempt_id
-        self._make_request: MakeRequest = lambda: Failure('not started')
         self._channel: ClientChannel | None = None
         self._connector: Any = None
         self._reused_channel = False
@@ -110,15 +110,15 @@
         ``make_request`` is called right before the request is written; it returns why it must
         not be sent if its permission was withdrawn.
         """
-        self._make_request = make_request
         self.upstream.sends.pending += 1
         address = self.upstream.registration.address
         channel = None if fresh_channel else self._context.pool.acquire_idle(address)
         if channel is None:
-            self._connector = self._context.pool.connect(address, self._on_connected)
+            opened = partial(self._on_connected, make_request)
+            self._connector = self._context.pool.connect(address, opened)
         else:
             self._reused_channel = True
-            self._send(channel)
+            self._send(make_request, channel)
 
     def set_paused(self, is_paused: bool) -> None:
         """Stops or continues reading the answer, which the caller reads more slowly."""
@@ -216,7 +216,7 @@
             self.upstream.call_failed(self._context.clock.seconds())
         self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
-    def _on_connected(self, channel: ClientChannel | None) -> None:
+    def _on_connected(self, make_request: MakeRequest, channel: ClientChannel | None) -> None:
         if self.ended:
             if channel is not None:
                 channel.close()
@@ -225,10 +225,10 @@
             self.upstream.call_failed(self._context.clock.seconds())
             self._owner.attempt_failed(self, AttemptEnd.unreached, 'no connection')
         else:
-            self._send(channel)
+            self._send(make_request, channel)
 
-    def _send(self, channel: ClientChannel) -> None:
-        request = self._make_request()
+    def _send(self, make_request: MakeRequest, channel: ClientChannel) -> None:
+        request = make_request()
         if isinstance(request, Failure):
             channel.close()
             self._finish()
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -62,9 +62,10 @@
         """Returns the current inputs for the choice of an upstream."""
 
 
-def dispatch_details(task: OutgoingCall, upstream: Upstream) -> DispatchDetails:
+def dispatch_details(
+    task: OutgoingCall, selection: Selection, upstream: Upstream
+) -> DispatchDetails:
     """Returns what an upstream gets in addition to the caller's request, as of now."""
-    selection = task.selection()
     last_forwarded = task.relay.last_event if task.relay else 0
     return DispatchDetails(
         upstream=upstream.name,
@@ -103,9 +104,11 @@
     withdrawn = withdrawn_call(task)
     if withdrawn is not None:
         return Failure(withdrawn.reason)
-    reason = withdrawal_reason(task.context, task.selection(), upstream)
+    selection = task.selection()
+    reason = withdrawal_reason(task.context, selection, upstream)
     if reason:
         return Failure(reason)
     request = task.exchange.request
-    headers = task.context.codec.upstream_headers(request, dispatch_details(task, upstream))
+    details = dispatch_details(task, selection, upstream)
+    headers = task.context.codec.upstream_headers(request, details)
     return Success(HttpRequest(request.method, request.target, headers, request.body))
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -19,9 +19,9 @@
 from jackdawsail.routing.shared_limits import keeps_named_limit
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import (
+    RECALL_MARGIN_SECONDS,
     WeightRule,
     expiry_seconds,
-    recall_seconds,
     weight_rule,
 )
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
@@ -80,13 +80,7 @@
         """Returns for how long the call may wait at an engine on a version; infinite if always."""
         if not version:
             return math.inf
-        targets = context.view.weights.get(self.call.model, ())
-        within_seconds = context.settings.bounds.weights_seconds
-        return recall_seconds(version, targets, within_seconds) - context.clock.seconds()
-
-    def must_leave_engine(self, context: ProxyContext, version: int) -> bool:
-        """Returns whether the call must no longer start at an engine on a version."""
-        return self.seconds_until_recall(context, version) <= 0
+        return weights_left_seconds(context, self.call.model, version) - RECALL_MARGIN_SECONDS
 
     def allowed_regions(self) -> set[str] | None:
         """Returns the regions that may serve the call; None means all."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -199,7 +199,7 @@
         if isinstance(decision, Refusal):
             self._refuse(decision)
             return
-        self._dispatch(decision)
+        self._dispatch(decision, selection)
 
     def selection(self) -> Selection:
         """Returns the current inputs for the choice of an upstream."""
@@ -213,10 +213,11 @@
             is_late=self.is_late,
         )
 
-    def _dispatch(self, choice: Choice) -> None:
+    def _dispatch(self, choice: Choice, selection: Selection) -> None:
         upstream = choice.upstream
         self.sends.tried.append(upstream.name)
-        self.log.dispatched(choice, dispatch_details(self, upstream), self.sends.count + 1)
+        details = dispatch_details(self, selection, upstream)
+        self.log.dispatched(choice, details, self.sends.count + 1)
         make_request = partial(make_upstream_request, self, upstream)
         self.attempt = Attempt(self.context, self, upstream, self.call.attempt)
         # An idle channel may just be closing; a call that cannot be repeated avoids that risk.
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -14,7 +14,6 @@
 from jackdawsail.proxy.selection import Selection
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.routing.moving import should_move
-from jackdawsail.routing.placement import CONTINUE_WAIT_SECONDS
 from jackdawsail.site.document import Route
 
 # Three times the latency objective; a healthy engine has sent its first event by then.
@@ -58,14 +57,12 @@
     def start(self, attempt: Attempt) -> None:
         """Watches an attempt until it ends or is abandoned."""
         self.stop()
-        context = self._call.context
-        recall_seconds = self._call.selection().seconds_until_recall(
-            context, attempt.weight_version
-        )
+        recall_seconds = self._seconds_until_recall(attempt)
         delay_seconds = WATCH_INTERVAL_SECONDS
         if 0 < recall_seconds < delay_seconds:
             delay_seconds = max(recall_seconds, MIN_CHECK_SECONDS)
-        self._timer = context.clock.callLater(delay_seconds, self._check, attempt)
+        clock = self._call.context.clock
+        self._timer = clock.callLater(delay_seconds, self._check, attempt)
 
     def stop(self) -> None:
         """Stops watching."""
@@ -100,27 +97,23 @@
 
     def _must_recall(self, attempt: Attempt) -> bool:
         """Returns whether the attempt has not begun, and may not begin at its engine any more."""
-        if attempt.received_events:
-            return False
-        call = self._call
-        return call.selection().must_leave_engine(call.context, attempt.weight_version)
+        return not attempt.received_events and self._seconds_until_recall(attempt) <= 0
 
     def _take_replacement(self, silent_seconds: float, *, begun: bool) -> bool:
         timeout_seconds = NEXT_EVENT_TIMEOUT_SECONDS if begun else FIRST_EVENT_TIMEOUT_SECONDS
         return silent_seconds >= timeout_seconds and self._take_alternative()
 
     def _should_move(self, attempt: Attempt) -> bool:
-        context = self._call.context
-        if not attempt.upstream.is_switching(context.clock.seconds()):
-            return False
-        # Where it stays it ends; where it waits longer than that it would be recalled.
-        version = attempt.weight_version
-        left_seconds = self._call.selection().seconds_until_recall(context, version)
-        if left_seconds < CONTINUE_WAIT_SECONDS:
+        if not attempt.upstream.is_switching(self._call.context.clock.seconds()):
             return False
         relay = self._call.relay
         forwarded_events = 0 if relay is None else relay.last_event
-        return should_move(forwarded_events, self._call.likely_events())
+        recall_seconds = self._seconds_until_recall(attempt)
+        return should_move(forwarded_events, self._call.likely_events(), recall_seconds)
+
+    def _seconds_until_recall(self, attempt: Attempt) -> float:
+        call = self._call
+        return call.selection().seconds_until_recall(call.context, attempt.weight_version)
 
     def _take_alternative(self, *, moving: bool = False) -> bool:
         """Returns whether another engine can take over, and takes the repeat from the budget.
--- a/jackdawsail/routing/moving.py
+++ b/jackdawsail/routing/moving.py
@@ -4,28 +4,37 @@
 no new call until its last stream has ended, so a single long stream keeps all other slots
 empty for seconds while the remaining engines are full. Moving a stream that has much left
 costs another engine little: it processes the prompt once more. Several prompts in one
-pass would pause every stream of that engine, so moves are spread over time.
+pass would pause every stream of that engine, so moves are spread over time. Where a stream
+is, it ends before the load, so it is not moved to wait where it could be recalled.
 """
 
+import math
 from dataclasses import dataclass
 
+from jackdawsail.routing.placement import CONTINUE_WAIT_SECONDS
 from jackdawsail.routing.shares import EntryShares
 
 MIN_REMAINING_EVENTS = 3  # a shorter remainder ends before another engine has processed the prompt
 MOVES_PER_SECOND = 4.0  # to one engine from all entries; it runs about fifteen passes a second
 
 
-def should_move(forwarded_events: int, likely_events: float) -> bool:
+def should_move(
+    forwarded_events: int, likely_events: float, seconds_until_recall: float = math.inf
+) -> bool:
     """Returns whether a stream has so much left that moving it is worthwhile.
 
     ``likely_events`` is the length of the whole answer that its caller expects, or the
     usual one. A stream that has exceeded it already is assumed to continue.
+    ``seconds_until_recall`` is for how long it may wait at an engine on its weights.
 
     Example::
 
         should_move(4, 20) is True
         should_move(19, 20) is False
+        should_move(4, 20, seconds_until_recall=0.5) is False
     """
+    if seconds_until_recall < CONTINUE_WAIT_SECONDS:
+        return False
     remaining_events = likely_events - forwarded_events
     return remaining_events >= MIN_REMAINING_EVENTS or remaining_events < 0
 
--- a/jackdawsail/routing/weight_rules.py
+++ b/jackdawsail/routing/weight_rules.py
@@ -75,11 +75,6 @@
     return min(newer, default=math.inf) + within_seconds
 
 
-def recall_seconds(version: int, targets: Sequence[WeightTarget], within_seconds: float) -> float:
-    """Returns the time at which a call that waits at an engine on a version must be recalled."""
-    return expiry_seconds(version, targets, within_seconds) - RECALL_MARGIN_SECONDS
-
-
 def _highest_due(targets: Sequence[WeightTarget], due_seconds: float) -> int:
     due_versions = [
         target.version for target in targets if target.announced_seconds <= due_seconds
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -123,7 +123,7 @@
         'if False:',
         PROXY,
     ),
-    Mutant('proxy/watch.py', 'if attempt.received_events:', 'if self._call.relay:', PROXY),
+    Mutant('proxy/watch.py', 'not attempt.received_events and', 'not self._call.relay and', PROXY),
     Mutant(
         'proxy/selection.py',
         'return max(rule.expected_version, held_version)',
