--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -11,6 +11,7 @@
     STREAM_HEADERS,
     World,
     answer,
+    begin_at_changing_engine,
     begin_stream,
     event,
     sent_on,
@@ -206,12 +207,7 @@
 
     def test_does_not_move_when_it_may_not_run_again(self):
         world = World(2, MODEL_SERVICE, routes=[replace(STREAM, resumable=False)])
-        world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
-        for number in (1, 2):
-            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        first = begin_at_changing_engine(world)
         world.reactor.advance(0.5)
         assert not first.transport.aborted
 
--- a/test/proxy/test_weight_limits.py
+++ b/test/proxy/test_weight_limits.py
@@ -14,8 +14,7 @@
     STREAM,
     STREAM_HEADERS,
     World,
-    begin_stream,
-    event,
+    begin_at_changing_engine,
     sent_on,
     status_of,
 )
@@ -38,6 +37,18 @@
     return world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
 
 
+def assert_fails_when_recalled(world):
+    """Asserts that a call which has not begun fails, though an engine has the new weights."""
+    announce(world, limit_in_seconds=3.0)
+    caller = call(world)
+    old = world.accept()
+    world.register(2, version=2)
+    advance(world, 3.0 - LAST_RECALL_SECONDS)
+    assert old.transport.aborted
+    assert world.reactor.pending_connects == []
+    assert status_of(caller) == 502
+
+
 class TestCallNearTheLimit:
     """A call that an entry sends less than 2.25 s before the limit."""
 
@@ -79,12 +90,7 @@
     def test_is_recalled_2_seconds_before_the_limit_if_it_began_at_another_engine(self):
         world = World(2, MODEL_SERVICE)
         announce(world, limit_in_seconds=4.0)
-        call(world)
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
-        for number in (1, 2):
-            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        first = begin_at_changing_engine(world)
         world.reactor.advance(0.2)
         second = world.accept()
         assert first.transport.aborted
@@ -95,37 +101,18 @@
     def test_is_not_moved_so_late_that_it_may_be_recalled_where_it_waits(self):
         world = World(2, MODEL_SERVICE)
         announce(world, limit_in_seconds=3.4)
-        call(world)
-        first = world.accept()
-        begin_stream(first)
-        first.dataReceived(event(1))
-        for number in (1, 2):
-            world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+        first = begin_at_changing_engine(world)
         advance(world, 0.6)
         assert not first.transport.aborted
         assert world.reactor.pending_connects == []
 
     def test_fails_when_recalled_if_it_may_not_be_repeated(self):
         world = World(1, MODEL_SERVICE, routes=[replace(STREAM, resumable=False)])
-        announce(world, limit_in_seconds=3.0)
-        caller = call(world)
-        old = world.accept()
-        world.register(2, version=2)
-        advance(world, 3.0 - LAST_RECALL_SECONDS)
-        assert old.transport.aborted
-        assert world.reactor.pending_connects == []
-        assert status_of(caller) == 502
+        assert_fails_when_recalled(world)
 
     def test_is_not_repeated_after_its_recall_beyond_the_retry_budget(self):
         world = World(1, MODEL_SERVICE, bounds=NodeBounds(retry_slack=0, retry_ratio=0))
-        announce(world, limit_in_seconds=3.0)
-        caller = call(world)
-        old = world.accept()
-        world.register(2, version=2)
-        advance(world, 3.0 - LAST_RECALL_SECONDS)
-        assert old.transport.aborted
-        assert world.reactor.pending_connects == []
-        assert status_of(caller) == 502
+        assert_fails_when_recalled(world)
 
     def test_is_not_left_as_silent_before_an_answer_that_is_no_stream(self):
         world = World(2, MODEL_SERVICE)
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -186,3 +186,14 @@
 
 def sent_on(channel):
     return channel.transport.value()
+
+
+def begin_at_changing_engine(world):
+    """Begins a stream at one of two engines, which then reports that it will load new weights."""
+    world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    begin_stream(first)
+    first.dataReceived(event(1))
+    for number in (1, 2):
+        world.report(number, running=3, switching=b'i-%d' % number in sent_on(first))
+    return first
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -109,6 +109,16 @@
         self.changeover.handle_report(self.engine.report(), ENGINE)
 
 
+def nearly_staged_world():
+    """Returns an agent that lacks one piece of version 2, with version 3 announced."""
+    world = World(loaded=1)
+    world.source.missing = {(2, PIECES - 1)}
+    world.announce_weights(2)
+    world.report()
+    world.announce_weights(3)
+    return world
+
+
 def test_empty_engine_loads_the_newest_weights():
     world = World()
     world.report()
@@ -168,12 +178,7 @@
 
 
 def test_nearly_staged_version_is_loaded_before_a_newer_one():
-    # Version 3 is announced while the origin is unreachable and one piece of version 2 is missing.
-    world = World(loaded=1)
-    world.source.missing = {(2, PIECES - 1)}
-    world.announce_weights(2)
-    world.report()
-    world.announce_weights(3)
+    world = nearly_staged_world()
     world.source.missing = set()
     world.report()
     assert [order.version for order, _staged in world.engine.orders] == [2]
@@ -182,22 +187,14 @@
 
 
 def test_nearly_staged_version_is_dropped_if_a_newer_one_is_due_soon():
-    world = World(loaded=1)
-    world.source.missing = {(2, PIECES - 1)}
-    world.announce_weights(2)
-    world.report()
-    world.announce_weights(3)
+    world = nearly_staged_world()
     world.source.missing = set()
     world.report(6.0)
     assert [order.version for order, _staged in world.engine.orders] == [3]
 
 
 def test_nearly_staged_version_is_dropped_if_the_next_one_is_due_though_another_one_is_not():
-    world = World(loaded=1)
-    world.source.missing = {(2, PIECES - 1)}
-    world.announce_weights(2)
-    world.report()
-    world.announce_weights(3)
+    world = nearly_staged_world()
     world.clock.advance(7.0)
     world.announce_weights(4)
     world.source.missing = set()
