--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -91,16 +91,20 @@
         """Moves streams away from engines, as the product's watch does."""
         now_seconds = self.simulation.seconds()
         for dispatched in list(self.streams):
-            if self._must_recall(dispatched):
-                self._abandon(dispatched)
+            if not dispatched.events and self._seconds_until_recall(dispatched) <= 0:
+                self._recall(dispatched)
             elif self._should_move(dispatched) and self._take_alternative(dispatched, moving=True):
                 self._abandon(dispatched)
             elif dispatched.is_stalled(now_seconds) and self._take_alternative(dispatched):
                 dispatched.upstream.call_failed(now_seconds)
                 self._abandon(dispatched)
 
-    def _must_recall(self, dispatched: '_DispatchedCall') -> bool:
-        return not dispatched.call.events and self._seconds_until_recall(dispatched) <= 0
+    def _recall(self, dispatched: '_DispatchedCall') -> None:
+        if dispatched.history.take_further_upstream():
+            self._abandon(dispatched)
+        else:
+            dispatched.cancel()
+            dispatched.call.on_end(False)
 
     def _seconds_until_recall(self, dispatched: '_DispatchedCall') -> float:
         selection = self._selection(dispatched.call, dispatched.history)
@@ -113,7 +117,7 @@
             return False
         call = dispatched.call
         expected = likely_events(self.context, dispatched.history.service, call.estimated_tokens)
-        return should_move(call.events, expected)
+        return should_move(call.events, expected, self._seconds_until_recall(dispatched))
 
     def _take_alternative(self, dispatched: '_DispatchedCall', *, moving: bool = False) -> bool:
         history = dispatched.history
@@ -213,6 +217,7 @@
     sent_seconds: float = 0
     progress_seconds: float = 0
     weight_version: int = 0
+    events: int = 0
     stream: EngineStream | None = None
     host: EmulatedEngine | None = None
     cancelled: bool = False
@@ -283,6 +288,7 @@
         if not self.call.weight_version and self.stream is not None:
             self.call.weight_version = self.stream.version
         self.progress_seconds = now_seconds
+        self.events = events
         self.call.events += 1
         self.call.on_event(self.call.events)
 
