--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -173,12 +173,13 @@
         if self.relay is not None:
             self.relay.finish()
         outcome = 'served' if status in SUCCESS else 'upstream failure'
-        first_seconds = round(self.first_seconds, 4)
+        now_seconds = self.context.clock.seconds()
         self.log.write(
             call_log.CALL_ENDED,
             outcome=outcome,
             status=status,
-            first_seconds=first_seconds,
+            sent_age_seconds=round(now_seconds - attempt.sent_seconds, 4),
+            first_seconds=round(self.first_seconds, 4),
             framing=attempt.framing,
             unfinished_bytes=unfinished_bytes(self.relay, attempt.head),
         )
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -1,5 +1,7 @@
 """The log lines of a call state how its answer was framed and how it ended."""
 
+import pytest
+
 from jackdawsail.proxy import call_log
 from test.http1.ends import close, reset
 from test.proxy.world import (
@@ -27,6 +29,19 @@
     assert (line['framing'], line['unfinished_bytes']) == ('chunks', 0)
 
 
+def test_answered_call_states_when_it_was_sent(logged):
+    world = World(1, MODEL_SERVICE)
+    world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    world.reactor.advance(0.25)
+    channel = world.accept()
+    world.reactor.advance(0.1)
+    begin_stream(channel)
+    channel.dataReceived(event(1) + b'0\r\n\r\n')
+    (line,) = logged.of(call_log.CALL_ENDED)
+    assert line['age_seconds'] == pytest.approx(0.35)
+    assert line['sent_age_seconds'] == pytest.approx(0.1)
+
+
 def test_broken_answer_states_its_end_and_what_follows_the_last_whole_event(logged):
     channel = call_stream()
     begin_unframed_stream(channel)
