--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -22,6 +22,7 @@
     without_old_versions,
 )
 from jackdawsail.site.machine import SiteMachine
+from jackdawsail.site.stored_weights import StoredWeights
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import (
@@ -44,7 +45,10 @@
 
 @dataclass(slots=True)
 class SiteFanout:
-    """Owns the upstream registrations of a control host and sends changes to its links."""
+    """Owns the upstream registrations of a control host and sends changes to its links.
+
+    ``announcements`` are the announced weights with the earliest known times.
+    """
 
     clock: Clock
     router: MessageRouter
@@ -52,7 +56,8 @@
     registrations: RegistrationTable = field(default_factory=RegistrationTable)
     traits: TraitEvidenceRelay = field(init=False)
     _batched: dict[str, ReceivedRegistration] = field(default_factory=dict)
-    _announcements: Announcements = field(default_factory=dict)
+    announcements: Announcements = field(default_factory=dict)
+    _stored_weights: tuple[StoredWeights, ...] = ()
     # The version of the last compressed document, and its compressed body.
     _compressed: tuple[int, bytes] = (0, b'')
 
@@ -76,14 +81,13 @@
     def site_changed(self) -> None:
         """Records the announced weights and sends the summary of the changed state.
 
-        Weights count as announced from when this process first sees them in the state, unless
-        another control host has told an earlier time. If all control hosts are restarted at the
-        same time, the period for the changeover starts again for processes that start later.
+        Weights that are announced now have an age of 0, those of a log that is replayed at a
+        start the stored age, which is too low by the time since it was stored.
         """
-        seen = [
-            AnnouncedWeights(*pair, age_seconds=0) for pair in self.machine.state.weight_versions
-        ]
-        self._add_announcements(seen, 'replicated state')
+        stored = self.machine.state.weights
+        changed = [each for each in stored if each not in self._stored_weights]
+        self._stored_weights = stored
+        self._add_announcements([_announced(each) for each in changed], 'replicated state')
         self.traits.site_changed()
         self._send_whole_summary(self.router.links_to(*SUBSCRIBERS))
 
@@ -128,7 +132,7 @@
             self._send_whole_summary([link])
         if role in REGISTRATION_READERS:
             registrations = self._with_ages(self.registrations.all())
-            weights = announced_weights(self._announcements, self.clock.seconds())
+            weights = announced_weights(self.announcements, self.clock.seconds())
             is_control = role is Role.control
             link.send(replace(registrations, weights=weights) if is_control else registrations)
 
@@ -149,9 +153,9 @@
     def _add_announcements(self, told: list[AnnouncedWeights], source: str) -> None:
         """Keeps the earliest time of each version, also of an older one with its own deadline."""
         now_seconds = self.clock.seconds()
-        changes = add_announcements(self._announcements, told, now_seconds)
+        changes = add_announcements(self.announcements, told, now_seconds)
         oldest_seconds = now_seconds - WEIGHTS_KEPT_SECONDS
-        self._announcements = without_old_versions(self._announcements, oldest_seconds)
+        self.announcements = without_old_versions(self.announcements, oldest_seconds)
         log_announcements(changes, now_seconds, source)
 
     def _on_upstream_left(self, _link: Link, message: UpstreamLeft) -> None:
@@ -178,7 +182,7 @@
     def _summary(self) -> SiteSummary:
         state = self.machine.state
         now_seconds = self.clock.seconds()
-        weights = announced_weights(self._announcements, now_seconds)
+        weights = announced_weights(self.announcements, now_seconds)
         zones = list(state.emptied_zones)
         return SiteSummary(state.revision, state.document.version, zones, weights)
 
@@ -210,6 +214,14 @@
         )
 
 
+def _announced(weights: StoredWeights) -> AnnouncedWeights:
+    """Returns stored weights as other processes are told them; without an age they are overdue."""
+    age_seconds = weights.age_seconds
+    if age_seconds is None:
+        age_seconds = WEIGHTS_KEPT_SECONDS
+    return AnnouncedWeights(weights.model, weights.version, age_seconds)
+
+
 def _needs_immediate_send(held: Registration, new: Registration) -> bool:
     """Returns whether entries need a registration immediately rather than batched."""
     before = (held.born_milliseconds, held.address, held.leaving, held.models)
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -88,9 +88,9 @@
             self._sent_members = members
             self.fanout.send_members(members)
         self.fanout.registrations.forget_old(self.process.reactor.seconds())
-        self.lists.update(members.entries)
-        tolerated_host_losses = self.process.settings.bounds.tolerated_host_losses
-        for host in self.consensus.raise_voter_target(tolerated_host_losses):
+        bounds = self.process.settings.bounds
+        self.lists.update(members.entries, bounds.weights_seconds)
+        for host in self.consensus.raise_voter_target(bounds.tolerated_host_losses):
             self._add_control(host)
 
     def _live_controls(self) -> list[str]:
--- a/jackdawsail/group/replicated_lists.py
+++ b/jackdawsail/group/replicated_lists.py
@@ -1,4 +1,4 @@
-"""The lists in the site's state that the leader keeps up to date by itself."""
+"""What the leader keeps up to date in the site's state by itself."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,20 +8,27 @@
 from jackdawsail.group.block_list import BlockList
 from jackdawsail.group.entry_list import EntryList
 from jackdawsail.group.fanout import SiteFanout
+from jackdawsail.group.weight_ages import WeightAges
 from jackdawsail.wire.site_messages import MemberHost
 
 
 @dataclass(slots=True)
 class ReplicatedLists:
-    """The entries that share the limits, and the blocked traits of calls."""
+    """The entries that share the limits, the blocked traits of calls, and the ages of weights."""
 
     entries: EntryList
     blocked_traits: BlockList
+    weight_ages: WeightAges
 
-    def update(self, linked: Sequence[MemberHost]) -> None:
-        """Proposes the changes that the lists need; ``linked`` are the linked entries."""
+    def update(self, linked: Sequence[MemberHost], weights_seconds: float) -> None:
+        """Proposes the changes that the lists need.
+
+        ``linked`` are the linked entries, ``weights_seconds`` is the time within which every
+        engine must serve announced weights.
+        """
         self.entries.update(linked)
         self.blocked_traits.update()
+        self.weight_ages.update(weights_seconds)
 
 
 def make_replicated_lists(
@@ -30,4 +37,5 @@
     """Builds the lists; a part that an entry blocks is proposed at once."""
     block_list = BlockList(replicator, fanout.machine, fanout.traits.blame)
     fanout.traits.on_blocked = block_list.update
-    return ReplicatedLists(EntryList(clock, replicator, fanout.machine), block_list)
+    entry_list = EntryList(clock, replicator, fanout.machine)
+    return ReplicatedLists(entry_list, block_list, WeightAges(clock, replicator, fanout))
--- /dev/null
+++ b/jackdawsail/group/weight_ages.py
@@ -0,0 +1,124 @@
+"""Keeps the ages of announced weights in the site's state, which outlives restarts.
+
+The time limit of a version counts from its announcement. The clocks of processes end with
+them, so if all control hosts are restarted at once, the state is the only source of that time
+for processes that start later. While they are down an age does not grow, but the core is
+unstable then, and no limit counts across that.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from jackdawsail import events
+from jackdawsail.clocks import Clock
+from jackdawsail.consensus.interfaces import ProposeError, Replicator
+from jackdawsail.group.fanout import SiteFanout
+from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS
+from jackdawsail.site.announcements import Announcements
+from jackdawsail.site.machine import store_weight_ages
+from jackdawsail.site.stored_weights import StoredWeights
+
+# A restart of all control hosts sets a limit back by this and the time until ages are stored.
+AGE_STEP_SECONDS = 1.0
+
+WEIGHT_AGES_STORED = events.define(
+    253, 'info', 'ages of announced weights are added to the replicated state'
+)
+WEIGHT_AGES_NOT_STORED = events.define(
+    254, 'warning', 'addition of the ages of announced weights was not confirmed'
+)
+
+
+def ages_to_store(
+    stored: Sequence[StoredWeights],
+    known: Announcements,
+    within_seconds: float,
+    now_seconds: float,
+) -> list[StoredWeights]:
+    """Returns the weights with their present ages, if the state needs them; otherwise nothing.
+
+    It needs them once a version is ``AGE_STEP_SECONDS`` older than stored, and at once when it
+    is due: then entries send no more calls to older ones, and those can be dropped. After that
+    its age no longer matters.
+
+    Example::
+
+        ages_to_store([StoredWeights('m', 2, 0)], {'m': (WeightTarget(2, 10.0),)}, 8.0, 11.5)
+        == [StoredWeights('m', 2, 1.5)]
+    """
+    due_age_seconds = within_seconds - LAST_SEND_MARGIN_SECONDS
+    present = [_aged_now(each, known, now_seconds) for each in stored]
+    if not any(
+        _is_outdated(before, after, due_age_seconds)
+        for before, after in zip(stored, present, strict=True)
+    ):
+        return []
+    due_versions = {
+        each.model: each.version
+        for each in present
+        if each.age_seconds is not None and each.age_seconds >= due_age_seconds
+    }
+    return [each for each in present if each.version >= due_versions.get(each.model, 0)]
+
+
+def _aged_now(weights: StoredWeights, known: Announcements, now_seconds: float) -> StoredWeights:
+    for target in known.get(weights.model, ()):
+        if target.version == weights.version:
+            return replace(weights, age_seconds=now_seconds - target.announced_seconds)
+    return weights
+
+
+def _is_outdated(before: StoredWeights, after: StoredWeights, due_age_seconds: float) -> bool:
+    if before.age_seconds is None or after.age_seconds is None:
+        return before != after
+    if before.age_seconds >= due_age_seconds:
+        return False
+    is_due = after.age_seconds >= due_age_seconds
+    return is_due or after.age_seconds - before.age_seconds >= AGE_STEP_SECONDS
+
+
+@dataclass(slots=True)
+class WeightAges:
+    """Proposes the ages of announced weights while this control host is the leader."""
+
+    clock: Clock
+    replicator: Replicator
+    fanout: SiteFanout
+    _is_proposed: bool = False
+
+    def update(self, within_seconds: float) -> None:
+        """Proposes the ages that the state needs now.
+
+        ``within_seconds`` is the time within which every engine must serve announced weights.
+        """
+        if self._is_proposed or not self.replicator.is_leader():
+            return
+        fanout = self.fanout
+        ages = ages_to_store(
+            fanout.machine.state.weights,
+            fanout.announcements,
+            within_seconds,
+            self.clock.seconds(),
+        )
+        if not ages:
+            return
+        self._is_proposed = True
+        proposed: Any = self.replicator.propose(store_weight_ages(ages))
+        proposed.addBoth(self._settle).addCallback(_log_outcome, ages)
+        proposed.addErrback(events.log_failure)
+
+    def _settle(self, outcome: Any) -> Any:
+        self._is_proposed = False
+        return outcome
+
+
+def _log_outcome(outcome: Result[Any, ProposeError], ages: Sequence[StoredWeights]) -> None:
+    """Logs the outcome; if it was not confirmed, the next update proposes the ages again."""
+    details = [f'{each.model} {each.version}: {each.age_seconds:.3f}' for each in ages]
+    if isinstance(outcome, Success):
+        events.log(WEIGHT_AGES_STORED, ages_seconds=details)
+    elif isinstance(outcome, Failure):
+        events.log(WEIGHT_AGES_NOT_STORED, reason=outcome.failure().reason)
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -6,15 +6,22 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 from enum import StrEnum
 from typing import Any
 
 import cbor2
 
+from jackdawsail.site.stored_weights import (
+    StoredWeights,
+    WeightsTuple,
+    with_ages,
+    with_announced,
+)
 from jackdawsail.wire.site_messages import MemberHost
 
-SNAPSHOT_FORMAT = 3  # format 1 has no entries, 2 no blocked traits
+# Format 1 has no entries, 2 no blocked traits, 3 no ages of weights.
+SNAPSHOT_FORMAT = 4
 MAX_BLOCKED_TRAITS = 256
 
 
@@ -42,14 +49,16 @@
 class SiteState:
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
-    ``revision`` is the log index of the last change. ``sharing_entries`` are sorted by address,
-    ``blocked_traits`` are the traits of calls that crash engines, the earliest blocked first.
+    ``revision`` is the log index of the last change. ``weights`` are sorted by model and
+    version; of the versions of a model, all are kept whose time limit may still count.
+    ``sharing_entries`` are sorted by address, ``blocked_traits`` are the traits of calls that
+    crash engines, the earliest blocked first.
     """
 
     revision: int = 0
     document: StoredDocument = StoredDocument()
     emptied_zones: tuple[str, ...] = ()
-    weight_versions: tuple[tuple[str, int], ...] = ()
+    weights: WeightsTuple = ()
     sharing_entries: tuple[MemberHost, ...] = ()
     blocked_traits: tuple[str, ...] = ()
 
@@ -66,7 +75,15 @@
 
 def announce_weights(model: str, version: int) -> bytes:
     """Encodes the command that announces a model's new weight version."""
-    return cbor2.dumps(['weights', model, version])
+    return cbor2.dumps(['weights', model, version, 0])
+
+
+def store_weight_ages(weights: Iterable[StoredWeights]) -> bytes:
+    """Encodes the command that stores the ages of announced weights.
+
+    Of each model in the list, older versions that the list lacks are dropped.
+    """
+    return cbor2.dumps(['weight-ages', [list(astuple(each)) for each in weights]])
 
 
 def change_entries(added: Iterable[MemberHost], removed: Iterable[str]) -> bytes:
@@ -109,7 +126,7 @@
         document = state.document
         document_fields = [document.version, document.digest, document.body]
         zones = list(state.emptied_zones)
-        weights = [list(pair) for pair in state.weight_versions]
+        weights = [list(astuple(each)) for each in state.weights]
         entries = [_encode_host(host) for host in state.sharing_entries]
         lists = [zones, weights, entries, list(state.blocked_traits)]
         return cbor2.dumps([SNAPSHOT_FORMAT, state.revision, document_fields, *lists])
@@ -122,7 +139,7 @@
             revision,
             StoredDocument(*document_fields),
             tuple(zones),
-            tuple((model, version) for model, version in weights),
+            tuple(StoredWeights(*fields) for fields in weights),
             tuple(MemberHost(*fields) for fields in entries),
             tuple(traits),
         )
@@ -152,12 +169,23 @@
     return replace(state, emptied_zones=tuple(zones)), CommandOutcome.accepted
 
 
-def _change_weights(state: SiteState, model: str, version: int) -> Change:
-    held = dict(state.weight_versions)
-    if version <= held.get(model, 0):
+def _change_weights(
+    state: SiteState, model: str, version: int, age_seconds: float | None = None
+) -> Change:
+    announced = StoredWeights(model, version, age_seconds)
+    return _replace_weights(state, with_announced(state.weights, announced))
+
+
+def _change_weight_ages(state: SiteState, told: list[Any]) -> Change:
+    return _replace_weights(
+        state, with_ages(state.weights, [StoredWeights(*fields) for fields in told])
+    )
+
+
+def _replace_weights(state: SiteState, weights: WeightsTuple) -> Change:
+    if weights == state.weights:
         return state, CommandOutcome.unchanged
-    held[model] = version
-    return replace(state, weight_versions=tuple(sorted(held.items()))), CommandOutcome.accepted
+    return replace(state, weights=weights), CommandOutcome.accepted
 
 
 def _change_entries(state: SiteState, added: list[Any], removed: list[str]) -> Change:
@@ -185,6 +213,7 @@
     'document': _change_document,
     'zone': _change_zone,
     'weights': _change_weights,
+    'weight-ages': _change_weight_ages,
     'entries': _change_entries,
     'part': _change_trait,
 }
--- a/test/group/control_group.py
+++ b/test/group/control_group.py
@@ -65,6 +65,7 @@
         consensus_host = make_host(context, opened, self.machine, self.links.send)
         self.replicator = RaftReplicator(name, control, consensus_host, self.links)
         self.lists = make_replicated_lists(self.clock, self.replicator, self.fanout)
+        self._within_seconds = group.within_seconds
 
     def start(self):
         self.fanout.start()
@@ -77,7 +78,7 @@
 
     def _run_periodic_tasks(self):
         self.fanout.send_summary()
-        self.lists.update([])
+        self.lists.update([], self._within_seconds)
 
 
 class EntryLink:
@@ -109,10 +110,14 @@
 
 
 class ControlGroup(Group):
-    """Three control hosts; the fan-outs are not linked and tell each other nothing."""
+    """Three control hosts; the fan-outs are not linked and tell each other nothing.
 
-    def __init__(self, snapshot_every=1000):
+    Engines must serve new weights ``within_seconds`` after their announcement.
+    """
+
+    def __init__(self, within_seconds=8.0, snapshot_every=1000):
         self.hosts = {}
+        self.within_seconds = within_seconds
         super().__init__(snapshot_every)
         self.run(4)
 
--- a/test/group/test_restarts.py
+++ b/test/group/test_restarts.py
@@ -5,13 +5,18 @@
 stability window.
 """
 
+import cbor2
 import pytest
 
+from jackdawsail.group.program import SUMMARY_INTERVAL_SECONDS
+from jackdawsail.group.weight_ages import AGE_STEP_SECONDS
 from jackdawsail.site.machine import announce_weights, set_zone_emptied
 from test.group.control_group import STEP_SECONDS, ControlGroup, Entry
 
 STABILITY_WINDOW_SECONDS = 3.0
 CHECKED_SECONDS = 12.0  # longer than a limit that is counted from the restart
+# The step of stored ages, the interval at which they are stored, and the time out of service.
+MAX_SET_BACK_SECONDS = AGE_STEP_SECONDS + SUMMARY_INTERVAL_SECONDS + 0.3
 BOUNDS = pytest.mark.parametrize('within_seconds', [8.0, 10.0])
 
 
@@ -41,7 +46,7 @@
 def test_entry_started_after_all_control_hosts_allows_no_overdue_weights(
     within_seconds, beyond_seconds
 ):
-    group = ControlGroup()
+    group = ControlGroup(within_seconds)
     run_past_limit(group, within_seconds, beyond_seconds)
     group.restart_all()
     entry = group.start_entry()
@@ -50,7 +55,7 @@
 
 @BOUNDS
 def test_entry_allows_no_overdue_weights_though_one_control_host_is_behind(within_seconds):
-    group = ControlGroup()
+    group = ControlGroup(within_seconds)
     behind = group.follower()
     with group.lagging(behind):
         run_past_limit(group, within_seconds, beyond_seconds=0.7)
@@ -62,7 +67,7 @@
 
 @BOUNDS
 def test_overdue_weights_stay_overdue_in_a_snapshot(within_seconds):
-    group = ControlGroup(snapshot_every=10)
+    group = ControlGroup(within_seconds, snapshot_every=10)
     run_past_limit(group, within_seconds, beyond_seconds=0.7)
     for number in range(20):
         group.commit(set_zone_emptied('z', emptied=number % 2 == 0))
@@ -74,7 +79,7 @@
 
 @BOUNDS
 def test_overdue_version_stays_overdue_after_a_newer_one_was_announced(within_seconds):
-    group = ControlGroup()
+    group = ControlGroup(within_seconds)
     group.commit(announce_weights('m', 2))
     group.run(3)
     group.commit(announce_weights('m', 3))
@@ -83,3 +88,29 @@
     entry = group.start_entry()
     group.run(STABILITY_WINDOW_SECONDS)
     assert entry.least_version(within_seconds) >= 2
+
+
+@BOUNDS
+def test_weights_from_the_log_of_an_earlier_release_are_overdue_at_a_start(within_seconds):
+    group = ControlGroup(within_seconds)
+    group.commit(cbor2.dumps(['weights', 'm', 2]))
+    group.restart_all()
+    entry = group.start_entry()
+    assert entry.least_version(within_seconds) == 2
+
+
+@BOUNDS
+@pytest.mark.parametrize('run_seconds', [0.1, 3.3])
+def test_restart_early_in_a_changeover_neither_ends_nor_restarts_its_time(
+    within_seconds, run_seconds
+):
+    group = ControlGroup(within_seconds)
+    announced_seconds = group.clock.seconds()
+    group.commit(announce_weights('m', 2))
+    group.run(run_seconds)
+    group.restart_all()
+    entry = group.start_entry()
+    assert entry.least_version(within_seconds) == 0
+    [target] = entry.view.weights['m']
+    assert announced_seconds <= target.announced_seconds
+    assert target.announced_seconds <= announced_seconds + MAX_SET_BACK_SECONDS
--- a/test/group/test_trait_evidence.py
+++ b/test/group/test_trait_evidence.py
@@ -85,7 +85,7 @@
     world.receive(world.link(), BLOCK)
     assert world.stored == ()
     world.replicator.leads = True
-    world.lists.update([])
+    world.lists.update([], 8.0)
     assert world.stored == ('bad',)
 
 
@@ -93,7 +93,7 @@
     world.replicator.lost = True
     world.receive(world.link(), BLOCK)
     world.replicator.lost = False
-    world.lists.update([])
+    world.lists.update([], 8.0)
     assert world.stored == ('bad',)
 
 
@@ -127,7 +127,7 @@
         assert self.world.ask(LiftBlockedTrait('bad')) == calls.Done()
         assert self.link.sent_of(BlockedTraits)[-1].traits == []
         self.world.receive(self.link, BLOCK)
-        self.world.lists.update([])
+        self.world.lists.update([], 8.0)
         assert self.world.stored == ()
         assert self.world.ask(ListBlockedTraits()).traits == ()
 
--- a/test/site/test_machine.py
+++ b/test/site/test_machine.py
@@ -15,7 +15,9 @@
     lift_trait,
     put_document,
     set_zone_emptied,
+    store_weight_ages,
 )
+from jackdawsail.site.stored_weights import StoredWeights
 from jackdawsail.wire.site_messages import MemberHost
 
 
@@ -53,7 +55,44 @@
     machine = SiteMachine()
     machine.apply(1, announce_weights('m', 2))
     assert machine.apply(2, announce_weights('m', 1)) is CommandOutcome.unchanged
-    assert machine.state.weight_versions == (('m', 2),)
+    assert machine.state.weights == (StoredWeights('m', 2, 0),)
+
+
+def test_weights_become_older_and_never_younger():
+    machine = SiteMachine()
+    machine.apply(1, announce_weights('m', 2))
+    stored = store_weight_ages([StoredWeights('m', 2, 3.5), StoredWeights('unknown', 7, 1.0)])
+    assert machine.apply(2, stored) is CommandOutcome.accepted
+    younger = store_weight_ages([StoredWeights('m', 2, 1.5)])
+    assert machine.apply(3, younger) is CommandOutcome.unchanged
+    assert machine.state.weights == (StoredWeights('m', 2, 3.5),)
+
+
+def test_older_weights_are_kept_until_ages_are_stored_without_them():
+    machine = SiteMachine()
+    for index, (model, version) in enumerate((('m', 2), ('m', 3), ('m', 4), ('n', 2)), start=1):
+        machine.apply(index, announce_weights(model, version))
+    machine.apply(5, store_weight_ages([StoredWeights('m', 3, 6.0)]))
+    assert machine.state.weights == (
+        StoredWeights('m', 3, 6.0),
+        StoredWeights('m', 4, 0),
+        StoredWeights('n', 2, 0),
+    )
+
+
+def test_ages_of_a_version_that_is_not_announced_drop_no_other_one():
+    machine = SiteMachine()
+    machine.apply(1, announce_weights('m', 2))
+    unknown = store_weight_ages([StoredWeights('m', 3, 6.0)])
+    assert machine.apply(2, unknown) is CommandOutcome.unchanged
+    assert machine.state.weights == (StoredWeights('m', 2, 0),)
+
+
+def test_weights_that_an_earlier_release_has_stored_have_no_age():
+    machine = SiteMachine()
+    machine.restore(cbor2.dumps([3, 7, [5, 'd', b'b'], [], [['m', 2]], [], []]))
+    machine.apply(8, cbor2.dumps(['weights', 'n', 3]))
+    assert machine.state.weights == (StoredWeights('m', 2, None), StoredWeights('n', 3, None))
 
 
 def entries(*addresses):
@@ -73,7 +112,9 @@
 def test_a_snapshot_of_the_format_without_entries_is_restored():
     machine = SiteMachine()
     machine.restore(cbor2.dumps([1, 7, [5, 'd', b'b'], ['z'], [['m', 2]]]))
-    assert machine.state == SiteState(7, StoredDocument(5, 'd', b'b'), ('z',), (('m', 2),), ())
+    assert machine.state == SiteState(
+        7, StoredDocument(5, 'd', b'b'), ('z',), (StoredWeights('m', 2),), ()
+    )
 
 
 def test_a_snapshot_of_the_format_without_blocked_parts_is_restored():
@@ -89,6 +130,15 @@
     st.builds(block_trait, st.sampled_from('pq')),
     st.builds(lift_trait, st.sampled_from('pq')),
     st.builds(announce_weights, st.sampled_from('mn'), st.integers(1, 4)),
+    st.builds(
+        store_weight_ages,
+        st.lists(
+            st.builds(
+                StoredWeights, st.sampled_from('mn'), st.integers(1, 4), st.floats(0.1, 9.0)
+            ),
+            max_size=3,
+        ),
+    ),
     st.builds(
         change_entries,
         st.lists(st.sampled_from(entries('a', 'b'))),
@@ -106,9 +156,11 @@
         state = machine.state
         assert state.document.version >= before.document.version
         assert state.revision >= before.revision
-        held = dict(state.weight_versions)
-        for model, version in before.weight_versions:
-            assert held[model] >= version
+        ages_seconds = {(each.model, each.version): each.age_seconds for each in state.weights}
+        for each in before.weights:
+            newest = max(version for model, version in ages_seconds if model == each.model)
+            assert newest >= each.version
+            assert ages_seconds.get((each.model, each.version), 9.0) >= each.age_seconds
         before = state
     copy = SiteMachine()
     copy.restore(machine.snapshot())
