--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -57,6 +57,7 @@
     traits: TraitEvidenceRelay = field(init=False)
     _batched: dict[str, ReceivedRegistration] = field(default_factory=dict)
     announcements: Announcements = field(default_factory=dict)
+    _sent_revision: int = 0
     _stored_weights: tuple[StoredWeights, ...] = ()
     # The version of the last compressed document, and its compressed body.
     _compressed: tuple[int, bytes] = (0, b'')
@@ -79,7 +80,7 @@
         self.machine.on_change = self.site_changed
 
     def site_changed(self) -> None:
-        """Records the announced weights and sends the summary of the changed state.
+        """Records the announced weights and sends the summary if its revision has changed.
 
         Weights that are announced now have an age of 0, those of a log that is replayed at a
         start the stored age, which is too low by the time since it was stored.
@@ -89,7 +90,10 @@
         self._stored_weights = stored
         self._add_announcements([_announced(each) for each in changed], 'replicated state')
         self.traits.site_changed()
-        self._send_whole_summary(self.router.links_to(*SUBSCRIBERS))
+        revision = self.machine.state.revision
+        if revision != self._sent_revision:
+            self._sent_revision = revision
+            self._send_whole_summary(self.router.links_to(*SUBSCRIBERS))
 
     def send_summary(self) -> None:
         """Sends the summary to every linked entry and agent; also serves as a heartbeat."""
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -23,6 +23,7 @@
 # Format 1 has no entries, 2 no blocked traits, 3 no ages of weights.
 SNAPSHOT_FORMAT = 4
 MAX_BLOCKED_TRAITS = 256
+WEIGHT_AGES = 'weight-ages'  # name of a command
 
 
 class CommandOutcome(StrEnum):
@@ -49,7 +50,8 @@
 class SiteState:
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
-    ``revision`` is the log index of the last change. ``weights`` are sorted by model and
+    ``revision`` is the log index of the last change that other processes must be sent; the ages
+    of weights reach them with each summary. ``weights`` are sorted by model and
     version; of the versions of a model, all are kept whose time limit may still count.
     ``sharing_entries`` are sorted by address, ``blocked_traits`` are the traits of calls that
     crash engines, the earliest blocked first.
@@ -83,7 +85,7 @@
 
     Of each model in the list, older versions that the list lacks are dropped.
     """
-    return cbor2.dumps(['weight-ages', [list(astuple(each)) for each in weights]])
+    return cbor2.dumps([WEIGHT_AGES, [list(astuple(each)) for each in weights]])
 
 
 def change_entries(added: Iterable[MemberHost], removed: Iterable[str]) -> bytes:
@@ -116,7 +118,8 @@
         name, *arguments = cbor2.loads(command)
         changed, outcome = _CHANGES[name](self.state, *arguments)
         if outcome is CommandOutcome.accepted:
-            self.state = replace(changed, revision=index)
+            revision = self.state.revision if name == WEIGHT_AGES else index
+            self.state = replace(changed, revision=revision)
             self.on_change()
         return outcome
 
@@ -213,7 +216,7 @@
     'document': _change_document,
     'zone': _change_zone,
     'weights': _change_weights,
-    'weight-ages': _change_weight_ages,
+    WEIGHT_AGES: _change_weight_ages,
     'entries': _change_entries,
     'part': _change_trait,
 }
--- a/test/group/test_weight_ages.py
+++ b/test/group/test_weight_ages.py
@@ -13,6 +13,7 @@
 from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS, weight_rule
 from jackdawsail.site.announcements import WeightTarget
 from jackdawsail.site.stored_weights import StoredWeights
+from jackdawsail.wire.site_messages import SiteSummary
 from test.group.test_call_handler import Host
 
 WITHIN_SECONDS = 8.0
@@ -86,3 +87,14 @@
     leader.clock.advance(0.5)
     leader.ages.update(WITHIN_SECONDS)
     assert leader.machine.state.weights == (StoredWeights('m', 2, 3.5),)
+
+
+def test_stored_ages_are_not_sent_as_a_change_to_every_process():
+    leader = Leader()
+    leader.ask(calls.AnnounceWeights('m', 2))
+    link, revision = leader.link(), leader.machine.state.revision
+    sent = len(link.sent_of(SiteSummary))
+    leader.clock.advance(3.0)
+    leader.ages.update(WITHIN_SECONDS)
+    assert leader.machine.state.weights == (StoredWeights('m', 2, 3.0),)
+    assert (leader.machine.state.revision, len(link.sent_of(SiteSummary))) == (revision, sent)
