--- a/test/mutants.py
+++ b/test/mutants.py
@@ -76,6 +76,35 @@
         'test/site',
     ),
     Mutant('group/fanout.py', 'if message.weights:', 'if False:', 'test/group'),
+    Mutant(
+        'group/fanout.py', 'age_seconds = WEIGHTS_KEPT_SECONDS', 'age_seconds = 0', 'test/group'
+    ),
+    Mutant('group/fanout.py', 'if revision != self._sent_revision:', 'if True:', 'test/group'),
+    Mutant('group/weight_ages.py', 'is_due or after', 'after', 'test/group/test_weight_ages.py'),
+    Mutant(
+        'group/weight_ages.py',
+        'if each.version >= due_versions.get(each.model, 0)',
+        '',
+        'test/group/test_weight_ages.py',
+    ),
+    Mutant(
+        'group/weight_ages.py',
+        'not self.replicator.is_leader()',
+        'False',
+        'test/group/test_weight_ages.py',
+    ),
+    Mutant(
+        'site/stored_weights.py',
+        'or (held.age_seconds or 0) > told.age_seconds',
+        '',
+        'test/site/test_machine.py',
+    ),
+    Mutant(
+        'site/stored_weights.py',
+        'each in held if _sort_key(each) in told_by_version}',
+        'each in sorted(told_by_version.values(), key=_sort_key)}',
+        'test/site/test_machine.py',
+    ),
     Mutant(
         'site/view.py', 'if document.version <= self.document_version:', 'if False:', 'test/site'
     ),
