--- a/test/routing/test_placement.py
+++ b/test/routing/test_placement.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from jackdawsail.registry.registration import ModelVersion, Registration
 from jackdawsail.routing.placement import (
@@ -215,6 +217,26 @@
                     repeats += 1
         assert repeats <= 220
 
+    @given(st.lists(st.floats(0.1, 12), max_size=8))
+    @example([0.1, 0.1])
+    def test_an_entry_that_restarts_again_and_again_does_not_exceed_the_slack_in_any_window(
+        self, lives_seconds
+    ):
+        host, repeats = MemberHost('10.9.9.9', 'z', 'r'), []
+        started_seconds, ended_seconds = -math.inf, NOW
+        for life_seconds in (*lives_seconds, 12):
+            share = RetryShare(0.2, 102, 10.0)
+            shares = EntryShares(host.address, started_seconds)
+            now, ended_seconds = ended_seconds, ended_seconds + life_seconds
+            shares.update([host], now)
+            while now < ended_seconds:
+                while share.take(shares, now):
+                    repeats.append(now)
+                now += 0.1
+            started_seconds = ended_seconds
+        for start in repeats:
+            assert sum(start <= time < start + 10 for time in repeats) <= 102
+
     @pytest.mark.parametrize('entries', [1, 5, 7, 9, 38, 97])
     def test_calls_of_all_entries_to_a_cold_engine_stay_under_its_limit(self, entries):
         bound = ColdBound(1.5, 5)
