Retry budget: an entry that restarts again gets no second part of the slack

What callers and services could see: with all entries restarted twice within the window of the retry budget, a service got up to 1.3 of the slack in repeats (BUDGET, which has no condition on machines being in touch). It needs a service with 1.25 to 5 times the slack of requests in a window, and most of them repeated.

Cause: repeats of earlier processes are known to nobody after a start. Each unsettled process could use 0.3 of its part at once, right after its start.

Why it works: what an unsettled process may have used grows with its age t as 0.3 t / w. The lives of all unsettled processes in a window add up to the window at most after a settled one (0.7 + 0.3), and to two windows at most without (the first of them began up to a window earlier: 0.6).

Price: an entry that has just started repeats from its slack later; repeats in proportion to its first sends are as before.

--- a/jackdawsail/routing/shared_limits.py
+++ b/jackdawsail/routing/shared_limits.py
@@ -44,16 +44,24 @@
     def take(self, shares: EntryShares, now_seconds: float) -> bool:
         """Takes one repeat from the budget; returns False when it is used up."""
         self._drop_expired(now_seconds)
-        is_settled = shares.unsettled_seconds(self.window_seconds, now_seconds) <= 0
-        # Until then an earlier process of this entry may have used its part of the slack.
-        slack_share = SAFETY_SHARE if is_settled else 1 - SAFETY_SHARE
-        own_slack = self.slack * slack_share * shares.fraction
+        own_slack = self.slack * self._slack_share(shares, now_seconds) * shares.fraction
         allowed = self.ratio * SAFETY_SHARE * len(self._first_sends) + own_slack
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_seconds)
         return True
 
+    def _slack_share(self, shares: EntryShares, now_seconds: float) -> float:
+        """Returns the share of this entry's part of the slack that it may use by now.
+
+        Earlier processes of an unsettled entry may have used their part within the window. What
+        it may use grows with its age, so that all its processes within a window use one part.
+        """
+        unsettled_seconds = shares.unsettled_seconds(self.window_seconds, now_seconds)
+        if unsettled_seconds <= 0:
+            return SAFETY_SHARE
+        return (1 - SAFETY_SHARE) * max(0, 1 - unsettled_seconds / self.window_seconds)
+
     def _drop_expired(self, now_seconds: float) -> None:
         oldest_seconds = now_seconds - self.window_seconds
         for times in (self._first_sends, self._repeats):
