--- a/test/proxy/test_restarts.py
+++ b/test/proxy/test_restarts.py
@@ -38,3 +38,24 @@
     site.run(1)
     assert is_in_use(site.entries[0], site.engines[1])
     assert not any(is_in_use(entry, engine) for entry in site.entries)
+
+
+def test_engine_that_had_left_is_not_in_use_again_after_all_control_hosts_restarted():
+    site = CrashSite()
+    engine = site.engines[0]
+    heartbeat = late_heartbeat(site, engine)
+    engine.alive = False  # it sends no heartbeat any more
+    for control in site.controls:
+        control.fanout.deregister(engine.name)
+    site.run(0.1)
+    for number, control in enumerate(site.controls):
+        site.close_links(control.router)
+        site.restart_control(number)
+    site.run(0.1)
+    site.close_links(site.entries[0].client.router)
+    site.entries[0] = site.make_entry(site.entries[0].address)
+    site.controls[1].fanout.register(heartbeat, 'late')
+    site.send_summaries()
+    site.run(1)
+    assert is_in_use(site.entries[0], site.engines[1])
+    assert not any(is_in_use(entry, engine) for entry in site.entries)
