Registrations: entries tell a control host which upstreams have left, when a link opens

Cause: that an upstream has left is soft state. Control hosts that start know nothing of it, and the upstream sends no further message. A heartbeat sent before the departure may arrive seconds late; entries that went on reject it, one that starts afterwards takes it for that of an engine in service, and each answer of the engine, which serves on for some seconds, keeps it from counting as silent.

Why it works: control hosts merge registrations by incarnation with departures last, whoever sends them. So with one entry that went on, each of them knows the departure a message after its link opens, and gives it to entries that link later. An upstream that reports that it drains says so in each heartbeat and needs none of this.

Left: if all entries restart too, or an entry links between a late heartbeat and the first link of one that went on, the departure is not known there. That needs it in the replicated state.

--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -19,7 +19,7 @@
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.staging.relay import PieceRelay, make_piece_relay
 from jackdawsail.wire.link import Link
-from jackdawsail.wire.site_messages import EntryStatus
+from jackdawsail.wire.site_messages import AgedRegistration, EntryStatus, Registrations
 
 # Short, so that idle channels are closed well before the upstreams close them.
 HOUSEKEEPING_SECONDS = 0.5
@@ -118,11 +118,25 @@
     def _link_opened(self, link: Link) -> None:
         self._send_status(link)
         self.traits.send_snapshot(link)
+        self._send_departures(link)
 
     def _send_status(self, link: Link) -> None:
         address = self.process.settings.listening.callers
         link.send(EntryStatus(address, self.accepts))
 
+    def _send_departures(self, link: Link) -> None:
+        """Sends the upstreams that have left, whose later heartbeats would not tell a control host.
+
+        It may have restarted, and all others with it.
+        """
+        now_seconds = self.process.reactor.seconds()
+        departures = [
+            AgedRegistration(gone.registration, now_seconds - gone.received_seconds)
+            for gone in self.context.view.registrations.gone()
+        ]
+        if departures:
+            link.send(Registrations(departures))
+
     def _clean_up(self) -> None:
         self.context.pool.close_expired()
         self.context.view.registrations.forget_old(self.process.reactor.seconds())
--- a/jackdawsail/registry/registration.py
+++ b/jackdawsail/registry/registration.py
@@ -111,6 +111,12 @@
         """Yields the last registration of each upstream."""
         yield from list(self._received.values())
 
+    def gone(self) -> Iterator[ReceivedRegistration]:
+        """Yields the last registration of each upstream that has deregistered."""
+        for received in self.all():
+            if received.registration.gone:
+                yield received
+
     def forget_old(self, now_seconds: float) -> None:
         """Removes upstreams that have been silent for TOMBSTONE_SECONDS."""
         oldest_seconds = now_seconds - TOMBSTONE_SECONDS
