--- a/test/mutants.py
+++ b/test/mutants.py
@@ -29,6 +29,7 @@
 TRAITS = 'test/routing/test_trait_blame.py'
 REQUESTS = 'test/routing/test_request_suspicion.py'
 RESTING = 'test/proxy/test_resting_upstreams.py'
+RESTARTS = 'test/proxy/test_restarts.py'
 MUTANTS = (
     Mutant('consensus/election.py', "core.voted_for in {'', request.sender}", 'True', CONSENSUS),
     Mutant(
@@ -142,6 +143,13 @@
     Mutant(
         'routing/shared_limits.py', 'if len(self._repeats) + 1 > allowed:', 'if False:', ROUTING
     ),
+    Mutant(
+        'routing/shared_limits.py',
+        ' * max(0, 1 - unsettled_seconds / self.window_seconds)',
+        '',
+        ROUTING,
+    ),
+    Mutant('proxy/program.py', '        self._send_departures(link)\n', '', RESTARTS),
     Mutant('routing/shared_limits.py', 'return used + 1 <= own_part', 'return True', ROUTING),
     Mutant('routing/sends.py', 'return self.pending + ', 'return ', PROXY),
     Mutant('routing/upstreams.py', 'else upstream.sends', 'else SendRecord()', PROXY),
