--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -19,10 +19,10 @@
     add_announcements,
     announced_weights,
     log_announcements,
-    without_old_versions,
+    without_superseded,
 )
 from jackdawsail.site.machine import SiteMachine
-from jackdawsail.site.stored_weights import StoredWeights
+from jackdawsail.site.stored_weights import StoredWeights, oldest_versions
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import (
@@ -39,7 +39,7 @@
 SUBSCRIBERS = (Role.entry, Role.agent)  # of the site's state; control hosts replicate it
 REGISTRATION_READERS = (Role.entry, Role.control)  # agents place no calls
 BATCH_SECONDS = 0.1  # a twelfth of the heartbeat interval
-WEIGHTS_KEPT_SECONDS = 60.0  # several times the longest changeover
+OVERDUE_AGE_SECONDS = 86_400.0  # longer than any time limit of weights
 UPSTREAM_CHANGED = events.define(240, 'info', 'upstream registered, changed or left')
 
 
@@ -67,7 +67,7 @@
         self.traits = TraitEvidenceRelay(self.clock, self.router, self.machine)
 
     def start(self) -> None:
-        """Subscribes to the events of the links and of the state machine.
+        """Reads the state and subscribes to the events of the links and of the state machine.
 
         A new link gets the blocked traits before the summary, without which an entry takes
         no calls.
@@ -78,12 +78,13 @@
         self.router.register_handler(Registrations, self._on_registrations)
         self.router.register_handler(UpstreamLeft, self._on_upstream_left)
         self.machine.on_change = self.site_changed
+        self.site_changed()
 
     def site_changed(self) -> None:
         """Records the announced weights and sends the summary if its revision has changed.
 
-        Weights that are announced now have an age of 0, those of a log that is replayed at a
-        start the stored age, which is too low by the time since it was stored.
+        Weights that are announced now have an age of 0, those that are found at a start the
+        stored age, which is too low by the time since it was stored.
         """
         stored = self.machine.state.weights
         changed = [each for each in stored if each not in self._stored_weights]
@@ -155,11 +156,14 @@
             self.registrations.update(aged.registration, now_seconds - aged.age_seconds)
 
     def _add_announcements(self, told: list[AnnouncedWeights], source: str) -> None:
-        """Keeps the earliest time of each version, also of an older one with its own deadline."""
+        """Keeps the earliest time of each version whose limit may still count.
+
+        Those are the versions that the leader keeps in the state, and newer ones.
+        """
         now_seconds = self.clock.seconds()
         changes = add_announcements(self.announcements, told, now_seconds)
-        oldest_seconds = now_seconds - WEIGHTS_KEPT_SECONDS
-        self.announcements = without_old_versions(self.announcements, oldest_seconds)
+        oldest = oldest_versions(self.machine.state.weights)
+        self.announcements = without_superseded(self.announcements, oldest)
         log_announcements(changes, now_seconds, source)
 
     def _on_upstream_left(self, _link: Link, message: UpstreamLeft) -> None:
@@ -222,7 +226,7 @@
     """Returns stored weights as other processes are told them; without an age they are overdue."""
     age_seconds = weights.age_seconds
     if age_seconds is None:
-        age_seconds = WEIGHTS_KEPT_SECONDS
+        age_seconds = OVERDUE_AGE_SECONDS
     return AnnouncedWeights(weights.model, weights.version, age_seconds)
 
 
--- a/jackdawsail/group/weight_ages.py
+++ b/jackdawsail/group/weight_ages.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from jackdawsail import events
 from jackdawsail.clocks import Clock
@@ -21,9 +21,6 @@
 from jackdawsail.site.machine import store_weight_ages
 from jackdawsail.site.stored_weights import StoredWeights
 
-# A restart of all control hosts sets a limit back by this and the time until ages are stored.
-AGE_STEP_SECONDS = 1.0
-
 WEIGHT_AGES_STORED = events.define(
     253, 'info', 'ages of announced weights are added to the replicated state'
 )
@@ -38,11 +35,12 @@
     within_seconds: float,
     now_seconds: float,
 ) -> list[StoredWeights]:
-    """Returns the weights with their present ages, if the state needs them; otherwise nothing.
+    """Returns the weights with their present ages if the state needs them, or an empty list.
 
-    It needs them once a version is ``AGE_STEP_SECONDS`` older than stored, and at once when it
-    is due: then entries send no more calls to older ones, and those can be dropped. After that
-    its age no longer matters.
+    It needs them while a version is not due, at each call, so that a restart of all control
+    hosts sets its limit back by little. A version is due when entries send no more calls to
+    older ones; those are dropped then. The age of a due version is stored each time it has
+    doubled, for the case that the time limit is made longer.
 
     Example::
 
@@ -51,17 +49,13 @@
     """
     due_age_seconds = within_seconds - LAST_SEND_MARGIN_SECONDS
     present = [_aged_now(each, known, now_seconds) for each in stored]
-    if not any(
+    due_versions = {each.model: each.version for each in present if _age(each) >= due_age_seconds}
+    kept = [each for each in present if each.version >= due_versions.get(each.model, 0)]
+    is_outdated = any(
         _is_outdated(before, after, due_age_seconds)
         for before, after in zip(stored, present, strict=True)
-    ):
-        return []
-    due_versions = {
-        each.model: each.version
-        for each in present
-        if each.age_seconds is not None and each.age_seconds >= due_age_seconds
-    }
-    return [each for each in present if each.version >= due_versions.get(each.model, 0)]
+    )
+    return kept if is_outdated or len(kept) < len(present) else []
 
 
 def _aged_now(weights: StoredWeights, known: Announcements, now_seconds: float) -> StoredWeights:
@@ -72,12 +66,14 @@
 
 
 def _is_outdated(before: StoredWeights, after: StoredWeights, due_age_seconds: float) -> bool:
-    if before.age_seconds is None or after.age_seconds is None:
+    if before.age_seconds is None or before.age_seconds < due_age_seconds:
         return before != after
-    if before.age_seconds >= due_age_seconds:
-        return False
-    is_due = after.age_seconds >= due_age_seconds
-    return is_due or after.age_seconds - before.age_seconds >= AGE_STEP_SECONDS
+    return _age(after) > 0 and _age(after) >= 2 * before.age_seconds
+
+
+def _age(weights: StoredWeights) -> float:
+    """Returns the age of weights; 0 if it is not known."""
+    return weights.age_seconds or 0
 
 
 @dataclass(slots=True)
@@ -87,14 +83,13 @@
     clock: Clock
     replicator: Replicator
     fanout: SiteFanout
-    _is_proposed: bool = False
 
     def update(self, within_seconds: float) -> None:
         """Proposes the ages that the state needs now.
 
         ``within_seconds`` is the time within which every engine must serve announced weights.
         """
-        if self._is_proposed or not self.replicator.is_leader():
+        if not self.replicator.is_leader():
             return
         fanout = self.fanout
         ages = ages_to_store(
@@ -105,20 +100,14 @@
         )
         if not ages:
             return
-        self._is_proposed = True
         proposed: Any = self.replicator.propose(store_weight_ages(ages))
-        proposed.addBoth(self._settle).addCallback(_log_outcome, ages)
-        proposed.addErrback(events.log_failure)
-
-    def _settle(self, outcome: Any) -> Any:
-        self._is_proposed = False
-        return outcome
+        proposed.addCallback(_log_outcome, ages).addErrback(events.log_failure)
 
 
 def _log_outcome(outcome: Result[Any, ProposeError], ages: Sequence[StoredWeights]) -> None:
     """Logs the outcome; if it was not confirmed, the next update proposes the ages again."""
-    details = [f'{each.model} {each.version}: {each.age_seconds:.3f}' for each in ages]
-    if isinstance(outcome, Success):
-        events.log(WEIGHT_AGES_STORED, ages_seconds=details)
-    elif isinstance(outcome, Failure):
+    if isinstance(outcome, Failure):
         events.log(WEIGHT_AGES_NOT_STORED, reason=outcome.failure().reason)
+        return
+    details = {f'{each.model} {each.version}': round(_age(each), 3) for each in ages}
+    events.log(WEIGHT_AGES_STORED, ages_seconds=details)
--- a/jackdawsail/site/announcements.py
+++ b/jackdawsail/site/announcements.py
@@ -6,7 +6,7 @@
 moves to an earlier one.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from jackdawsail import events
@@ -76,11 +76,14 @@
     ]
 
 
-def without_old_versions(known: Announcements, oldest_seconds: float) -> Announcements:
-    """Returns the newest version of each model, and others announced after ``oldest_seconds``."""
+def without_superseded(known: Announcements, oldest_versions: Mapping[str, int]) -> Announcements:
+    """Returns the announcements without versions below the oldest one of their model.
+
+    All versions of a model that is not among ``oldest_versions`` are kept.
+    """
     return {
-        model: (*(each for each in older if each.announced_seconds > oldest_seconds), newest)
-        for model, (*older, newest) in known.items()
+        model: tuple(each for each in targets if each.version >= oldest_versions.get(model, 0))
+        for model, targets in known.items()
     }
 
 
--- a/jackdawsail/site/stored_weights.py
+++ b/jackdawsail/site/stored_weights.py
@@ -27,6 +27,11 @@
     return tuple(sorted((*held, announced), key=_sort_key))
 
 
+def oldest_versions(held: WeightsTuple) -> dict[str, int]:
+    """Returns the oldest stored version of each model."""
+    return {each.model: each.version for each in reversed(held)}
+
+
 def with_ages(held: WeightsTuple, told: Iterable[StoredWeights]) -> WeightsTuple:
     """Returns the weights with the told ages; none becomes younger.
 
