--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -45,9 +45,10 @@
         """Starts to listen, joins the consensus group and starts the periodic tasks."""
         settings = self.process.settings
         self.linked.start()
+        # Restores the state first, so that the fan-out reads it once instead of at each change.
+        self.consensus.replicator.start()
         self.fanout.start()
         self.fanout.router.watch_links(self._link_opened, lambda link: None)
-        self.consensus.replicator.start()
         options = ServerOptions(self._handle, self.process.reactor, calls.CONTROL_LIMITS)
         factory = ServerFactory(options)
         for address in (settings.listening.control, settings.listening.directory):
--- a/test/group/control_group.py
+++ b/test/group/control_group.py
@@ -68,8 +68,8 @@
         self._within_seconds = group.within_seconds
 
     def start(self):
-        self.fanout.start()
         self.replicator.start()
+        self.fanout.start()
         start_loop(self.clock, self._run_periodic_tasks, SUMMARY_INTERVAL_SECONDS)
 
     def kill(self):
