--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -14,6 +14,7 @@
 from jackdawsail.proxy.datagrams import SEND_INTERVAL_SECONDS, EntryDatagrams
 from jackdawsail.proxy.draining import CallerDrain
 from jackdawsail.proxy.trait_exchange import TraitExchange
+from jackdawsail.site.announcements import announced_weights
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http
@@ -118,24 +119,26 @@
     def _link_opened(self, link: Link) -> None:
         self._send_status(link)
         self.traits.send_snapshot(link)
-        self._send_departures(link)
+        self._send_known(link)
 
     def _send_status(self, link: Link) -> None:
         address = self.process.settings.listening.callers
         link.send(EntryStatus(address, self.accepts))
 
-    def _send_departures(self, link: Link) -> None:
-        """Sends the upstreams that have left, whose later heartbeats would not tell a control host.
+    def _send_known(self, link: Link) -> None:
+        """Sends what a control host may not learn otherwise if all of them have restarted.
 
-        It may have restarted, and all others with it.
+        These are the upstreams that have left, whose late heartbeats would count, and the times
+        of announcements that were not stored any more.
         """
-        now_seconds = self.process.reactor.seconds()
+        view, now_seconds = self.context.view, self.process.reactor.seconds()
         departures = [
             AgedRegistration(gone.registration, now_seconds - gone.received_seconds)
-            for gone in self.context.view.registrations.gone()
+            for gone in view.registrations.gone()
         ]
-        if departures:
-            link.send(Registrations(departures))
+        weights = announced_weights(view.weights, now_seconds)
+        if departures or weights:
+            link.send(Registrations(departures, weights))
 
     def _clean_up(self) -> None:
         self.context.pool.close_expired()
--- a/test/proxy/test_restarts.py
+++ b/test/proxy/test_restarts.py
@@ -1,6 +1,7 @@
 """What had left or was withdrawn before a restart is not in use again after it."""
 
 from jackdawsail.registry.registration import Registration
+from jackdawsail.wire.site_messages import AnnouncedWeights, SiteSummary
 from test.proxy.crash_site import CrashSite
 
 
@@ -59,3 +60,17 @@
     site.run(1)
     assert is_in_use(site.entries[0], site.engines[1])
     assert not any(is_in_use(entry, engine) for entry in site.entries)
+
+
+def test_entry_that_went_on_tells_control_hosts_that_start_when_weights_were_announced():
+    site = CrashSite()
+    entry = site.entries[1]
+    told = [AnnouncedWeights('m', 2, 7.5)]
+    entry.context.view.apply_summary(SiteSummary(0, 0, [], told), site.clock.seconds())
+    for number, control in enumerate(site.controls):
+        site.close_links(control.router)
+        site.restart_control(number)
+    site.run(1)
+    for control in site.controls:
+        [target] = control.fanout.announcements['m']
+        assert site.clock.seconds() - target.announced_seconds >= 7.5
