--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -43,6 +43,7 @@
 )
 WEIGHTS_LOADED = events.define(570, 'info', 'engine has loaded the wanted weights')
 STAGING_FAILED = events.define(571, 'warning', 'staging of weights failed; retrying')
+VERSION_GIVEN_UP = events.define(574, 'info', 'weight version is given up for a newer one')
 
 
 @dataclass(slots=True)
@@ -162,6 +163,8 @@
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
             await self._record_valid_pieces(fresh)
+        elif staged.pieces.version != pieces.version:
+            events.log(VERSION_GIVEN_UP, newer=pieces.version, **self._progress(staged))
         self._staged = fresh
         missing = len(fresh.missing())
         events.log(STAGING_STARTED, model=self.model, version=pieces.version, missing=missing)
@@ -279,10 +282,18 @@
         own_address = self.settings.address
         return may_change_over(own_address, self.view.agents(), age_seconds, within_seconds)
 
+    def _progress(self, staged: StagedPieces | None) -> dict[str, Any]:
+        """Returns the fields of the log that tell how much of a version is staged."""
+        if staged is None:
+            return {'model': self.model, 'wanted': self.wanted_version}
+        pieces = staged.pieces
+        counts = {'staged': len(staged.present), 'pieces': len(pieces.digests)}
+        return {'model': self.model, 'version': pieces.version, **counts}
+
     def _retry_later(self, reason: str) -> None:
         self._drain.end()
         self._is_loading = False
         self._retry_at_seconds = self.clock.seconds() + RETRY_SECONDS
         if not self._failing:
             self._failing = True
-            events.log(STAGING_FAILED, model=self.model, reason=reason)
+            events.log(STAGING_FAILED, reason=reason, **self._progress(self._staged))
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -39,6 +39,7 @@
     560, 'warning', 'piece or piece list could not be fetched from a source'
 )
 SOURCE_RECOVERED = events.define(572, 'info', 'source of weights answers again')
+LIST_NOT_FETCHED = events.define(573, 'warning', 'piece list could not be fetched from any source')
 
 
 @dataclass(slots=True)
@@ -54,6 +55,14 @@
         return now_seconds - self.since_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _ListFault:
+    """Why the list of a version could not be fetched."""
+
+    version: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class PieceFetcher:
     """Fetches for one process.
@@ -69,6 +78,7 @@
     transport: Transport = fetch
     _failed_seconds: dict[str, float] = field(default_factory=dict)
     _relay_misses: _RelayMisses = field(default_factory=_RelayMisses)
+    _list_faults: dict[str, _ListFault] = field(default_factory=dict)
 
     async def fetch_list(self, model: str, version: int) -> Result[PieceList, str]:
         """Fetches the piece digests of a version; version 0 means the newest."""
@@ -76,7 +86,9 @@
         async def fetch_from(source: Source) -> Result[PieceList, str]:
             return await self._fetch_list_from(source, model, version)
 
-        return await self._fetch_from_any(model, f'list of {model} {version}', fetch_from)
+        outcome = await self._fetch_from_any(model, f'list of {model} {version}', fetch_from)
+        self._record_list(model, version, outcome)
+        return outcome
 
     async def fetch_piece(self, pieces: PieceList, index: int) -> Result[bytes, str]:
         """Fetches one piece; a body with another digest counts as a failure of its source."""
@@ -183,6 +195,18 @@
             events.log(FETCH_FAILED, source=source.address, what=what, reason=reason)
         self._failed_seconds[source.address] = self.pool.clock.seconds()
 
+    def _record_list(self, model: str, version: int, outcome: Result[PieceList, str]) -> None:
+        """Logs why a list could not be fetched, once until the reason changes."""
+        if isinstance(outcome, Success):
+            self._list_faults.pop(model, None)
+            return
+        fault = _ListFault(version, outcome.failure())
+        if self._list_faults.get(model) != fault:
+            self._list_faults[model] = fault
+            relays = sum(not source.is_origin for source in self.sources(model))
+            details = {'model': model, 'version': version, 'reason': fault.reason}
+            events.log(LIST_NOT_FETCHED, relays=relays, **details)
+
     def _record_success(self, source: Source) -> None:
         if self._failed_seconds.pop(source.address, None) is not None:
             events.log(SOURCE_RECOVERED, source=source.address)
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -240,6 +240,26 @@
     assert written == [changeover_module.STAGING_FAILED.number]
 
 
+def test_pieces_of_a_version_that_is_given_up_are_counted_in_the_log(monkeypatch):
+    written = {}
+    monkeypatch.setattr(
+        changeover_module.events,
+        'log',
+        lambda event, **details: written.setdefault(event.number, details),
+    )
+    world = World(loaded=1)
+    world.source.missing = {(2, index) for index in range(2, PIECES)}
+    world.announce_weights(2)
+    world.report()
+    world.announce_weights(3)
+    world.report()
+    progress = {'model': 'm', 'version': 2, 'pieces': PIECES}
+    failed = written[changeover_module.STAGING_FAILED.number]
+    given_up = written[changeover_module.VERSION_GIVEN_UP.number]
+    assert failed.items() >= progress.items()
+    assert given_up == {**progress, 'newer': 3, 'staged': failed['staged']}
+
+
 def test_unreachable_source_is_tried_again_after_a_delay():
     world = World(loaded=1)
     world.source.down = True
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -281,7 +281,11 @@
 
 
 def make_fetcher(pool, *sources):
-    codec = SimpleNamespace(piece_target=lambda *_: b'/p')
+    codec = SimpleNamespace(
+        piece_target=lambda *_: b'/p',
+        list_target=lambda *_: b'/l',
+        decode_list=lambda _body: Success(PIECES),
+    )
     return piece_fetcher_module.PieceFetcher(pool, codec, lambda key: list(sources), pool.fetch)
 
 
@@ -352,6 +356,18 @@
     assert written == [560, 572]
 
 
+def test_reason_why_a_list_could_not_be_fetched_is_logged_once_though_relays_answer(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        piece_fetcher_module.events, 'log', lambda event, **details: written.append(details)
+    )
+    fetcher = make_fetcher(Pool(relay=NOT_HELD, origin=HELD), RELAY, ORIGIN_SOURCE)
+    for version in (2, 2, 3, 3):
+        Deferred.fromCoroutine(fetcher.fetch_list('m', version))
+    expected = {'model': 'm', 'reason': 'not held', 'relays': 1}
+    assert written == [{**expected, 'version': version} for version in (2, 3)]
+
+
 def test_relay_stops_fetching_a_version_that_is_no_longer_requested():
     view, fetcher = make_view(), Fetcher(MANY)
     relay = PieceRelay(make_process(first_relay_of('r2', DIGEST)), view, fetcher)
