--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -66,13 +66,17 @@
 
 
 class Source:
-    """Stands in for the piece fetcher; ``down`` makes every fetch fail."""
+    """Stands in for the piece fetcher; ``down`` makes every fetch fail.
+
+    ``on_fetch`` holds what happens at a fetch of a piece, by the number of fetches so far.
+    """
 
     def __init__(self):
         self.down = False
         self.missing = set()
         self.lists_missing = set()
         self.fetched = []
+        self.on_fetch = {}
         self.newest = 1
 
     async def fetch_list(self, model, version):
@@ -81,6 +85,7 @@
 
     async def fetch_piece(self, pieces, index):
         self.fetched.append(index)
+        self.on_fetch.pop(len(self.fetched), lambda: None)()
         unreachable = self.down or (pieces.version, index) in self.missing
         return Failure('down') if unreachable else Success(piece(pieces.version, index))
 
@@ -240,6 +245,21 @@
     assert written == [changeover_module.STAGING_FAILED.number]
 
 
+def test_version_announced_while_another_is_staged_is_neither_delayed_nor_a_failure(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        changeover_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    world = World(loaded=1)
+    world.source.on_fetch[4] = lambda: world.announce_weights(3)
+    world.announce_weights(2)
+    world.report()
+    assert world.engine.orders == []
+    world.report(0.0)
+    assert changeover_module.STAGING_FAILED.number not in written
+    assert [order.version for order, _staged in world.engine.orders] == [3]
+
+
 def test_pieces_of_a_version_that_is_given_up_are_counted_in_the_log(monkeypatch):
     written = {}
     monkeypatch.setattr(
