--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -135,10 +135,13 @@
     async def _change_over(self) -> None:
         """Stages the missing pieces, verifies all of them and orders the engine to load them."""
         staged = await self._choose_version()
-        if staged is None or not await self._stage_missing(staged):
-            self._retry_later('a source or the engine does not answer')
-            return
+        complete = staged is not None and await self._stage_missing(staged)
         self._drain.end()
+        if staged is None or not complete:
+            # A newer version is chosen at the next report, which is no failure.
+            if staged is None or not self._is_outdated(staged):
+                self._retry_later('a source or the engine does not answer')
+            return
         if not self._may_stop_serving(staged.pieces.version):
             return
         self._is_loading = True
