--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -232,6 +232,20 @@
     assert [order.version for order, _staged in world.engine.orders] == [2]
 
 
+def test_loaded_engine_serves_while_the_list_of_a_newer_version_is_unavailable():
+    world = World(loaded=1)
+    world.announce_weights(2)
+    world.report()
+    world.report()
+    assert world.engine.loaded == 2
+    world.announce_weights(3)
+    world.source.lists_missing = {3}
+    world.engine.read_back = []
+    world.report(6.0)
+    assert not world.changeover.switching
+    assert world.engine.read_back == []
+
+
 def test_staging_failure_is_logged_once_until_staging_completes(monkeypatch):
     written = []
     monkeypatch.setattr(
