--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -160,14 +160,14 @@
             # The version that is being staged may be usable long before the newer one.
             self._unlisted_version = wanted
             self._list_retry_at_seconds = self.clock.seconds() + LIST_RETRY_SECONDS
-            return staged
+            return None if staged is None or self._has_loaded(staged) else staged
         pieces = outcome.unwrap()
         fresh = StagedPieces(pieces)
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
             await self._record_valid_pieces(fresh)
         elif staged.pieces.version != pieces.version:
-            events.log(VERSION_GIVEN_UP, newer=pieces.version, **self._progress(staged))
+            events.log(VERSION_GIVEN_UP, newer=pieces.version, **_progress(self.model, staged))
         self._staged = fresh
         missing = len(fresh.missing())
         events.log(STAGING_STARTED, model=self.model, version=pieces.version, missing=missing)
@@ -235,7 +235,7 @@
         version = staged.pieces.version
         if version >= wanted:
             return False
-        if self._report is not None and self._report.version_of(self.model) >= version:
+        if self._has_loaded(staged):
             return True
         nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
         if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:
@@ -245,6 +245,11 @@
         )
         return not waits_for_list
 
+    def _has_loaded(self, staged: StagedPieces) -> bool:
+        """Returns whether the engine serves this version or a newer one."""
+        report = self._report
+        return report is not None and report.version_of(self.model) >= staged.pieces.version
+
     async def _verify_staged(self, staged: StagedPieces) -> bool:
         for index in sorted(staged.present):
             if not await self._is_staged(staged.pieces, index):
@@ -285,18 +290,19 @@
         own_address = self.settings.address
         return may_change_over(own_address, self.view.agents(), age_seconds, within_seconds)
 
-    def _progress(self, staged: StagedPieces | None) -> dict[str, Any]:
-        """Returns the fields of the log that tell how much of a version is staged."""
-        if staged is None:
-            return {'model': self.model, 'wanted': self.wanted_version}
-        pieces = staged.pieces
-        counts = {'staged': len(staged.present), 'pieces': len(pieces.digests)}
-        return {'model': self.model, 'version': pieces.version, **counts}
-
     def _retry_later(self, reason: str) -> None:
         self._drain.end()
         self._is_loading = False
         self._retry_at_seconds = self.clock.seconds() + RETRY_SECONDS
         if not self._failing:
             self._failing = True
-            events.log(STAGING_FAILED, reason=reason, **self._progress(self._staged))
+            events.log(STAGING_FAILED, reason=reason, **_progress(self.model, self._staged))
+
+
+def _progress(model: str, staged: StagedPieces | None) -> dict[str, Any]:
+    """Returns the fields of the log that tell how much of a version is staged."""
+    if staged is None:
+        return {'model': model}
+    pieces = staged.pieces
+    counts = {'staged': len(staged.present), 'pieces': len(pieces.digests)}
+    return {'model': model, 'version': pieces.version, **counts}
