--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -166,7 +166,7 @@
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
             await self._record_valid_pieces(fresh)
-        elif staged.pieces.version != pieces.version:
+        elif not self._has_loaded(staged):
             events.log(VERSION_GIVEN_UP, newer=pieces.version, **_progress(self.model, staged))
         self._staged = fresh
         missing = len(fresh.missing())
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -294,6 +294,19 @@
     assert given_up == {**progress, 'newer': 3, 'staged': failed['staged']}
 
 
+def test_loaded_version_is_not_logged_as_given_up(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        changeover_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    world = World(loaded=1)
+    for version in (2, 3):
+        world.announce_weights(version)
+        world.report(6.0)
+        assert world.engine.loaded == version
+    assert changeover_module.VERSION_GIVEN_UP.number not in written
+
+
 def test_unreachable_source_is_tried_again_after_a_delay():
     world = World(loaded=1)
     world.source.down = True
