--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -43,6 +43,7 @@
 )
 WEIGHTS_LOADED = events.define(570, 'info', 'engine has loaded the wanted weights')
 STAGING_FAILED = events.define(571, 'warning', 'staging of weights failed; retrying')
+VERSION_GIVEN_UP = events.define(574, 'info', 'weight version is given up for a newer one')
 
 
 @dataclass(slots=True)
@@ -134,10 +135,13 @@
     async def _change_over(self) -> None:
         """Stages the missing pieces, verifies all of them and orders the engine to load them."""
         staged = await self._choose_version()
-        if staged is None or not await self._stage_missing(staged):
-            self._retry_later('a source or the engine does not answer')
-            return
+        complete = staged is not None and await self._stage_missing(staged)
         self._drain.end()
+        if staged is None or not complete:
+            # A newer version is chosen at the next report, which is no failure.
+            if staged is None or not self._is_outdated(staged):
+                self._retry_later('a source or the engine does not answer')
+            return
         if not self._may_stop_serving(staged.pieces.version):
             return
         self._is_loading = True
@@ -156,12 +160,14 @@
             # The version that is being staged may be usable long before the newer one.
             self._unlisted_version = wanted
             self._list_retry_at_seconds = self.clock.seconds() + LIST_RETRY_SECONDS
-            return staged
+            return None if staged is None or self._has_loaded(staged) else staged
         pieces = outcome.unwrap()
         fresh = StagedPieces(pieces)
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
             await self._record_valid_pieces(fresh)
+        elif not self._has_loaded(staged):
+            events.log(VERSION_GIVEN_UP, newer=pieces.version, **_progress(self.model, staged))
         self._staged = fresh
         missing = len(fresh.missing())
         events.log(STAGING_STARTED, model=self.model, version=pieces.version, missing=missing)
@@ -229,7 +235,7 @@
         version = staged.pieces.version
         if version >= wanted:
             return False
-        if self._report is not None and self._report.version_of(self.model) >= version:
+        if self._has_loaded(staged):
             return True
         nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
         if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:
@@ -239,6 +245,11 @@
         )
         return not waits_for_list
 
+    def _has_loaded(self, staged: StagedPieces) -> bool:
+        """Returns whether the engine serves this version or a newer one."""
+        report = self._report
+        return report is not None and report.version_of(self.model) >= staged.pieces.version
+
     async def _verify_staged(self, staged: StagedPieces) -> bool:
         for index in sorted(staged.present):
             if not await self._is_staged(staged.pieces, index):
@@ -285,4 +296,13 @@
         self._retry_at_seconds = self.clock.seconds() + RETRY_SECONDS
         if not self._failing:
             self._failing = True
-            events.log(STAGING_FAILED, model=self.model, reason=reason)
+            events.log(STAGING_FAILED, reason=reason, **_progress(self.model, self._staged))
+
+
+def _progress(model: str, staged: StagedPieces | None) -> dict[str, Any]:
+    """Returns the fields of the log that tell how much of a version is staged."""
+    if staged is None:
+        return {'model': model}
+    pieces = staged.pieces
+    counts = {'staged': len(staged.present), 'pieces': len(pieces.digests)}
+    return {'model': model, 'version': pieces.version, **counts}
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -66,13 +66,17 @@
 
 
 class Source:
-    """Stands in for the piece fetcher; ``down`` makes every fetch fail."""
+    """Stands in for the piece fetcher; ``down`` makes every fetch fail.
+
+    ``on_fetch`` holds what happens at a fetch of a piece, by the number of fetches so far.
+    """
 
     def __init__(self):
         self.down = False
         self.missing = set()
         self.lists_missing = set()
         self.fetched = []
+        self.on_fetch = {}
         self.newest = 1
 
     async def fetch_list(self, model, version):
@@ -81,6 +85,7 @@
 
     async def fetch_piece(self, pieces, index):
         self.fetched.append(index)
+        self.on_fetch.pop(len(self.fetched), lambda: None)()
         unreachable = self.down or (pieces.version, index) in self.missing
         return Failure('down') if unreachable else Success(piece(pieces.version, index))
 
@@ -227,6 +232,20 @@
     assert [order.version for order, _staged in world.engine.orders] == [2]
 
 
+def test_loaded_engine_serves_while_the_list_of_a_newer_version_is_unavailable():
+    world = World(loaded=1)
+    world.announce_weights(2)
+    world.report()
+    world.report()
+    assert world.engine.loaded == 2
+    world.announce_weights(3)
+    world.source.lists_missing = {3}
+    world.engine.read_back = []
+    world.report(6.0)
+    assert not world.changeover.switching
+    assert world.engine.read_back == []
+
+
 def test_staging_failure_is_logged_once_until_staging_completes(monkeypatch):
     written = []
     monkeypatch.setattr(
@@ -240,6 +259,54 @@
     assert written == [changeover_module.STAGING_FAILED.number]
 
 
+def test_version_announced_while_another_is_staged_is_neither_delayed_nor_a_failure(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        changeover_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    world = World(loaded=1)
+    world.source.on_fetch[4] = lambda: world.announce_weights(3)
+    world.announce_weights(2)
+    world.report()
+    assert world.engine.orders == []
+    world.report(0.0)
+    assert changeover_module.STAGING_FAILED.number not in written
+    assert [order.version for order, _staged in world.engine.orders] == [3]
+
+
+def test_pieces_of_a_version_that_is_given_up_are_counted_in_the_log(monkeypatch):
+    written = {}
+    monkeypatch.setattr(
+        changeover_module.events,
+        'log',
+        lambda event, **details: written.setdefault(event.number, details),
+    )
+    world = World(loaded=1)
+    world.source.missing = {(2, index) for index in range(2, PIECES)}
+    world.announce_weights(2)
+    world.report()
+    world.announce_weights(3)
+    world.report()
+    progress = {'model': 'm', 'version': 2, 'pieces': PIECES}
+    failed = written[changeover_module.STAGING_FAILED.number]
+    given_up = written[changeover_module.VERSION_GIVEN_UP.number]
+    assert failed.items() >= progress.items()
+    assert given_up == {**progress, 'newer': 3, 'staged': failed['staged']}
+
+
+def test_loaded_version_is_not_logged_as_given_up(monkeypatch):
+    written = []
+    monkeypatch.setattr(
+        changeover_module.events, 'log', lambda event, **details: written.append(event.number)
+    )
+    world = World(loaded=1)
+    for version in (2, 3):
+        world.announce_weights(version)
+        world.report(6.0)
+        assert world.engine.loaded == version
+    assert changeover_module.VERSION_GIVEN_UP.number not in written
+
+
 def test_unreachable_source_is_tried_again_after_a_delay():
     world = World(loaded=1)
     world.source.down = True
