--- a/test/proxy/test_restarts.py
+++ b/test/proxy/test_restarts.py
@@ -62,6 +62,21 @@
     assert not any(is_in_use(entry, engine) for entry in site.entries)
 
 
+def test_engine_that_had_left_is_not_in_use_again_after_all_processes_restarted():
+    site = CrashSite()
+    engine = site.engines[0]
+    heartbeat = late_heartbeat(site, engine)
+    engine.alive = False
+    for control in site.controls:
+        control.fanout.deregister(engine.name)
+    site.run(0.1)
+    site.restart_all()
+    site.controls[1].fanout.register(heartbeat, 'late')
+    site.run(4)  # past the stability window and the time to drain
+    assert is_in_use(site.entries[0], site.engines[1])
+    assert not any(is_in_use(entry, engine) for entry in site.entries)
+
+
 def test_entry_that_went_on_tells_control_hosts_that_start_when_weights_were_announced():
     site = CrashSite()
     entry = site.entries[1]
