--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -22,7 +22,7 @@
     without_superseded,
 )
 from jackdawsail.site.machine import SiteMachine
-from jackdawsail.site.stored_weights import StoredWeights, oldest_versions
+from jackdawsail.site.stored_weights import StoredWeights, WeightsTuple, oldest_versions
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import (
@@ -58,7 +58,7 @@
     _batched: dict[str, ReceivedRegistration] = field(default_factory=dict)
     announcements: Announcements = field(default_factory=dict)
     _sent_revision: int = 0
-    _stored_weights: tuple[StoredWeights, ...] = ()
+    _stored_weights: WeightsTuple = ()
     # The version of the last compressed document, and its compressed body.
     _compressed: tuple[int, bytes] = (0, b'')
 
@@ -161,8 +161,9 @@
         Those are the versions that the leader keeps in the state, and newer ones.
         """
         now_seconds = self.clock.seconds()
-        changes = add_announcements(self.announcements, told, now_seconds)
         oldest = oldest_versions(self.machine.state.weights)
+        relevant = [each for each in told if each.version >= oldest.get(each.model, 0)]
+        changes = add_announcements(self.announcements, relevant, now_seconds)
         self.announcements = without_superseded(self.announcements, oldest)
         log_announcements(changes, now_seconds, source)
 
--- a/jackdawsail/group/weight_ages.py
+++ b/jackdawsail/group/weight_ages.py
@@ -21,6 +21,8 @@
 from jackdawsail.site.machine import store_weight_ages
 from jackdawsail.site.stored_weights import StoredWeights
 
+MIN_STORED_AGE_SECONDS = 1.0  # of a version that is due from its announcement on
+
 WEIGHT_AGES_STORED = events.define(
     253, 'info', 'ages of announced weights are added to the replicated state'
 )
@@ -68,7 +70,7 @@
 def _is_outdated(before: StoredWeights, after: StoredWeights, due_age_seconds: float) -> bool:
     if before.age_seconds is None or before.age_seconds < due_age_seconds:
         return before != after
-    return _age(after) > 0 and _age(after) >= 2 * before.age_seconds
+    return _age(after) >= max(2 * before.age_seconds, MIN_STORED_AGE_SECONDS)
 
 
 def _age(weights: StoredWeights) -> float:
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -51,10 +51,9 @@
     """All that was acknowledged to operators, and the entries that share the site's limits.
 
     ``revision`` is the log index of the last change that other processes must be sent; the ages
-    of weights reach them with each summary. ``weights`` are sorted by model and
-    version; of the versions of a model, all are kept whose time limit may still count.
-    ``sharing_entries`` are sorted by address, ``blocked_traits`` are the traits of calls that
-    crash engines, the earliest blocked first.
+    of weights reach them with each summary. Of the versions of a model, ``weights`` has all
+    whose time limit may still count. ``sharing_entries`` are sorted by address,
+    ``blocked_traits`` are the traits of calls that crash engines, the earliest blocked first.
     """
 
     revision: int = 0
--- a/test/group/test_fanout.py
+++ b/test/group/test_fanout.py
@@ -7,7 +7,7 @@
 from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.identity import Role
-from jackdawsail.wire.site_messages import Registrations, SiteSummary
+from jackdawsail.wire.site_messages import AnnouncedWeights, Registrations, SiteSummary
 from test.group.test_call_handler import Host
 from test.group.test_weight_ages import DUE_AGE_SECONDS, WITHIN_SECONDS, Leader
 
@@ -74,3 +74,13 @@
     host.ages.update(WITHIN_SECONDS)
     announced = host.link().sent_of(SiteSummary)[0].weights
     assert [weights.version for weights in announced] == [3]
+
+
+def test_a_version_that_the_leader_has_dropped_is_not_announced_again(monkeypatch):
+    host = Leader()
+    host.ask(calls.AnnounceWeights('m', 3))
+    lines = []
+    monkeypatch.setattr(events, 'log', lambda kind, **fields: lines.append(kind))
+    told = Registrations([], [AnnouncedWeights('m', 2, 50.0)])
+    host.router.link_received(host.link(), told)
+    assert WEIGHTS_ANNOUNCED not in lines
