--- a/jackdawsail/group/weight_ages.py
+++ b/jackdawsail/group/weight_ages.py
@@ -52,12 +52,12 @@
     due_age_seconds = within_seconds - LAST_SEND_MARGIN_SECONDS
     present = [_aged_now(each, known, now_seconds) for each in stored]
     due_versions = {each.model: each.version for each in present if _age(each) >= due_age_seconds}
-    kept = [each for each in present if each.version >= due_versions.get(each.model, 0)]
     is_outdated = any(
         _is_outdated(before, after, due_age_seconds)
         for before, after in zip(stored, present, strict=True)
     )
-    return kept if is_outdated or len(kept) < len(present) else []
+    kept = [each for each in present if each.version >= due_versions.get(each.model, 0)]
+    return kept if is_outdated else []
 
 
 def _aged_now(weights: StoredWeights, known: Announcements, now_seconds: float) -> StoredWeights:
