--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -106,9 +106,14 @@
         self._notify_change()
 
     def forget_control(self, control: str) -> None:
-        """Removes the processes that a control host reported, after its link has closed."""
+        """Removes the processes that a control host reported, after its link has closed.
+
+        Those of the last one are kept until another reports, since its loss says nothing
+        about them.
+        """
         self._members_by_control.pop(control, None)
-        self._merge_members()
+        if self._members_by_control:
+            self._merge_members()
 
     def registrations_changed(self) -> None:
         """Calls the listeners after a change of the registrations."""
@@ -120,8 +125,9 @@
         return {name for members in self._members_by_control.values() for name in members.controls}
 
     def entries(self) -> list[MemberHost]:
-        """Returns the entries that any control host sees, sorted by address.
+        """Returns the entries that any linked control host sees, sorted by address.
 
+        While none is linked, they are those that the last one saw.
         An entry that any of them reports as leaving counts as leaving.
         """
         return list(self._entries)
@@ -138,7 +144,7 @@
         return sorted({model for engine in engines for model in engine.models})
 
     def agents(self) -> list[str]:
-        """Returns the addresses of the agents that any control host sees, sorted."""
+        """Returns the addresses of the agents, sorted; known in the same way as the entries."""
         return sorted(self._agent_regions)
 
     def count_agents(self, region: str) -> int:
