--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -72,8 +72,10 @@
 class Registrations:
     """Control to entries and control hosts: upstreams that have registered.
 
-    The first one on a link between control hosts also has the announced weights. An older
-    control host ignores that field, but would close a link on which it gets a new message.
+    The first one on a link between control hosts also has the announced weights, as has the
+    one that an entry sends to a control host when their link opens, with the upstreams that
+    have left. An older control host ignores that field, but would close a link on which it gets
+    a new message.
     """
 
     heard: list[AgedRegistration]
