--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -25,7 +25,8 @@
 ZONES = {'zone-a': 'region-a', 'zone-b': 'region-b', 'zone-c': 'region-c'}
 SPAN = 16  # ports for the system's own connections
 RESTART_SECONDS = 0.3  # until the platform starts an ended process again
-MEMORY_MB = 300
+MEMORY_MB = {'core': 296, 'front': 300, 'side': 168}
+BROKEN = 10  # exit code; run.sh makes 1 of it, and 2 of all others, also of an error of the script
 
 
 class CannotRun(Exception):
@@ -73,7 +74,7 @@
             f'seeds={",".join(self.site.seeds)}',
             f'bootstrap={"true" if self.bootstrap else "false"}',
             'fault_counted=' + ('true' if self.cls == 'core' else 'false'),
-            f'limits.cpu_share=1.0', 'limits.cores=1', f'limits.memory_mb={MEMORY_MB}',
+            'limits.cpu_share=1.0', 'limits.cores=1', f'limits.memory_mb={MEMORY_MB[self.cls]}',
             'limits.max_fds=4100', 'limits.link_mbps=1000.0',
             f'limits.disk_mb={128 if self.cls == "core" else 0}',
             'discovery=registration', 'entry=directory', 'heartbeat_ms=1200',
@@ -264,7 +265,7 @@
 
 
 def run(main):
-    """Runs ``await main(record, trouble)``; it returns whether the rule held. Exits as asked."""
+    """Runs ``await main(record, trouble)``; it returns whether the rule held."""
     folder = Path(sys.argv[1])
     record = Record(folder / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
@@ -277,4 +278,4 @@
         sys.exit(2)
     record.write('rule held' if held else 'rule broken')
     print('rule held' if held else 'rule broken')
-    sys.exit(0 if held else 1)
+    sys.exit(0 if held else BROKEN)
