Control hosts log each change of voters and learners

Needed to tell why a host with an empty disk has no vote: its learner was not added, or had not caught up.

--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -29,6 +29,7 @@
 
 LEADERSHIP_CHANGED = events.define(201, 'info', 'leader, term or leader lease changed')
 GROUP_BOOTSTRAPPED = events.define(222, 'info', 'new consensus group bootstrapped')
+MEMBERS_CHANGED = events.define(204, 'info', 'voters or learners of the consensus group changed')
 KEPT_LOG_SHARE = 0.1  # of snapshot_every_entries; these entries stay in the log after a snapshot
 HELLO_INTERVAL_SECONDS = 1.0
 FLUSH_SECONDS = 0.1
@@ -70,6 +71,7 @@
         self._forwarding = Forwarding(host, links)
         self._watchers: list[Callback] = []
         self._last_leadership: tuple[str, int, bool] = ('', 0, False)
+        self._last_members: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         actions = (self._tick, self._send_hellos, host.save_commit_index)
         self._loops = [make_loop(host.clock, action) for action in actions]
 
@@ -216,6 +218,7 @@
 
     def _after_step(self) -> None:
         self._snapshot_if_due()
+        self._log_members()
         leadership = (self.leader_name(), self.term(), self.is_leader())
         if leadership == self._last_leadership:
             return
@@ -225,6 +228,21 @@
         for watcher in self._watchers:
             watcher()
 
+    def _log_members(self) -> None:
+        """Logs each change of the members, with the indexes that tell how far a learner is behind."""
+        core = self._core
+        members = (core.configuration.voters, core.configuration.learners)
+        if members == self._last_members:
+            return
+        self._last_members = members
+        events.log(
+            MEMBERS_CHANGED,
+            voters=list(members[0]),
+            learners=list(members[1]),
+            last_index=core.log.last_index,
+            matched=self.host.node.match_indexes(),
+        )
+
     def _snapshot_if_due(self) -> None:
         core = self._core
         every_entries = self._settings.snapshot_every_entries
