A host with an empty disk no longer gets the whole log before it votes

What callers saw: after many changes of the config, a second control host lost its disk 4.1 s after the first was back.

Cause: the log was cut by the number of entries only, 200, each of which holds a whole document, and a member that lacks entries got all that the log still has, so bringing a host back cost what the history holds. A second cause of the same kind: a learner counted as caught up while it lacked up to 64 whole documents, and each commit then waited for it.

A learner that lacks more bytes than a batch is not promoted.

--- a/jackdawsail/consensus/core.py
+++ b/jackdawsail/consensus/core.py
@@ -25,8 +25,8 @@
 
     The leader lease is a share of the election timeout; the remainder allows for
     clocks that run at different rates. ``window_bytes`` limits the size of the appends
-    in flight to one member, ``batch_bytes`` that of one append and ``piece_bytes`` that
-    of one snapshot piece.
+    in flight to one member, ``batch_bytes`` that of one append, ``piece_bytes`` that of
+    one snapshot piece and ``piece_window_bytes`` that of the pieces in flight.
     """
 
     election_timeout_seconds: float = 1.0
@@ -36,6 +36,7 @@
     batch_bytes: int = 262_144
     piece_bytes: int = 65_536
     window_bytes: int = 524_288
+    piece_window_bytes: int = 196_608  # fills a link of 10 Mbit/s over a round trip of 0.15 s
 
     @property
     def lease_seconds(self) -> float:
--- a/jackdawsail/consensus/log.py
+++ b/jackdawsail/consensus/log.py
@@ -4,6 +4,7 @@
 because a snapshot covers it; the entries follow it without a gap.
 """
 
+from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -54,6 +55,8 @@
         self.base_index = 0
         self.base_term = 0
         self._entries: list[Entry] = []
+        # Bytes of all bodies appended until the base, and until each entry after it.
+        self._end_bytes = [0]
         self._points = [_ConfigurationPoint(0, Configuration())]
         if snapshot is not None:
             self.reset(snapshot)
@@ -101,6 +104,20 @@
             )
         return self._entries[start : until_index - self.base_index]
 
+    def bytes_between(self, after_index: int, until_index: int) -> int:
+        """Returns the size of the bodies in ``(after_index, until_index]``.
+
+        Neither index may be before the base or after the last entry.
+        """
+        ends = self._end_bytes
+        return ends[until_index - self.base_index] - ends[after_index - self.base_index]
+
+    def count_within(self, until_index: int, limit_bytes: int) -> int:
+        """Returns how many entries up to an index fit into a limit, counted backwards."""
+        position = until_index - self.base_index
+        start_bytes = self._end_bytes[position] - limit_bytes
+        return position - bisect_left(self._end_bytes, start_bytes, 0, position)
+
     def batch(self, after_index: int, limit_bytes: int) -> list[Entry]:
         """Returns up to ``MAX_BATCH_ENTRIES`` entries after an index.
 
@@ -124,6 +141,7 @@
                     f'entry {entry.index} does not follow last index {self.last_index}'
                 )
             self._entries.append(entry)
+            self._end_bytes.append(self._end_bytes[-1] + len(entry.body))
             if entry.kind is EntryKind.configuration:
                 configuration = decode_configuration(entry.body)
                 self._points.append(_ConfigurationPoint(entry.index, configuration))
@@ -131,6 +149,7 @@
     def truncate_from(self, index: int) -> None:
         """Drops the entry at an index and all later ones."""
         del self._entries[index - self.base_index - 1 :]
+        del self._end_bytes[index - self.base_index :]
         while len(self._points) > 1 and self._points[-1].index >= index:
             self._points.pop()
 
@@ -146,6 +165,7 @@
             self._configuration_index_at(index), self.configuration_at(index)
         )
         del self._entries[: index - self.base_index]
+        del self._end_bytes[: index - self.base_index]
         self.base_index = index
         self.base_term = term
         self._points = [base_point, *later_points]
@@ -153,6 +173,7 @@
     def reset(self, snapshot: Snapshot) -> None:
         """Drops all entries and restarts the log after a snapshot."""
         self._entries = []
+        self._end_bytes = [0]
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self._points = [_ConfigurationPoint(snapshot.index, snapshot.configuration)]
--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -14,7 +14,7 @@
 from jackdawsail.consensus.log import EntryKind
 from jackdawsail.consensus.replication import Replication
 
-CAUGHT_UP_ENTRIES = 64  # a member that is at most this far behind has caught up
+CAUGHT_UP_ENTRIES = 64  # a member that is at most this far behind, and a batch, has caught up
 ANNOUNCEMENT_VALID_SECONDS = 10.0
 NO_CHANGE_REASON = 'nothing changes'
 
@@ -162,7 +162,13 @@
         progress = self._replication.progress.get(node)
         if progress is None or not self._has_answered(node):
             return False
-        return progress.match_index + CAUGHT_UP_ENTRIES >= self._core.log.last_index
+        log = self._core.log
+        missing_entries = log.last_index - progress.match_index
+        if progress.match_index < log.base_index or missing_entries > CAUGHT_UP_ENTRIES:
+            return False
+        # Commits wait for a new voter until it has the rest, so its size counts, too.
+        missing_bytes = log.bytes_between(progress.match_index, log.last_index)
+        return missing_entries <= 1 or missing_bytes <= self._core.timing.batch_bytes
 
     def _silent_seconds(self, node: str) -> float:
         if node == self._core.node:
--- a/jackdawsail/consensus/progress.py
+++ b/jackdawsail/consensus/progress.py
@@ -2,23 +2,48 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 from jackdawsail.consensus.configuration import Configuration
-from jackdawsail.consensus.log import Entry, Snapshot
+from jackdawsail.consensus.log import Entry, LogView, Snapshot
 
 NumberT = TypeVar('NumberT', int, float)
 
 
 @dataclass(slots=True)
 class SnapshotTransfer:
-    """A snapshot transfer to a member; one piece is in flight at a time."""
+    """A snapshot transfer to a member, with a window of pieces in flight.
+
+    ``received_bytes`` is what the member has confirmed, ``sent_bytes`` what it was sent, and
+    ``active_seconds`` the time of its last confirmation or of the last repeated piece.
+    """
 
     snapshot: Snapshot
-    offset: int = 0
-    sent_seconds: float = -math.inf
+    received_bytes: int = 0
+    sent_bytes: int = 0
+    active_seconds: float = -math.inf
+
+    def confirm(self, received_bytes: int, now_seconds: float) -> None:
+        """Records what the member has received; less than before after its restart."""
+        if received_bytes != self.received_bytes:
+            self.active_seconds = now_seconds
+        if received_bytes < self.received_bytes:
+            self.sent_bytes = received_bytes
+        self.received_bytes = received_bytes
+        self.sent_bytes = max(self.sent_bytes, received_bytes)
+
+    def next_pieces(self, piece_bytes: int, limit_bytes: int) -> Iterator[slice]:
+        """Yields the pieces to send until ``limit_bytes`` are in flight or all is sent.
+
+        An empty state is one empty piece.
+        """
+        end = max(1, len(self.snapshot.state))
+        while self.sent_bytes < min(end, self.received_bytes + limit_bytes):
+            piece = slice(self.sent_bytes, self.sent_bytes + piece_bytes)
+            self.sent_bytes = piece.stop
+            yield piece
 
 
 @dataclass(slots=True)
@@ -46,6 +71,19 @@
             self.in_flight_bytes += size_bytes
             self._in_flight.append((entries[-1].index, size_bytes))
 
+    def needs_snapshot(self, log: LogView, snapshot: Snapshot | None, batch_bytes: int) -> bool:
+        """Returns whether the member gets the snapshot rather than entries.
+
+        It does if its next entry is compacted, or if the entries that the snapshot replaces
+        have more bytes than the state and than one batch.
+        """
+        if self.transfer is not None or self.next_index <= log.base_index:
+            return True
+        if snapshot is None or self.next_index > snapshot.index or self._in_flight:
+            return False
+        missing_bytes = log.bytes_between(self.next_index - 1, snapshot.index)
+        return missing_bytes > max(len(snapshot.state), batch_bytes)
+
     def record_match(self, index: int) -> None:
         """Records the index up to which the member's log matches; frees in-flight bytes."""
         self.match_index = max(self.match_index, index)
--- a/jackdawsail/consensus/replication.py
+++ b/jackdawsail/consensus/replication.py
@@ -104,8 +104,9 @@
         if progress is None or progress.transfer is None:
             return
         if progress.transfer.snapshot.index == reply.index:
-            progress.transfer.offset = reply.received_bytes
-            self._send_piece(reply.sender, progress.transfer)
+            progress.transfer.confirm(reply.received_bytes, self._core.now_seconds)
+            window_bytes = self._core.timing.piece_window_bytes
+            self._send_pieces(reply.sender, progress.transfer, window_bytes)
 
     def _supported_since_seconds(self) -> float:
         core = self._core
@@ -156,7 +157,7 @@
         progress = self.progress.get(node)
         if progress is None:
             return
-        if progress.next_index <= core.log.base_index:
+        if progress.needs_snapshot(core.log, core.snapshot, core.timing.batch_bytes):
             self._send_snapshot(node, progress)
             return
         entries = self._next_batch(progress)
@@ -188,25 +189,28 @@
                 raise AssertionError('the log is compacted, but there is no snapshot')
             progress.transfer = SnapshotTransfer(core.snapshot)
         transfer = progress.transfer
-        unanswered_seconds = core.now_seconds - transfer.sent_seconds
+        unanswered_seconds = core.now_seconds - transfer.active_seconds
         if unanswered_seconds >= core.timing.election_timeout_seconds / 2:
-            self._send_piece(node, transfer)
+            # One piece shows whether those in flight were lost, and serves as a heartbeat.
+            transfer.active_seconds = core.now_seconds
+            transfer.sent_bytes = transfer.received_bytes
+            self._send_pieces(node, transfer, core.timing.piece_bytes)
 
-    def _send_piece(self, node: str, transfer: SnapshotTransfer) -> None:
+    def _send_pieces(self, node: str, transfer: SnapshotTransfer, limit_bytes: int) -> None:
+        """Sends the next pieces until ``limit_bytes`` are in flight."""
         core = self._core
-        transfer.sent_seconds = core.now_seconds
         snapshot = transfer.snapshot
-        end = transfer.offset + core.timing.piece_bytes
-        piece = SnapshotPiece(
-            sender=core.node,
-            target=node,
-            term=core.term,
-            index=snapshot.index,
-            snapshot_term=snapshot.term,
-            configuration=snapshot.configuration.encode(),
-            offset=transfer.offset,
-            total_bytes=len(snapshot.state),
-            piece=snapshot.state[transfer.offset : end],
-            sent_seconds=core.now_seconds,
-        )
-        core.send(piece)
+        for span in transfer.next_pieces(core.timing.piece_bytes, limit_bytes):
+            piece = SnapshotPiece(
+                sender=core.node,
+                target=node,
+                term=core.term,
+                index=snapshot.index,
+                snapshot_term=snapshot.term,
+                configuration=snapshot.configuration.encode(),
+                offset=span.start,
+                total_bytes=len(snapshot.state),
+                piece=snapshot.state[span],
+                sent_seconds=core.now_seconds,
+            )
+            core.send(piece)
--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail import events
+from jackdawsail.consensus.compaction import Compaction
 from jackdawsail.consensus.configuration import host_of
 from jackdawsail.consensus.core import Core, Role
 from jackdawsail.consensus.effects import SaveEntries, SaveVote
@@ -30,7 +31,6 @@
 LEADERSHIP_CHANGED = events.define(201, 'info', 'leader, term or leader lease changed')
 GROUP_BOOTSTRAPPED = events.define(222, 'info', 'new consensus group bootstrapped')
 MEMBERS_CHANGED = events.define(204, 'info', 'voters or learners of the consensus group changed')
-KEPT_LOG_SHARE = 0.1  # of snapshot_every_entries; these entries stay in the log after a snapshot
 HELLO_INTERVAL_SECONDS = 1.0
 FLUSH_SECONDS = 0.1
 SAVE_COMMIT_INTERVAL_SECONDS = 0.25  # a power loss rarely follows a change any sooner
@@ -67,6 +67,7 @@
         self.host = host
         self._name = name
         self._settings = settings
+        self._compaction = Compaction(settings.snapshot_every_entries)
         self._links = links
         self._forwarding = Forwarding(host, links)
         self._watchers: list[Callback] = []
@@ -245,7 +246,6 @@
 
     def _snapshot_if_due(self) -> None:
         core = self._core
-        every_entries = self._settings.snapshot_every_entries
-        covered_index = 0 if core.snapshot is None else core.snapshot.index
-        if not self.host.halt_reason and self.host.applied_index - covered_index >= every_entries:
-            self.host.take_snapshot(int(every_entries * KEPT_LOG_SHARE))
+        position = (core.log, core.snapshot, self.host.applied_index)
+        if not self.host.halt_reason and self._compaction.is_due(*position):
+            self.host.take_snapshot(self._compaction.entries_to_keep(*position))
--- a/jackdawsail/group/call_handler.py
+++ b/jackdawsail/group/call_handler.py
@@ -21,12 +21,12 @@
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.site.machine import (
     CommandOutcome,
-    StoredDocument,
     announce_weights,
     lift_trait,
     put_document,
     set_zone_emptied,
 )
+from jackdawsail.site.stored_document import store_document
 
 ADDRESSES_VALID_SECONDS = 2.0  # callers leave a stopped entry within two or three such periods
 CHANGE_ANSWERED = events.define(241, 'info', 'site change answered')
@@ -59,7 +59,7 @@
 
     @_handle.register
     def _put_document(self, call: calls.PutDocument) -> DeferredAnswer:
-        stored = StoredDocument(call.document.version, call.digest, call.body)
+        stored = store_document(call.document.version, call.digest, call.body)
         return self._propose(put_document(stored), f'document {stored.version}')
 
     @_handle.register
--- a/jackdawsail/group/fanout.py
+++ b/jackdawsail/group/fanout.py
@@ -5,7 +5,6 @@
 only renew a known one are batched.
 """
 
-import zlib
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -59,8 +58,6 @@
     announcements: Announcements = field(default_factory=dict)
     _sent_revision: int = 0
     _stored_weights: WeightsTuple = ()
-    # The version of the last compressed document, and its compressed body.
-    _compressed: tuple[int, bytes] = (0, b'')
 
     def __post_init__(self) -> None:
         """Creates the relay of the evidence against traits of calls."""
@@ -145,7 +142,7 @@
         state = self.machine.state
         if state.revision >= wanted.revision and state.document.version:
             link.send(
-                DocumentPushed(state.revision, state.document.version, self._compressed_body())
+                DocumentPushed(state.revision, state.document.version, state.document.compressed)
             )
 
     def _on_registrations(self, link: Link, message: Registrations) -> None:
@@ -204,12 +201,6 @@
             is_entry = link.peer is not None and link.peer.role is Role.entry
             link.send(for_entries if is_entry else summary)
 
-    def _compressed_body(self) -> bytes:
-        document = self.machine.state.document
-        if self._compressed[0] != document.version:
-            self._compressed = (document.version, zlib.compress(document.body))
-        return self._compressed[1]
-
     def _log_change(self, registration: Registration, source: str) -> None:
         events.log(
             UPSTREAM_CHANGED,
--- a/jackdawsail/site/machine.py
+++ b/jackdawsail/site/machine.py
@@ -1,7 +1,7 @@
 """The replicated state of a site: document, emptied zones, weights, entries, blocked traits.
 
-Commands and snapshots are encoded as CBOR. The document is stored as the operator
-sent it, so that it can be read back unchanged. Documents are compared by the digest
+Commands and snapshots are encoded as CBOR. The document is stored compressed, byte for
+byte as the operator sent it, so that it can be read back unchanged. Documents are compared by the digest
 that the codec computes over their canonical form.
 """
 
@@ -12,6 +12,7 @@
 
 import cbor2
 
+from jackdawsail.site.stored_document import StoredDocument, store_document
 from jackdawsail.site.stored_weights import (
     StoredWeights,
     WeightsTuple,
@@ -20,8 +21,9 @@
 )
 from jackdawsail.wire.site_messages import MemberHost
 
-# Format 1 has no entries, 2 no blocked traits, 3 no ages of weights.
-SNAPSHOT_FORMAT = 4
+# Format 1 has no entries, 2 no blocked traits, 3 no ages of weights, 4 a plain document.
+SNAPSHOT_FORMAT = 5
+FORMAT_COMPRESSED = 5
 MAX_BLOCKED_TRAITS = 256
 WEIGHT_AGES = 'weight-ages'  # name of a command
 
@@ -37,15 +39,6 @@
     conflict = 'conflict'
 
 
-@dataclass(frozen=True, slots=True)
-class StoredDocument:
-    """A document as the operator sent it; version 0 means that there is none yet."""
-
-    version: int = 0
-    digest: str = ''
-    body: bytes = b''
-
-
 @dataclass(frozen=True, slots=True)
 class SiteState:
     """All that was acknowledged to operators, and the entries that share the site's limits.
@@ -65,8 +58,13 @@
 
 
 def put_document(document: StoredDocument) -> bytes:
-    """Encodes the command that replaces the document with a higher version."""
-    return cbor2.dumps(['document', document.version, document.digest, document.body])
+    """Encodes the command that replaces the document with a higher version.
+
+    The body is compressed once, on the host that accepts it, for the log, the links, the
+    snapshots and the processes that follow the site.
+    """
+    fields = (document.version, document.digest, document.compressed)
+    return cbor2.dumps(['compressed-document', *fields])
 
 
 def set_zone_emptied(zone: str, *, emptied: bool) -> bytes:
@@ -126,7 +124,7 @@
         """Returns the whole state, encoded with a format number."""
         state = self.state
         document = state.document
-        document_fields = [document.version, document.digest, document.body]
+        document_fields = [document.version, document.digest, document.compressed]
         zones = list(state.emptied_zones)
         weights = [list(astuple(each)) for each in state.weights]
         entries = [_encode_host(host) for host in state.sharing_entries]
@@ -135,11 +133,12 @@
 
     def restore(self, snapshot: bytes) -> None:
         """Replaces the state with a snapshot."""
-        revision, document_fields, *lists = cbor2.loads(snapshot)[1:]
+        format_number, revision, document_fields, *lists = cbor2.loads(snapshot)
+        make_document = store_document if format_number < FORMAT_COMPRESSED else StoredDocument
         zones, weights, entries, traits = (*lists, [], [])[:4]
         self.state = SiteState(
             revision,
-            StoredDocument(*document_fields),
+            make_document(*document_fields),
             tuple(zones),
             tuple(StoredWeights(*fields) for fields in weights),
             tuple(MemberHost(*fields) for fields in entries),
@@ -151,7 +150,7 @@
 Change = tuple[SiteState, CommandOutcome]
 
 
-def _change_document(state: SiteState, version: int, digest: str, body: bytes) -> Change:
+def _change_document(state: SiteState, version: int, digest: str, compressed: bytes) -> Change:
     held = state.document
     if version < held.version:
         return state, CommandOutcome.unchanged
@@ -160,7 +159,14 @@
             state,
             CommandOutcome.unchanged if digest == held.digest else CommandOutcome.conflict,
         )
-    return replace(state, document=StoredDocument(version, digest, body)), CommandOutcome.accepted
+    document = StoredDocument(version, digest, compressed)
+    return replace(state, document=document), CommandOutcome.accepted
+
+
+def _change_plain_document(state: SiteState, version: int, digest: str, body: bytes) -> Change:
+    """Applies the command of releases that did not compress documents."""
+    compressed = store_document(version, digest, body).compressed
+    return _change_document(state, version, digest, compressed)
 
 
 def _change_zone(state: SiteState, zone: str, emptied: bool) -> Change:
@@ -212,7 +218,8 @@
 
 
 _CHANGES: dict[str, Callable[..., Change]] = {
-    'document': _change_document,
+    'compressed-document': _change_document,
+    'document': _change_plain_document,
     'zone': _change_zone,
     'weights': _change_weights,
     WEIGHT_AGES: _change_weight_ages,
--- a/test/consensus/test_rules.py
+++ b/test/consensus/test_rules.py
@@ -5,10 +5,25 @@
 from jackdawsail.consensus.configuration import Configuration
 from jackdawsail.consensus.core import Role, Timing
 from jackdawsail.consensus.effects import Refused, Send
-from jackdawsail.consensus.log import Entry, EntryKind
+from jackdawsail.consensus.log import Entry, EntryKind, Snapshot
 from jackdawsail.consensus.membership import MemberChange
-from jackdawsail.consensus.messages import AppendReply, PreVote, PreVoteReply, Vote, VoteReply
-from jackdawsail.consensus.node import ChangeMembers, DurableState, Propose, Tick, make_node
+from jackdawsail.consensus.messages import (
+    AppendReply,
+    PreVote,
+    PreVoteReply,
+    SnapshotPiece,
+    SnapshotReply,
+    Vote,
+    VoteReply,
+)
+from jackdawsail.consensus.node import (
+    ChangeMembers,
+    DurableState,
+    Propose,
+    SnapshotTaken,
+    Tick,
+    make_node,
+)
 from test.consensus.cluster import Cluster
 
 VOTERS = ('a@1', 'b@1', 'c@1')
@@ -205,3 +220,72 @@
     node.step(appended(2, 3.1), 3.15)
     node.step(Tick(), 3.2)
     assert set(node.core.configuration.voters) == {*VOTERS, 'd@1'}
+
+
+# A new voter that lacked dozens of large entries held up every commit for seconds.
+def test_learner_that_lacks_more_bytes_than_a_batch_is_not_promoted():
+    node = make_leader_with_learner()
+    bodies = tuple(bytes(Timing().batch_bytes // 4) for _ in range(6))
+    node.step(Propose(tuple(range(6)), bodies), 3.12)
+    node.step(appended(2, 3.12, sender='d@1'), 3.15)
+    node.step(appended(8, 3.12), 3.15)
+    node.step(Tick(), 3.2)
+    assert node.core.configuration.voters == VOTERS
+    node.step(appended(4, 3.15, sender='d@1'), 3.25)
+    node.step(Tick(), 3.3)
+    assert set(node.core.configuration.voters) == {*VOTERS, 'd@1'}
+
+
+PIECE_BYTES = Timing().piece_bytes
+
+
+def make_leader_that_sends_a_snapshot():
+    """Makes a leader whose state of six pieces replaces more bytes of entries for one voter."""
+    node = make_leader()
+    node.step(appended(3, 3), 3.1)
+    bodies = tuple(bytes(200_000) for _ in range(4))
+    node.step(Propose(tuple(range(4)), bodies), 3.2)
+    node.step(appended(7, 3.2), 3.25)
+    state = Snapshot(7, 4, node.core.log.configuration_at(7), bytes(6 * PIECE_BYTES))
+    node.step(SnapshotTaken(state, keep_entries=6), 3.3)
+    conflict = AppendReply('c@1', 'a@1', 4, False, 0, 1, 0, 3.2)
+    return node, sent_pieces(node.step(conflict, 3.3))
+
+
+def sent_pieces(effects):
+    sent = [effect.message for effect in effects if isinstance(effect, Send)]
+    return [
+        message.offset // PIECE_BYTES for message in sent if isinstance(message, SnapshotPiece)
+    ]
+
+
+def received(pieces):
+    return SnapshotReply('c@1', 'a@1', 4, 7, pieces * PIECE_BYTES, 3.3)
+
+
+def test_state_that_is_smaller_than_the_missing_entries_is_sent_in_their_place():
+    node, first = make_leader_that_sends_a_snapshot()
+    assert node.core.log.base_index == 1
+    assert first == [0]
+
+
+# One piece a round trip left most of a link between regions unused.
+def test_pieces_in_flight_fill_a_window_and_each_is_sent_once():
+    node, sent = make_leader_that_sends_a_snapshot()
+    for confirmed in range(1, 6):
+        sent += sent_pieces(node.step(received(confirmed), 3.3 + confirmed / 100))
+    assert sent == [0, 1, 2, 3, 4, 5]
+
+
+def test_transfer_goes_on_after_the_last_confirmed_piece_once_pieces_are_lost():
+    node, _first = make_leader_that_sends_a_snapshot()
+    assert sent_pieces(node.step(received(1), 3.31)) == [1, 2, 3]
+    assert sent_pieces(node.step(Tick(), 3.7)) == []
+    assert sent_pieces(node.step(Tick(), 3.95)) == [1]
+    assert sent_pieces(node.step(received(2), 3.96)) == [2, 3, 4]
+
+
+def test_transfer_starts_again_for_a_member_that_lost_what_it_had_received():
+    node, _first = make_leader_that_sends_a_snapshot()
+    node.step(received(3), 3.31)
+    assert sent_pieces(node.step(received(0), 3.32)) == [0, 1, 2]
--- a/test/site/test_machine.py
+++ b/test/site/test_machine.py
@@ -8,7 +8,6 @@
     CommandOutcome,
     SiteMachine,
     SiteState,
-    StoredDocument,
     announce_weights,
     block_trait,
     change_entries,
@@ -17,19 +16,20 @@
     set_zone_emptied,
     store_weight_ages,
 )
+from jackdawsail.site.stored_document import store_document
 from jackdawsail.site.stored_weights import StoredWeights
 from jackdawsail.wire.site_messages import MemberHost
 
 
 def put(version, digest='d', body=b'b'):
-    return put_document(StoredDocument(version, digest, body))
+    return put_document(store_document(version, digest, body))
 
 
 def test_only_a_higher_version_replaces_the_document():
     machine = SiteMachine()
     assert machine.apply(1, put(5)) is CommandOutcome.accepted
     assert machine.apply(2, put(3, 'other', b'old')) is CommandOutcome.unchanged
-    assert machine.state.document == StoredDocument(5, 'd', b'b')
+    assert machine.state.document == store_document(5, 'd', b'b')
     assert machine.state.revision == 1
 
 
@@ -88,6 +88,24 @@
     assert machine.state.weights == (StoredWeights('m', 2, 0),)
 
 
+def test_a_document_that_an_earlier_release_has_stored_is_read_back_unchanged():
+    machine = SiteMachine()
+    machine.restore(cbor2.dumps([4, 7, [5, 'd', b'kept'], [], [], [], []]))
+    assert machine.state.document.body == b'kept'
+    machine.apply(8, cbor2.dumps(['document', 6, 'e', b'logged']))
+    assert machine.state.document == store_document(6, 'e', b'logged')
+
+
+def test_document_is_stored_once_and_compressed_in_commands_and_snapshots():
+    body = b'{"routes": []}' * 1000
+    command = put(1, body=body)
+    machine = SiteMachine()
+    machine.apply(1, command)
+    assert len(command) < 300
+    assert len(machine.snapshot()) < 300
+    assert machine.state.document.body == body
+
+
 def test_weights_that_an_earlier_release_has_stored_have_no_age():
     machine = SiteMachine()
     machine.restore(cbor2.dumps([3, 7, [5, 'd', b'b'], [], [['m', 2]], [], []]))
@@ -113,7 +131,7 @@
     machine = SiteMachine()
     machine.restore(cbor2.dumps([1, 7, [5, 'd', b'b'], ['z'], [['m', 2]]]))
     assert machine.state == SiteState(
-        7, StoredDocument(5, 'd', b'b'), ('z',), (StoredWeights('m', 2),), ()
+        7, store_document(5, 'd', b'b'), ('z',), (StoredWeights('m', 2),), ()
     )
 
 
