An engine is ordered to load only pieces that were read back at most 1.5 s before

What callers saw: an agent froze for 4 s while it verified staged weights.

Cause: the pieces are read back and then ordered to be loaded, but nothing measured the time between. A pause of any length after the first read made the check say nothing about what the engine took.

Change: LoadCheck measures from before the first read to the answer of the order, on the monotonic clock. The order is not sent later than 1.5 s after the first read; the time is taken after the wait for a connection, right before the request is written. If the answer comes later than 3 s after the first read, or not at all, the engine may have accepted the order too late: it serves nothing until all pieces have been read back valid once more, which shows that they were so at the order, or until newer weights are loaded or the engine starts again.

--- a/bench/emulator/staging_hosts.py
+++ b/bench/emulator/staging_hosts.py
@@ -13,6 +13,7 @@
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder, PieceList
+from jackdawsail.staging.engine_calls import OrderFailure
 from jackdawsail.staging.piece_fetcher import Transport
 from jackdawsail.staging.sources import RELAY_PORT_OFFSET
 
@@ -76,7 +77,9 @@
     async def staged_pieces(self, model: str) -> Result[tuple[int, ...], str]:
         return Success(tuple(sorted(self.staged)))
 
-    async def order_load(self, order: LoadWeightsOrder) -> Result[None, str]:
+    async def order_load(
+        self, order: LoadWeightsOrder, send_by_seconds: float
+    ) -> Result[None, OrderFailure]:
         self.orders += 1
         self.clock.callLater(LOAD_SECONDS, setattr, self, 'loaded', order.version)
         return Success(None)
--- a/bench/emulator/staging_play.py
+++ b/bench/emulator/staging_play.py
@@ -35,7 +35,7 @@
 from jackdawsail.site.document import EngineClass, Service, SiteDocument
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView, WeightTarget
-from jackdawsail.staging.changeover import Changeover
+from jackdawsail.staging.changeover import Changeover, make_changeover
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.piece_fetcher import PieceFetcher
 from jackdawsail.staging.relay import RETRY_SECONDS, PieceRelay
@@ -204,7 +204,7 @@
         self.engines.append(engine)
         calls: Any = engine
         self.changeovers.append(
-            Changeover(
+            make_changeover(
                 self.clock, self.view, calls, self._fetcher(settings, sources_for), settings
             )
         )
--- a/jackdawsail/http1/fetch.py
+++ b/jackdawsail/http1/fetch.py
@@ -1,5 +1,6 @@
 """Sends small requests and collects the complete answers, within limits on time and size."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,16 +13,24 @@
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 
 TIME_CHECK_SECONDS = 0.1
+NO_CONNECTION = 'no connection'
+TOO_LATE = 'too late to be sent'
+NOT_SENT = frozenset((NO_CONNECTION, TOO_LATE))  # reasons for which nothing was sent
 MAX_BODY_BYTES = 4_194_304  # far above the largest piece or list of weights
 
 
 @dataclass(frozen=True, slots=True)
 class FetchLimits:
-    """How long an answer may pause, how long all of it may take, and how long its body may be."""
+    """How long an answer may pause, how long all of it may take, and how long its body may be.
+
+    A request that is not sent until ``send_by_seconds``, a time of the pool's clock, is not
+    sent at all.
+    """
 
     silent_seconds: float
     total_seconds: float
     body_bytes: int = MAX_BODY_BYTES
+    send_by_seconds: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +71,11 @@
                 channel.close()
             return
         if channel is None:
-            self._finish(Failure('no connection'))
+            self._finish(Failure(NO_CONNECTION))
+            return
+        if self._pool.clock.seconds() > self._limits.send_by_seconds:
+            self._pool.release(channel)
+            self._finish(Failure(TOO_LATE))
             return
         self._channel = channel
         channel.send(request, self)
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -1,7 +1,9 @@
 """Brings the engine on this host to the newest announced weights.
 
 Pieces are fetched and staged at the engine. Right before the order to load them,
-every staged piece is read back and verified, since staged data may become corrupt.
+every staged piece is read back and verified, since staged data may become corrupt. If
+the engine may have accepted the order later than allowed after that, it serves nothing
+until the pieces have been verified once more.
 The engine serves the old weights until the order. It then finishes its running
 streams and accepts no new requests; entries are informed shortly before.
 """
@@ -10,10 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.result import Failure
 from twisted.internet.defer import Deferred, gatherResults
 
 from jackdawsail import events
+from jackdawsail.clocks import Clock
 from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS, expiry_seconds
 from jackdawsail.site.document import EngineClass
 from jackdawsail.site.node import NodeSettings
@@ -21,7 +24,8 @@
 from jackdawsail.staging.drain import DrainAhead, StagingPace
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder, PieceList
 from jackdawsail.staging.engine_calls import EngineCalls
-from jackdawsail.staging.piece_fetcher import PieceFetcher, matches_digest
+from jackdawsail.staging.load_check import LoadCheck
+from jackdawsail.staging.piece_fetcher import PieceFetcher
 from jackdawsail.staging.piece_order import agent_order
 from jackdawsail.staging.waves import may_change_over
 
@@ -43,6 +47,9 @@
 )
 WEIGHTS_LOADED = events.define(570, 'info', 'engine has loaded the wanted weights')
 STAGING_FAILED = events.define(571, 'warning', 'staging of weights failed; retrying')
+LOAD_UNCONFIRMED = events.define(
+    575, 'error', 'engine may have loaded corrupt pieces; it serves nothing until newer weights'
+)
 VERSION_GIVEN_UP = events.define(574, 'info', 'weight version is given up for a newer one')
 
 
@@ -67,6 +74,7 @@
     calls: EngineCalls
     fetcher: PieceFetcher
     settings: NodeSettings
+    check: LoadCheck
     model: str = ''
     _is_loading: bool = False
     _ordered_version: int = 0
@@ -77,6 +85,7 @@
     _retry_at_seconds: float = 0
     _report: EngineReport | None = None
     _confirmed_version: int = 0
+    _unconfirmed_version: int = 0
     _unlisted_version: int = 0
     _list_retry_at_seconds: float = 0
     _failing: bool = False
@@ -87,8 +96,10 @@
         if not engine.models:
             return
         self.model = engine.models[0]
+        self.check.engine_reported(report.born_milliseconds)
         loaded = report.version_of(self.model)
-        if loaded and report.layers >= engine.layers and loaded >= self.wanted_version:
+        is_current = loaded and report.layers >= engine.layers and loaded >= self.wanted_version
+        if is_current and loaded not in self.check.unconfirmed:
             self._record_loaded(loaded)
             return
         if loaded and loaded == self._ordered_version:
@@ -109,7 +120,8 @@
     @property
     def switching(self) -> bool:
         """Returns whether the engine accepts no new calls because it will load other weights."""
-        return self._is_loading or self._drain.is_active(self.clock.seconds())
+        is_draining = self._is_loading or self._drain.is_active(self.clock.seconds())
+        return is_draining or self._loaded_version() in self.check.unconfirmed
 
     @property
     def wanted_version(self) -> int:
@@ -134,6 +146,8 @@
 
     async def _change_over(self) -> None:
         """Stages the missing pieces, verifies all of them and orders the engine to load them."""
+        if self._loaded_version() in self.check.unconfirmed and not await self._replaces_loaded():
+            return
         staged = await self._choose_version()
         complete = staged is not None and await self._stage_missing(staged)
         self._drain.end()
@@ -165,7 +179,7 @@
         fresh = StagedPieces(pieces)
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
-            await self._record_valid_pieces(fresh)
+            fresh.present = await self.check.valid_pieces(pieces)
         elif not self._has_loaded(staged):
             events.log(VERSION_GIVEN_UP, newer=pieces.version, **_progress(self.model, staged))
         self._staged = fresh
@@ -173,16 +187,6 @@
         events.log(STAGING_STARTED, model=self.model, version=pieces.version, missing=missing)
         return fresh
 
-    async def _record_valid_pieces(self, staged: StagedPieces) -> None:
-        outcome = await self.calls.staged_pieces(self.model)
-        listed = outcome.unwrap() if isinstance(outcome, Success) else ()
-        for index in listed:
-            if await self._is_staged(staged.pieces, index):
-                staged.present.add(index)
-            elif not staged.present:
-                # If the first piece belongs to another version, so do the others.
-                return
-
     async def _stage_missing(self, staged: StagedPieces) -> bool:
         missing = staged.missing()
         if not missing:
@@ -208,6 +212,7 @@
             fetched = await self.fetcher.fetch_piece(staged.pieces, index)
             if isinstance(fetched, Failure):
                 return
+            self.check.piece_staged()
             outcome = await self.calls.write_piece(self.model, index, fetched.unwrap())
             if isinstance(outcome, Failure):
                 return
@@ -247,20 +252,28 @@
 
     def _has_loaded(self, staged: StagedPieces) -> bool:
         """Returns whether the engine serves this version or a newer one."""
-        report = self._report
-        return report is not None and report.version_of(self.model) >= staged.pieces.version
+        return self._loaded_version() >= staged.pieces.version
+
+    def _loaded_version(self) -> int:
+        return self._report.version_of(self.model) if self._report else 0
+
+    async def _replaces_loaded(self) -> bool:
+        """Confirms the loaded weights; returns whether newer ones replace unconfirmed ones."""
+        loaded = self._loaded_version()
+        if await self.check.confirm(loaded):
+            return False
+        if self._unconfirmed_version != loaded:
+            self._unconfirmed_version = loaded
+            events.log(LOAD_UNCONFIRMED, model=self.model, version=loaded)
+        self._retry_at_seconds = self.clock.seconds() + ORDER_SETTLE_SECONDS
+        return loaded < self.wanted_version
 
     async def _verify_staged(self, staged: StagedPieces) -> bool:
-        for index in sorted(staged.present):
-            if not await self._is_staged(staged.pieces, index):
-                staged.present.discard(index)
-                events.log(PIECE_CORRUPT, model=self.model, piece=index)
+        for index in await self.check.invalid_pieces(staged.pieces, sorted(staged.present)):
+            staged.present.discard(index)
+            events.log(PIECE_CORRUPT, model=self.model, piece=index)
         return not staged.missing()
 
-    async def _is_staged(self, pieces: PieceList, index: int) -> bool:
-        outcome = await self.calls.read_piece(self.model, index)
-        return isinstance(outcome, Success) and matches_digest(pieces, index, outcome.unwrap())
-
     async def _order_load(self, staged: StagedPieces) -> None:
         report = self._report
         if report is None or self._is_outdated(staged):
@@ -268,10 +281,10 @@
             return
         version = staged.pieces.version
         order = LoadWeightsOrder(self.model, version, report.orders)
-        outcome = await self.calls.order_load(order)
+        outcome = await self.check.order_load(staged.pieces, order)
         details = {'version': version, 'running': report.running, 'orders': report.orders}
         if isinstance(outcome, Failure):
-            events.log(LOAD_REFUSED, reason=outcome.failure(), **details)
+            events.log(LOAD_REFUSED, reason=outcome.failure().reason, **details)
         else:
             self._ordered_version = version
             events.log(LOAD_ORDERED, **details)
@@ -282,8 +295,7 @@
         """Returns whether this engine may stop serving the old weights now."""
         targets = self.view.weights.get(self.model, ())
         target = next((each for each in targets if each.version == version), None)
-        is_serving = self._report is not None and self._report.version_of(self.model)
-        if target is None or not is_serving:
+        if target is None or not self._loaded_version():
             return True
         age_seconds = self.clock.seconds() - target.announced_seconds
         within_seconds = self.settings.bounds.weights_seconds
@@ -299,6 +311,13 @@
             events.log(STAGING_FAILED, reason=reason, **_progress(self.model, self._staged))
 
 
+def make_changeover(
+    clock: Clock, view: SiteView, calls: EngineCalls, fetcher: PieceFetcher, settings: NodeSettings
+) -> Changeover:
+    """Creates the changeover of the engine that ``calls`` reach."""
+    return Changeover(clock, view, calls, fetcher, settings, LoadCheck(clock, calls))
+
+
 def _progress(model: str, staged: StagedPieces | None) -> dict[str, Any]:
     """Returns the fields of the log that tell how much of a version is staged."""
     if staged is None:
--- a/jackdawsail/staging/engine_calls.py
+++ b/jackdawsail/staging/engine_calls.py
@@ -1,14 +1,14 @@
 """The calls that an agent makes to the engine on its host."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.fetch import FetchedAnswer, FetchLimits, fetch
+from jackdawsail.http1.fetch import NOT_SENT, FetchedAnswer, FetchLimits, fetch
 from jackdawsail.http1.messages import JSON_BODY, make_request
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder
 
@@ -31,6 +31,14 @@
     decode_staged_pieces: Callable[[bytes], Result[tuple[int, ...], str]]
 
 
+@dataclass(frozen=True, slots=True)
+class OrderFailure:
+    """Why an order was not confirmed; with ``maybe_accepted`` the engine may carry it out."""
+
+    reason: str
+    maybe_accepted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class EngineCalls:
     """Client of one engine; failures are returned as values, never raised."""
@@ -61,10 +69,22 @@
             return outcome
         return self.codec.decode_staged_pieces(outcome.unwrap())
 
-    async def order_load(self, order: LoadWeightsOrder) -> Result[None, str]:
-        """Orders the engine to load the staged pieces; it may refuse."""
+    async def order_load(
+        self, order: LoadWeightsOrder, send_by_seconds: float
+    ) -> Result[None, OrderFailure]:
+        """Orders the engine to load the staged pieces; it may refuse.
+
+        After ``send_by_seconds``, a time of the pool's clock, the order is not sent any more.
+        """
         body = self.codec.encode_load_order(order)
-        return _without_body(await self._call(b'POST', self.codec.order_target, body))
+        limits = replace(CALL_LIMITS, send_by_seconds=send_by_seconds)
+        outcome = await self._call(b'POST', self.codec.order_target, body, limits)
+        if isinstance(outcome, Failure):
+            reason = outcome.failure()
+            return Failure(OrderFailure(reason, maybe_accepted=reason not in NOT_SENT))
+        return _without_body(outcome).alt(
+            lambda reason: OrderFailure(reason, maybe_accepted=False)
+        )
 
     async def _read_report(self) -> Result[EngineReport, str]:
         outcome = _body_of(await self._call(b'GET', self.codec.report_target))
@@ -72,10 +92,12 @@
             return outcome
         return self.codec.decode_report(outcome.unwrap())
 
-    async def _call(self, method: bytes, target: bytes, body: bytes = b'') -> Any:
+    async def _call(
+        self, method: bytes, target: bytes, body: bytes = b'', limits: FetchLimits = CALL_LIMITS
+    ) -> Any:
         headers = () if method == b'GET' else (JSON_BODY,)
         request = make_request(method, self.address, target, headers, body)
-        return await fetch(self.pool, self.address, request, CALL_LIMITS)
+        return await fetch(self.pool, self.address, request, limits)
 
 
 def _body_of(outcome: Result[FetchedAnswer, str]) -> Result[bytes, str]:
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -15,7 +15,7 @@
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.view import SiteView
-from jackdawsail.staging.changeover import Changeover
+from jackdawsail.staging.changeover import Changeover, make_changeover
 from jackdawsail.staging.engine import EngineReport
 from jackdawsail.staging.engine_calls import EngineCalls, EngineCodec
 from jackdawsail.staging.piece_fetcher import PieceFetcher
@@ -170,6 +170,6 @@
         pool, codecs.origin, lambda key: sources_for(process.settings, view, key)
     )
     calls = EngineCalls(pool, codecs.engine, settings.engine_address)
-    changeover = Changeover(reactor, view, calls, fetcher, settings)
+    changeover = make_changeover(reactor, view, calls, fetcher, settings)
     client = SiteClient(process, view, codecs.decode_document)
     return AgentProgram(process, client, calls, changeover)
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -10,8 +10,9 @@
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging import changeover as changeover_module
-from jackdawsail.staging.changeover import Changeover, StagedPieces
+from jackdawsail.staging.changeover import StagedPieces, make_changeover
 from jackdawsail.staging.engine import EngineReport, PieceList
+from jackdawsail.staging.engine_calls import OrderFailure
 from jackdawsail.staging.waves import may_change_over
 from jackdawsail.wire.site_messages import AnnouncedWeights, MemberHost, Members, SiteSummary
 from test.site.documents import ENGINE
@@ -53,10 +54,10 @@
     async def staged_pieces(self, model):
         return Success(tuple(sorted(self.staged)))
 
-    async def order_load(self, order):
+    async def order_load(self, order, send_by_seconds):
         self.orders.append((order, dict(self.staged)))
         if self.refuses:
-            return Failure('status 409')
+            return Failure(OrderFailure('status 409', maybe_accepted=False))
         self.loaded = order.version
         return Success(None)
 
@@ -101,7 +102,9 @@
         self.view.apply_members('c', Members(['c'], [], hosts))
         self.engine, self.source = Engine(loaded), Source()
         settings = NodeSettings('a', address, 'z', 'r')
-        self.changeover = Changeover(self.clock, self.view, self.engine, self.source, settings)
+        self.changeover = make_changeover(
+            self.clock, self.view, self.engine, self.source, settings
+        )
         self.revision = 0
 
     def announce_weights(self, version):
