A piece list that pieces contradict is fetched again

What callers saw: the origin once sent a list with one wrong digit.

Cause: a relay keeps the first list of a version for as long as it holds the version, and all others copy it. A piece that never matches is fetched again and again, but nothing ever doubted the list.

Change: two answers that agree with each other and not with the list, or one that a relay has verified with its own list, make the list suspect (staging/list_doubts.py). It is fetched again with that evidence in the request, so a relay that copied it reviews its own first, up to the one that asks the origin. Only a list that agrees with the evidence replaces it; pieces whose digest is the same in both are kept. A list that stays contradicted is reviewed after growing intervals, and the piece in question is held back meanwhile, at the agents and other relays, too. Requests for pieces name the digest, and a relay with another one does not make the sender wait, as relays that rank by different lists could wait for each other. A list of another model, with a malformed digest or with another number of pieces than the document gives is refused at once.

--- a/jackdawsail/site/view.py
+++ b/jackdawsail/site/view.py
@@ -143,6 +143,16 @@
         engines = [service.engine for service in services if service.engine is not None]
         return sorted({model for engine in engines for model in engine.models})
 
+    def piece_count(self, model: str) -> int:
+        """Returns how many pieces the weights of a model have; 0 while that is not known."""
+        services = self.table.document.services if self.table else ()
+        counts = {
+            service.engine.chunks
+            for service in services
+            if service.engine is not None and model in service.engine.models
+        }
+        return counts.pop() if len(counts) == 1 else 0
+
     def agents(self) -> list[str]:
         """Returns the addresses of the agents, sorted; known in the same way as the entries."""
         return sorted(self._agent_regions)
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -64,6 +64,11 @@
         """Returns the pieces that are not known to be staged."""
         return [index for index in range(len(self.pieces.digests)) if index not in self.present]
 
+    def replace_list(self, pieces: PieceList) -> None:
+        """Replaces the list; staged pieces whose digest is another one now are missing."""
+        self.present &= self.pieces.unchanged_in(pieces)
+        self.pieces = pieces
+
 
 @dataclass(slots=True)
 class Changeover:
@@ -211,7 +216,12 @@
             index = pending.popleft()
             fetched = await self.fetcher.fetch_piece(staged.pieces, index)
             if isinstance(fetched, Failure):
-                return
+                reviewed = await self.fetcher.review_list(staged.pieces)
+                if isinstance(reviewed, Failure):
+                    return
+                staged.replace_list(reviewed.unwrap())
+                pending.append(index)
+                continue
             self.check.piece_staged()
             outcome = await self.calls.write_piece(self.model, index, fetched.unwrap())
             if isinstance(outcome, Failure):
--- a/jackdawsail/staging/engine.py
+++ b/jackdawsail/staging/engine.py
@@ -39,6 +39,11 @@
     version: int
     digests: tuple[str, ...]
 
+    def unchanged_in(self, other: 'PieceList') -> frozenset[int]:
+        """Returns the pieces that have the same digest in both lists."""
+        pairs = zip(self.digests, other.digests, strict=False)
+        return frozenset(index for index, (own, their) in enumerate(pairs) if own == their)
+
 
 @dataclass(frozen=True, slots=True)
 class LoadWeightsOrder:
--- a/jackdawsail/staging/held_pieces.py
+++ b/jackdawsail/staging/held_pieces.py
@@ -9,24 +9,44 @@
 
 from jackdawsail.staging.engine import PieceList
 
-LIST = -1  # in place of the index of a piece
+LIST = (-1, '')  # in place of the index and the digest of a piece
+LIST_REVIEW = (-2, '')
+ItemKey = tuple[int, str]
 
 
 @dataclass(slots=True)
 class HeldVersion:
     """The list and the pieces of one version, and the waiters of fetches in progress.
 
-    ``bodies`` is keyed by the index of a piece, ``waiters`` also by ``LIST``. ``is_filled``
+    ``bodies`` is keyed by the index of a piece, ``waiters`` by index and digest or by ``LIST``
+    and ``LIST_REVIEW``: fetches of lists that differ must not wait for each other, as the
+    relays rank differently for them. ``is_filled``
     is set once all pieces that the relay prefetches are held.
     """
 
     pieces: PieceList | None = None
     bodies: dict[int, bytes] = field(default_factory=dict)
-    waiters: dict[int, list[Deferred[Any]]] = field(default_factory=dict)
+    waiters: dict[ItemKey, list[Deferred[Any]]] = field(default_factory=dict)
     is_filled: bool = False
     is_incomplete_logged: bool = False
 
-    async def share(self, item: int, fetch: Callable[[], Awaitable[Result[Any, str]]]) -> Any:
+    def replace_list(self, pieces: PieceList) -> None:
+        """Replaces the list; keeps the pieces whose digests are the same in both."""
+        if self.pieces is not None:
+            unchanged = self.pieces.unchanged_in(pieces)
+            self.bodies = {
+                index: body for index, body in self.bodies.items() if index in unchanged
+            }
+        self.pieces = pieces
+        self.is_filled = False
+
+    def hold(self, index: int, body: bytes, pieces: PieceList) -> None:
+        """Keeps a piece that was verified with ``pieces``, if the list still has its digest."""
+        held = self.pieces or pieces
+        if held.digests[index : index + 1] == pieces.digests[index : index + 1]:
+            self.bodies[index] = body
+
+    async def share(self, item: ItemKey, fetch: Callable[[], Awaitable[Result[Any, str]]]) -> Any:
         """Returns what a fetch gives, or None if it fails; joins one that is in progress."""
         if item in self.waiters:
             joined: Deferred[Any] = Deferred()
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -1,6 +1,8 @@
 """Fetches piece lists and pieces from the nearest source that has them, and verifies them.
 
-A piece whose SHA-256 differs from the listed one is fetched again from the next source.
+A piece whose SHA-256 differs from the listed one is fetched again from the next source. A
+list that such pieces contradict is fetched again, too, with the contradiction in the request,
+so that a relay that copied the list from elsewhere reviews its own.
 The origin's link is narrow: a process fetches from it only if no relay answers, or if
 the relays have answered for ``BYPASS_SECONDS`` that they do not have what is wanted.
 """
@@ -19,6 +21,7 @@
 from jackdawsail.http1.fetch import DeferredAnswer, FetchLimits, FindFault, fetch
 from jackdawsail.http1.messages import HttpRequest, make_request
 from jackdawsail.staging.engine import PieceList
+from jackdawsail.staging.list_doubts import ListDoubts, PieceEvidence, find_list_fault
 from jackdawsail.staging.sources import OriginCodec, Source
 
 # Three pieces that share a narrow link still get bytes within the silence, and each of them
@@ -26,8 +29,11 @@
 PIECE_LIMITS = FetchLimits(silent_seconds=1.5, total_seconds=20.0)
 LIST_LIMITS = FetchLimits(silent_seconds=1.0, total_seconds=10.0)
 OK = 200
-NOT_FOUND = 404
 NOT_HELD = 'not held'  # reason for a 404, which a relay sends when its own sources are unreachable
+DIGEST_DIFFERS = 'digest differs'
+IN_DOUBT = 'the list is in doubt'  # reason for a 409 of a relay
+RELAY_ANSWERS = (NOT_HELD, DIGEST_DIFFERS, IN_DOUBT)  # the origin has nothing better
+RELAY_REFUSALS = {404: NOT_HELD, 409: IN_DOUBT}
 SOURCE_REST_SECONDS = 2.0  # by then a relay that was lost is out of the list of members
 BYPASS_SECONDS = 10.0  # several times what a relay needs once a source is reachable again
 
@@ -39,9 +45,14 @@
     560, 'warning', 'piece or piece list could not be fetched from a source'
 )
 SOURCE_RECOVERED = events.define(572, 'info', 'source of weights answers again')
+LIST_REVIEWED = events.define(576, 'warning', 'piece list fetched again, as pieces contradict it')
 LIST_NOT_FETCHED = events.define(573, 'warning', 'piece list could not be fetched from any source')
 
 
+def _unknown_count(_model: str) -> int:
+    return 0
+
+
 @dataclass(slots=True)
 class _RelayMisses:
     """Since when relays have answered only that they do not hold what was requested."""
@@ -68,50 +79,83 @@
     """Fetches for one process.
 
     ``sources`` lists the sources of an item, the nearest first, by the digest of a piece or by
-    the model of a list. A relay that has failed is tried after the others for
-    ``SOURCE_REST_SECONDS``.
+    the model of a list, and ``piece_count`` returns the number of pieces of a model, 0 if it is
+    not known. A relay that has failed is tried after the others for ``SOURCE_REST_SECONDS``.
     """
 
     pool: ChannelPool
     codec: OriginCodec
     sources: Callable[[str], list[Source]]
     transport: Transport = fetch
+    piece_count: Callable[[str], int] = _unknown_count
+    doubts: ListDoubts = field(default_factory=ListDoubts)
     _failed_seconds: dict[str, float] = field(default_factory=dict)
     _relay_misses: _RelayMisses = field(default_factory=_RelayMisses)
     _list_faults: dict[str, _ListFault] = field(default_factory=dict)
 
-    async def fetch_list(self, model: str, version: int) -> Result[PieceList, str]:
-        """Fetches the piece digests of a version; version 0 means the newest."""
+    async def fetch_list(
+        self, model: str, version: int, evidence: PieceEvidence | None = None
+    ) -> Result[PieceList, str]:
+        """Fetches the piece digests of a version; version 0 means the newest.
+
+        With ``evidence`` a list that it contradicts counts as a failure of its source.
+        """
 
         async def fetch_from(source: Source) -> Result[PieceList, str]:
-            return await self._fetch_list_from(source, model, version)
+            return await self._fetch_list_from(source, model, version, evidence)
 
-        outcome = await self._fetch_from_any(model, f'list of {model} {version}', fetch_from)
+        # Relays that disagree with the evidence review their lists; the origin's link is narrow.
+        outcome = await self._fetch_from_any(
+            model, f'list of {model} {version}', fetch_from, may_bypass=evidence is None
+        )
         self._record_list(model, version, outcome)
         return outcome
 
+    async def review_list(
+        self, pieces: PieceList, told: PieceEvidence | None = None
+    ) -> Result[PieceList, str]:
+        """Fetches a list again if pieces contradict it, or what another process has told.
+
+        Fails if that is not due, or if no source has a list that agrees with the evidence.
+        """
+        evidence = self.doubts.start_review(pieces, self.pool.clock.seconds(), told)
+        if evidence is None:
+            return Failure('no review is due')
+        outcome = await self.fetch_list(pieces.model, pieces.version, evidence)
+        details = {'model': pieces.model, 'version': pieces.version, 'piece': evidence.index}
+        events.log(LIST_REVIEWED, replaced=isinstance(outcome, Success), **details)
+        return outcome
+
     async def fetch_piece(self, pieces: PieceList, index: int) -> Result[bytes, str]:
         """Fetches one piece; a body with another digest counts as a failure of its source."""
-
-        def find_fault(body: bytes) -> str:
-            return '' if matches_digest(pieces, index, body) else 'digest differs'
+        if self.doubts.holds_back(pieces, index, self.pool.clock.seconds()):
+            return Failure(IN_DOUBT)
 
         async def fetch_from(source: Source) -> Result[bytes, str]:
+            def find_fault(body: bytes) -> str:
+                found = PieceEvidence(index, digest_of(body))
+                if not found.contradicts(pieces):
+                    return ''
+                self.doubts.record_piece(pieces, found, is_verified=not source.is_origin)
+                return DIGEST_DIFFERS
+
             target = self._piece_target(source, pieces, index)
             return await self._get_body(source, target, PIECE_LIMITS, find_fault)
 
-        return await self._fetch_from_any(
-            pieces.digests[index], f'piece {index} of {pieces.model} {pieces.version}', fetch_from
-        )
+        what = f'piece {index} of {pieces.model} {pieces.version}'
+        outcome = await self._fetch_from_any(pieces.digests[index], what, fetch_from)
+        if isinstance(outcome, Failure) and outcome.failure() == IN_DOUBT:
+            self.doubts.hold_back(pieces, index, self.pool.clock.seconds())
+        return outcome
 
     async def _fetch_from_any(
-        self, key: str, what: str, fetch_from: FetchFrom[FetchedT]
+        self, key: str, what: str, fetch_from: FetchFrom[FetchedT], *, may_bypass: bool = True
     ) -> Result[FetchedT, str]:
         """Tries the sources in order and returns the first success, or the last failure."""
         reason = 'no source is known'
         relays_answer = False
         for source in self._order_sources(key):
-            if source.is_origin and relays_answer and not self._may_bypass_relays():
+            if source.is_origin and relays_answer and not self._may_bypass(may_bypass):
                 break
             outcome = await fetch_from(source)
             if isinstance(outcome, Success):
@@ -119,7 +163,9 @@
                 self._relay_misses.since_seconds = None
                 return outcome
             reason = outcome.failure()
-            relays_answer = relays_answer or reason == NOT_HELD
+            relays_answer = relays_answer or reason in RELAY_ANSWERS
+            # Relays that doubt the list fetch from the origin at growing intervals themselves.
+            may_bypass = may_bypass and reason != IN_DOUBT
             self._record_failure(source, what, reason)
         return Failure(reason)
 
@@ -133,23 +179,26 @@
 
         return sorted(self.sources(key), key=rank)
 
-    def _may_bypass_relays(self) -> bool:
-        return self._relay_misses.duration_seconds(self.pool.clock.seconds()) > BYPASS_SECONDS
+    def _may_bypass(self, is_permitted: bool) -> bool:
+        missed_seconds = self._relay_misses.duration_seconds(self.pool.clock.seconds())
+        return is_permitted and missed_seconds > BYPASS_SECONDS
 
     async def _fetch_list_from(
-        self, source: Source, model: str, version: int
+        self, source: Source, model: str, version: int, evidence: PieceEvidence | None
     ) -> Result[PieceList, str]:
         if source.is_origin:
             target = self.codec.list_target(model, version)
         else:
-            target = relay_list_target(model, version)
+            target = relay_list_target(model, version, evidence)
 
         def find_fault(body: bytes) -> str:
             decoded = self.codec.decode_list(body)
             if isinstance(decoded, Failure):
                 return decoded.failure()
-            is_wanted = version in {0, decoded.unwrap().version}
-            return '' if is_wanted else 'list is of another version'
+            pieces = decoded.unwrap()
+            if evidence is not None and evidence.contradicts(pieces):
+                return 'pieces contradict the list'
+            return find_list_fault(pieces, model, version, self.piece_count(model))
 
         outcome = await self._get_body(source, target, LIST_LIMITS, find_fault)
         return outcome.bind(self.codec.decode_list)
@@ -172,8 +221,8 @@
         if isinstance(outcome, Failure):
             return outcome
         answer = outcome.unwrap()
-        if answer.status == NOT_FOUND:
-            return Failure(NOT_HELD)
+        if answer.status in RELAY_REFUSALS:
+            return Failure(RELAY_REFUSALS[answer.status])
         if answer.status != OK:
             return Failure(f'status {answer.status}')
         return Success(answer.body)
@@ -181,15 +230,15 @@
     def _piece_target(self, source: Source, pieces: PieceList, index: int) -> bytes:
         if source.is_origin:
             return self.codec.piece_target(pieces.model, pieces.version, index)
-        return relay_piece_target(pieces.model, pieces.version, index)
+        return relay_piece_target(pieces, index)
 
     def _record_failure(self, source: Source, what: str, reason: str) -> None:
         """Records a failure of a source; logs only the first one until it has recovered.
 
         A relay that answers 404 does not count as failed: it logs itself why it has
-        nothing to send.
+        nothing to send. Nor does one whose piece differs, as it has verified it with its list.
         """
-        if reason == NOT_HELD:
+        if reason in RELAY_ANSWERS and not source.is_origin:
             return
         if source.address not in self._failed_seconds:
             events.log(FETCH_FAILED, source=source.address, what=what, reason=reason)
@@ -214,14 +263,21 @@
 
 def matches_digest(pieces: PieceList, index: int, body: bytes) -> bool:
     """Returns whether the body of a piece has the listed digest."""
-    return hashlib.sha256(body).hexdigest() == pieces.digests[index]
+    return digest_of(body) == pieces.digests[index]
+
+
+def digest_of(body: bytes) -> str:
+    """Returns the digest of a piece as lists hold it."""
+    return hashlib.sha256(body).hexdigest()
 
 
-def relay_list_target(model: str, version: int) -> bytes:
-    """Returns the request target of a piece list at a relay."""
-    return f'/weights/{quote(model)}/{version}/list'.encode()
+def relay_list_target(model: str, version: int, evidence: PieceEvidence | None = None) -> bytes:
+    """Returns the request target of a piece list at a relay, one that agrees with ``evidence``."""
+    query = f'?piece={evidence.index}&digest={evidence.digest}' if evidence else ''
+    return f'/weights/{quote(model)}/{version}/list{query}'.encode()
 
 
-def relay_piece_target(model: str, version: int, index: int) -> bytes:
-    """Returns the request target of a piece at a relay."""
-    return f'/weights/{quote(model)}/{version}/{index}'.encode()
+def relay_piece_target(pieces: PieceList, index: int) -> bytes:
+    """Returns the request target of a piece at a relay, whose list may have another digest."""
+    path = f'/weights/{quote(pieces.model)}/{pieces.version}/{index}'
+    return f'{path}?piece={index}&digest={pieces.digests[index]}'.encode()
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -167,7 +167,10 @@
     view = SiteView()
     pool = ChannelPool(reactor, reactor, settings.address, SOURCE_CONNECT_SECONDS)
     fetcher = PieceFetcher(
-        pool, codecs.origin, lambda key: sources_for(process.settings, view, key)
+        pool,
+        codecs.origin,
+        lambda key: sources_for(process.settings, view, key),
+        piece_count=view.piece_count,
     )
     calls = EngineCalls(pool, codecs.engine, settings.engine_address)
     changeover = make_changeover(reactor, view, calls, fetcher, settings)
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 from typing import Any
-from urllib.parse import unquote
+from urllib.parse import parse_qsl, unquote
 
 from twisted.internet.defer import Deferred, gatherResults
 
@@ -23,7 +23,8 @@
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
-from jackdawsail.staging.held_pieces import LIST, HeldVersion
+from jackdawsail.staging.held_pieces import LIST, LIST_REVIEW, HeldVersion
+from jackdawsail.staging.list_doubts import PieceEvidence
 from jackdawsail.staging.piece_fetcher import PieceFetcher
 from jackdawsail.staging.piece_order import relayed_pieces
 from jackdawsail.staging.sources import (
@@ -42,6 +43,8 @@
 RETRY_SECONDS = 0.15  # between checks of whether the sources are reachable; one fetch a check
 VERSIONS_KEPT = 2  # the one in force and the next one
 SOURCE_CONNECT_SECONDS = 0.6  # twice that of calls: a fetch waits for a congested link
+NOT_FOUND = 404
+CONFLICT = 409  # what is requested is held back, as the list is in doubt
 NEWEST = 0  # requests the version that the origin holds, whatever its number
 VersionKey = tuple[str, int]
 
@@ -81,8 +84,11 @@
         Called at each change of the site and every ``RETRY_SECONDS``, so that a
         failed fill is restarted.
         """
+        own_address = self._process.settings.address
         for model, version in self._prefetches():
-            if (model, version) not in self._fill_started and self._is_relay():
+            if (model, version) not in self._fill_started and own_address in {
+                relay.address for relay in self._relays()
+            }:
                 self._start_fill(model, version)
         for model, version in list(self._last_request_seconds):
             if self._is_wanted(model, version):
@@ -123,10 +129,6 @@
             self._fill_started.add((model, version))
             self._run(self._fill(model, version))
 
-    def _is_relay(self) -> bool:
-        """Returns whether this entry is among the relays of its region."""
-        return any(relay.address == self._process.settings.address for relay in self._relays())
-
     def _relays(self) -> list[MemberHost]:
         return relays_of(self._view, self._process.settings.region)
 
@@ -142,7 +144,7 @@
         if pending and await self._get_piece(pieces, pending.popleft()) is not None:
             fetches = math.ceil(CONCURRENT_FETCHES / max(1, len(self._relays())))
             workers = [
-                self._as_deferred(self._fill_pending(pieces, pending)) for _ in range(fetches)
+                Deferred.fromCoroutine(self._fill_pending(pieces, pending)) for _ in range(fetches)
             ]
             await gatherResults(workers)
         self._record_fill((model, version), pieces, relayed)
@@ -183,11 +185,24 @@
     async def _get_piece(self, pieces: PieceList, index: int) -> bytes | None:
         held = self._held_version(pieces.model, pieces.version)
         if index not in held.bodies:
-            body = await held.share(index, lambda: self._fetcher.fetch_piece(pieces, index))
+            item = (index, pieces.digests[index])
+            body = await held.share(item, lambda: self._fetcher.fetch_piece(pieces, index))
             if body is None:
-                return None
-            held.bodies[index] = body
-        return held.bodies[index]
+                reviewed = await self._review_list(pieces)
+                return None if reviewed == pieces else await self._get_piece(reviewed, index)
+            held.hold(index, body, pieces)
+        return held.bodies.get(index)
+
+    async def _review_list(
+        self, pieces: PieceList, told: PieceEvidence | None = None
+    ) -> PieceList:
+        """Replaces a list that is contradicted, and fetches again what that changes."""
+        held = self._held_version(pieces.model, pieces.version)
+        found = await held.share(LIST_REVIEW, lambda: self._fetcher.review_list(pieces, told))
+        if found is not None and found != held.pieces:
+            held.replace_list(found)
+            self._fill_started -= {(pieces.model, pieces.version), (pieces.model, NEWEST)}
+        return held.pieces or pieces
 
     def _held_version(self, model: str, version: int) -> HeldVersion:
         key = (model, version)
@@ -204,26 +219,49 @@
 
     def handle_request(self, exchange: Exchange) -> None:
         """Answers a request for a piece list or a piece."""
-        segments = exchange.request.target.decode('latin-1').strip('/').split('/')
+        path, _, query = exchange.request.target.decode('latin-1').partition('?')
+        segments = path.strip('/').split('/')
         if len(segments) != 4 or segments[0] != 'weights' or not segments[2].isdigit():
             exchange.answer(HttpAnswer(404))
             return
         model, version = unquote(segments[1]), int(segments[2])
-        self._run(self._answer_request(exchange, model, version, segments[3]))
+        evidence = _decode_evidence(query)
+        self._run(self._answer_request(exchange, (model, version), segments[3], evidence))
 
     async def _answer_request(
-        self, exchange: Exchange, model: str, version: int, item: str
+        self, exchange: Exchange, key: VersionKey, item: str, evidence: PieceEvidence | None
     ) -> None:
-        pieces = await self._get_list(model, version)
+        pieces = await self._get_list(*key)
+        if pieces is not None and evidence is not None and evidence.contradicts(pieces):
+            pieces = await self._review_list(pieces, evidence)
+        answer = HttpAnswer(NOT_FOUND)
         if pieces is not None:
-            self._record_request(model, pieces.version)
-        body: bytes | None = None
-        if pieces is not None and item == 'list':
-            body = _encode_list(pieces)
-        elif pieces is not None and item.isdigit() and int(item) < len(pieces.digests):
-            body = await self._get_piece(pieces, int(item))
+            self._record_request(pieces.model, pieces.version)
+            answer = await self._answer_item(pieces, item, evidence)
         if not exchange.ended:
-            exchange.answer(HttpAnswer(404) if body is None else HttpAnswer(200, body))
+            exchange.answer(answer)
+
+    async def _answer_item(
+        self, pieces: PieceList, item: str, evidence: PieceEvidence | None
+    ) -> HttpAnswer:
+        """Returns the list or a piece; ``evidence`` is what the sender of the request has."""
+        differs = evidence is not None and evidence.contradicts(pieces)
+        if item == 'list':
+            return _answer(None if differs else _encode_list(pieces))
+        if not item.isdigit() or int(item) >= len(pieces.digests):
+            return HttpAnswer(NOT_FOUND)
+        index = int(item)
+        if differs:
+            body = self._held_version(pieces.model, pieces.version).bodies.get(index)
+            if body is None:
+                # The sender may be a source of the piece for this relay, so it does not wait.
+                self._run(self._get_piece(pieces, index))
+        else:
+            body = await self._get_piece(pieces, index)
+        now_seconds = self._process.reactor.seconds()
+        if body is None and self._fetcher.doubts.holds_back(pieces, index, now_seconds):
+            return HttpAnswer(CONFLICT)
+        return _answer(body)
 
     def _record_request(self, model: str, version: int) -> None:
         """Records a request and fetches the rest of the pieces that this relay prefetches."""
@@ -232,10 +270,17 @@
             self._start_fill(model, version)
 
     def _run(self, work: Any) -> None:
-        self._as_deferred(work).addErrback(events.log_failure)
+        Deferred.fromCoroutine(work).addErrback(events.log_failure)
+
+
+def _decode_evidence(query: str) -> PieceEvidence | None:
+    fields = dict(parse_qsl(query))
+    index, digest = fields.get('piece', ''), fields.get('digest', '')
+    return PieceEvidence(int(index), digest) if index.isdecimal() and digest else None
+
 
-    def _as_deferred(self, work: Any) -> Deferred[Any]:
-        return Deferred.fromCoroutine(work)
+def _answer(body: bytes | None) -> HttpAnswer:
+    return HttpAnswer(NOT_FOUND) if body is None else HttpAnswer(200, body)
 
 
 def _encode_list(pieces: PieceList) -> bytes:
@@ -247,5 +292,10 @@
     """Builds the piece relay of an entry."""
     reactor = process.reactor
     pool = ChannelPool(reactor, reactor, process.settings.address, SOURCE_CONNECT_SECONDS)
-    fetcher = PieceFetcher(pool, codec, lambda key: sources_for_relay(process.settings, view, key))
+    fetcher = PieceFetcher(
+        pool,
+        codec,
+        lambda key: sources_for_relay(process.settings, view, key),
+        piece_count=view.piece_count,
+    )
     return PieceRelay(process, view, fetcher)
--- a/test/staging/test_changeover.py
+++ b/test/staging/test_changeover.py
@@ -84,6 +84,9 @@
         unreachable = self.down or version in self.lists_missing
         return Failure('down') if unreachable else Success(listing(version or self.newest))
 
+    async def review_list(self, pieces):
+        return Failure('no review is due')
+
     async def fetch_piece(self, pieces, index):
         self.fetched.append(index)
         self.on_fetch.pop(len(self.fetched), lambda: None)()
--- a/test/staging/test_sources.py
+++ b/test/staging/test_sources.py
@@ -144,6 +144,9 @@
         self.lists.append(version)
         return await self.list_answer if self.list_answer else Success(self.pieces)
 
+    async def review_list(self, pieces, told=None):
+        return Failure('no review is due')
+
     async def fetch_piece(self, pieces, index):
         answer = Deferred()
         self.waiting.append(answer)
