--- a/test/group/test_catch_up.py
+++ b/test/group/test_catch_up.py
@@ -6,6 +6,7 @@
 import json
 import random
 
+import cbor2
 import pytest
 
 from jackdawsail.consensus.compaction import MIN_LOG_BYTES
@@ -31,6 +32,7 @@
 LINK_DELAY_SECONDS = 0.025
 DOWN_SECONDS = 3.0
 CATCH_UP_SECONDS = 4.0
+ACK_SECONDS = 7.0  # of steady state
 
 
 class NarrowLinks(MemoryLinks):
@@ -156,3 +158,93 @@
         log = group.core(name).log
         assert log.bytes_between(log.base_index, log.last_index) < 3 * limit_bytes
         assert group.disk_bytes(name) < 4 * limit_bytes + 2 * SEGMENT_BYTES
+
+
+def put_plain(group, version, body):
+    """Commits a document by the command of releases that did not compress documents."""
+    outcomes = []
+    command = cbor2.dumps(['document', version, str(version), body])
+    group.replicators[group.leader()].propose(command).addCallback(outcomes.append)
+    group.run(1)
+    assert outcomes[0].unwrap()
+
+
+def test_log_of_a_release_that_did_not_compress_documents_is_read_and_cut():
+    group = NarrowGroup()
+    bodies = [bytes([65 + version]) * 300_000 for version in range(3)]
+    for version, body in enumerate(bodies, start=1):
+        put_plain(group, version, body)
+    for name in NAMES:
+        group.replicators[name].stop()
+    group.run(0.5)
+    for number, name in enumerate(NAMES, start=5):
+        group.start(name, number)
+    group.run(4)
+    for name in NAMES:
+        log = group.core(name).log
+        assert group.machines[name].state.document.body == bodies[-1]
+        assert log.bytes_between(log.base_index, log.last_index) <= 2 * len(bodies[0])
+
+
+# The paths below are related to the loss of a second disk: what else may happen to the first one.
+
+
+def test_host_votes_in_time_though_the_leader_restarts_during_the_transfer():
+    group = NarrowGroup()
+    for version in range(1, 31):
+        group.change(version, 1500)
+    name, leader = group.follower(), group.leader()
+    group.lose_disk(name)
+    while group.core(leader).configuration.learners == () and group.leader() == leader:
+        group.run(0.02)
+    group.replicators[leader].stop()
+    group.start(leader, 12)
+    group.run(CATCH_UP_SECONDS)
+    assert group.has_one_vote_each()
+
+
+def test_two_hosts_that_are_replaced_one_after_the_other_both_vote_and_keep_the_state():
+    group = NarrowGroup()
+    for version in range(1, 31):
+        group.change(version, 1500)
+    first = group.follower()
+    group.lose_disk(first)
+    group.run(CATCH_UP_SECONDS)
+    second = next(name for name in NAMES if name not in {first, group.leader()})
+    group.lose_disk(second)
+    group.run(CATCH_UP_SECONDS)
+    assert group.has_one_vote_each()
+    group.lose_disk(next(name for name in NAMES if name not in {first, second}))
+    group.run(CATCH_UP_SECONDS)
+    assert group.has_one_vote_each()
+    assert group.machines[first].state.document.version == 30
+
+
+@pytest.mark.parametrize('routes', [110, 810])
+def test_changes_are_committed_in_time_while_a_replaced_host_catches_up(routes):
+    group = NarrowGroup()
+    for version in range(1, 101):
+        group.change(version, routes)
+    name = group.follower()
+    group.lose_disk(name)
+    longest_seconds = 0.0
+    for version in range(101, 121):
+        started_seconds = group.clock.seconds()
+        group.change(version, routes)
+        longest_seconds = max(longest_seconds, group.clock.seconds() - started_seconds)
+    assert longest_seconds < ACK_SECONDS
+    assert group.has_one_vote_each()
+
+
+def test_host_catches_up_though_the_state_changes_all_the_time():
+    group = NarrowGroup()
+    for version in range(1, 31):
+        group.change(version, 3000)
+    name = group.follower()
+    group.lose_disk(name)
+    version = 30
+    until_seconds = group.clock.seconds() + CATCH_UP_SECONDS
+    while group.clock.seconds() < until_seconds:
+        version += 1
+        group.change(version, 3000)
+    assert group.has_one_vote_each()
