A failure that was forwarded in part is not repeated at another upstream

What callers saw: an upstream failed an idempotent call with an answer of over 256 KiB.

Cause: a plain answer over MAX_BUFFERED_BYTES is forwarded as it arrives. When it was complete, the failed call was placed again without asking whether a part had been forwarded, and the second answer began a second head on the same exchange.

Change: has_alternative, which every repeat of a call asks that an upstream has answered or is running, returns False once a part was forwarded that cannot be continued. The failure is then passed on whole and the channel stays open.

Test: test_failure_that_was_forwarded_in_part_is_passed_on_whole_and_not_repeated, with statuses 500 and 503, failed on the code before.

--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -248,8 +248,11 @@
         return likely_events(self.context, self.sends.service, self.call.likely_answer_tokens)
 
     def has_alternative(self) -> bool:
-        """Returns whether another upstream could take the call now."""
-        if self.context.traits.is_blocked(self.identity):
+        """Returns whether another upstream could take the call now.
+
+        None can once a part of an answer was forwarded that cannot be continued.
+        """
+        if self.context.traits.is_blocked(self.identity) or not _may_continue(self):
             return False
         return isinstance(select_upstream(self.context, self.selection()), Choice)
 
--- a/test/proxy/test_calls.py
+++ b/test/proxy/test_calls.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jackdawsail.http1.client import ClientChannel
+from jackdawsail.proxy.relaying import MAX_BUFFERED_BYTES
 from jackdawsail.site.node import NodeBounds
 from test.http1.ends import close, reset
 from test.proxy.world import MODEL_SERVICE, ONCE, STREAM_HEADERS, World, answer, sent_on, status_of
@@ -122,6 +123,29 @@
     assert world.reactor.pending_connects == []
 
 
+LONG_FAILURE = b'x' * (MAX_BUFFERED_BYTES + 65_536)
+
+
+# A second answer was begun on the caller's channel, which broke it off.
+@pytest.mark.parametrize('status', [500, 503])
+def test_failure_that_was_forwarded_in_part_is_passed_on_whole_and_not_repeated(status):
+    world = World()
+    caller = world.call()
+    answer(world.accept(), status, body=LONG_FAILURE)
+    assert status_of(caller) == status
+    assert caller.value().endswith(LONG_FAILURE)
+    assert world.reactor.pending_connects == []
+    assert not caller.disconnecting
+
+
+def test_failure_that_was_not_forwarded_yet_is_repeated_at_another_upstream():
+    world = World()
+    caller = world.call()
+    answer(world.accept(), 500, body=LONG_FAILURE[:1000])
+    answer(world.accept())
+    assert status_of(caller) == 200
+
+
 class TestIdempotent:
     """A call that may run more than once."""
 
