--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     'rest',
     'silence',
     'staging',
+    'catch_up',
 )
 
 
