--- a/test/registry/test_registration.py
+++ b/test/registry/test_registration.py
@@ -66,6 +66,15 @@
     assert table.get('i-1') is None
 
 
+def test_one_heartbeat_with_a_wrong_time_of_birth_is_forgotten_without_a_restart():
+    table = RegistrationTable()
+    table.update(replace(BEAT, born_milliseconds=10**15), 1.0)
+    for second in range(2, 62):
+        assert not table.update(replace(BEAT, sequence=second), second)
+        table.forget_old(second)
+    assert table.update(replace(BEAT, sequence=99), 63.0)
+
+
 BEATS = st.builds(
     lambda born, sequence: replace(BEAT, born_milliseconds=born, sequence=sequence),
     st.integers(1, 3),
--- a/test/staging/test_load_check.py
+++ b/test/staging/test_load_check.py
@@ -14,7 +14,7 @@
 from jackdawsail.registry.registration import ModelVersion
 from jackdawsail.staging import changeover as changeover_module
 from jackdawsail.staging.engine import EngineReport
-from jackdawsail.staging.engine_calls import OrderFailure
+from jackdawsail.staging.engine_calls import CALL_LIMITS, OrderFailure
 from test.staging.test_changeover import PIECES, Engine, World, piece
 
 EXCUSED_SECONDS = 3.0
@@ -188,3 +188,31 @@
     assert outcomes == [Failure(TOO_LATE)]
     assert outcomes[0].failure() in NOT_SENT
     assert pool.released == ['channel']
+
+
+class Channel:
+    """A channel to an engine that answers when the test says so."""
+
+    def __init__(self):
+        self.reader = None
+        self.cancelled = False
+
+    def send(self, _request, reader):
+        self.reader = reader
+
+    def cancel(self):
+        self.cancelled = True
+
+
+# Timers run before sockets are read, so an answer that arrived during the pause comes too late.
+def test_report_that_was_asked_for_before_a_pause_is_not_passed_on():
+    pool, channel, outcomes = WaitingPool(), Channel(), []
+    fetch(pool, '10.0.0.1:1', make_request(b'GET', 'h', b'/'), CALL_LIMITS).addCallback(
+        outcomes.append
+    )
+    pool.opened.callback(channel)
+    pool.clock.advance(4.0)
+    assert isinstance(outcomes[0], Failure)
+    channel.reader.answer_complete()
+    assert len(outcomes) == 1
+    assert channel.cancelled
