--- a/test/group/test_catch_up.py
+++ b/test/group/test_catch_up.py
@@ -132,3 +132,19 @@
         version += 1
         change(group, version, 3000)
     assert group.has_one_vote_each()
+
+
+def test_change_is_committed_in_time_after_all_hosts_restarted_with_a_large_document():
+    group = NarrowGroup(Disk)
+    for version in range(1, 41):
+        change(group, version, 5000)
+    for name in NAMES:
+        group.replicators[name].stop()
+    group.run(0.5)
+    started_seconds = group.clock.seconds()
+    for number, name in enumerate(NAMES, start=5):
+        group.start(name, number)
+    change(group, 41, 5000)
+    assert group.clock.seconds() - started_seconds < ACK_SECONDS
+    group.run(1)
+    assert {machine.state.document.version for machine in group.machines.values()} == {41}
