--- a/bench/emulator/control_hosts.py
+++ b/bench/emulator/control_hosts.py
@@ -20,6 +20,7 @@
     ELECTION_TIMEOUT_SECONDS,
     HEARTBEAT_SECONDS,
     REPLACE_VOTER_SECONDS,
+    SNAPSHOT_EVERY_ENTRIES,
     InitialVoter,
     SiteGroupSettings,
 )
@@ -98,13 +99,22 @@
         group.lose_disk(group.follower())
     """
 
-    def __init__(self, make_files: MakeFiles) -> None:
+    def __init__(
+        self,
+        make_files: MakeFiles,
+        make_machine: Callable[[], Any] = SiteMachine,
+        snapshot_every_entries: int = SNAPSHOT_EVERY_ENTRIES,
+    ) -> None:
         self.clock = Clock()
         self.links: dict[str, NarrowLinks] = {}
         self.files: dict[str, Any] = {}
-        self.machines: dict[str, SiteMachine] = {}
+        self.machines: dict[str, Any] = {}
         self.replicators: dict[str, RaftReplicator] = {}
         self._make_files = make_files
+        self._make_machine = make_machine
+        self._settings = SiteGroupSettings(
+            tuple(InitialVoter(voter) for voter in NAMES), snapshot_every_entries
+        )
         for number, name in enumerate(NAMES):
             self.files[name] = make_files()
             self.start(name, number)
@@ -123,12 +133,11 @@
         node = make_node(own_id, timing, random.Random(number), opened.durable, now_seconds)
         links: Any = NarrowLinks(name, self)
         self.links[name] = links
-        self.machines[name] = SiteMachine()
+        self.machines[name] = self._make_machine()
         host = ConsensusHost(
             self.clock, node, opened.storage, self.machines[name], self.links[name].send
         )
-        settings = SiteGroupSettings(tuple(InitialVoter(voter) for voter in NAMES))
-        self.replicators[name] = RaftReplicator(name, settings, host, links)
+        self.replicators[name] = RaftReplicator(name, self._settings, host, links)
         self.replicators[name].start()
 
     def run(self, seconds: float) -> None:
--- a/test/group/test_catch_up.py
+++ b/test/group/test_catch_up.py
@@ -13,6 +13,7 @@
 from jackdawsail.consensus.compaction import MIN_LOG_BYTES
 from jackdawsail.consensus.storage import SEGMENT_BYTES
 from test.consensus.disks import Disk
+from test.control.test_raft_replicator import RecordingMachine
 
 CATCH_UP_SECONDS = 4.0
 ACK_SECONDS = 7.0  # of steady state
@@ -148,3 +149,52 @@
     assert group.clock.seconds() - started_seconds < ACK_SECONDS
     group.run(1)
     assert {machine.state.document.version for machine in group.machines.values()} == {41}
+
+
+def test_replaced_host_votes_in_time_though_another_one_restarts_meanwhile():
+    group = NarrowGroup(Disk)
+    for version in range(1, 31):
+        change(group, version, 1500)
+    replaced = group.follower()
+    planned = next(name for name in NAMES if name not in {replaced, group.leader()})
+    group.lose_disk(replaced)
+    group.replicators[planned].stop()
+    group.run(0.5)
+    group.start(planned, 13)
+    group.run(CATCH_UP_SECONDS)
+    assert group.has_one_vote_each()
+
+
+def test_host_with_a_full_disk_keeps_a_bounded_log_and_catches_up_afterwards():
+    group = NarrowGroup(Disk)
+    change(group, 1, 1500)
+    name = group.follower()
+    group.files[name].fail_at(0, OSError(28, 'No space left on device'))
+    for version in range(2, 61):
+        change(group, version, 1500)
+    limit_bytes = max(MIN_LOG_BYTES, len(group.machines[group.leader()].snapshot()))
+    for each in NAMES:
+        log = group.core(each).log
+        assert log.bytes_between(log.base_index, log.last_index) < 3 * limit_bytes
+    assert 'No space left' in group.replicators[name].status()['halted']
+    group.replicators[name].stop()
+    group.files[name].operations_left = -1
+    group.start(name, 14)
+    group.run(CATCH_UP_SECONDS)
+    assert group.machines[name].state.document.version == 60
+
+
+# Where the state grows with each command, as the ledger and the audit trail of our own interface.
+@pytest.mark.parametrize('commands', [300, 3000])
+def test_host_with_an_empty_disk_gets_about_the_state_where_the_state_grows(commands):
+    group = NarrowGroup(Disk, RecordingMachine, snapshot_every_entries=20_000)
+    for number in range(commands):
+        group.propose(b'%06d' % number * 50)
+    name = group.follower()
+    group.lose_disk(name)
+    sent_before = group.bytes_sent_to(name)
+    group.run(CATCH_UP_SECONDS)
+    assert group.has_one_vote_each()
+    limit_bytes = max(MIN_LOG_BYTES, len(group.machines[name].snapshot()))
+    assert group.bytes_sent_to(name) - sent_before < 3 * limit_bytes
+    assert group.machines[name].commands == group.machines[group.leader()].commands
--- a/test/site/test_view.py
+++ b/test/site/test_view.py
@@ -68,6 +68,15 @@
     assert view.newest_weights('other') is None
 
 
+def test_a_wrong_list_of_members_is_replaced_by_the_next_one_of_its_sender():
+    view = SiteView()
+    right = MemberHost('10.0.0.1', 'z', 'r')
+    view.apply_members('c', Members(['c', 'wrong'], [MemberHost('10.9.9.9', 'z', 'r')], []))
+    view.apply_members('c', Members(['c'], [right], []))
+    assert view.entries() == [right]
+    assert view.controls() == {'c'}
+
+
 def test_members_are_the_union_of_what_linked_controls_see():
     view = SiteView()
     first = MemberHost('10.0.0.1', 'z', 'r')
