--- a/test/staging/test_load_check.py
+++ b/test/staging/test_load_check.py
@@ -32,6 +32,7 @@
         self.taken_bad_seconds = 0.0
         self.loses_answer = False
         self.born = 1
+        self.accepted_orders = 3
 
     def pause(self, step):
         if step != self.pause_at or len(self.staged) < PIECES:
@@ -70,7 +71,7 @@
     def report(self):
         models = (ModelVersion('m', self.loaded),) if self.loaded else ()
         layers = 16 if self.loaded else 0
-        return EngineReport(models, layers, False, 3, 0, 2, 0, 1.0, self.born)
+        return EngineReport(models, layers, False, self.accepted_orders, 0, 2, 0, 1.0, self.born)
 
 
 def pausing_world(pause_at, pause_seconds=4.0, turns_bad=(0, 4)):
@@ -152,6 +153,21 @@
     assert not world.changeover.switching
 
 
+# An engine whose reports name no time of birth is known to have started by its count of orders.
+def test_engine_that_names_no_birth_and_was_started_again_is_not_held_to_what_it_had_loaded():
+    world = pausing_world('at the order')
+    world.engine.born = 0
+    world.report()
+    world.report()
+    assert world.changeover.switching
+    world.engine.loaded = 0
+    world.engine.accepted_orders = 0
+    for _ in range(3):
+        world.report()
+    assert world.engine.loaded == 2
+    assert not world.changeover.switching
+
+
 def test_pieces_that_were_staged_since_an_order_do_not_confirm_it():
     world = pausing_world(None)
     world.engine.loses_answer = True
