--- a/test/group/test_catch_up.py
+++ b/test/group/test_catch_up.py
@@ -26,12 +26,18 @@
     group.put_document(version, json.dumps(body).encode())
 
 
-# The whole log was sent to a host with an empty disk, over 40 MB after these changes.
-@pytest.mark.parametrize(('changes', 'routes'), [(10, 1500), (190, 110), (190, 810)])
-def test_host_with_an_empty_disk_votes_in_time_after_any_number_of_changes(changes, routes):
+def group_after(changes, routes):
+    """Returns a group that has committed versions 1 to ``changes`` of a document."""
     group = NarrowGroup(Disk)
     for version in range(1, changes + 1):
         change(group, version, routes)
+    return group
+
+
+# The whole log was sent to a host with an empty disk, over 40 MB after these changes.
+@pytest.mark.parametrize(('changes', 'routes'), [(10, 1500), (190, 110), (190, 810)])
+def test_host_with_an_empty_disk_votes_in_time_after_any_number_of_changes(changes, routes):
+    group = group_after(changes, routes)
     name = group.follower()
     group.lose_disk(name)
     sent_before = group.bytes_sent_to(name)
@@ -43,9 +49,7 @@
 
 # Each entry holds a document, and 200 of them filled the memory and the disk of a control host.
 def test_log_and_disk_are_bounded_by_the_size_of_the_state():
-    group = NarrowGroup(Disk)
-    for version in range(1, 61):
-        change(group, version, 1500)
+    group = group_after(60, 1500)
     limit_bytes = max(MIN_LOG_BYTES, len(group.machines['a'].snapshot()))
     for name in NAMES:
         log = group.core(name).log
@@ -75,9 +79,7 @@
 
 
 def test_host_votes_in_time_though_the_leader_restarts_during_the_transfer():
-    group = NarrowGroup(Disk)
-    for version in range(1, 31):
-        change(group, version, 1500)
+    group = group_after(30, 1500)
     name, leader = group.follower(), group.leader()
     group.lose_disk(name)
     while group.core(leader).configuration.learners == () and group.leader() == leader:
@@ -89,9 +91,7 @@
 
 
 def test_two_hosts_that_are_replaced_one_after_the_other_both_vote_and_keep_the_state():
-    group = NarrowGroup(Disk)
-    for version in range(1, 31):
-        change(group, version, 1500)
+    group = group_after(30, 1500)
     first = group.follower()
     group.lose_disk(first)
     group.run(CATCH_UP_SECONDS)
@@ -107,9 +107,7 @@
 
 @pytest.mark.parametrize('routes', [110, 810])
 def test_changes_are_committed_in_time_while_a_replaced_host_catches_up(routes):
-    group = NarrowGroup(Disk)
-    for version in range(1, 101):
-        change(group, version, routes)
+    group = group_after(100, routes)
     name = group.follower()
     group.lose_disk(name)
     longest_seconds = 0.0
@@ -122,9 +120,7 @@
 
 
 def test_host_catches_up_though_the_state_changes_all_the_time():
-    group = NarrowGroup(Disk)
-    for version in range(1, 31):
-        change(group, version, 3000)
+    group = group_after(30, 3000)
     name = group.follower()
     group.lose_disk(name)
     version = 30
@@ -136,9 +132,7 @@
 
 
 def test_change_is_committed_in_time_after_all_hosts_restarted_with_a_large_document():
-    group = NarrowGroup(Disk)
-    for version in range(1, 41):
-        change(group, version, 5000)
+    group = group_after(40, 5000)
     for name in NAMES:
         group.replicators[name].stop()
     group.run(0.5)
@@ -152,9 +146,7 @@
 
 
 def test_replaced_host_votes_in_time_though_another_one_restarts_meanwhile():
-    group = NarrowGroup(Disk)
-    for version in range(1, 31):
-        change(group, version, 1500)
+    group = group_after(30, 1500)
     replaced = group.follower()
     planned = next(name for name in NAMES if name not in {replaced, group.leader()})
     group.lose_disk(replaced)
