--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -34,12 +34,17 @@
 
 
 class AttemptEnd(StrEnum):
-    """How an attempt failed: no connection, broken off, silent for too long, or recalled."""
+    """How an attempt failed, or why it was left.
+
+    It got no connection, was broken off, was silent for too long, was recalled, or its engine is
+    changing over to other weights.
+    """
 
     unreached = 'unreached'
     broken = 'broken'
     silent = 'silent'
     recalled = 'recalled'
+    changing = 'changing'
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -51,6 +51,22 @@
             **details,
         )
 
+    def failed(self, reason: str, status: int, *, is_aborted: bool, left: str) -> None:
+        """Logs a failed call, with the seconds since the events that may have to do with it.
+
+        ``is_aborted`` is true if its answer had begun, so that the caller gets no status, and
+        ``left`` is why an engine that had not failed was left before.
+        """
+        ages = self._context.recent.ages(self._context.clock.seconds())
+        self.write(
+            CALL_FAILED,
+            reason=reason,
+            status=status,
+            aborted=is_aborted,
+            left=left,
+            **{f'{event}_age_seconds': age for event, age in ages.items()},
+        )
+
     def attempt_ended(self, attempt: Attempt, end: str, relay: AnswerRelay | None) -> None:
         """Logs why an attempt ended without a complete answer for the caller."""
         now_seconds = self._context.clock.seconds()
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -9,6 +9,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.codecs import TrafficCodec
 from jackdawsail.proxy.limit_reports import LimitReports
+from jackdawsail.proxy.recent_events import RecentEvents
 from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls
 from jackdawsail.routing.moving import MoveShare
@@ -29,7 +30,7 @@
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
     ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
-    upstreams name.
+    upstreams name. ``recent`` has the events that aborted answers are compared with.
     """
 
     clock: Any
@@ -43,6 +44,7 @@
     running: int = 0
     refusing: bool = False
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
+    recent: RecentEvents = field(default_factory=RecentEvents)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
     _pressures: dict[str, Pressure] = field(default_factory=dict)
     _moves: dict[str, MoveShare] = field(default_factory=dict)
@@ -55,8 +57,8 @@
         self.traits = TraitReports(self.clock, self.pool)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.limits = LimitReports(self.clock, self.upstreams, self.shares)
-        self.view.on_change.append(self._update_shares)
-        self._update_shares()
+        self.view.on_change.append(self._site_changed)
+        self._site_changed()
 
     @property
     def entries(self) -> int:
@@ -97,7 +99,8 @@
         accepting = sum(1 for upstream in usable if not upstream.is_switching(now_seconds))
         return share.take(self.shares, accepting, now_seconds)
 
-    def _update_shares(self) -> None:
+    def _site_changed(self) -> None:
+        self.recent.document_applied(self.view.document_version, self.clock.seconds())
         self.shares.update(self.view.sharing_entries, self.clock.seconds())
         metrics.ENTRIES.set(self.entries)
 
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -42,6 +42,7 @@
         """Closes each connection after its next answer; fires once the drain has ended."""
         self.callers.options.closing = True
         self._started_seconds = self.context.clock.seconds()
+        self.context.recent.stop_seconds = self._started_seconds
         self._loop = start_loop(self.context.clock, self._check, CHECK_INTERVAL_SECONDS)
         return self.drained
 
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -55,6 +55,19 @@
     'Entries among which this entry divides the limits on sums over all entries.',
     registry=REGISTRY,
 )
+ABORTS = Counter(
+    'jackdawsail_proxy_aborts',
+    'Answers that had begun and whose connections were aborted, by reason and by why an engine was left before.',
+    ['reason', 'left'],
+    registry=REGISTRY,
+)
+ABORT_AGE_SECONDS = Histogram(
+    'jackdawsail_proxy_abort_age_seconds',
+    'Seconds from the last site document, stop or silent engine to an aborted answer.',
+    ['since'],
+    registry=REGISTRY,
+    buckets=(0.25, 0.5, 1, 2, 3, 4, 6, 10, 30),
+)
 OVERDUE_ANSWERS = Counter(
     'jackdawsail_proxy_overdue_answers',
     'Answers that began on weights whose time limit had passed.',
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -50,7 +50,8 @@
     """Owns the exchange with a caller and the attempts of its call.
 
     ``first_seconds`` is the time until the first part of the answer was forwarded, 0 for an
-    answer that was forwarded only once it was complete.
+    answer that was forwarded only once it was complete. ``left`` is why the last engine was left
+    that had not failed, empty if none was.
     """
 
     context: ProxyContext
@@ -66,6 +67,7 @@
     is_late: bool = False
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
+    left: str = ''
     first_seconds: float = 0
     _time_limit: Any = None
     _watch: Any = None
@@ -149,6 +151,8 @@
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
         self.log.attempt_ended(attempt, f'{end} {reason}', self.relay)
+        if end is AttemptEnd.recalled:
+            _record_left(self, end)
         if attempt.head is not None and attempt.head.decoded.not_run:
             self._not_run(attempt, attempt.head.decoded.status)
         elif end is AttemptEnd.unreached:
@@ -237,9 +241,10 @@
         else:
             self._refuse(Refusal('no more repeats', UNSERVED_RETRY_AFTER_SECONDS))
 
-    def abandon(self, attempt: Attempt, reason: str) -> None:
+    def abandon(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
         attempt.cancel()
+        _record_left(self, end)
         self.log.attempt_ended(attempt, reason, self.relay)
         self._place()
 
@@ -286,8 +291,9 @@
     def _fail(self, status: int, reason: str) -> None:
         if self.attempt is not None:
             self.attempt.cancel()
-        self.log.write(call_log.CALL_FAILED, reason=reason, status=status)
+        self.log.failed(reason, status, is_aborted=self.exchange.started, left=self.left)
         if self.exchange.started:
+            self.context.recent.count_abort(reason, self.left, self.context.clock.seconds())
             self.exchange.abort()
         elif not self.exchange.ended:
             self.exchange.answer(HttpAnswer(status, reason.encode()))
@@ -324,6 +330,12 @@
     return not has_begun(task.relay) or task.relay.can_resume
 
 
+def _record_left(task: CallTask, end: AttemptEnd) -> None:
+    task.left = str(end)
+    if end is AttemptEnd.silent:
+        task.context.recent.silence_seconds = task.context.clock.seconds()
+
+
 def _record_complete(task: CallTask, attempt: Attempt, *, failed: bool) -> None:
     now_seconds = task.context.clock.seconds()
     took_seconds = now_seconds - attempt.started_seconds
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -43,7 +43,7 @@
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
 
-    def abandon(self, attempt: Attempt, reason: str) -> None:
+    def abandon(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Cancels an attempt and dispatches the call again."""
 
 
@@ -87,10 +87,11 @@
         # An attempt that is not read, since its caller reads too slowly, is not silent.
         silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
         if self._should_move(attempt) and self._take_alternative(moving=True):
-            call.abandon(attempt, f'engine changes over from weights {attempt.weight_version}')
+            reason = f'engine changes over from weights {attempt.weight_version}'
+            call.abandon(attempt, AttemptEnd.changing, reason)
         elif self._take_replacement(silent_seconds, begun=begun):
             attempt.upstream.call_failed(now_seconds)
-            call.abandon(attempt, f'silent for {silent_seconds:.2f} s')
+            call.abandon(attempt, AttemptEnd.silent, f'silent for {silent_seconds:.2f} s')
         else:
             return False
         return True
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from jackdawsail.metrics_registry import REGISTRY
 from jackdawsail.proxy import call_log
 from test.http1.ends import close, reset
 from test.proxy.world import (
@@ -12,7 +13,9 @@
     begin_unframed_stream,
     event,
     plain_event,
+    status_of,
 )
+from test.site.documents import make_document
 
 
 def call_stream():
@@ -72,3 +75,39 @@
     reset(world.accept())
     lines = logged.of(call_log.ATTEMPT_ENDED)
     assert [line['unfinished_bytes'] for line in lines] == [5, 0]
+
+
+def test_aborted_answer_states_why_and_what_preceded_it(logged):
+    world = World(2, MODEL_SERVICE)
+    caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    begin_stream(first)
+    first.dataReceived(event(1))
+    for _ in range(5):
+        world.reactor.advance(0.2)
+    second = world.accept()
+    world.context.view.apply_document(make_document(version=9))
+    world.reactor.advance(0.1)
+    before = REGISTRY.get_sample_value(
+        'jackdawsail_proxy_aborts_total', {'reason': 'upstream broke off', 'left': 'silent'}
+    )
+    reset(second)
+    assert caller.aborted
+    (line,) = logged.of(call_log.CALL_FAILED)
+    assert (line['aborted'], line['left']) == (True, 'silent')
+    assert line['document_age_seconds'] == pytest.approx(0.1)
+    assert line['silence_age_seconds'] == pytest.approx(0.3)
+    assert line['stop_age_seconds'] is None
+    after = REGISTRY.get_sample_value(
+        'jackdawsail_proxy_aborts_total', {'reason': 'upstream broke off', 'left': 'silent'}
+    )
+    assert after == (before or 0) + 1
+
+
+def test_failure_that_its_caller_gets_as_an_answer_is_no_abort(logged):
+    world = World(1)
+    caller = world.call('/once/x', method='POST')
+    reset(world.accept())
+    assert status_of(caller) == 502
+    (line,) = logged.of(call_log.CALL_FAILED)
+    assert (line['aborted'], line['left']) == (False, '')
