--- /dev/null
+++ b/test/proxy/test_kept_engines.py
@@ -0,0 +1,115 @@
+"""A stream keeps an engine that has not failed until another one has taken over."""
+
+import pytest
+
+from test.http1.ends import reset
+from test.proxy.world import (
+    MODEL_SERVICE,
+    STREAM_HEADERS,
+    World,
+    answer,
+    begin_stream,
+    event,
+    sent_on,
+)
+
+REFUSED = 'Not-Executed: 1\r\n'
+
+
+def begun_stream(upstreams=2, events=1):
+    world = World(upstreams, MODEL_SERVICE)
+    caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    begin_stream(first)
+    for number in range(1, events + 1):
+        first.dataReceived(event(number))
+    return world, caller, first
+
+
+def wait(world, seconds):
+    for _ in range(round(seconds * 10)):
+        world.reactor.advance(0.1)
+
+
+def assert_whole(caller, events):
+    text = caller.value()
+    counts = [text.count(f'data: x{number}\n'.encode()) for number in range(1, events + 1)]
+    assert not caller.aborted
+    assert counts == [1] * events
+    assert text.count(b'HTTP/1.1') == 1
+    assert text.endswith(b'0\r\n\r\n')
+
+
+def changing_engine():
+    """Begins a stream at one of two engines, which then reports that it will load new weights."""
+    world, caller, first = begun_stream()
+    own = 1 if b'i-1' in sent_on(first) else 2
+    world.report(own, running=9, switching=True)
+    world.report(3 - own, running=3)
+    wait(world, 0.3)
+    return world, caller, first
+
+
+def refuse_rest(world):
+    answer(world.accept(), 503, headers=REFUSED)
+
+
+def refuse_connection(world):
+    world.refuse()
+
+
+def answer_with_failure(world):
+    answer(world.accept(), 500)
+
+
+def break_off(world):
+    reset(world.accept())
+
+
+def stay_silent(world):
+    world.accept()
+
+
+ENDINGS = (refuse_rest, refuse_connection, answer_with_failure, break_off, stay_silent)
+
+
+@pytest.mark.parametrize('end_second', ENDINGS)
+def test_stream_is_not_aborted_when_its_silent_engine_goes_on_and_the_next_one_fails(end_second):
+    world, caller, first = begun_stream()
+    wait(world, 1)
+    end_second(world)
+    wait(world, 0.5)
+    first.dataReceived(event(2) + b'0\r\n\r\n')
+    assert_whole(caller, 2)
+
+
+@pytest.mark.parametrize('end_second', ENDINGS)
+def test_stream_is_not_aborted_when_its_engine_changes_over_and_the_next_one_fails(end_second):
+    world, caller, first = changing_engine()
+    end_second(world)
+    first.dataReceived(event(2) + b'0\r\n\r\n')
+    wait(world, 2)
+    assert_whole(caller, 2)
+
+
+@pytest.mark.parametrize('end_second', ENDINGS)
+def test_call_does_not_fail_when_its_silent_engine_begins_late_and_the_next_one_fails(end_second):
+    world = World(2, MODEL_SERVICE)
+    caller = world.call('/stream/x', headers=STREAM_HEADERS, method='POST')
+    first = world.accept()
+    wait(world, 1.5)
+    end_second(world)
+    wait(world, 0.2)
+    begin_stream(first)
+    first.dataReceived(event(1) + b'0\r\n\r\n')
+    assert_whole(caller, 1)
+
+
+def test_stream_that_waits_at_a_next_engine_is_not_aborted_when_it_is_recalled_there():
+    world, caller, first = changing_engine()
+    world.accept()
+    world.summarize(revision=2, weights=[('m', 2, 7.4)])
+    wait(world, 0.3)
+    first.dataReceived(event(2) + b'0\r\n\r\n')
+    wait(world, 1)
+    assert_whole(caller, 2)
