A stream keeps its engine until another one has sent an event of the rest

Callers of streams saw their connections aborted, or 502, though the engine that had their stream was sound. A stream left an engine that was silent or about to change over before another one had accepted the rest. If that one then refused it, could not be reached, recalled it before weights were overdue, broke off or fell silent as well, nothing was left of the stream. Their answers had begun 0.07 to 2.4 s before at the engines that they left, and no engine had broken off.

The rest is now offered to the other engine (proxy/handover.py) while the first one is kept. The stream moves with the first event that the other engine sends. An event of the first one, a refusal, a failure, a recall or 0.8 s of waiting end the offer, and the stream stays. An engine that changes over is not read meanwhile, so the rest begins after the last event that the caller has.

Five older tests asserted that the first engine is dropped when the second one is asked; they now assert that it is kept until the second one has sent an event and dropped then. The recall test of a moved stream asserts the end of the offer before the recall, and a new one the recall for a silent engine.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -36,12 +36,13 @@
 class AttemptEnd(StrEnum):
     """How an attempt failed, or why it was left.
 
-    It got no connection, was broken off, was silent for too long, was recalled, or its engine is
-    changing over to other weights.
+    It got no connection, was broken off, was answered with a failure, was silent for too long or
+    was recalled, or its engine is changing over to other weights.
     """
 
     unreached = 'unreached'
     broken = 'broken'
+    answered = 'answered'
     silent = 'silent'
     recalled = 'recalled'
     changing = 'changing'
@@ -125,6 +126,10 @@
             self._reused_channel = True
             self._send(make_request, channel)
 
+    def change_owner(self, owner: AttemptOwner) -> None:
+        """Makes another task the owner, which is called from now on."""
+        self._owner = owner
+
     def set_paused(self, is_paused: bool) -> None:
         """Stops or continues reading the answer, which the caller reads more slowly."""
         if is_paused == self.is_paused or self.ended:
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -21,6 +21,7 @@
 ATTEMPT_ENDED = events.define(
     424, 'warning', 'attempt ended without a complete answer for the caller'
 )
+HANDOVER_STARTED = events.define(438, 'info', 'rest of a stream is offered to another engine')
 CALLER_DISCONNECTED = events.define(
     425, 'info', 'caller disconnected before the answer was complete'
 )
@@ -85,6 +86,10 @@
             **self._weights_of(attempt.weight_version),
         )
 
+    def handover_started(self, attempt: Attempt, reason: str) -> None:
+        """Logs why a stream is to leave an engine that has not failed, and for which one."""
+        self.write(HANDOVER_STARTED, upstream=attempt.upstream.name, reason=reason)
+
     def dispatched(
         self, choice: Choice, dispatch_details: DispatchDetails, send_number: int
     ) -> None:
--- /dev/null
+++ b/jackdawsail/proxy/handover.py
@@ -0,0 +1,140 @@
+"""Moves a stream to another engine without giving up the one that it has.
+
+A stream may leave an engine that has not failed: one that is silent, which may go on at any
+moment, or one that is about to load other weights. The other engine may refuse the rest, get
+it too late, break it off or fall silent itself. So the stream stays where it is until the
+other engine has sent an event. Meanwhile an engine that still sends is not read, so that the
+rest begins after the last event that the caller has received.
+"""
+
+from typing import Protocol
+
+from jackdawsail.http1.event_frames import MAX_EVENT_BYTES, EventFrames
+from jackdawsail.http1.messages import Framing
+from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
+from jackdawsail.proxy.dispatching import (
+    DispatchedCall,
+    make_attempt,
+    record_sent,
+    start_attempt,
+)
+from jackdawsail.proxy.outgoing import make_selection
+from jackdawsail.routing.placement import Choice
+
+# An engine that changes over goes on with its stream, so its caller does not wait longer
+# than for the next event of a silent one.
+PAUSE_TIMEOUT_SECONDS = 0.8
+
+
+class HandoverCall(DispatchedCall, Protocol):
+    """The task of a stream, as a handover uses it.
+
+    ``attempt`` is the one whose answer is forwarded, ``handover`` the one that may replace it.
+    ``left`` is why the last engine was left that had not failed.
+    """
+
+    attempt: Attempt | None
+    handover: 'Handover | None'
+    left: str
+
+    def adopt(self, attempt: Attempt, received: bytes) -> None:
+        """Continues with the answer of another attempt, of which some was received already."""
+
+
+class Handover:
+    """One try to continue a stream at another engine; owns the attempt there until it is ready.
+
+    ``end`` is why the stream is to leave its engine, ``details`` says more for the log.
+    """
+
+    def __init__(self, call: HandoverCall, choice: Choice, end: AttemptEnd, details: str) -> None:
+        self.end = end
+        self.details = details
+        self.started_seconds = call.context.clock.seconds()
+        self.received = bytearray()
+        self._call = call
+        self._frames = EventFrames()
+        self.attempt = make_attempt(call, choice, make_selection(call), self)
+
+    @property
+    def pauses_engine(self) -> bool:
+        """Returns whether the engine that the stream has is not read meanwhile."""
+        return self.end is AttemptEnd.changing
+
+    def is_overdue(self, now_seconds: float) -> bool:
+        """Returns whether an engine that could still send was paused for long enough."""
+        paused_seconds = now_seconds - self.started_seconds
+        return self.pauses_engine and paused_seconds >= PAUSE_TIMEOUT_SECONDS
+
+    def attempt_sent(self, attempt: Attempt) -> None:
+        """Records that the call may run at the other engine too."""
+        record_sent(self._call, attempt)
+
+    def attempt_head(self, attempt: Attempt, head: ReceivedHead) -> None:
+        """Waits for the first event, or for the end of a refusal."""
+        if head.decoded.not_run:
+            self._call.sends.record_not_run(attempt.upstream.name)
+
+    def attempt_body(self, attempt: Attempt, body: bytes) -> None:
+        """Keeps what the other engine sends until its first event is complete."""
+        self.received += body
+        events = self._frames.feed(body)
+        if attempt.head is not None and attempt.head.decoded.status in SUCCESS:
+            if any(frame.has_fields for frame in events):
+                complete_handover(self._call)
+                return
+        if len(self.received) > MAX_EVENT_BYTES:
+            give_up_handover(self._call, AttemptEnd.broken, 'event is too long')
+
+    def attempt_completed(self, attempt: Attempt) -> None:
+        """Takes an answer without any event for the end of the stream if its framing says so."""
+        head = attempt.head
+        if head is None:
+            return
+        status = head.decoded.status
+        is_whole = head.raw.framing is not Framing.connection and not self._frames.remainder
+        if status in SUCCESS and is_whole:
+            complete_handover(self._call)
+        else:
+            give_up_handover(self._call, AttemptEnd.answered, f'status {status}')
+
+    def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
+        """Keeps the stream at its engine, as the other one was not reached or has broken off."""
+        give_up_handover(self._call, end, reason)
+
+
+def start_handover(call: HandoverCall, choice: Choice, end: AttemptEnd, details: str) -> None:
+    """Offers the rest of a stream to the chosen engine."""
+    handover = Handover(call, choice, end, details)
+    call.handover = handover
+    call.log.handover_started(handover.attempt, details)
+    if call.attempt is not None and handover.pauses_engine:
+        call.attempt.set_paused(True)
+    start_attempt(call, handover.attempt)
+
+
+def complete_handover(call: HandoverCall) -> None:
+    """Continues a stream with the engine that it was offered to, and leaves the one it had."""
+    handover, left = call.handover, call.attempt
+    if handover is None:
+        return
+    call.handover = None
+    if left is not None and not left.ended:
+        left.cancel()
+        call.left = str(handover.end)
+        call.log.attempt_ended(left, handover.details, call.relay)
+    call.adopt(handover.attempt, bytes(handover.received))
+
+
+def give_up_handover(call: HandoverCall, end: AttemptEnd, reason: str) -> None:
+    """Keeps a stream at the engine that it has, and abandons the attempt at the other one."""
+    handover = call.handover
+    if handover is None:
+        return
+    call.handover = None
+    handover.attempt.cancel()
+    call.log.attempt_ended(handover.attempt, f'handover {end} {reason}', None)
+    if call.attempt is not None:
+        call.attempt.set_paused(call.exchange.is_full)
+    if end is AttemptEnd.broken and call.sends.ran_at(handover.attempt.upstream.name):
+        call.context.traits.answer_broken(call.identity, handover.attempt, call.sends.record_risk)
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -13,7 +13,7 @@
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.relaying import AnswerRelay
+from jackdawsail.proxy.relaying import AnswerRelay, has_begun
 from jackdawsail.proxy.selection import Selection, withdrawal_reason
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.trait_reports import BLOCKED
@@ -57,9 +57,20 @@
     sends: SendHistory
     deadline: Deadline
     relay: AnswerRelay | None
-
-    def selection(self) -> Selection:
-        """Returns the current inputs for the choice of an upstream."""
+    is_late: bool
+
+
+def make_selection(task: OutgoingCall) -> Selection:
+    """Returns the current inputs for the choice of an upstream."""
+    return Selection(
+        service=task.sends.service,
+        route=task.route,
+        customer=task.customer,
+        call=task.call,
+        tried=tuple(task.sends.tried),
+        pinned_version=task.relay.weight_version if has_begun(task.relay) else 0,
+        is_late=task.is_late,
+    )
 
 
 def dispatch_details(
@@ -104,7 +115,7 @@
     withdrawn = withdrawn_call(task)
     if withdrawn is not None:
         return Failure(withdrawn.reason)
-    selection = task.selection()
+    selection = make_selection(task)
     reason = withdrawal_reason(task.context, selection, upstream)
     if reason:
         return Failure(reason)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -64,6 +64,13 @@
     return relay is not None and relay.started
 
 
+def may_continue(route: Route, relay: AnswerRelay | None) -> bool:
+    """Returns whether another upstream can continue what the caller has received."""
+    if not route.may_repeat:
+        return False
+    return not has_begun(relay) or relay.can_resume
+
+
 def cannot_continue(relay: AnswerRelay | None, head: ReceivedHead) -> bool:
     """Returns whether a begun stream got a failure from the upstream that should continue it."""
     is_resumed = has_begun(relay) and relay.can_resume
--- a/jackdawsail/proxy/send_history.py
+++ b/jackdawsail/proxy/send_history.py
@@ -14,7 +14,7 @@
     """The ``count`` sends of one call.
 
     ``tried`` holds the upstreams that it was dispatched to, with those that were not reached,
-    ``ran_on`` the ones that may have run it.
+    ``ran_on`` the ones that may have run it. ``is_risky`` is true if one more could end too.
     """
 
     context: ProxyContext
@@ -23,12 +23,21 @@
     count: int = 0
     tried: list[str] = field(default_factory=list)
     ran_on: set[str] = field(default_factory=set)
+    is_risky: bool = False
 
     @property
     def may_have_run(self) -> bool:
         """Returns whether any upstream may have run the call."""
         return bool(self.ran_on)
 
+    def ran_at(self, upstream: str) -> bool:
+        """Returns whether this upstream may have run the call."""
+        return upstream in self.ran_on
+
+    def record_risk(self, is_risky: bool) -> None:
+        """Records whether the call may have ended an upstream."""
+        self.is_risky = self.is_risky or is_risky
+
     def record_send(self, upstream: str) -> None:
         """Records that the call is being written to an upstream."""
         if not self.count:
@@ -54,6 +63,7 @@
 
     def take_further_upstream(self) -> bool:
         """Returns whether the call may run at one more upstream, and takes that from the budget."""
-        if not self.route.may_repeat or len(self.ran_on) >= self.route.max_upstreams:
+        is_allowed = self.route.may_repeat and not self.is_risky
+        if not is_allowed or len(self.ran_on) >= self.route.max_upstreams:
             return False
         return self.take_repeat()
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -6,36 +6,38 @@
 retry after.
 """
 
-from dataclasses import dataclass, field, replace
-from functools import partial
+from dataclasses import dataclass, field
 from typing import Any
 
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
+from jackdawsail.proxy.answer_records import record_complete, record_first_event
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.outgoing import (
-    Deadline,
-    dispatch_details,
-    make_upstream_request,
-    withdrawn_call,
+from jackdawsail.proxy.dispatching import (
+    find_alternative,
+    next_attempt,
+    record_sent,
+    start_attempt,
 )
+from jackdawsail.proxy.handover import Handover, complete_handover, give_up_handover
+from jackdawsail.proxy.outgoing import Deadline
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
     cannot_continue,
     has_begun,
     is_cut_off,
     make_relay,
+    may_continue,
     unfinished_bytes,
 )
-from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.trait_reports import BLOCKED
 from jackdawsail.proxy.watch import EngineWatch
 from jackdawsail.routing.late_calls import is_late
-from jackdawsail.routing.placement import Choice, Refusal
+from jackdawsail.routing.placement import Refusal
 from jackdawsail.site.document import CallKind, Customer, Route
 from jackdawsail.site.routes import Admission
 
@@ -51,7 +53,7 @@
 
     ``first_seconds`` is the time until the first part of the answer was forwarded, 0 for an
     answer that was forwarded only once it was complete. ``left`` is why the last engine was left
-    that had not failed, empty if none was.
+    that had not failed, empty if none was. ``handover`` is a try to continue at another upstream.
     """
 
     context: ProxyContext
@@ -67,6 +69,7 @@
     is_late: bool = False
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
+    handover: Handover | None = None
     left: str = ''
     first_seconds: float = 0
     _time_limit: Any = None
@@ -77,7 +80,7 @@
         """Starts the time limit and dispatches the call to an upstream."""
         self._watch = EngineWatch(self)
         self.exchange.on_disconnect = self._on_caller_disconnected
-        self.exchange.on_full = partial(_pause_attempt, self)
+        self.exchange.on_full = self._pause
         self.context.running += 1
         metrics.RUNNING.inc()
         self._time_limit = self.context.clock.callLater(
@@ -87,9 +90,7 @@
 
     def attempt_sent(self, attempt: Attempt) -> None:
         """Records that the call may run from now on, and starts to watch a stream's engine."""
-        self.sends.record_send(attempt.upstream.name)
-        now_seconds = self.context.clock.seconds()
-        attempt.weight_version = attempt.upstream.version_of(self.call.model, now_seconds)
+        record_sent(self, attempt)
         if self.route.kind is CallKind.stream:
             self._watch.start(attempt)
 
@@ -113,10 +114,11 @@
         events_before = self.relay.received_events
         may_go_on = self.relay.forward(body)
         if self.relay.started and not started_before:
-            _record_first_event(self, attempt)
+            record_first_event(self, attempt)
         new_events = self.relay.received_events - events_before
         if new_events:
             attempt.record_progress()
+            give_up_handover(self, AttemptEnd.silent, 'the first engine goes on')
         self.context.traits.events_received(self.identity, attempt, new_events)
         if not may_go_on:
             attempt.cancel()
@@ -136,23 +138,35 @@
             return
         status = head.decoded.status
         failed = status >= SERVER_ERROR
-        _record_complete(self, attempt, failed=failed)
+        record_complete(self, attempt, failed=failed)
         if head.decoded.not_run:
             self._not_run(attempt, status)
         elif cannot_continue(self.relay, head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
-        elif failed and self.has_alternative() and self.sends.take_further_upstream():
+        elif failed and self._may_retry():
             self.log.attempt_ended(attempt, f'status {status}', self.relay)
             self.relay = None
-            self._place()
+            self._place_again()
         else:
             self._finish(attempt, status)
 
+    def adopt(self, attempt: Attempt, received: bytes) -> None:
+        """Continues with the answer of another attempt, of which some was received already."""
+        self.attempt = attempt
+        attempt.change_owner(self)
+        if attempt.head is not None:
+            self.attempt_head(attempt, attempt.head)
+            self.attempt_body(attempt, received)
+        if attempt.ended:
+            self.attempt_completed(attempt)
+        elif attempt.sent:
+            self._watch.start(attempt)
+
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
         self.log.attempt_ended(attempt, f'{end} {reason}', self.relay)
         if end is AttemptEnd.recalled:
-            _record_left(self, end)
+            self.left = str(end)
         if attempt.head is not None and attempt.head.decoded.not_run:
             self._not_run(attempt, attempt.head.decoded.status)
         elif end is AttemptEnd.unreached:
@@ -168,8 +182,10 @@
             return
         if is_risky:
             self._fail(502, 'the call may have ended the upstream')
-        elif _may_continue(self) and self.sends.take_further_upstream():
-            self._place()
+        elif self._is_offered or (
+            may_continue(self.route, self.relay) and self.sends.take_further_upstream()
+        ):
+            self._place_again()
         else:
             self._fail(502, 'upstream broke off')
 
@@ -189,78 +205,49 @@
         )
         self._close(outcome)
 
+    @property
+    def _is_offered(self) -> bool:
+        return self.handover is not None
+
+    def _may_retry(self) -> bool:
+        """Returns whether another upstream gets the call, or has it already."""
+        if self._is_offered:
+            return True
+        return find_alternative(self) is not None and self.sends.take_further_upstream()
+
+    def _place_again(self) -> None:
+        """Continues at the upstream that the call was offered to, or at a further one."""
+        if self.handover is None:
+            self._place()
+            return
+        complete_handover(self)
+
     def _place(self) -> None:
         if self._closed:
             return
         if self.deadline.is_over:
             self._time_out()
             return
-        withdrawn = withdrawn_call(self)
-        if withdrawn is not None:
-            self._refuse(withdrawn)
+        attempt = next_attempt(self, self)
+        if isinstance(attempt, Refusal):
+            self._refuse(attempt)
             return
-        selection = replace(self.selection(), is_begun=has_begun(self.relay))
-        decision = place_call(self.context, selection)
-        if isinstance(decision, Refusal):
-            self._refuse(decision)
-            return
-        self._dispatch(decision, selection)
-
-    def selection(self) -> Selection:
-        """Returns the current inputs for the choice of an upstream."""
-        return Selection(
-            service=self.sends.service,
-            route=self.route,
-            customer=self.customer,
-            call=self.call,
-            tried=tuple(self.sends.tried),
-            pinned_version=self.relay.weight_version if has_begun(self.relay) else 0,
-            is_late=self.is_late,
-        )
-
-    def _dispatch(self, choice: Choice, selection: Selection) -> None:
-        upstream = choice.upstream
-        self.sends.tried.append(upstream.name)
-        details = dispatch_details(self, selection, upstream)
-        self.log.dispatched(choice, details, self.sends.count + 1)
-        make_request = partial(make_upstream_request, self, upstream)
-        self.attempt = Attempt(self.context, self, upstream, self.call.attempt)
-        # An idle channel may just be closing; a call that cannot be repeated avoids that risk.
-        fresh_channel = not self.route.may_repeat
-        self.attempt.set_paused(self.exchange.is_full)
-        self.attempt.start(make_request, fresh_channel=fresh_channel)
+        self.attempt = attempt
+        start_attempt(self, attempt)
 
     def _not_run(self, attempt: Attempt, status: int) -> None:
         self.log.attempt_ended(attempt, f'not run, status {status}', self.relay)
         if status == MISDIRECTED:
             attempt.upstream.call_failed(self.context.clock.seconds())
-        if self.sends.may_have_run and not _may_continue(self):
+        if self._is_offered:
+            self._place_again()
+        elif self.sends.may_have_run and not may_continue(self.route, self.relay):
             self._fail(502, 'upstream refused a repeat')
         elif self.sends.take_repeat():
             self._place()
         else:
             self._refuse(Refusal('no more repeats', UNSERVED_RETRY_AFTER_SECONDS))
 
-    def abandon(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
-        """Cancels an attempt and dispatches the call again."""
-        attempt.cancel()
-        _record_left(self, end)
-        self.log.attempt_ended(attempt, reason, self.relay)
-        self._place()
-
-    def likely_events(self) -> float:
-        """Returns the likely number of events of the whole answer."""
-        return likely_events(self.context, self.sends.service, self.call.likely_answer_tokens)
-
-    def has_alternative(self) -> bool:
-        """Returns whether another upstream could take the call now.
-
-        None can once a part of an answer was forwarded that cannot be continued.
-        """
-        if self.context.traits.is_blocked(self.identity) or not _may_continue(self):
-            return False
-        return isinstance(select_upstream(self.context, self.selection()), Choice)
-
     def _refuse(self, refusal: Refusal) -> None:
         if refusal is BLOCKED:
             metrics.BLOCKED_CALLS.inc()
@@ -299,6 +286,15 @@
             self.exchange.answer(HttpAnswer(status, reason.encode()))
         self._close('failed')
 
+    def _pause(self, is_full: bool) -> None:
+        """Reads the upstreams' answers no faster than the caller does."""
+        handover = self.handover
+        if self.attempt is not None:
+            pauses_engine = handover is not None and handover.pauses_engine
+            self.attempt.set_paused(is_full or pauses_engine)
+        if handover is not None:
+            handover.attempt.set_paused(is_full)
+
     def _on_caller_disconnected(self) -> None:
         if self.attempt is not None:
             self.attempt.cancel()
@@ -310,6 +306,8 @@
             return
         self._closed = True
         self._watch.stop()
+        if self.handover is not None:
+            self.handover.attempt.cancel()
         if self._time_limit is not None and self._time_limit.active():
             self._time_limit.cancel()
         self.context.running -= 1
@@ -317,40 +315,6 @@
         metrics.CALLS.labels(outcome).inc()
 
 
-def _pause_attempt(task: CallTask, is_full: bool) -> None:
-    """Reads the upstream's answer no faster than its caller does."""
-    if task.attempt is not None:
-        task.attempt.set_paused(is_full)
-
-
-def _may_continue(task: CallTask) -> bool:
-    """Returns whether another upstream can continue what the caller has received."""
-    if not task.route.may_repeat:
-        return False
-    return not has_begun(task.relay) or task.relay.can_resume
-
-
-def _record_left(task: CallTask, end: AttemptEnd) -> None:
-    task.left = str(end)
-    if end is AttemptEnd.silent:
-        task.context.recent.silence_seconds = task.context.clock.seconds()
-
-
-def _record_complete(task: CallTask, attempt: Attempt, *, failed: bool) -> None:
-    now_seconds = task.context.clock.seconds()
-    took_seconds = now_seconds - attempt.started_seconds
-    attempt.upstream.call_answered(took_seconds, now_seconds, failed=failed)
-    if not failed:
-        task.context.traits.answer_sound(task.identity, attempt)
-
-
-def _record_first_event(task: CallTask, attempt: Attempt) -> None:
-    now_seconds = task.context.clock.seconds()
-    task.first_seconds = now_seconds - task.exchange.received_seconds
-    metrics.FIRST_SECONDS.observe(task.first_seconds)
-    attempt.upstream.record_first_event(now_seconds - attempt.started_seconds, now_seconds)
-
-
 def make_call_task(
     context: ProxyContext,
     exchange: Exchange,
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -1,7 +1,8 @@
 """Watches the engine of a stream and moves the stream to another one when necessary.
 
-A stream leaves an engine that has completed no event for too long, or that is about to load
-other weights while much of the stream is left, but only if another engine can take over.
+A stream that has got no complete event for too long, or whose engine is about to load other
+weights while much of the stream is left, is offered to another engine. It leaves its own only
+once that one has sent an event.
 A stream that has not begun at an engine whose weights are about to be overdue is recalled in
 any case, so that it does not begin there; if it may not be repeated, it fails.
 """
@@ -9,11 +10,13 @@
 from typing import Any, Protocol
 
 from jackdawsail.proxy.attempt import Attempt, AttemptEnd
-from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.relaying import AnswerRelay, has_begun
-from jackdawsail.proxy.selection import Selection
-from jackdawsail.proxy.send_history import SendHistory
+from jackdawsail.proxy.dispatching import find_alternative
+from jackdawsail.proxy.handover import Handover, HandoverCall, give_up_handover, start_handover
+from jackdawsail.proxy.outgoing import make_selection
+from jackdawsail.proxy.relaying import has_begun
+from jackdawsail.proxy.selection import likely_events
 from jackdawsail.routing.moving import should_move
+from jackdawsail.routing.placement import Choice
 from jackdawsail.site.document import Route
 
 # Three times the latency objective; a healthy engine has sent its first event by then.
@@ -23,29 +26,14 @@
 MIN_CHECK_SECONDS = 0.001  # a shorter delay is lost in the rounding of the clock
 
 
-class WatchedCall(Protocol):
+class WatchedCall(HandoverCall, Protocol):
     """The task of a stream, as the watch uses it."""
 
-    context: ProxyContext
     route: Route
-    sends: SendHistory
-    relay: AnswerRelay | None
-
-    def selection(self) -> Selection:
-        """Returns the current inputs for the choice of an upstream."""
-
-    def likely_events(self) -> float:
-        """Returns the likely number of events of the whole answer."""
-
-    def has_alternative(self) -> bool:
-        """Returns whether another upstream could take the call now."""
 
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Dispatches the call to another upstream if that is allowed, or fails it."""
 
-    def abandon(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
-        """Cancels an attempt and dispatches the call again."""
-
 
 class EngineWatch:
     """Checks the engine of one attempt at regular intervals."""
@@ -57,7 +45,10 @@
     def start(self, attempt: Attempt) -> None:
         """Watches an attempt until it ends or is abandoned."""
         self.stop()
+        handover = self._call.handover
         recall_seconds = self._seconds_until_recall(attempt)
+        if handover is not None:
+            recall_seconds = min(recall_seconds, self._seconds_until_recall(handover.attempt))
         delay_seconds = WATCH_INTERVAL_SECONDS
         if 0 < recall_seconds < delay_seconds:
             delay_seconds = max(recall_seconds, MIN_CHECK_SECONDS)
@@ -76,33 +67,43 @@
             attempt.cancel()
             reason = f'not begun on weights {attempt.weight_version}'
             self._call.attempt_failed(attempt, AttemptEnd.recalled, reason)
-        elif not (self._call.route.may_repeat and self._leave(attempt)):
-            self.start(attempt)
-
-    def _leave(self, attempt: Attempt) -> bool:
-        """Moves the call to another engine if it should leave this one; returns whether it did."""
+            return
+        if self._call.handover is not None:
+            self._check_handover(self._call.handover)
+        elif self._call.route.may_repeat:
+            self._offer(attempt)
+        self.start(attempt)
+
+    def _check_handover(self, handover: Handover) -> None:
+        """Ends a handover to an engine that may not begin any more, or that takes too long."""
+        if self._must_recall(handover.attempt):
+            reason = f'not begun on weights {handover.attempt.weight_version}'
+            give_up_handover(self._call, AttemptEnd.recalled, reason)
+        elif handover.is_overdue(self._call.context.clock.seconds()):
+            give_up_handover(self._call, AttemptEnd.silent, 'engine that changes over goes on')
+
+    def _offer(self, attempt: Attempt) -> None:
+        """Offers the call to another engine if it should leave this one."""
         call = self._call
-        begun = has_begun(call.relay)
         now_seconds = call.context.clock.seconds()
         # An attempt that is not read, since its caller reads too slowly, is not silent.
         silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
-        if self._should_move(attempt) and self._take_alternative(moving=True):
-            reason = f'engine changes over from weights {attempt.weight_version}'
-            call.abandon(attempt, AttemptEnd.changing, reason)
-        elif self._take_replacement(silent_seconds, begun=begun):
+        if self._should_move(attempt) and (choice := self._take_alternative(moving=True)):
+            details = f'engine changes over from weights {attempt.weight_version}'
+            start_handover(call, choice, AttemptEnd.changing, details)
+        elif self._is_silent(silent_seconds) and (choice := self._take_alternative()):
             attempt.upstream.call_failed(now_seconds)
-            call.abandon(attempt, AttemptEnd.silent, f'silent for {silent_seconds:.2f} s')
-        else:
-            return False
-        return True
+            call.context.recent.silence_seconds = now_seconds
+            start_handover(call, choice, AttemptEnd.silent, f'silent for {silent_seconds:.2f} s')
 
     def _must_recall(self, attempt: Attempt) -> bool:
         """Returns whether the attempt has not begun, and may not begin at its engine any more."""
         return not attempt.received_events and self._seconds_until_recall(attempt) <= 0
 
-    def _take_replacement(self, silent_seconds: float, *, begun: bool) -> bool:
-        timeout_seconds = NEXT_EVENT_TIMEOUT_SECONDS if begun else FIRST_EVENT_TIMEOUT_SECONDS
-        return silent_seconds >= timeout_seconds and self._take_alternative()
+    def _is_silent(self, silent_seconds: float) -> bool:
+        if has_begun(self._call.relay):
+            return silent_seconds >= NEXT_EVENT_TIMEOUT_SECONDS
+        return silent_seconds >= FIRST_EVENT_TIMEOUT_SECONDS
 
     def _should_move(self, attempt: Attempt) -> bool:
         if not attempt.upstream.is_switching(self._call.context.clock.seconds()):
@@ -110,20 +111,24 @@
         relay = self._call.relay
         forwarded_events = 0 if relay is None else relay.last_event
         recall_seconds = self._seconds_until_recall(attempt)
-        return should_move(forwarded_events, self._call.likely_events(), recall_seconds)
+        return should_move(forwarded_events, _likely_events(self._call), recall_seconds)
 
     def _seconds_until_recall(self, attempt: Attempt) -> float:
         call = self._call
-        return call.selection().seconds_until_recall(call.context, attempt.weight_version)
+        return make_selection(call).seconds_until_recall(call.context, attempt.weight_version)
 
-    def _take_alternative(self, *, moving: bool = False) -> bool:
-        """Returns whether another engine can take over, and takes the repeat from the budget.
+    def _take_alternative(self, *, moving: bool = False) -> Choice | None:
+        """Returns an engine that can take over, and takes the repeat from the budget.
 
         ``moving`` also takes the move from this entry's share of moves.
         """
         call = self._call
-        if not call.has_alternative():
-            return False
-        if moving and not call.context.take_move(call.sends.service):
-            return False
-        return call.sends.take_further_upstream()
+        choice = find_alternative(call)
+        if choice is None or (moving and not call.context.take_move(call.sends.service)):
+            return None
+        return choice if call.sends.take_further_upstream() else None
+
+
+def _likely_events(call: WatchedCall) -> float:
+    """Returns the likely number of events of the whole answer."""
+    return likely_events(call.context, call.sends.service, call.call.likely_answer_tokens)
--- a/test/proxy/test_answer_log.py
+++ b/test/proxy/test_answer_log.py
@@ -86,6 +86,8 @@
     for _ in range(5):
         world.reactor.advance(0.2)
     second = world.accept()
+    begin_stream(second)
+    second.dataReceived(event(2))
     world.context.view.apply_document(make_document(version=9))
     world.reactor.advance(0.1)
     before = REGISTRY.get_sample_value(
--- a/test/proxy/test_streams.py
+++ b/test/proxy/test_streams.py
@@ -112,10 +112,11 @@
         world, caller, first = self.begun()
         for _ in range(6):
             world.reactor.advance(0.2)
-        assert first.transport.aborted
         second = world.accept()
         begin_stream(second)
+        assert not first.transport.aborted
         second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert first.transport.aborted
         assert caller.value().endswith(b'0\r\n\r\n')
 
     @pytest.mark.parametrize('trickle', [b'1\r\nx\r\n', b'3\r\n:\n\n\r\n'])
@@ -123,12 +124,12 @@
         world, caller, first = self.begun()
         for _ in range(6):
             world.reactor.advance(0.2)
-            if not first.transport.aborted:
-                first.dataReceived(trickle)
-        assert first.transport.aborted
+            first.dataReceived(trickle)
         second = world.accept()
         begin_stream(second)
+        assert not first.transport.aborted
         second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert first.transport.aborted
         assert caller.value().endswith(b'0\r\n\r\n')
 
     def test_stays_at_an_engine_whose_long_event_arrives_slowly(self):
@@ -155,12 +156,13 @@
 
     def test_moves_to_another_engine_when_its_own_changes_over(self):
         world, caller, first = self.changing_over()
-        assert first.transport.aborted
         second = world.accept()
         assert b'Last-Event-Id: 1' in sent_on(second)
         assert b'Expect-Version: 1' in sent_on(second)
         begin_stream(second)
+        assert not first.transport.aborted
         second.dataReceived(event(2) + b'0\r\n\r\n')
+        assert first.transport.aborted
         assert caller.value().endswith(b'0\r\n\r\n')
 
     def test_moves_are_spread_over_time(self):
@@ -177,6 +179,11 @@
         leaving = [opened for opened in channels if b'i-1' in sent_on(opened)]
         assert len(leaving) > 1
         world.reactor.advance(0.22)
+        assert len(world.reactor.pending_connects) == 1
+        moved = world.accept()
+        attempt = sent_on(moved).split(b'Attempt-Id: ')[1].split(b'\r\n')[0].decode()
+        begin_stream(moved, attempt)
+        moved.dataReceived(event(2))
         assert sum(opened.transport.aborted for opened in leaving) == 1
 
     def test_continues_elsewhere_though_it_is_late_and_others_are_refused(self):
--- a/test/proxy/test_weight_limits.py
+++ b/test/proxy/test_weight_limits.py
@@ -15,6 +15,8 @@
     STREAM_HEADERS,
     World,
     begin_at_changing_engine,
+    begin_stream,
+    event,
     sent_on,
     status_of,
 )
@@ -93,10 +95,26 @@
         first = begin_at_changing_engine(world)
         world.reactor.advance(0.2)
         second = world.accept()
-        assert first.transport.aborted
         assert b'Expect-Version: 1' in sent_on(second)
         advance(world, 3.8 - LAST_RECALL_SECONDS)
         assert second.transport.aborted
+        assert not first.transport.aborted
+
+    def test_is_recalled_2_seconds_before_the_limit_if_its_engine_is_silent(self):
+        world = World(2, MODEL_SERVICE)
+        announce(world, limit_in_seconds=4.0)
+        call(world)
+        first = world.accept()
+        begin_stream(first)
+        first.dataReceived(event(1))
+        advance(world, 1.0)
+        second = world.accept()
+        assert b'Expect-Version: 1' in sent_on(second)
+        advance(world, 2.9 - LAST_RECALL_SECONDS)
+        assert not second.transport.aborted
+        advance(world, 0.1)
+        assert second.transport.aborted
+        assert not first.transport.aborted
 
     def test_is_not_moved_so_late_that_it_may_be_recalled_where_it_waits(self):
         world = World(2, MODEL_SERVICE)
