--- a/test/consensus/cluster.py
+++ b/test/consensus/cluster.py
@@ -23,21 +23,26 @@
 from jackdawsail.consensus.recovery import open_storage
 from jackdawsail.control.consensus_host import ConsensusHost
 from test.consensus.disks import Crash, Disk
-from test.consensus.machines import CheckedMachine, DigestMachine, LocalClock, Member
+from test.consensus.machines import (
+    CheckedMachine,
+    DigestMachine,
+    EveryEntries,
+    LocalClock,
+    Member,
+)
 
 STEP_SECONDS = 0.02
-TICK_SECONDS = 0.1
 MAX_CLOCK_RATE_ERROR = 0.05
 TIMING = Timing(replace_voter_after_seconds=6.0, piece_bytes=48, batch_bytes=200)
-SNAPSHOT_EVERY_ENTRIES = 12
 SAVE_COMMIT_PROBABILITY = 0.2
-KEEP_ENTRIES = 4
 
 
 class Cluster:
     """Runs simulated members and checks the invariants of Raft after every step."""
 
-    def __init__(self, seed, hosts=5, voters=3):
+    def __init__(self, seed, hosts=5, voters=3, timing=TIMING, compaction=None):
+        self.timing = timing
+        self.compaction = compaction or EveryEntries()
         self.rng = random.Random(seed)
         self.now_seconds = 0.0
         self.loss = 0.0
@@ -46,6 +51,7 @@
         self.cuts = set()
         self.members = {}
         self.acknowledged = []
+        self.acknowledged_index = 0
         self.proposed_count = 0
         self.steps = 0
         self._queue = []
@@ -68,7 +74,11 @@
         member.machine = DigestMachine()
         snapshot = opened.durable.snapshot
         node = make_node(
-            node_id(name, opened.disk_id), TIMING, self.rng, opened.durable, member.clock.seconds()
+            node_id(name, opened.disk_id),
+            self.timing,
+            self.rng,
+            opened.durable,
+            member.clock.seconds(),
         )
         machine = CheckedMachine(member, self)
         member.host = ConsensusHost(member.clock, node, opened.storage, machine, self._send)
@@ -79,6 +89,8 @@
     def crash(self, name, power=True):
         member = self.members[name]
         member.host = None
+        member.frozen = False
+        member.backlog.clear()
         if power:
             member.disk.lose_power(self.rng)
         else:
@@ -119,19 +131,19 @@
 
     def propose(self, name, count=1):
         member = self.members[name]
-        if member.host is None or member.host.halt_reason:
+        if member.host is None or member.host.halt_reason or member.frozen:
             return
         for _ in range(count):
             self.proposed_count += 1
-            command = b'command %d' % self.proposed_count
+            command = self.make_command(self.proposed_count)
             ticket, answer = member.host.proposals.open(member.clock.seconds())
-            answer.addCallback(self._record_answer)
+            answer.addCallback(self._record_answer, member.host)
             member.host.submit_command(ticket, command)
         self._run(member)
 
     def change(self, name, remove_host='', add_host='', target_voters=0):
         member = self.members[name]
-        if member.host is not None and not member.host.halt_reason:
+        if member.host is not None and not member.host.halt_reason and not member.frozen:
             ticket, _answer = member.host.proposals.open(member.clock.seconds())
             change = MemberChange(remove_host, add_host, target_voters)
             member.host.submit(ChangeMembers(ticket, change))
@@ -143,9 +155,10 @@
             self.now_seconds += STEP_SECONDS
             self._deliver()
             if self.now_seconds >= self._next_tick_seconds:
-                self._next_tick_seconds = self.now_seconds + TICK_SECONDS
+                self._next_tick_seconds = self.now_seconds + self.timing.heartbeat_seconds / 2
                 self._tick_all()
             self.check_lease()
+            self.check_reads()
 
     def settle(self, seconds=40.0):
         """Ends all faults; returns whether every member catches up within the given time."""
@@ -163,6 +176,9 @@
                 return True
         return False
 
+    def make_command(self, number):
+        return b'command %d' % number
+
     # Queries.
 
     def leader(self):
@@ -186,6 +202,12 @@
         leading = [name for name, member in self.members.items() if self._leads(member)]
         assert len(leading) <= 1, f'two hosts hold the leader lease: {leading}'
 
+    def check_reads(self):
+        """A host that answers reads, as it holds the lease, has all that was acknowledged."""
+        for member in filter(self._leads, self.members.values()):
+            applied_index = member.host.applied_index
+            assert applied_index >= self.acknowledged_index, f'{member.name} answers an old read'
+
     def check_logs(self):
         logs = [self.core(name).log for name in self.up()]
         for position, first_log in enumerate(logs):
@@ -264,9 +286,10 @@
         applied = {member.host.applied_index for member in self.members.values()}
         return full and not wanted.retired and applied == {core.log.last_index}
 
-    def _record_answer(self, outcome):
+    def _record_answer(self, outcome, host):
         if isinstance(outcome, Success) and outcome.unwrap() is not None:
             self.acknowledged.append(outcome.unwrap())
+            self.acknowledged_index = max(self.acknowledged_index, host.applied_index)
 
     def _send(self, message):
         source, target = host_of(message.sender), host_of(message.target)
@@ -282,13 +305,15 @@
         while self._queue and self._queue[0][0] <= self.now_seconds:
             message = heapq.heappop(self._queue)[2]
             member = self.members[host_of(message.target)]
-            if member.host is not None:
+            if member.frozen:
+                member.backlog.append(message)
+            elif member.host is not None:
                 member.host.submit(message)
                 self._run(member)
 
     def _tick_all(self):
         for member in self.members.values():
-            if member.host is None or member.host.halt_reason:
+            if member.host is None or member.host.halt_reason or member.frozen:
                 continue
             member.host.submit(Tick())
             core = member.host.node.core
@@ -322,10 +347,10 @@
         except Crash:
             self.crash(member.name)
             return
-        covered = 0 if core.snapshot is None else core.snapshot.index
-        if not host.halt_reason and host.applied_index - covered >= SNAPSHOT_EVERY_ENTRIES:
+        position = (core.log, core.snapshot, host.applied_index)
+        if not host.halt_reason and self.compaction.is_due(*position):
             with contextlib.suppress(Crash):
-                host.take_snapshot(KEEP_ENTRIES)
+                host.take_snapshot(self.compaction.entries_to_keep(*position))
                 return
             self.crash(member.name)
 
--- a/test/consensus/machines.py
+++ b/test/consensus/machines.py
@@ -7,6 +7,20 @@
 from jackdawsail.control.consensus_host import ConsensusHost
 from test.consensus.disks import Disk
 
+SNAPSHOT_EVERY_ENTRIES = 12
+KEEP_ENTRIES = 4
+
+
+class EveryEntries:
+    """Compacts the log at a fixed number of entries, and keeps a fixed number of them."""
+
+    def is_due(self, log, snapshot, applied_index):
+        covered_index = 0 if snapshot is None else snapshot.index
+        return applied_index - covered_index >= SNAPSHOT_EVERY_ENTRIES
+
+    def entries_to_keep(self, log, snapshot, applied_index):
+        return KEEP_ENTRIES
+
 
 class DigestMachine:
     """A state machine whose state is a digest of all applied commands."""
@@ -44,7 +58,8 @@
 class Member:
     """One simulated machine; ``host`` is None while it is down.
 
-    ``disk_number`` counts the replacements of its disk.
+    ``disk_number`` counts the replacements of its disk. While it is frozen, what it is sent
+    waits in its ``backlog``.
     """
 
     name: str
@@ -53,6 +68,8 @@
     host: ConsensusHost | None = None
     machine: DigestMachine = field(default_factory=DigestMachine)
     disk_number: int = 0
+    frozen: bool = False
+    backlog: list[Any] = field(default_factory=list)
 
 
 class CheckedMachine:
