A replaced disk's identity loses its vote before a host that is only silent

Cause: where a group has one voter too many, the lost one that has been silent longest was removed. A host without power for over replace_voter_after_seconds counts as lost, as does the identity of a disk that was replaced. If the host was silent for longer, it lost its vote though it returns with its disk, and the identity that can never vote again stayed. Until the host was back and a voter again, of five voters one existed no more: with two more disks lost two of five were left, and the group had no leader for good.

Change: an identity that was replaced is removed first. The host without power stays a voter.

--- a/jackdawsail/consensus/membership.py
+++ b/jackdawsail/consensus/membership.py
@@ -119,10 +119,12 @@
                 return current.with_learner(node)
         return None
 
-    def _removal_priority(self, voter: str) -> tuple[bool, bool, bool, float]:
+    def _removal_priority(self, voter: str) -> tuple[bool, bool, bool, bool, float]:
+        # A silent host may return with its disk; a replaced one never votes as this member again.
+        lost = (self._is_lost(voter), self._is_replaced(voter))
         is_retired = host_of(voter) in self._core.configuration.retired
         is_other = voter != self._core.node
-        return self._is_lost(voter), is_retired, is_other, self._silent_seconds(voter)
+        return *lost, is_retired, is_other, self._silent_seconds(voter)
 
     def _is_healthy(self, voter: str) -> bool:
         is_retired = host_of(voter) in self._core.configuration.retired
