Close connections whose send buffer was full, and idle ones only after a last read

Cause: Twisted never closes a transport that waits to resume a registered producer. A connection that was closed while more than 64 KiB waited to be sent stayed open for good, no longer read: a caller of HTTP/1.0 waited without end for the end of an answer without a length, and a stop lasted until its time limit. The timers of a reactor's turn run before its reads, so that a connection that had been idle for too long, or that a stop closes, was reset with a whole request in the kernel's buffer if the process was held up. Change: close() unregisters the producer; close_idle() closes in the next turn, unless something was received meanwhile. The transport of tests knows unregisterProducer.

--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -121,6 +121,7 @@
         self._unread_bytes = 0
         self._refused = False
         self._is_processing = False
+        self._is_closing = False
         self._timeout = Timeout(options.clock, self._handle_timeout)
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
@@ -137,6 +138,7 @@
         """
         if self._refused:
             return
+        self._is_closing = False
         if self._exchange is None and not self._is_reading():
             self._timeout.start(self.options.limits.head_seconds or MAX_REQUEST_SECONDS)
         was_answering = self._exchange is not None
@@ -164,8 +166,18 @@
     def close(self) -> None:
         """Closes the connection after the written bytes are sent."""
         self._timeout.stop()
+        # A transport that waits to resume its producer never closes.
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def close_idle(self) -> None:
+        """Closes the connection in the next turn of the reactor, if it receives nothing before.
+
+        A request may wait to be read, since the timers of a turn run before its reads.
+        """
+        self._is_closing = True
+        self.options.clock.callLater(0, self._close_if_still_idle)
+
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
         extra_headers: list[tuple[bytes, bytes]] = []
@@ -293,6 +305,10 @@
         if self._is_reading():
             self._refuse(408, READ_LIMIT_REASONS[408])
         else:
+            self.close_idle()
+
+    def _close_if_still_idle(self) -> None:
+        if self._is_closing:
             self.close()
 
 
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -58,7 +58,7 @@
             # A connection that was just accepted may have a request that is not read yet.
             for connection in idle:
                 if connection in self._idle_before:
-                    connection.close()
+                    connection.close_idle()
         self._idle_before = set(idle)
         all_closed = self.context.running == 0 and self.callers.open_count == 0
         limit_seconds = self.context.settings.bounds.stop_seconds - EXIT_RESERVE_SECONDS
--- a/test/http1/ends.py
+++ b/test/http1/ends.py
@@ -20,6 +20,9 @@
     def registerProducer(self, producer, streaming):
         pass
 
+    def unregisterProducer(self):
+        pass
+
     def abortConnection(self):
         self.aborted = True
 
