An error in a handler is answered, and input that raised one is refused

Cause: Twisted closes a connection whose dataReceived raises, so that its caller gets neither an answer nor a refusal. Raised by: an own answer to HEAD with a body (each refusal and denial of one), JSON with many levels, a number out of range in a part of a configuration that is not used, a target such as //[, weights of a route whose sum is infinite (each call of the route, though the document was accepted). A change whose answer raised left its operator waiting. Change: the server logs the error as event 112, answers 500 or aborts what has begun, and tells the handler as of a disconnect; answers to HEAD have no body; the inputs named are refused. Still failing: errors while an upstream's bytes are handled, time limits near 0, the end of a stop of a control host.

--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -76,12 +76,16 @@
         call = self.codec.decode(exchange.request)
         answer: Any = self.call_handler.handle(call)
         answer.addCallback(self._send_answer, exchange)
-        answer.addErrback(events.log_failure)
+        answer.addErrback(self._fail_exchange, exchange)
 
     def _send_answer(self, answer: calls.Answer, exchange: Exchange) -> None:
         if not exchange.ended:
             exchange.answer(self.codec.encode(answer, exchange.request.target))
 
+    def _fail_exchange(self, failure: Any, exchange: Exchange) -> None:
+        events.log_failure(failure)
+        exchange.fail()
+
     def _run_periodic_tasks(self) -> None:
         self.fanout.send_summary()
         members = self.linked.members(self._live_controls())
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -7,11 +7,14 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import h11
 from twisted.internet import protocol
+from twisted.python.failure import Failure
 
+from jackdawsail import events
 from jackdawsail.clocks import Clock, Timeout
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
 from jackdawsail.site.document import CallerLimits
@@ -24,6 +27,7 @@
 MAX_REQUEST_SECONDS = 60.0
 # Of requests that a caller has sent ahead of its answers; beyond it reading stops.
 MAX_UNREAD_BYTES = 65_536
+INTERNAL_ERROR = HttpAnswer(500, b'internal error')
 READ_LIMIT_REASONS = {408: b'request came too slowly', 413: b'body is too large'}
 
 
@@ -63,7 +67,8 @@
         """Sends a complete answer."""
         length = (b'Content-Length', str(len(answer.body)).encode())
         self.start(answer.status, b'', (*answer.headers, length))
-        self.write(answer.body)
+        if self.request.method != b'HEAD':
+            self.write(answer.body)
         self.finish()
 
     def start(self, status: int, reason: bytes, headers: Headers) -> None:
@@ -89,6 +94,14 @@
         if connection is not None:
             connection.transport.abortConnection()
 
+    def fail(self) -> None:
+        """Ends the exchange after an error of its handler, which is told as of a disconnect."""
+        if self.started:
+            self.abort()
+        else:
+            self.answer(INTERNAL_ERROR)
+        self.on_disconnect()
+
     def report_disconnect(self) -> None:
         """Reports to the handling task that the caller has disconnected."""
         if self._release_connection() is not None:
@@ -113,7 +126,7 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self.backlog = Backlog(self._report_full)
+        self.backlog = Backlog(partial(_report_full, self))
         self._core = h11.Connection(h11.SERVER, options.limits.head_bytes or MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
@@ -176,7 +189,7 @@
         A request may wait to be read, since the timers of a turn run before its reads.
         """
         self._is_closing = True
-        self.options.clock.callLater(0, self._close_if_still_idle)
+        self.options.clock.callLater(0, _close_if_still_idle, self)
 
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
@@ -209,10 +222,6 @@
         self._process_events()
         self._read_on()
 
-    def _report_full(self, is_full: bool) -> None:
-        if self._exchange is not None:
-            self._exchange.on_full(is_full)
-
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
         was_paused = self._unread_bytes > MAX_UNREAD_BYTES
@@ -280,13 +289,14 @@
         self._head = None
         self._body = bytearray()
         self._exchange = Exchange(self, request)
-        self.options.handler(self._exchange)
+        _pass_on(self._exchange, self.options)
 
     def _refuse(self, status: int, reason: bytes) -> None:
         """Answers an invalid request with an error and closes the connection."""
         self._timeout.stop()
         self._refused = True
-        self._exchange = Exchange(self, HttpRequest(b'', b''))
+        method = b'' if self._head is None else self._head.method
+        self._exchange = Exchange(self, HttpRequest(method, b''))
         if self._core.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             self._exchange.abort()
             return
@@ -307,10 +317,6 @@
         else:
             self.close_idle()
 
-    def _close_if_still_idle(self) -> None:
-        if self._is_closing:
-            self.close()
-
 
 class ServerFactory(protocol.Factory):
     """Accepts connections and keeps the set of open ones."""
@@ -354,6 +360,25 @@
         super().connectionLost(reason)
 
 
+def _pass_on(exchange: Exchange, options: ServerOptions) -> None:
+    """Passes a request to the handler, whose errors end only this exchange."""
+    try:
+        options.handler(exchange)
+    except Exception:  # noqa: BLE001 - the reactor would close the connection
+        events.log_failure(Failure())
+        exchange.fail()
+
+
+def _close_if_still_idle(connection: ServerConnection) -> None:
+    if connection._is_closing:
+        connection.close()
+
+
+def _report_full(connection: ServerConnection, is_full: bool) -> None:
+    if connection._exchange is not None:
+        connection._exchange.on_full(is_full)
+
+
 def _body_limit(limits: CallerLimits) -> int:
     return limits.body_bytes or MAX_BODY_BYTES
 
--- a/jackdawsail/platform/calls.py
+++ b/jackdawsail/platform/calls.py
@@ -9,6 +9,7 @@
 from jackdawsail.group import calls
 from jackdawsail.http1.messages import JSON_BODY, HttpAnswer, HttpRequest
 from jackdawsail.platform.documents import content_digest, decode_document
+from jackdawsail.platform.fields import UNREADABLE_JSON
 from jackdawsail.platform.registrations import decode_registration
 from jackdawsail.site.document import document_faults
 
@@ -24,7 +25,10 @@
 
 def decode_call(request: HttpRequest) -> calls.Call:
     """Decodes one call; returns InvalidCall or UnknownCall if that is not possible."""
-    split = urlsplit(request.target.decode('latin-1'))
+    try:
+        split = urlsplit(request.target.decode('latin-1'))
+    except ValueError:
+        return calls.UnknownCall()
     path = split.path
     method = request.method.decode('latin-1')
     fixed_path_decoder = _FIXED_PATH_CALLS.get((method, path))
@@ -57,7 +61,12 @@
     faults = document_faults(document)
     if faults:
         return calls.InvalidCall('; '.join(faults[:3]))
-    return calls.PutDocument(document, content_digest(request.body), request.body)
+    try:
+        digest = content_digest(request.body)
+    except UNREADABLE_JSON as error:
+        # In a part that the document does not use, and which was skipped.
+        return calls.InvalidCall(f'configuration cannot be read: {error}')
+    return calls.PutDocument(document, digest, request.body)
 
 
 def _get_config(_request: HttpRequest, _query: str) -> calls.Call:
@@ -67,7 +76,7 @@
 def _put_version(request: HttpRequest, _query: str) -> calls.Call:
     try:
         weights = msgspec.json.decode(request.body, type=_WeightVersion)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE_JSON as error:
         return calls.InvalidCall(str(error))
     return calls.AnnounceWeights(weights.model, weights.version)
 
--- a/jackdawsail/platform/documents.py
+++ b/jackdawsail/platform/documents.py
@@ -5,7 +5,12 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from jackdawsail.platform.fields import MILLISECOND, NonNegativeFloat, NonNegativeInt
+from jackdawsail.platform.fields import (
+    MILLISECOND,
+    UNREADABLE_JSON,
+    NonNegativeFloat,
+    NonNegativeInt,
+)
 from jackdawsail.site.document import (
     CallerLimits,
     CallKind,
@@ -17,6 +22,7 @@
     SiteDocument,
 )
 
+UNREADABLE_DOCUMENT = (*UNREADABLE_JSON, KeyError)
 DEFAULT_URGENCY_RANK = 1  # for routes without a priority, as in the platform's examples
 
 _KINDS = {
@@ -110,7 +116,7 @@
     """Decodes a complete configuration, or returns why it is invalid."""
     try:
         return Success(_as_document(msgspec.json.decode(body, type=_Config)))
-    except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+    except UNREADABLE_DOCUMENT as error:
         return Failure(f'configuration cannot be read: {error}')
 
 
--- a/jackdawsail/platform/fields.py
+++ b/jackdawsail/platform/fields.py
@@ -9,6 +9,9 @@
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
+# What msgspec raises for a body that it cannot decode, such as one with too many levels.
+UNREADABLE_JSON = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 BodyT = TypeVar('BodyT')
 
 
@@ -16,5 +19,5 @@
     """Decodes a JSON body into a type; a failure names the body as ``body_name``."""
     try:
         return Success(msgspec.json.decode(body, type=body_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE_JSON as error:
         return Failure(f'{body_name} cannot be read: {error}')
--- a/jackdawsail/site/document.py
+++ b/jackdawsail/site/document.py
@@ -4,6 +4,7 @@
 newest one that it has received and never returns to a lower version.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -158,8 +159,8 @@
         unknown = sorted({share.service for share in route.shares} - known_services)
         if unknown:
             faults.append(f'route {route.name} names unknown services {unknown}')
-        if sum(share.weight for share in route.shares) <= 0:
-            faults.append(f'the weights of route {route.name} add up to nothing')
+        if not 0 < sum(share.weight for share in route.shares) < math.inf:
+            faults.append(f'the weights of route {route.name} add up to nothing, or too much')
         if any(share.weight < 0 for share in route.shares):
             faults.append(f'route {route.name} has a negative weight')
         if route.time_limit_seconds <= 0:
