An error while an upstream's bytes or a timer are handled ends the call with an answer

Cause: an attempt ends before its owner is told, so that an error in the owner left the call without an end until its time limit, and one in the time limit itself without any end. A call whose time was over before its timer was set raised in callLater (a negative delay), and its connection was closed without an answer: Request-Deadline 0.001, or any that ends while the process is held up between reading and placing a call. The delay is never negative.

--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -95,12 +95,11 @@
             connection.transport.abortConnection()
 
     def fail(self) -> None:
-        """Ends the exchange after an error of its handler, which is told as of a disconnect."""
+        """Ends the exchange after an error of its handler; does nothing if it has ended."""
         if self.started:
             self.abort()
-        else:
+        elif not self.ended:
             self.answer(INTERNAL_ERROR)
-        self.on_disconnect()
 
     def report_disconnect(self) -> None:
         """Reports to the handling task that the caller has disconnected."""
@@ -361,12 +360,13 @@
 
 
 def _pass_on(exchange: Exchange, options: ServerOptions) -> None:
-    """Passes a request to the handler, whose errors end only this exchange."""
+    """Passes a request to the handler; an error ends only this exchange, as by a disconnect."""
     try:
         options.handler(exchange)
     except Exception:  # noqa: BLE001 - the reactor would close the connection
         events.log_failure(Failure())
         exchange.fail()
+        exchange.on_disconnect()
 
 
 def _close_if_still_idle(connection: ServerConnection) -> None:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -19,6 +19,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.upstreams import Upstream
 
@@ -68,6 +69,9 @@
     def attempt_failed(self, attempt: 'Attempt', end: AttemptEnd, reason: str) -> None:
         """Called once it is known that no complete answer will arrive."""
 
+    def end_after_error(self) -> None:
+        """Called after an error in the handling of the attempt or of its end."""
+
 
 class Attempt:
     """One attempt; owns its channel to the upstream until the answer ends.
@@ -197,9 +201,10 @@
             return
         self.set_paused(False)
         self._finish()
-        if channel is not None:
-            self._context.pool.release(channel)
-        self._owner.attempt_completed(self)
+        with ending_on_error(self._owner.end_after_error):
+            if channel is not None:
+                self._context.pool.release(channel)
+            self._owner.attempt_completed(self)
 
     def answer_failed(self, reason: BreakReason) -> None:
         """Handles the end of an incomplete answer.
@@ -210,13 +215,18 @@
         if self.ended:
             return
         self._finish()
-        if self.head is not None:
-            metrics.ANSWERS.labels(self.framing, str(reason)).inc()
-        if not (self._reused_channel and self.head is None):
-            self.upstream.call_failed(self._context.clock.seconds())
-        self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
+        with ending_on_error(self._owner.end_after_error):
+            if self.head is not None:
+                metrics.ANSWERS.labels(self.framing, str(reason)).inc()
+            if not (self._reused_channel and self.head is None):
+                self.upstream.call_failed(self._context.clock.seconds())
+            self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
     def _on_connected(self, make_request: MakeRequest, channel: ClientChannel | None) -> None:
+        with ending_on_error(self._owner.end_after_error):
+            self._handle_connected(make_request, channel)
+
+    def _handle_connected(self, make_request: MakeRequest, channel: ClientChannel | None) -> None:
         if self.ended:
             if channel is not None:
                 channel.close()
@@ -248,7 +258,8 @@
     def _end_refusal(self) -> None:
         """Abandons a refusal whose body does not end."""
         self.cancel()
-        self._owner.attempt_failed(self, AttemptEnd.broken, 'refusal without an end')
+        with ending_on_error(self._owner.end_after_error):
+            self._owner.attempt_failed(self, AttemptEnd.broken, 'refusal without an end')
 
     def _finish(self) -> None:
         self.ended = True
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -16,6 +16,7 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.outgoing import (
     Deadline,
     dispatch_details,
@@ -74,13 +75,13 @@
     def start(self) -> None:
         """Starts the time limit and dispatches the call to an upstream."""
         self._watch = EngineWatch(self)
-        self.exchange.on_disconnect = self._on_caller_disconnected
+        self.exchange.on_disconnect = partial(_caller_disconnected, self)
         self.exchange.on_full = partial(_pause_attempt, self)
         self.context.running += 1
         metrics.RUNNING.inc()
-        self._time_limit = self.context.clock.callLater(
-            self.deadline.remaining_seconds, self._time_out
-        )
+        # The time may already be over.
+        remaining_seconds = max(0, self.deadline.remaining_seconds)
+        self._time_limit = self.context.clock.callLater(remaining_seconds, _reach_time_limit, self)
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
@@ -293,11 +294,15 @@
             self.exchange.answer(HttpAnswer(status, reason.encode()))
         self._close('failed')
 
-    def _on_caller_disconnected(self) -> None:
+    def end_after_error(self) -> None:
+        """Answers with a failure, since an error was raised in the handling of the call."""
+        if self._closed:
+            return
         if self.attempt is not None:
             self.attempt.cancel()
-        self.log.write(call_log.CALLER_DISCONNECTED)
-        self._close('left')
+        self._close('failed')
+        self.exchange.fail()
+        self.log.write(call_log.CALL_FAILED, reason='internal error', status=SERVER_ERROR)
 
     def _close(self, outcome: str) -> None:
         if self._closed:
@@ -311,6 +316,18 @@
         metrics.CALLS.labels(outcome).inc()
 
 
+def _reach_time_limit(task: CallTask) -> None:
+    with ending_on_error(task.end_after_error):
+        task._time_out()
+
+
+def _caller_disconnected(task: CallTask) -> None:
+    if task.attempt is not None:
+        task.attempt.cancel()
+    task.log.write(call_log.CALLER_DISCONNECTED)
+    task._close('left')
+
+
 def _pause_attempt(task: CallTask, is_full: bool) -> None:
     """Reads the upstream's answer no faster than its caller does."""
     if task.attempt is not None:
--- a/test/proxy/test_lost_calls.py
+++ b/test/proxy/test_lost_calls.py
@@ -89,6 +89,7 @@
     def __init__(self, service=None):
         self.world = World(2, service)
         self.reactor = self.world.reactor
+        self.channels = []
 
     def call(self, path='/p/x', attempt_id='a1', headers='', method='GET'):
         connection = self.world.factory.buildProtocol(None)
@@ -111,6 +112,7 @@
         channel.failed = False
         with as_in_the_reactor(channel):
             channel.makeConnection(Transport())
+        self.channels.append(channel)
         return channel
 
     def deliver(self, channel, send, *arguments, **options):
@@ -131,7 +133,10 @@
         waited_seconds = 0
         while not caller.value() and not caller.aborted and waited_seconds < PROMPT_SECONDS:
             while self.reactor.pending_connects:
-                self.deliver(self.accept(), answer, attempt=attempt_id)
+                self.accept()
+            for channel in self.channels:
+                if channel.transport.take_written():
+                    self.deliver(channel, answer, attempt=attempt_id)
             self.wait(STEP_SECONDS)
             waited_seconds += STEP_SECONDS
 
