Tests: an answer beside unread bytes, and connections that wait when a port closes

The second: Twisted accepts as many connections in a turn as in the last one, so that one is accepted and the others are reset when a stopping entry closes its port.

--- a/test/http1/test_closing.py
+++ b/test/http1/test_closing.py
@@ -1,7 +1,9 @@
 """A whole request is answered though its connection is closed, over real sockets."""
 
+import socket
 import time
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import pytest
 
@@ -200,16 +202,34 @@
 
 def test_long_answer_that_closes_is_whole_though_unread_bytes_follow_its_request():
     with live_server() as server:
-        caller = Caller(server.port_number, CLOSING_GET, reads=False)
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.settimeout(GIVE_UP_SECONDS)
+        connection.connect(('127.0.0.1', server.port_number))
+        connection.sendall(CLOSING_GET)
         exchange = server.next_exchange()
-        caller.connection.sendall(b'\r\n' * 1000)
-        server.run(0.05)
-        exchange.answer(HttpAnswer(200, LONG))
-        caller.connection.sendall(b'\r\n' * 1000)
-        server.run(0.05)
-        caller.start()
-        assert server.has_ended(caller)
-        assert caller.received_bytes > len(LONG)
+        connection.sendall(GET)
+        exchange.answer(HttpAnswer(200, b'x' * 50_000))
+        server.run(0.2)
+        received = b''
+        while not received.endswith(b'x' * 50_000):
+            piece = connection.recv(65_536)
+            assert piece
+            received += piece
+            server.reactor.iterate(0)
+
+
+def test_connections_that_wait_to_be_accepted_when_a_port_closes_are_answered():
+    with live_server() as server:
+        # One connection in a turn of the reactor, as usual.
+        server.connect()
+        callers = [Caller(server.port_number, GET) for _ in range(5)]
+        context = SimpleNamespace(refusing=False, running=0)
+        CallerDrain(context, server.factory, port=server.port)._refuse()
+        for _ in callers:
+            server.next_exchange().answer(HttpAnswer(200, b'ok'))
+        server.run_until(lambda: all(caller.answer for caller in callers))
+        assert all(caller.answer.startswith(b'HTTP/1.1 200') for caller in callers)
 
 
 def test_refusal_of_a_long_request_reaches_a_caller_that_is_still_sending_it():
