--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -11,7 +11,7 @@
 from jackdawsail.proxy.limit_reports import LimitReports
 from jackdawsail.proxy.recent_events import RecentEvents
 from jackdawsail.proxy.trait_reports import TraitReports
-from jackdawsail.routing.late_calls import Pressure, RefusedCalls
+from jackdawsail.routing.late_calls import Pressure, RefusedCalls, is_late
 from jackdawsail.routing.moving import MoveShare
 from jackdawsail.routing.sends import COLD_WINDOW_SECONDS
 from jackdawsail.routing.shared_limits import ColdBound, RetryShare
@@ -91,6 +91,12 @@
         """Returns the record of recent refusals of a service's calls that could be in time."""
         return self._pressures.setdefault(service, Pressure())
 
+    def is_late(self, fingerprint: bytes, target_seconds: float) -> bool:
+        """Returns whether a call was refused so long ago that it cannot be served in time."""
+        now_seconds = self.clock.seconds()
+        used_seconds = self.refused_calls.seconds_since_refusal(fingerprint, now_seconds)
+        return is_late(used_seconds, target_seconds)
+
     def take_move(self, service: str) -> bool:
         """Returns whether a stream may move now, and takes the move from this entry's share."""
         now_seconds = self.clock.seconds()
--- a/jackdawsail/proxy/handover.py
+++ b/jackdawsail/proxy/handover.py
@@ -37,6 +37,9 @@
     handover: 'Handover | None'
     left: str
 
+    def end_after_error(self) -> None:
+        """Ends the call with an answer after an error in its handling."""
+
     def adopt(self, attempt: Attempt, received: bytes) -> None:
         """Continues with the answer of another attempt, of which some was received already."""
 
@@ -102,6 +105,13 @@
         """Keeps the stream at its engine, as the other one was not reached or has broken off."""
         give_up_handover(self._call, end, reason)
 
+    def end_after_error(self) -> None:
+        """Keeps the stream at its engine, or ends the call if it has left that already."""
+        if self._call.handover is self:
+            give_up_handover(self._call, AttemptEnd.broken, 'internal error')
+        else:
+            self._call.end_after_error()
+
 
 def start_handover(call: HandoverCall, choice: Choice, end: AttemptEnd, details: str) -> None:
     """Offers the rest of a stream to the chosen engine."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -22,6 +22,7 @@
     record_sent,
     start_attempt,
 )
+from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.handover import Handover, complete_handover, give_up_handover
 from jackdawsail.proxy.outgoing import Deadline
 from jackdawsail.proxy.relaying import (
@@ -36,7 +37,6 @@
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.trait_reports import BLOCKED
 from jackdawsail.proxy.watch import EngineWatch
-from jackdawsail.routing.late_calls import is_late
 from jackdawsail.routing.placement import Refusal
 from jackdawsail.site.document import CallKind, Customer, Route
 from jackdawsail.site.routes import Admission
@@ -79,13 +79,13 @@
     def start(self) -> None:
         """Starts the time limit and dispatches the call to an upstream."""
         self._watch = EngineWatch(self)
-        self.exchange.on_disconnect = self._on_caller_disconnected
+        self.exchange.on_disconnect = lambda: _caller_disconnected(self)
         self.exchange.on_full = self._pause
         self.context.running += 1
         metrics.RUNNING.inc()
-        self._time_limit = self.context.clock.callLater(
-            self.deadline.remaining_seconds, self._time_out
-        )
+        # The time may already be over.
+        remaining_seconds = max(0, self.deadline.remaining_seconds)
+        self._time_limit = self.context.clock.callLater(remaining_seconds, _reach_time_limit, self)
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
@@ -295,11 +295,15 @@
         if handover is not None:
             handover.attempt.set_paused(is_full)
 
-    def _on_caller_disconnected(self) -> None:
+    def end_after_error(self) -> None:
+        """Answers with a failure, since an error was raised in the handling of the call."""
+        if self._closed:
+            return
         if self.attempt is not None:
             self.attempt.cancel()
-        self.log.write(call_log.CALLER_DISCONNECTED)
-        self._close('left')
+        self._close('failed')
+        self.exchange.fail()
+        self.log.write(call_log.CALL_FAILED, reason='internal error', status=SERVER_ERROR)
 
     def _close(self, outcome: str) -> None:
         if self._closed:
@@ -315,6 +319,18 @@
         metrics.CALLS.labels(outcome).inc()
 
 
+def _caller_disconnected(task: CallTask) -> None:
+    if task.attempt is not None:
+        task.attempt.cancel()
+    task.log.write(call_log.CALLER_DISCONNECTED)
+    task._close('left')
+
+
+def _reach_time_limit(task: CallTask) -> None:
+    with ending_on_error(task.end_after_error):
+        task._time_out()
+
+
 def make_call_task(
     context: ProxyContext,
     exchange: Exchange,
@@ -338,9 +354,7 @@
     )
     if call.model:
         task.fingerprint = fingerprint_of(call, exchange.request)
-        now_seconds = context.clock.seconds()
-        used_seconds = context.refused_calls.seconds_since_refusal(task.fingerprint, now_seconds)
-        task.is_late = is_late(used_seconds, route.target_seconds)
+        task.is_late = context.is_late(task.fingerprint, route.target_seconds)
     return task
 
 
