A stopping entry accepts all connections that wait before it closes its port

Cause: Twisted's port accepts in a turn no more connections than it expects from the turn before, often one, so that the others were reset when the port was closed 2.8 s after the signal. Change: close_port accepts up to the backlog first. Evidence: test_connections_that_wait_to_be_accepted_when_a_port_closes_are_answered failed before and passes now.

--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -15,6 +15,7 @@
 from jackdawsail.http1.server import ServerConnection, ServerFactory
 from jackdawsail.loops import start_loop
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.site.process import close_port
 
 CHECK_INTERVAL_SECONDS = 0.1
 # Callers keep a resolved address for two seconds; a long stream takes four more.
@@ -71,6 +72,4 @@
         self.context.refusing = True
         events.log(REFUSING_CALLS, running=self.context.running, open=self.callers.open_count)
         if self.port is not None:
-            # Closing the port resets the connections that wait to be accepted.
-            self.port.doRead()
-            self.port.stopListening()
+            close_port(self.port)
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -71,6 +71,14 @@
     return process.reactor.listenTCP(int(port), factory, LISTEN_BACKLOG, host)
 
 
+def close_port(port: Any) -> None:
+    """Accepts the connections that wait, which would be reset otherwise, and stops listening."""
+    # Twisted accepts no more of them than it expects.
+    port.numberAccepts = LISTEN_BACKLOG + 1
+    port.doRead()
+    port.stopListening()
+
+
 def listen_links(process: NodeProcess, owner: LinkOwner) -> Any:
     """Listens at the link port for links of other processes."""
     factory: Any = LinkServerFactory(process.link_settings, owner, process.reactor)
