A stopping control host answers what it had received before its process ends

Cause: stop() waited 0.1 s for the message to the next leader and then ended the process. Requests that had arrived meanwhile and were not read yet, or whose answers were not written yet, ended with a closed connection; the answers before kept their connections, so that callers used them. Change: answers of a stopping host close their connections; after the flush the ports are closed as those of an entry, and the process ends once no caller has a request in progress, 0.5 s later at most. A stopping host takes no heartbeats, as its links close. The test waits for the end of the process, which now comes some turns after the last answer. Evidence: test/group/test_stops.py, 9 cases failed before, none now; test/group and test/site pass.

--- a/jackdawsail/group/call_handler.py
+++ b/jackdawsail/group/call_handler.py
@@ -83,6 +83,8 @@
 
     @_handle.register
     def _heartbeat(self, call: calls.Heartbeat) -> DeferredAnswer:
+        if self.stopping:
+            return succeed(calls.Unavailable('this host is stopping'))
         # A departure is acknowledged only if it reaches the entries. A host that knows no
         # leader may be cut off from them.
         if call.registration.leaving and not self.replicator.leader_name():
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -19,7 +19,7 @@
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.site.node import NodeSettings
-from jackdawsail.site.process import NodeProcess, listen_http, listen_links
+from jackdawsail.site.process import NodeProcess, drain_http, listen_http, listen_links
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 
@@ -38,6 +38,8 @@
     linked: LinkedProcesses
     call_handler: CallHandler
     lists: ReplicatedLists
+    ports: list[Any] = field(default_factory=list)
+    callers: ServerFactory = field(init=False)
     _loops: list[Any] = field(default_factory=list)
     _sent_members: Any = None
 
@@ -50,9 +52,9 @@
         self.fanout.start()
         self.fanout.router.watch_links(self._link_opened, lambda link: None)
         options = ServerOptions(self._handle, self.process.reactor, calls.CONTROL_LIMITS)
-        factory = ServerFactory(options)
-        for address in (settings.listening.control, settings.listening.directory):
-            listen_http(self.process, address, factory)
+        self.callers = ServerFactory(options)
+        addresses = (settings.listening.control, settings.listening.directory)
+        self.ports = [listen_http(self.process, each, self.callers) for each in addresses if each]
         listen_links(self.process, self.fanout.router)
         self._loops = [
             start_loop(self.process.reactor, self._run_periodic_tasks, SUMMARY_INTERVAL_SECONDS),
@@ -60,11 +62,13 @@
         ]
 
     def stop(self) -> Deferred[None]:
-        """Stops the timers, transfers leadership and closes the links."""
+        """Stops the timers, transfers leadership, closes the links and answers what was read."""
         self.call_handler.stopping = True
+        self.callers.options.closing = True
         for loop in self._loops:
             loop.stop()
-        return self.consensus.replicator.stop()
+        stopped = self.consensus.replicator.stop()
+        return stopped.addCallback(self._drain_callers)
 
     def reload(self, settings: NodeSettings) -> None:
         """Applies new settings and dials the control hosts that they add."""
@@ -86,6 +90,9 @@
         events.log_failure(failure)
         exchange.fail()
 
+    def _drain_callers(self, _stopped: None) -> Deferred[None]:
+        return drain_http(self.process.reactor, self.ports, self.callers)
+
     def _run_periodic_tasks(self) -> None:
         self.fanout.send_summary()
         members = self.linked.members(self._live_controls())
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -1,11 +1,15 @@
 """The common base of a site's programs: settings, link settings and listening ports."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from secrets import randbits
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.loops import start_loop
 from jackdawsail.metrics_registry import render_metrics
 from jackdawsail.site.clock import PROCESS_STARTED_SECONDS
 from jackdawsail.site.node import NodeSettings
@@ -18,6 +22,8 @@
 SILENCE_SECONDS = 1.7
 CONNECT_SECONDS = 1.0
 REDIAL_MAX_SECONDS = 0.4
+DRAIN_SECONDS = 0.5  # for answers to requests that were received before a program has stopped
+DRAIN_CHECK_SECONDS = 0.02
 LISTEN_BACKLOG = 512
 METRICS_PORT_OFFSET = 8  # from the first internal port
 INCARNATION_BITS = 52  # exact as a float, since CBOR and JSON readers may use one
@@ -79,6 +85,24 @@
     port.stopListening()
 
 
+def drain_http(reactor: Any, ports: Iterable[Any], callers: ServerFactory) -> Deferred[None]:
+    """Closes ports; fires once all their callers have their answers, or after DRAIN_SECONDS."""
+    for port in ports:
+        close_port(port)
+    drained: Deferred[None] = Deferred()
+    end_seconds = reactor.seconds() + DRAIN_SECONDS
+
+    def check() -> None:
+        for connection in callers.idle():
+            connection.close_idle()
+        if not callers.open_count or reactor.seconds() >= end_seconds:
+            loop.stop()
+            drained.callback(None)
+
+    loop = start_loop(reactor, check, DRAIN_CHECK_SECONDS)
+    return drained
+
+
 def listen_links(process: NodeProcess, owner: LinkOwner) -> Any:
     """Listens at the link port for links of other processes."""
     factory: Any = LinkServerFactory(process.link_settings, owner, process.reactor)
