Tests: calls that run at the time limit of a stop

They fail: the process ends, and with it their connections, without an answer; a stream is closed and not aborted, so that a caller of HTTP/1.0 takes it for complete.

--- a/test/proxy/test_lost_calls.py
+++ b/test/proxy/test_lost_calls.py
@@ -11,6 +11,7 @@
 from jackdawsail.http1.client import ClientChannel
 from jackdawsail.proxy import admission, attempt, outgoing, task
 from jackdawsail.proxy.call_log import CallLog
+from jackdawsail.proxy.draining import CHECK_INTERVAL_SECONDS, CallerDrain
 from jackdawsail.proxy.relaying import PlainRelay, StreamRelay
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.trait_reports import TraitReports
@@ -22,7 +23,9 @@
 from test.proxy.test_endless_bytes import Caller, Peer, live_world, request
 from test.proxy.world import (
     MODEL_SERVICE,
+    ONCE,
     PLAIN,
+    STREAM,
     STREAM_HEADERS,
     World,
     answer,
@@ -36,6 +39,8 @@
 STEP_SECONDS = 0.05
 # Calls are answered before their time limit, which is two seconds or more.
 PROMPT_SECONDS = 1.9
+LONG = make_route('long', time_limit_seconds=20.0)
+LONG_ONCE = replace(ONCE, time_limit_seconds=20.0)
 SOUND = b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -326,3 +331,41 @@
         answer(world.accept())
     is_valid = not document_faults(make_document(routes=[route], services=SERVICES))
     assert status_of(caller) in ({200, 503} if is_valid else {500})
+
+
+@pytest.mark.parametrize('path', ['/p/x', '/once/x'])
+def test_call_that_runs_at_the_limit_of_a_stop_is_answered_before_the_process_ends(path):
+    world = World(2, routes=[LONG, LONG_ONCE])
+    ended = []
+    drain = CallerDrain(world.context, world.factory)
+    drain.start().addCallback(ended.append)
+    world.reactor.advance(2.5)
+    sent, waiting = world.call(path), world.call(path)
+    channel = world.accept()
+    statuses = None
+    while not ended:
+        statuses = status_of(sent), status_of(waiting)
+        world.reactor.advance(CHECK_INTERVAL_SECONDS)
+    # Both were written before the check at which the process ends.
+    assert statuses == (504, 503)
+    assert channel.transport.aborted
+    assert world.context.running == 0
+
+
+def test_stream_that_runs_at_the_limit_of_a_stop_is_aborted():
+    world = World(2, MODEL_SERVICE, routes=[replace(STREAM, time_limit_seconds=20.0)])
+    ended = []
+    drain = CallerDrain(world.context, world.factory)
+    drain.start().addCallback(ended.append)
+    world.reactor.advance(2.5)
+    caller = world.call('/stream/x', headers='Model: m\r\n', method='POST')
+    channel = world.accept()
+    begin_stream(channel)
+    channel.dataReceived(event(1))
+    for number in range(2, 200):
+        world.reactor.advance(CHECK_INTERVAL_SECONDS)
+        if not channel.transport.aborted:
+            channel.dataReceived(event(number))
+    assert ended
+    assert caller.aborted
+    assert not caller.value().endswith(b'0\r\n\r\n')
