Calls that run at the time limit of a stop are answered before the process ends

Cause: at its limit a drain ended the process, whose connections were closed with it: a call that had run got no answer, one that had not run no refusal, and a begun stream was closed, not aborted. Change: 0.55 s before the time limit for the stop calls are ended as at their own time limits (504, a refusal, or an abort); the process ends at a later check, 0.4 s before the limit as until now. The context holds the running calls instead of their number. Idle connections are closed from the first check after 1.0 s on that finds them idle twice.

--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -25,7 +26,8 @@
 class ProxyContext:
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
-    ``running`` is the number of calls being served. ``refusing`` is true once the entry
+    ``calls`` are the functions that end the calls being served, as at their time limit, by the
+    id of their tasks. ``refusing`` is true once the entry
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
     ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
@@ -40,8 +42,8 @@
     pool: ChannelPool
     rng: random.Random
     started_seconds: float = -math.inf
-    running: int = 0
     refusing: bool = False
+    calls: dict[int, Callable[[], None]] = field(default_factory=dict)
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
     _pressures: dict[str, Pressure] = field(default_factory=dict)
@@ -58,6 +60,11 @@
         self.view.on_change.append(self._update_shares)
         self._update_shares()
 
+    @property
+    def running(self) -> int:
+        """Returns the number of calls being served."""
+        return len(self.calls)
+
     @property
     def entries(self) -> int:
         """Returns the number of entries that share the site's limits, at least 1."""
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -22,6 +22,7 @@
 REFUSE_AFTER_SECONDS = 2.8
 CLOSE_IDLE_AFTER_SECONDS = 1.0  # until then a call may still arrive on an idle connection
 EXIT_RESERVE_SECONDS = 0.4  # of the time limit for the stop, kept for the process to exit
+ANSWER_SECONDS = 0.15  # before that, for the answers of the calls that still run
 
 REFUSING_CALLS = events.define(428, 'info', 'stopping entry no longer accepts calls')
 CALLERS_DRAINED = events.define(427, 'info', 'stopping entry has finished draining its callers')
@@ -49,25 +50,40 @@
     def _check(self) -> None:
         """Closes idle connections; ends the drain when none is left and calls are refused.
 
-        It ends EXIT_RESERVE_SECONDS before the time limit for the stop in any case.
+        It ends EXIT_RESERVE_SECONDS before the time limit for the stop in any case. Calls that
+        still run are ended before that, at an earlier check, so that their answers are sent.
         """
         elapsed_seconds = self.context.clock.seconds() - self._started_seconds
         if elapsed_seconds >= REFUSE_AFTER_SECONDS and not self.context.refusing:
             self._refuse()
-        idle = self.callers.idle()
         if elapsed_seconds >= CLOSE_IDLE_AFTER_SECONDS:
-            # A connection that was just accepted may have a request that is not read yet.
-            for connection in idle:
-                if connection in self._idle_before:
-                    connection.close_idle()
-        self._idle_before = set(idle)
-        all_closed = self.context.running == 0 and self.callers.open_count == 0
+            self._close_idle()
         limit_seconds = self.context.settings.bounds.stop_seconds - EXIT_RESERVE_SECONDS
-        if (all_closed and self.context.refusing) or elapsed_seconds >= limit_seconds:
+        if elapsed_seconds >= limit_seconds - ANSWER_SECONDS and self.context.running:
+            self._end_calls()
+        elif self._is_drained() or elapsed_seconds >= limit_seconds:
             events.log(CALLERS_DRAINED, running=self.context.running, open=self.callers.open_count)
             self._loop.stop()
             self.drained.callback(None)
 
+    def _is_drained(self) -> bool:
+        return self.context.refusing and not self.context.running and not self.callers.open_count
+
+    def _close_idle(self) -> None:
+        """Closes the connections that were idle at the last check too.
+
+        One that was just accepted may have a request that is not read yet.
+        """
+        idle = self.callers.idle()
+        for connection in idle:
+            if connection in self._idle_before:
+                connection.close_idle()
+        self._idle_before = set(idle)
+
+    def _end_calls(self) -> None:
+        for end_call in list(self.context.calls.values()):
+            end_call()
+
     def _refuse(self) -> None:
         self.context.refusing = True
         events.log(REFUSING_CALLS, running=self.context.running, open=self.callers.open_count)
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -77,11 +77,12 @@
         self._watch = EngineWatch(self)
         self.exchange.on_disconnect = partial(_caller_disconnected, self)
         self.exchange.on_full = partial(_pause_attempt, self)
-        self.context.running += 1
+        end_call = partial(_reach_time_limit, self)
+        self.context.calls[id(self)] = end_call
         metrics.RUNNING.inc()
         # The time may already be over.
         remaining_seconds = max(0, self.deadline.remaining_seconds)
-        self._time_limit = self.context.clock.callLater(remaining_seconds, _reach_time_limit, self)
+        self._time_limit = self.context.clock.callLater(remaining_seconds, end_call)
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
@@ -311,7 +312,7 @@
         self._watch.stop()
         if self._time_limit is not None and self._time_limit.active():
             self._time_limit.cancel()
-        self.context.running -= 1
+        self.context.calls.pop(id(self), None)
         metrics.RUNNING.dec()
         metrics.CALLS.labels(outcome).inc()
 
