A hangup while a process starts no longer ends it

Cause: until the handler was installed, after the start, the signal's default action applied. Change: the program ignores it before its imports; the settings are read after that.

--- a/jackdawsail/platform/programs.py
+++ b/jackdawsail/platform/programs.py
@@ -5,8 +5,14 @@
     python -m jackdawsail.platform.programs entry
 """
 
+import signal
 import sys
 
+if __name__ == '__main__':
+    # Until the program has started; it reads its settings after this, and again every few seconds.
+    # The imports below take most of the time until then.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from jackdawsail.platform.settings import decode_settings, settings_path
 from jackdawsail.site.process import NodeProcess
 from jackdawsail.site.running import NodeProgram, SettingsSource, run_node
