--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -26,7 +27,8 @@
 class ProxyContext:
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
-    ``running`` is the number of calls being served. ``refusing`` is true once the entry
+    ``calls`` are the functions that end the calls being served, as at their time limit, by the
+    id of their tasks. ``refusing`` is true once the entry
     stops and accepts no more calls. ``started_seconds`` is when the process started, and
     ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
@@ -41,8 +43,8 @@
     pool: ChannelPool
     rng: random.Random
     started_seconds: float = -math.inf
-    running: int = 0
     refusing: bool = False
+    calls: dict[int, Callable[[], None]] = field(default_factory=dict)
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
     recent: RecentEvents = field(default_factory=RecentEvents)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
@@ -60,6 +62,11 @@
         self.view.on_change.append(self._site_changed)
         self._site_changed()
 
+    @property
+    def running(self) -> int:
+        """Returns the number of calls being served."""
+        return len(self.calls)
+
     @property
     def entries(self) -> int:
         """Returns the number of entries that share the site's limits, at least 1."""
--- a/jackdawsail/proxy/handover.py
+++ b/jackdawsail/proxy/handover.py
@@ -14,6 +14,7 @@
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
 from jackdawsail.proxy.dispatching import (
     DispatchedCall,
+    find_alternative,
     make_attempt,
     record_sent,
     start_attempt,
@@ -123,17 +124,28 @@
     start_attempt(call, handover.attempt)
 
 
-def complete_handover(call: HandoverCall) -> None:
-    """Continues a stream with the engine that it was offered to, and leaves the one it had."""
+def may_retry(call: HandoverCall) -> bool:
+    """Returns whether another upstream has the call already, or may get it."""
+    if call.handover is not None:
+        return True
+    return find_alternative(call) is not None and call.sends.take_further_upstream()
+
+
+def complete_handover(call: HandoverCall) -> bool:
+    """Continues a stream with the engine that it was offered to, and leaves the one it had.
+
+    Returns False if it was offered to none.
+    """
     handover, left = call.handover, call.attempt
     if handover is None:
-        return
+        return False
     call.handover = None
     if left is not None and not left.ended:
         left.cancel()
         call.left = str(handover.end)
         call.log.attempt_ended(left, handover.details, call.relay)
     call.adopt(handover.attempt, bytes(handover.received))
+    return True
 
 
 def give_up_handover(call: HandoverCall, end: AttemptEnd, reason: str) -> None:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -17,13 +17,17 @@
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.dispatching import (
-    find_alternative,
     next_attempt,
     record_sent,
     start_attempt,
 )
 from jackdawsail.proxy.errors import ending_on_error
-from jackdawsail.proxy.handover import Handover, complete_handover, give_up_handover
+from jackdawsail.proxy.handover import (
+    Handover,
+    complete_handover,
+    give_up_handover,
+    may_retry,
+)
 from jackdawsail.proxy.outgoing import Deadline
 from jackdawsail.proxy.relaying import (
     AnswerRelay,
@@ -79,13 +83,13 @@
     def start(self) -> None:
         """Starts the time limit and dispatches the call to an upstream."""
         self._watch = EngineWatch(self)
-        self.exchange.on_disconnect = lambda: _caller_disconnected(self)
+        self.exchange.on_disconnect = self._caller_disconnected
         self.exchange.on_full = self._pause
-        self.context.running += 1
+        self.context.calls[id(self)] = self._reach_time_limit
         metrics.RUNNING.inc()
         # The time may already be over.
         remaining_seconds = max(0, self.deadline.remaining_seconds)
-        self._time_limit = self.context.clock.callLater(remaining_seconds, _reach_time_limit, self)
+        self._time_limit = self.context.clock.callLater(remaining_seconds, self._reach_time_limit)
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
@@ -143,10 +147,8 @@
             self._not_run(attempt, status)
         elif cannot_continue(self.relay, head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
-        elif failed and self._may_retry():
-            self.log.attempt_ended(attempt, f'status {status}', self.relay)
-            self.relay = None
-            self._place_again()
+        elif failed and may_retry(self):
+            self._retry(attempt, status)
         else:
             self._finish(attempt, status)
 
@@ -182,13 +184,21 @@
             return
         if is_risky:
             self._fail(502, 'the call may have ended the upstream')
-        elif self._is_offered or (
-            may_continue(self.route, self.relay) and self.sends.take_further_upstream()
-        ):
-            self._place_again()
+            return
+        if complete_handover(self):
+            return
+        if may_continue(self.route, self.relay) and self.sends.take_further_upstream():
+            self._place()
         else:
             self._fail(502, 'upstream broke off')
 
+    def _retry(self, attempt: Attempt, status: int) -> None:
+        """Drops an upstream's failure, as another upstream gets the call."""
+        self.log.attempt_ended(attempt, f'status {status}', self.relay)
+        self.relay = None
+        if not complete_handover(self):
+            self._place()
+
     def _finish(self, attempt: Attempt, status: int) -> None:
         if self.relay is not None:
             self.relay.finish()
@@ -205,23 +215,6 @@
         )
         self._close(outcome)
 
-    @property
-    def _is_offered(self) -> bool:
-        return self.handover is not None
-
-    def _may_retry(self) -> bool:
-        """Returns whether another upstream gets the call, or has it already."""
-        if self._is_offered:
-            return True
-        return find_alternative(self) is not None and self.sends.take_further_upstream()
-
-    def _place_again(self) -> None:
-        """Continues at the upstream that the call was offered to, or at a further one."""
-        if self.handover is None:
-            self._place()
-            return
-        complete_handover(self)
-
     def _place(self) -> None:
         if self._closed:
             return
@@ -239,9 +232,9 @@
         self.log.attempt_ended(attempt, f'not run, status {status}', self.relay)
         if status == MISDIRECTED:
             attempt.upstream.call_failed(self.context.clock.seconds())
-        if self._is_offered:
-            self._place_again()
-        elif self.sends.may_have_run and not may_continue(self.route, self.relay):
+        if complete_handover(self):
+            return
+        if self.sends.may_have_run and not may_continue(self.route, self.relay):
             self._fail(502, 'upstream refused a repeat')
         elif self.sends.take_repeat():
             self._place()
@@ -267,6 +260,16 @@
             self.exchange.answer(HttpAnswer(503, refusal.reason.encode(), headers))
         self._close('refused')
 
+    def _caller_disconnected(self) -> None:
+        if self.attempt is not None:
+            self.attempt.cancel()
+        self.log.write(call_log.CALLER_DISCONNECTED)
+        self._close('left')
+
+    def _reach_time_limit(self) -> None:
+        with ending_on_error(self.end_after_error):
+            self._time_out()
+
     def _time_out(self) -> None:
         if self.sends.may_have_run:
             self._fail(504, 'time limit reached')
@@ -314,23 +317,11 @@
             self.handover.attempt.cancel()
         if self._time_limit is not None and self._time_limit.active():
             self._time_limit.cancel()
-        self.context.running -= 1
+        self.context.calls.pop(id(self), None)
         metrics.RUNNING.dec()
         metrics.CALLS.labels(outcome).inc()
 
 
-def _caller_disconnected(task: CallTask) -> None:
-    if task.attempt is not None:
-        task.attempt.cancel()
-    task.log.write(call_log.CALLER_DISCONNECTED)
-    task._close('left')
-
-
-def _reach_time_limit(task: CallTask) -> None:
-    with ending_on_error(task.end_after_error):
-        task._time_out()
-
-
 def make_call_task(
     context: ProxyContext,
     exchange: Exchange,
