A failure that an upstream has answered is not lost when its retry gets no answer

Callers of idempotent calls got 502 or 504 of the entry where an upstream had answered 500: the answer was dropped for a retry at another upstream before that had accepted the call, and when it refused the call, broke off or reached the time limit, nothing was left. The failure is kept now and forwarded if no other answer comes. Three new cases of test_kept_engines.py failed before (502, 502, 504 instead of 500) and pass.

--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -51,13 +51,23 @@
 UNSERVED_RETRY_AFTER_SECONDS = 1.0  # for calls that have run nowhere
 
 
+@dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """A complete failure that an upstream has answered, not forwarded yet."""
+
+    attempt: Attempt
+    relay: AnswerRelay | None
+    status: int
+
+
 @dataclass(slots=True)
 class CallTask:
     """Owns the exchange with a caller and the attempts of its call.
 
     ``first_seconds`` is the time until the first part of the answer was forwarded, 0 for an
     answer that was forwarded only once it was complete. ``left`` is why the last engine was left
-    that had not failed, empty if none was. ``handover`` is a try to continue at another upstream.
+    that had not failed, empty if none was. ``handover`` is a try to continue at another upstream,
+    ``failure`` the answer that the caller gets if a retry brings none.
     """
 
     context: ProxyContext
@@ -74,6 +84,7 @@
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
     handover: Handover | None = None
+    failure: FailedAnswer | None = None
     left: str = ''
     first_seconds: float = 0
     _time_limit: Any = None
@@ -193,8 +204,9 @@
             self._fail(502, 'upstream broke off')
 
     def _retry(self, attempt: Attempt, status: int) -> None:
-        """Drops an upstream's failure, as another upstream gets the call."""
+        """Keeps an upstream's failure for the case that the next upstream gives no answer."""
         self.log.attempt_ended(attempt, f'status {status}', self.relay)
+        self.failure = FailedAnswer(attempt, self.relay, status)
         self.relay = None
         if not complete_handover(self):
             self._place()
@@ -281,6 +293,10 @@
     def _fail(self, status: int, reason: str) -> None:
         if self.attempt is not None:
             self.attempt.cancel()
+        if self.failure is not None and not self.exchange.started:
+            self.relay = self.failure.relay
+            self._finish(self.failure.attempt, self.failure.status)
+            return
         self.log.failed(reason, status, is_aborted=self.exchange.started, left=self.left)
         if self.exchange.started:
             self.context.recent.count_abort(reason, self.left, self.context.clock.seconds())
--- a/test/proxy/test_kept_engines.py
+++ b/test/proxy/test_kept_engines.py
@@ -11,6 +11,7 @@
     begin_stream,
     event,
     sent_on,
+    status_of,
 )
 
 REFUSED = 'Not-Executed: 1\r\n'
@@ -113,3 +114,30 @@
     first.dataReceived(event(2) + b'0\r\n\r\n')
     wait(world, 1)
     assert_whole(caller, 2)
+
+
+def fails_with_500(world):
+    caller = world.call()
+    answer(world.accept(), 500, body=b'first failure')
+    return caller
+
+
+@pytest.mark.parametrize('end_second', (refuse_rest, break_off))
+def test_failure_of_an_upstream_is_not_lost_when_the_upstream_of_the_retry_gives_no_answer(
+    end_second,
+):
+    world = World(2)
+    caller = fails_with_500(world)
+    end_second(world)
+    assert status_of(caller) == 500
+    assert caller.value().endswith(b'first failure')
+    assert world.context.running == 0
+
+
+def test_failure_of_an_upstream_is_answered_when_the_retry_lasts_until_the_time_limit():
+    world = World(2)
+    caller = fails_with_500(world)
+    world.accept()
+    wait(world, 2.1)
+    assert status_of(caller) == 500
+    assert caller.value().endswith(b'first failure')
