Tests: permissions withdrawn while a second engine has the rest of a silent stream, failing

With overdue weights it is recalled from there, and the stream is aborted though its first engine goes on.

--- a/test/proxy/test_silent_engines.py
+++ b/test/proxy/test_silent_engines.py
@@ -188,3 +188,20 @@
     play.pause(withdraw_and_continue)
     play.go_on()
     play.assert_whole()
+
+
+@each_begun_pause
+@each_withdrawal
+def test_stream_is_whole_though_its_permission_was_withdrawn_while_another_engine_had_it(
+    withdraw, pause
+):
+    play = make_play()
+    pause(play)
+
+    def withdraw_once_sent(play):
+        if list(play.opened()):
+            withdraw(play.world)
+
+    play.pause(withdraw_once_sent)
+    play.go_on()
+    play.assert_whole()
