A lower count of orders shows that an engine was started again

After an order whose acceptance may have been late, an engine without a time of birth in its reports that was started again, and then got a piece staged anew, served nothing until newer weights: its earlier order stayed unconfirmed for good. The count of orders starts with the engine, so a lower one is now taken as a restart too.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -101,7 +101,7 @@
         if not engine.models:
             return
         self.model = engine.models[0]
-        self.check.engine_reported(report.born_milliseconds)
+        self.check.engine_reported(report.born_milliseconds, report.orders)
         loaded = report.version_of(self.model)
         is_current = loaded and report.layers >= engine.layers and loaded >= self.wanted_version
         if is_current and loaded not in self.check.unconfirmed:
--- a/jackdawsail/staging/load_check.py
+++ b/jackdawsail/staging/load_check.py
@@ -40,12 +40,18 @@
     unconfirmed: dict[int, PieceList | None] = field(default_factory=dict)
     _read_since_seconds: float = -math.inf
     _engine_born_milliseconds: int = 0
+    _engine_orders: int = 0
 
-    def engine_reported(self, born_milliseconds: int) -> None:
-        """Forgets what an earlier incarnation of the engine had loaded."""
-        if born_milliseconds != self._engine_born_milliseconds:
-            self._engine_born_milliseconds = born_milliseconds
+    def engine_reported(self, born_milliseconds: int, orders: int) -> None:
+        """Forgets what an earlier incarnation of the engine had loaded.
+
+        An engine that names no time of birth counts its orders from its start.
+        """
+        was_started_again = orders < self._engine_orders
+        if was_started_again or born_milliseconds != self._engine_born_milliseconds:
             self.unconfirmed.clear()
+        self._engine_born_milliseconds = born_milliseconds
+        self._engine_orders = orders
 
     def piece_staged(self) -> None:
         """Records that a piece was overwritten: what an engine took cannot be read back any more."""
