--- a/test/proxy/test_pause_races.py
+++ b/test/proxy/test_pause_races.py
@@ -67,14 +67,16 @@
 
 @pytest.mark.parametrize(
     'order',
-    merges(
-        (head(), source_events('old', 1), source_events('old', 2) + event(3) + event(4) + END),
-        (
-            b'',
-            head(2),
-            source_events('new', 1),
-            source_events('new', 2) + event(3) + event(4) + END,
-        ),
+    list(
+        merges(
+            (head(), source_events('old', 1), source_events('old', 2) + event(3) + event(4) + END),
+            (
+                b'',
+                head(2),
+                source_events('new', 1),
+                source_events('new', 2) + event(3) + event(4) + END,
+            ),
+        )
     ),
 )
 def test_stream_that_has_not_begun_is_not_mixed_from_two_weight_versions(order):
