Control hosts that start in the same moment no longer tick in step

Cause: the timer of a consensus host ticks at half a heartbeat (0.06 s) from the start of its process on. The election timeout is random, but it takes effect at a tick. Hosts that start within a round trip of each other, as after a loss of all power, often stand for election at the same tick; neither wins where both votes are needed, and the next term is about 1 s later.

Change: the first tick comes after a random part of the interval.

--- a/jackdawsail/control/raft_replicator.py
+++ b/jackdawsail/control/raft_replicator.py
@@ -75,6 +75,7 @@
         self._last_members: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         actions = (self._tick, self._send_hellos, host.save_commit_index)
         self._loops = [make_loop(host.clock, action) for action in actions]
+        self._first_tick: Any = None
 
     def start(self) -> None:
         """Connects to the other control hosts and takes part in the group."""
@@ -90,17 +91,20 @@
             forward_handlers=self._forwarding.handlers(),
         )
         self._links.start(handlers)
-        heartbeat_seconds = self.host.node.core.timing.heartbeat_seconds
-        intervals_seconds = (
-            heartbeat_seconds / 2,
-            HELLO_INTERVAL_SECONDS,
-            SAVE_COMMIT_INTERVAL_SECONDS,
+        tick_seconds = self._core.timing.heartbeat_seconds / 2
+        tick_loop, hello_loop, save_loop = self._loops
+        # Hosts that start in the same moment would else tick, and stand for election, in step.
+        first_tick_seconds = self._core.rng.uniform(0, tick_seconds)
+        self._first_tick = self.host.clock.callLater(
+            first_tick_seconds, tick_loop.start, tick_seconds
         )
-        for loop, interval_seconds in zip(self._loops, intervals_seconds, strict=True):
-            loop.start(interval_seconds)
+        hello_loop.start(HELLO_INTERVAL_SECONDS)
+        save_loop.start(SAVE_COMMIT_INTERVAL_SECONDS)
 
     def stop(self) -> Deferred[None]:
         """Transfers leadership and ends every connection and timer."""
+        if self._first_tick is not None and self._first_tick.active():
+            self._first_tick.cancel()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
