A call that ends with the stop or after an error says so, and its abort is counted

Line 422 of a call that the end of a stop cuts off gave the time limit as the reason, and that of an error had neither the fields nor the count of an abort.

--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -55,10 +55,15 @@
     def failed(self, reason: str, status: int, *, is_aborted: bool, left: str) -> None:
         """Logs a failed call, with the seconds since the events that may have to do with it.
 
+        An answer that was aborted is counted, too.
+
         ``is_aborted`` is true if its answer had begun, so that the caller gets no status, and
         ``left`` is why an engine that had not failed was left before.
         """
-        ages = self._context.recent.ages(self._context.clock.seconds())
+        now_seconds = self._context.clock.seconds()
+        ages = self._context.recent.ages(now_seconds)
+        if is_aborted:
+            self._context.recent.count_abort(reason, left, now_seconds)
         self.write(
             CALL_FAILED,
             reason=reason,
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -27,10 +27,9 @@
 class ProxyContext:
     """Shared state of an entry, owned by its program; calls read it and record to it.
 
-    ``calls`` are the functions that end the calls being served, as at their time limit, by the
-    id of their tasks. ``refusing`` is true once the entry
-    stops and accepts no more calls. ``started_seconds`` is when the process started, and
-    ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
+    ``calls`` are the functions that end the calls being served, for a reason, by the ids of
+    their tasks. ``refusing`` is true once the entry stops and accepts no more calls.
+    ``started_seconds`` is when the process started, and ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
     upstreams name. ``recent`` has the events that aborted answers are compared with.
     """
@@ -44,7 +43,7 @@
     rng: random.Random
     started_seconds: float = -math.inf
     refusing: bool = False
-    calls: dict[int, Callable[[], None]] = field(default_factory=dict)
+    calls: dict[int, Callable[[str], None]] = field(default_factory=dict)
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
     recent: RecentEvents = field(default_factory=RecentEvents)
     _retries: dict[str, RetryShare] = field(default_factory=dict)
--- a/jackdawsail/proxy/draining.py
+++ b/jackdawsail/proxy/draining.py
@@ -23,6 +23,7 @@
 CLOSE_IDLE_AFTER_SECONDS = 1.0  # until then a call may still arrive on an idle connection
 EXIT_RESERVE_SECONDS = 0.4  # of the time limit for the stop, kept for the process to exit
 ANSWER_SECONDS = 0.15  # before that, for the answers of the calls that still run
+STOPPED = 'the entry stops'
 
 REFUSING_CALLS = events.define(428, 'info', 'stopping entry no longer accepts calls')
 CALLERS_DRAINED = events.define(427, 'info', 'stopping entry has finished draining its callers')
@@ -83,7 +84,7 @@
 
     def _end_calls(self) -> None:
         for end_call in list(self.context.calls.values()):
-            end_call()
+            end_call(STOPPED)
 
     def _refuse(self) -> None:
         self.context.refusing = True
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -47,6 +47,7 @@
 
 SERVER_ERROR = 500
 MISDIRECTED = 421
+TIME_LIMIT = 'time limit reached'
 CUT_OFF = 'inside an event'  # how a stream ended whose last event is incomplete
 UNSERVED_RETRY_AFTER_SECONDS = 1.0  # for calls that have run nowhere
 
@@ -96,11 +97,11 @@
         self._watch = EngineWatch(self)
         self.exchange.on_disconnect = self._caller_disconnected
         self.exchange.on_full = self._pause
-        self.context.calls[id(self)] = self._reach_time_limit
+        self.context.calls[id(self)] = self._end
         metrics.RUNNING.inc()
         # The time may already be over.
         remaining_seconds = max(0, self.deadline.remaining_seconds)
-        self._time_limit = self.context.clock.callLater(remaining_seconds, self._reach_time_limit)
+        self._time_limit = self.context.clock.callLater(remaining_seconds, self._end, TIME_LIMIT)
         self._place()
 
     def attempt_sent(self, attempt: Attempt) -> None:
@@ -231,7 +232,7 @@
         if self._closed:
             return
         if self.deadline.is_over:
-            self._time_out()
+            self._time_out(TIME_LIMIT)
             return
         attempt = next_attempt(self, self)
         if isinstance(attempt, Refusal):
@@ -278,17 +279,17 @@
         self.log.write(call_log.CALLER_DISCONNECTED)
         self._close('left')
 
-    def _reach_time_limit(self) -> None:
+    def _end(self, reason: str) -> None:
         with ending_on_error(self.end_after_error):
-            self._time_out()
+            self._time_out(reason)
 
-    def _time_out(self) -> None:
+    def _time_out(self, reason: str) -> None:
         if self.sends.may_have_run:
-            self._fail(504, 'time limit reached')
+            self._fail(504, reason)
             return
         if self.attempt is not None:
             self.attempt.cancel()
-        self._refuse(Refusal('time limit reached before it ran', UNSERVED_RETRY_AFTER_SECONDS))
+        self._refuse(Refusal(f'{reason} before it ran', UNSERVED_RETRY_AFTER_SECONDS))
 
     def _fail(self, status: int, reason: str) -> None:
         if self.attempt is not None:
@@ -299,7 +300,6 @@
             return
         self.log.failed(reason, status, is_aborted=self.exchange.started, left=self.left)
         if self.exchange.started:
-            self.context.recent.count_abort(reason, self.left, self.context.clock.seconds())
             self.exchange.abort()
         elif not self.exchange.ended:
             self.exchange.answer(HttpAnswer(status, reason.encode()))
@@ -321,8 +321,9 @@
         if self.attempt is not None:
             self.attempt.cancel()
         self._close('failed')
+        is_aborted = self.exchange.started
         self.exchange.fail()
-        self.log.write(call_log.CALL_FAILED, reason='internal error', status=SERVER_ERROR)
+        self.log.failed('internal error', SERVER_ERROR, is_aborted=is_aborted, left=self.left)
 
     def _close(self, outcome: str) -> None:
         if self._closed:
