--- a/jackdawsail/proxy/send_history.py
+++ b/jackdawsail/proxy/send_history.py
@@ -30,6 +30,12 @@
         """Returns whether any upstream may have run the call."""
         return bool(self.ran_on)
 
+    @property
+    def may_run_further(self) -> bool:
+        """Returns whether the call may run at one more upstream if the budget has a repeat left."""
+        is_allowed = self.route.may_repeat and not self.is_risky
+        return is_allowed and len(self.ran_on) < self.route.max_upstreams
+
     def ran_at(self, upstream: str) -> bool:
         """Returns whether this upstream may have run the call."""
         return upstream in self.ran_on
@@ -63,7 +69,4 @@
 
     def take_further_upstream(self) -> bool:
         """Returns whether the call may run at one more upstream, and takes that from the budget."""
-        is_allowed = self.route.may_repeat and not self.is_risky
-        if not is_allowed or len(self.ran_on) >= self.route.max_upstreams:
-            return False
-        return self.take_repeat()
+        return self.may_run_further and self.take_repeat()
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -123,7 +123,7 @@
         ``moving`` also takes the move from this entry's share of moves.
         """
         call = self._call
-        choice = find_alternative(call)
+        choice = find_alternative(call) if call.sends.may_run_further else None
         if choice is None or (moving and not call.context.take_move(call.sends.service)):
             return None
         return choice if call.sends.take_further_upstream() else None
