--- a/test/proxy/test_handover_orders.py
+++ b/test/proxy/test_handover_orders.py
@@ -1,15 +1,17 @@
 """Orders of events around a handover in which the stream must not be lost or sent too often."""
 
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.python.failure import Failure
 
+from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.proxy.call_log import CallLog
 from test.http1.ends import reset
 from test.proxy.test_kept_engines import assert_whole, wait
-from test.proxy.test_lost_calls import as_in_the_reactor, fail_once
+from test.proxy.test_lost_calls import InjectedError, as_in_the_reactor, fail_once
 from test.proxy.world import (
     MODEL_SERVICE,
     STREAM,
@@ -183,7 +185,7 @@
 
 def test_error_while_a_stream_changes_its_engine_ends_the_call_at_once(monkeypatch):
     world = make_world()
-    caller, _first = begin(world)
+    caller, first = begin(world)
     wait(world, 1)
     second = world.accept()
     begin_stream(second)
@@ -191,7 +193,7 @@
     with as_in_the_reactor(second):
         second.dataReceived(event(2))
     assert raised
-    assert caller.aborted or not _first.transport.aborted
+    assert caller.aborted or not first.transport.aborted
 
 
 def test_engine_that_refused_the_rest_may_get_it_once_the_first_one_has_broken_off():
@@ -205,3 +207,36 @@
     assert not caller.aborted
     second = world.reactor.accept()
     assert b'Last-Event-Id: 2' in sent_on(second)
+
+
+def test_engine_that_is_not_read_is_read_again_after_an_error_while_the_next_one_is_asked(
+    monkeypatch,
+):
+    world = make_world()
+    caller, first = begin(world)
+    raised = fail_once(monkeypatch, ChannelPool, 'connect')
+    with suppress(InjectedError):
+        change_over(world, first)
+    wait(world, 2)
+    assert raised
+    assert caller.aborted or not is_paused(first)
+
+
+def test_engine_that_goes_on_after_a_silence_is_not_suspended():
+    world = make_world(upstreams=2)
+    callers = [call(world, f'a{number}') for number in range(12)]
+    channels = [world.accept() for _caller in callers]
+    silent = channels[0].peer
+    at_silent = []
+    for number, channel in enumerate(channels):
+        begin_stream(channel, attempt=f'a{number}')
+        channel.dataReceived(event(1))
+        if channel.peer == silent:
+            at_silent.append(channel)
+    wait(world, 1)
+    for channel in at_silent:
+        channel.dataReceived(event(2))
+        channel.dataReceived(event(3) + END)
+    number = int(silent.split(':')[0][-1])
+    upstream = world.context.upstreams.get(f'i-{number}')
+    assert not upstream.is_suspended(world.reactor.seconds())
