--- a/test/proxy/test_random_handovers.py
+++ b/test/proxy/test_random_handovers.py
@@ -18,8 +18,8 @@
 
 from jackdawsail import events
 from test.http1.ends import reset
-from test.proxy.test_random_answers import received_by
 from test.proxy.stream_engine import ENGINE_ACTIONS, EVENTS, Engine
+from test.proxy.test_random_answers import received_by
 from test.proxy.world import MODEL_SERVICE, STREAM, STREAM_HEADERS, World, sent_on
 
 SEEDS = 400
