--- a/test/proxy/test_random_handovers.py
+++ b/test/proxy/test_random_handovers.py
@@ -209,7 +209,7 @@
         if self.world.reactor.pending_checks:
             refused = self.rng.random() < 0.5
             # A request that may end engines is failed for it.
-            self.ends_without_engine = refused and self.is_suspected
+            self.ends_without_engine = refused
             self._check(refused)
 
     def _do_disconnect(self):
