A comment before the first event does not begin an answer

A comment of the first engine began the answer with its head, and the events of the next engine then came under that head, perhaps on other weights: test_stream_does_not_mix_versions_after_a_comment failed and passes.

--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -188,7 +188,8 @@
                 continue
             self.last_event = frame.number or self.last_event
             forwarded.append(frame.body)
-        if forwarded:
+        # Comments before the first event are dropped, so that they do not begin the answer.
+        if forwarded and (self.started or self._has_events):
             self._start()
             self._exchange.write(b''.join(forwarded))
         return not self._frames.is_too_long
