An engine that goes on after a silence is not suspended

Each stream at an engine that was silent for 0.8 s counted a failure and doubled the engine's suspension, which lasted after all of them had gone on: 4 s for ten streams.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -112,6 +112,7 @@
         self._reused_channel = False
         self._refusal_bytes = 0
         self._unfinished_bytes = 0
+        self._is_silent = False
         self._refusal_timeout = Timeout(context.clock, self._end_refusal)
 
     def start(self, make_request: MakeRequest, *, fresh_channel: bool) -> None:
@@ -146,9 +147,18 @@
             else:
                 self._channel.resume()
 
+    def record_silence(self) -> None:
+        """Counts a silent upstream as failed, until its answer advances again."""
+        if not self._is_silent:
+            self._is_silent = True
+            self.upstream.call_failed(self._context.clock.seconds())
+
     def record_progress(self) -> None:
         """Records that the answer advances; the owner calls it for each complete event."""
         self.last_progress_seconds = self._context.clock.seconds()
+        if self._is_silent:
+            self._is_silent = False
+            self.upstream.end_suspension(self.last_progress_seconds)
         self._unfinished_bytes = 0
 
     def cancel(self) -> None:
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -142,6 +142,11 @@
             MAX_SUSPENSION_SECONDS, suspension_seconds
         )
 
+    def end_suspension(self, now_seconds: float) -> None:
+        """Ends the suspension of an upstream that had only been silent."""
+        self.suspensions = 0
+        self.suspended_until_seconds = min(self.suspended_until_seconds, now_seconds)
+
     def is_suspended(self, now_seconds: float) -> bool:
         """Returns whether the upstream is suspended after a failure."""
         return now_seconds < self.suspended_until_seconds
