--- a/jackdawsail/proxy/handover.py
+++ b/jackdawsail/proxy/handover.py
@@ -3,8 +3,9 @@
 A stream may leave an engine that has not failed: one that is silent, which may go on at any
 moment, or one that is about to load other weights. The other engine may refuse the rest, get
 it too late, break it off or fall silent itself. So the stream stays where it is until the
-other engine has sent an event. Meanwhile an engine that still sends is not read, so that the
-rest begins after the last event that the caller has received.
+other engine has sent an event. For a while an engine that still sends is not read, so that the
+rest begins after the last event that the caller has received. After that both are read, and the
+first event of either one decides.
 """
 
 from typing import Protocol
@@ -19,11 +20,11 @@
     record_sent,
     start_attempt,
 )
+from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.outgoing import make_selection
 from jackdawsail.routing.placement import Choice
 
-# An engine that changes over goes on with its stream, so its caller does not wait longer
-# than for the next event of a silent one.
+# An engine that changes over still sends, so its caller waits no longer than for a silent one.
 PAUSE_TIMEOUT_SECONDS = 0.8
 
 
@@ -58,18 +59,25 @@
         self.received = bytearray()
         self._call = call
         self._frames = EventFrames()
+        self._reads_both = False
         self.attempt = make_attempt(call, choice, make_selection(call), self)
 
     @property
     def pauses_engine(self) -> bool:
         """Returns whether the engine that the stream has is not read meanwhile."""
-        return self.end is AttemptEnd.changing
+        return self.end is AttemptEnd.changing and not self._reads_both
 
-    def is_overdue(self, now_seconds: float) -> bool:
-        """Returns whether an engine that could still send was paused for long enough."""
+    def pauses_too_long(self, now_seconds: float) -> bool:
+        """Returns whether the engine that the stream has must be read again."""
         paused_seconds = now_seconds - self.started_seconds
         return self.pauses_engine and paused_seconds >= PAUSE_TIMEOUT_SECONDS
 
+    def read_both(self) -> None:
+        """Reads the engine that the stream has again; the first event of either one decides."""
+        self._reads_both = True
+        if self._call.attempt is not None:
+            self._call.attempt.set_paused(self._call.exchange.is_full)
+
     def attempt_sent(self, attempt: Attempt) -> None:
         """Records that the call may run at the other engine too."""
         record_sent(self._call, attempt)
@@ -104,7 +112,11 @@
 
     def attempt_failed(self, attempt: Attempt, end: AttemptEnd, reason: str) -> None:
         """Keeps the stream at its engine, as the other one was not reached or has broken off."""
-        give_up_handover(self._call, end, reason)
+        if self._call.handover is self:
+            give_up_handover(self._call, end, reason)
+        else:
+            # An error has kept the call from taking over this attempt.
+            self._call.end_after_error()
 
     def end_after_error(self) -> None:
         """Keeps the stream at its engine, or ends the call if it has left that already."""
@@ -121,7 +133,8 @@
     call.log.handover_started(handover.attempt, details)
     if call.attempt is not None and handover.pauses_engine:
         call.attempt.set_paused(True)
-    start_attempt(call, handover.attempt)
+    with ending_on_error(handover.end_after_error):
+        start_attempt(call, handover.attempt)
 
 
 def may_retry(call: HandoverCall) -> bool:
@@ -158,5 +171,7 @@
     call.log.attempt_ended(handover.attempt, f'handover {end} {reason}', None)
     if call.attempt is not None:
         call.attempt.set_paused(call.exchange.is_full)
+    call.sends.decline(handover.attempt.upstream.name)
     if end is AttemptEnd.broken and call.sends.ran_at(handover.attempt.upstream.name):
+        call.sends.awaits_cause = True
         call.context.traits.answer_broken(call.identity, handover.attempt, call.sends.record_risk)
--- a/jackdawsail/proxy/send_history.py
+++ b/jackdawsail/proxy/send_history.py
@@ -14,7 +14,9 @@
     """The ``count`` sends of one call.
 
     ``tried`` holds the upstreams that it was dispatched to, with those that were not reached,
-    ``ran_on`` the ones that may have run it. ``is_risky`` is true if one more could end too.
+    ``ran_on`` the ones that may have run it, ``declined`` the ones that refused a stream which had
+    another upstream, or were not reached. ``is_risky`` is true if one more upstream could end,
+    ``awaits_cause`` while that is being found out.
     """
 
     context: ProxyContext
@@ -23,7 +25,9 @@
     count: int = 0
     tried: list[str] = field(default_factory=list)
     ran_on: set[str] = field(default_factory=set)
+    declined: set[str] = field(default_factory=set)
     is_risky: bool = False
+    awaits_cause: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -42,8 +46,19 @@
 
     def record_risk(self, is_risky: bool) -> None:
         """Records whether the call may have ended an upstream."""
+        self.awaits_cause = False
         self.is_risky = self.is_risky or is_risky
 
+    def decline(self, upstream: str) -> None:
+        """Records that a stream stays at its upstream, as this one did not take it over."""
+        if upstream not in self.ran_on:
+            self.declined.add(upstream)
+
+    def ask_again(self) -> None:
+        """Lets those that declined be tried again, as the stream has no other upstream any more."""
+        self.tried = [upstream for upstream in self.tried if upstream not in self.declined]
+        self.declined.clear()
+
     def record_send(self, upstream: str) -> None:
         """Records that the call is being written to an upstream."""
         if not self.count:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -134,6 +134,7 @@
         new_events = self.relay.received_events - events_before
         if new_events:
             attempt.record_progress()
+        if new_events or (self.relay.started and not started_before):
             give_up_handover(self, AttemptEnd.silent, 'the first engine goes on')
         self.context.traits.events_received(self.identity, attempt, new_events)
         if not may_go_on:
@@ -186,7 +187,9 @@
         elif end is AttemptEnd.unreached:
             self._place()
         elif end is AttemptEnd.broken:
-            self.context.traits.answer_broken(self.identity, attempt, self._continue)
+            self.context.traits.answer_broken(
+                self.identity, attempt, lambda is_risky: _cause_known(self, attempt, is_risky)
+            )
         else:
             self._continue(is_risky=False)
 
@@ -200,6 +203,7 @@
         if complete_handover(self):
             return
         if may_continue(self.route, self.relay) and self.sends.take_further_upstream():
+            self.sends.ask_again()
             self._place()
         else:
             self._fail(502, 'upstream broke off')
@@ -339,6 +343,14 @@
         metrics.CALLS.labels(outcome).inc()
 
 
+def _cause_known(task: CallTask, attempt: Attempt, is_risky: bool) -> None:
+    """Continues after a broken attempt, unless another upstream has the call by now."""
+    if task.attempt is attempt:
+        task._continue(is_risky)
+    else:
+        task.sends.record_risk(is_risky)
+
+
 def make_call_task(
     context: ProxyContext,
     exchange: Exchange,
--- a/jackdawsail/proxy/watch.py
+++ b/jackdawsail/proxy/watch.py
@@ -7,9 +7,10 @@
 any case, so that it does not begin there; if it may not be repeated, it fails.
 """
 
+import math
 from typing import Any, Protocol
 
-from jackdawsail.proxy.attempt import Attempt, AttemptEnd
+from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd
 from jackdawsail.proxy.dispatching import find_alternative
 from jackdawsail.proxy.handover import Handover, HandoverCall, give_up_handover, start_handover
 from jackdawsail.proxy.outgoing import make_selection
@@ -49,9 +50,7 @@
         recall_seconds = self._seconds_until_recall(attempt)
         if handover is not None:
             recall_seconds = min(recall_seconds, self._seconds_until_recall(handover.attempt))
-        delay_seconds = WATCH_INTERVAL_SECONDS
-        if 0 < recall_seconds < delay_seconds:
-            delay_seconds = max(recall_seconds, MIN_CHECK_SECONDS)
+        delay_seconds = max(MIN_CHECK_SECONDS, min(recall_seconds, WATCH_INTERVAL_SECONDS))
         clock = self._call.context.clock
         self._timer = clock.callLater(delay_seconds, self._check, attempt)
 
@@ -61,45 +60,55 @@
             self._timer.cancel()
 
     def _check(self, attempt: Attempt) -> None:
-        if attempt.ended:
-            return
-        if self._must_recall(attempt):
+        call = self._call
+        if call.handover is not None:
+            self._check_handover(call.handover)
+        elif not attempt.ended and call.route.may_repeat:
+            self._offer(attempt)
+        if not attempt.ended and self._seconds_until_recall(attempt) <= 0:
             attempt.cancel()
             reason = f'not begun on weights {attempt.weight_version}'
-            self._call.attempt_failed(attempt, AttemptEnd.recalled, reason)
-            return
-        if self._call.handover is not None:
-            self._check_handover(self._call.handover)
-        elif self._call.route.may_repeat:
-            self._offer(attempt)
-        self.start(attempt)
+            call.attempt_failed(attempt, AttemptEnd.recalled, reason)
+        elif call.handover is not None or not attempt.ended:
+            self.start(attempt)
 
     def _check_handover(self, handover: Handover) -> None:
-        """Ends a handover to an engine that may not begin any more, or that takes too long."""
-        if self._must_recall(handover.attempt):
+        """Ends a handover to an engine that may not begin any more, or that is silent."""
+        if self._seconds_until_recall(handover.attempt) <= 0:
             reason = f'not begun on weights {handover.attempt.weight_version}'
             give_up_handover(self._call, AttemptEnd.recalled, reason)
-        elif handover.is_overdue(self._call.context.clock.seconds()):
-            give_up_handover(self._call, AttemptEnd.silent, 'engine that changes over goes on')
+        elif handover.pauses_too_long(self._call.context.clock.seconds()):
+            handover.read_both()
+        elif self._is_silent_too(handover.attempt):
+            give_up_handover(self._call, AttemptEnd.silent, 'no event')
+
+    def _is_silent_too(self, other: Attempt) -> bool:
+        """Returns whether a third engine should be asked, as neither of two sends anything."""
+        call = self._call
+        kept = call.attempt
+        if kept is None or kept.ended or (kept.head and kept.head.decoded.status not in SUCCESS):
+            return False
+        silent_seconds = call.context.clock.seconds() - other.last_progress_seconds
+        is_silent = other.sent and not other.is_paused
+        if not is_silent or silent_seconds < FIRST_EVENT_TIMEOUT_SECONDS:
+            return False
+        return call.sends.may_run_further and find_alternative(call) is not None
 
     def _offer(self, attempt: Attempt) -> None:
         """Offers the call to another engine if it should leave this one."""
         call = self._call
+        if call.exchange.is_full or call.sends.awaits_cause:
+            return
         now_seconds = call.context.clock.seconds()
-        # An attempt that is not read, since its caller reads too slowly, is not silent.
-        silent_seconds = 0 if attempt.is_paused else now_seconds - attempt.last_progress_seconds
+        silent_seconds = now_seconds - attempt.last_progress_seconds
         if self._should_move(attempt) and (choice := self._take_alternative(moving=True)):
             details = f'engine changes over from weights {attempt.weight_version}'
             start_handover(call, choice, AttemptEnd.changing, details)
         elif self._is_silent(silent_seconds) and (choice := self._take_alternative()):
-            attempt.upstream.call_failed(now_seconds)
+            attempt.record_silence()
             call.context.recent.silence_seconds = now_seconds
             start_handover(call, choice, AttemptEnd.silent, f'silent for {silent_seconds:.2f} s')
 
-    def _must_recall(self, attempt: Attempt) -> bool:
-        """Returns whether the attempt has not begun, and may not begin at its engine any more."""
-        return not attempt.received_events and self._seconds_until_recall(attempt) <= 0
-
     def _is_silent(self, silent_seconds: float) -> bool:
         if has_begun(self._call.relay):
             return silent_seconds >= NEXT_EVENT_TIMEOUT_SECONDS
@@ -110,10 +119,15 @@
             return False
         relay = self._call.relay
         forwarded_events = 0 if relay is None else relay.last_event
-        recall_seconds = self._seconds_until_recall(attempt)
+        recall_seconds = self._seconds_to_begin(attempt)
         return should_move(forwarded_events, _likely_events(self._call), recall_seconds)
 
     def _seconds_until_recall(self, attempt: Attempt) -> float:
+        """Returns the time until an attempt that has not begun by then is recalled."""
+        return math.inf if attempt.received_events else self._seconds_to_begin(attempt)
+
+    def _seconds_to_begin(self, attempt: Attempt) -> float:
+        """Returns for how long a call may wait at an engine with the weights of an attempt."""
         call = self._call
         return make_selection(call).seconds_until_recall(call.context, attempt.weight_version)
 
--- a/test/proxy/test_handover_orders.py
+++ b/test/proxy/test_handover_orders.py
@@ -200,13 +200,15 @@
     world = make_world(upstreams=2)
     caller, first = begin(world)
     wait(world, 1)
-    answer(world.accept(), 503, headers=REFUSED)
+    second = world.accept()
+    answer(second, 503, headers=REFUSED)
     first.dataReceived(event(2))
     wait(world, 0.5)
+    sent_before = sent_on(second)
     reset(first)
     assert not caller.aborted
-    second = world.reactor.accept()
-    assert b'Last-Event-Id: 2' in sent_on(second)
+    again = sent_on(second)[len(sent_before) :]
+    assert b'Last-Event-Id: 2' in again
 
 
 def test_engine_that_is_not_read_is_read_again_after_an_error_while_the_next_one_is_asked(
--- a/test/proxy/test_random_handovers.py
+++ b/test/proxy/test_random_handovers.py
@@ -220,7 +220,7 @@
     def _do_stop(self):
         self.ends_without_engine = True
         for end_call in list(self.context.calls.values()):
-            end_call()
+            end_call('the entry stops')
 
     def _check_step(self, action, before, connects, checks):
         """Checks what must hold at any time."""
