--- a/test/proxy/test_kept_engines.py
+++ b/test/proxy/test_kept_engines.py
@@ -1,10 +1,16 @@
 """A stream keeps an engine that has not failed until another one has taken over."""
 
+from dataclasses import replace
+
 import pytest
 
+from jackdawsail.proxy.draining import CallerDrain
+from jackdawsail.site.document import CallerLimits, Service, Share
 from test.http1.ends import reset
 from test.proxy.world import (
     MODEL_SERVICE,
+    PLAIN,
+    STREAM,
     STREAM_HEADERS,
     World,
     answer,
@@ -13,6 +19,7 @@
     sent_on,
     status_of,
 )
+from test.site.documents import make_document
 
 REFUSED = 'Not-Executed: 1\r\n'
 
@@ -141,3 +148,55 @@
     wait(world, 2.1)
     assert status_of(caller) == 500
     assert caller.value().endswith(b'first failure')
+
+
+def stop(world):
+    CallerDrain(world.context, world.factory).start()
+
+
+def reload_settings(world):
+    settings = world.context.settings
+    world.context.settings = replace(settings, bounds=replace(settings.bounds, retry_slack=0))
+
+
+def withdraw_route(world):
+    apply_document(world, routes=[PLAIN])
+
+
+def move_route(world):
+    apply_document(world, routes=[replace(STREAM, shares=(Share('t', 1),))])
+
+
+def shorten_times(world):
+    apply_document(world, routes=[replace(STREAM, time_limit_seconds=0.1)])
+    world.factory.options.limits = CallerLimits(idle_seconds=0.1, head_seconds=0.1)
+
+
+def withdraw_service(world):
+    apply_document(world, routes=[PLAIN], services=[Service('t')])
+
+
+def apply_document(world, **changes):
+    services = changes.pop('services', [MODEL_SERVICE, Service('t')])
+    world.context.view.apply_document(make_document(version=9, services=services, **changes))
+
+
+EVENTS = (stop, reload_settings, withdraw_route, move_route, shorten_times, withdraw_service)
+
+
+@pytest.mark.parametrize('end_second', ENDINGS)
+@pytest.mark.parametrize('happen', EVENTS)
+@pytest.mark.parametrize('at_seconds', [0.4, 0.9, 1.3])
+def test_stream_is_not_aborted_when_something_happens_while_its_engine_is_silent_for_a_while(
+    at_seconds, happen, end_second
+):
+    world, caller, first = begun_stream()
+    for tick in range(15):
+        if tick == round(at_seconds * 10):
+            happen(world)
+        if world.reactor.pending_connects:
+            end_second(world)
+        wait(world, 0.1)
+    first.dataReceived(event(2) + b'0\r\n\r\n')
+    assert_whole(caller, 2)
+    assert world.context.running == 0
