--- a/test/mutants.py
+++ b/test/mutants.py
@@ -128,7 +128,7 @@
         'if progress is None:',
         CONSENSUS,
     ),
-    Mutant('proxy/send_history.py', 'not self.route.may_repeat or ', '', PROXY),
+    Mutant('proxy/send_history.py', 'self.route.may_repeat and ', '', PROXY),
     Mutant('proxy/send_history.py', 'self.ran_on.add(upstream)', 'pass', PROXY),
     Mutant(
         'proxy/attempt.py', 'if is_other_call or lacks_attempt_id:', 'if lacks_attempt_id:', PROXY
@@ -150,11 +150,27 @@
     ),
     Mutant(
         'proxy/watch.py',
-        'if self._must_recall(attempt):',
+        'if not attempt.ended and self._seconds_until_recall(attempt) <= 0:',
         'if False:',
         PROXY,
     ),
-    Mutant('proxy/watch.py', 'not attempt.received_events and', 'not self._call.relay and', PROXY),
+    Mutant('proxy/watch.py', 'if attempt.received_events else', 'if self._call.relay else', PROXY),
+    Mutant('proxy/watch.py', 'handover.read_both()', 'pass', PROXY),
+    Mutant(
+        'proxy/handover.py', 'complete_handover(self._call)\n                return', 'pass', PROXY
+    ),
+    Mutant(
+        'proxy/handover.py',
+        'if left is not None and not left.ended:',
+        'if False:',
+        PROXY,
+    ),
+    Mutant(
+        'proxy/task.py',
+        "give_up_handover(self, AttemptEnd.silent, 'the first engine goes on')",
+        'pass',
+        PROXY,
+    ),
     Mutant(
         'proxy/selection.py',
         'return max(rule.expected_version, held_version)',
@@ -209,7 +225,7 @@
     ),
     Mutant(
         'staging/piece_fetcher.py',
-        'if source.is_origin and relays_answer and not self._may_bypass_relays():',
+        'if source.is_origin and relays_answer and not self._may_bypass(may_bypass):',
         'if False:',
         'test/staging',
     ),
@@ -236,7 +252,7 @@
         'if False:',
         PROXY,
     ),
-    Mutant('proxy/task.py', 'task.attempt.set_paused(is_full)', 'pass', PROXY),
+    Mutant('proxy/task.py', 'self.attempt.set_paused(is_full or pauses_engine)', 'pass', PROXY),
     Mutant('http1/client.py', 'if not reason.check(ConnectionDone):', 'if False:', HTTP),
     Mutant('http1/client.py', 'if self._head_bytes > MAX_HEAD_BYTES:', 'if False:', HTTP),
     Mutant('http1/client.py', ' or self._foreign_answers > MAX_FOREIGN_ANSWERS', '', HTTP),
@@ -262,8 +278,8 @@
     Mutant('proxy/selection.py', ' and not selection.is_late:', ':', PROXY),
     Mutant(
         'proxy/watch.py',
-        'if moving and not call.context.take_move(call.sends.service):',
-        'if False:',
+        'if choice is None or (moving and not call.context.take_move(call.sends.service)):',
+        'if choice is None:',
         PROXY,
     ),
     Mutant('routing/moving.py', ' or now_seconds < self.next_seconds:', ':', ROUTING),
