--- a/jackdawsail/proxy/handover.py
+++ b/jackdawsail/proxy/handover.py
@@ -49,7 +49,8 @@
 class Handover:
     """One try to continue a stream at another engine; owns the attempt there until it is ready.
 
-    ``end`` is why the stream is to leave its engine, ``details`` says more for the log.
+    ``end`` is why the stream is to leave its engine, ``details`` says more for the log, and
+    ``received`` is what the other engine has sent of its answer.
     """
 
     def __init__(self, call: HandoverCall, choice: Choice, end: AttemptEnd, details: str) -> None:
@@ -138,7 +139,10 @@
 
 
 def may_retry(call: HandoverCall) -> bool:
-    """Returns whether another upstream has the call already, or may get it."""
+    """Returns whether another upstream has the call already, or may get it.
+
+    A call that may go to a further upstream takes that from the retry budget.
+    """
     if call.handover is not None:
         return True
     return find_alternative(call) is not None and call.sends.take_further_upstream()
--- a/jackdawsail/proxy/recent_events.py
+++ b/jackdawsail/proxy/recent_events.py
@@ -10,7 +10,8 @@
     """When each event last occurred at this entry; None if it has not.
 
     ``document_seconds`` is when a site document came into force, ``stop_seconds`` when the stop
-    of the process began, ``silence_seconds`` when a stream last left a silent engine.
+    of the process began, ``silence_seconds`` when a stream at a silent engine was last offered to
+    another one.
     """
 
     document_seconds: float | None = None
