--- a/test/proxy/test_kept_engines.py
+++ b/test/proxy/test_kept_engines.py
@@ -159,29 +159,44 @@
     world.context.settings = replace(settings, bounds=replace(settings.bounds, retry_slack=0))
 
 
-def withdraw_route(world):
-    apply_document(world, routes=[PLAIN])
+def withdraw_route(world, version=2):
+    apply_document(world, version, routes=[PLAIN])
 
 
-def move_route(world):
-    apply_document(world, routes=[replace(STREAM, shares=(Share('t', 1),))])
+def move_route(world, version=2):
+    apply_document(world, version, routes=[replace(STREAM, shares=(Share('t', 1),))])
 
 
-def shorten_times(world):
-    apply_document(world, routes=[replace(STREAM, time_limit_seconds=0.1)])
+def shorten_times(world, version=2):
+    apply_document(world, version, routes=[replace(STREAM, time_limit_seconds=0.1)])
     world.factory.options.limits = CallerLimits(idle_seconds=0.1, head_seconds=0.1)
 
 
-def withdraw_service(world):
-    apply_document(world, routes=[PLAIN], services=[Service('t')])
+def withdraw_service(world, version=2):
+    apply_document(world, version, routes=[PLAIN], services=[Service('t')])
 
 
-def apply_document(world, **changes):
+def apply_document(world, version, **changes):
     services = changes.pop('services', [MODEL_SERVICE, Service('t')])
-    world.context.view.apply_document(make_document(version=9, services=services, **changes))
+    world.context.view.apply_document(make_document(version=version, services=services, **changes))
 
 
-EVENTS = (stop, reload_settings, withdraw_route, move_route, shorten_times, withdraw_service)
+def change_all_at_once(world):
+    reload_settings(world)
+    for version, change in enumerate((move_route, shorten_times, withdraw_service), start=2):
+        change(world, version)
+    stop(world)
+
+
+EVENTS = (
+    stop,
+    reload_settings,
+    withdraw_route,
+    move_route,
+    shorten_times,
+    withdraw_service,
+    change_all_at_once,
+)
 
 
 @pytest.mark.parametrize('end_second', ENDINGS)
--- a/test/proxy/test_lost_calls.py
+++ b/test/proxy/test_lost_calls.py
@@ -17,7 +17,7 @@
 from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.proxy.watch import EngineWatch
 from jackdawsail.routing.upstreams import Upstream
-from jackdawsail.site.document import Service, Share, document_faults
+from jackdawsail.site.document import CallerLimits, Service, Share, document_faults
 from jackdawsail.site.routes import RouteTable
 from test.http1.ends import Transport, reset
 from test.proxy.test_endless_bytes import Caller, Peer, live_world, request
@@ -369,3 +369,23 @@
     assert ended
     assert caller.aborted
     assert not caller.value().endswith(b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize('expects', [b'', b'Expect: 100-continue\r\n'])
+@pytest.mark.parametrize('path', ['/p/x', '/withdrawn/x'])
+def test_call_whose_body_arrives_after_a_change_of_the_document_is_answered(path, expects):
+    routes = [PLAIN, make_route('withdrawn', path_prefix='/withdrawn/')]
+    world = World(1, routes=routes)
+    connection = world.factory.buildProtocol(None)
+    caller = Transport()
+    connection.makeConnection(caller)
+    head = f'POST {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n'.encode()
+    connection.dataReceived(head + expects + b'Content-Length: 4\r\n\r\nab')
+    world.context.view.apply_document(make_document(version=2, routes=[PLAIN]))
+    world.factory.options.limits = CallerLimits(idle_seconds=0.1, head_seconds=0.1)
+    world.reactor.advance(0.5)
+    connection.dataReceived(b'cd')
+    if world.reactor.pending_connects:
+        answer(world.accept())
+    final = caller.value().replace(b'HTTP/1.1 100 \r\n\r\n', b'')
+    assert final.split()[1] == (b'200' if path == '/p/x' else b'404')
