--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -12,10 +12,9 @@
 
 import h11
 from twisted.internet import protocol
-from twisted.python.failure import Failure
 
-from jackdawsail import events
 from jackdawsail.clocks import Clock, Timeout
+from jackdawsail.error_handling import ending_on_error
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
 from jackdawsail.site.document import CallerLimits
 from jackdawsail.wire.backlog import Backlog
@@ -361,12 +360,13 @@
 
 def _pass_on(exchange: Exchange, options: ServerOptions) -> None:
     """Passes a request to the handler; an error ends only this exchange, as by a disconnect."""
-    try:
+    with ending_on_error(partial(_end_failed, exchange)):
         options.handler(exchange)
-    except Exception:  # noqa: BLE001 - the reactor would close the connection
-        events.log_failure(Failure())
-        exchange.fail()
-        exchange.on_disconnect()
+
+
+def _end_failed(exchange: Exchange) -> None:
+    exchange.fail()
+    exchange.on_disconnect()
 
 
 def _close_if_still_idle(connection: ServerConnection) -> None:
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -14,12 +14,12 @@
 from returns.result import Failure, Result
 
 from jackdawsail.clocks import Timeout
+from jackdawsail.error_handling import ending_on_error
 from jackdawsail.http1.client import BreakReason, ClientChannel
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.upstreams import Upstream
 
--- a/jackdawsail/proxy/handover.py
+++ b/jackdawsail/proxy/handover.py
@@ -10,6 +10,7 @@
 
 from typing import Protocol
 
+from jackdawsail.error_handling import ending_on_error
 from jackdawsail.http1.event_frames import MAX_EVENT_BYTES, EventFrames
 from jackdawsail.http1.messages import Framing
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
@@ -20,7 +21,6 @@
     record_sent,
     start_attempt,
 )
-from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.outgoing import make_selection
 from jackdawsail.routing.placement import Choice
 
@@ -138,7 +138,7 @@
         start_attempt(call, handover.attempt)
 
 
-def may_retry(call: HandoverCall) -> bool:
+def take_retry(call: HandoverCall) -> bool:
     """Returns whether another upstream has the call already, or may get it.
 
     A call that may go to a further upstream takes that from the retry budget.
--- a/jackdawsail/proxy/send_history.py
+++ b/jackdawsail/proxy/send_history.py
@@ -51,7 +51,7 @@
 
     def decline(self, upstream: str) -> None:
         """Records that a stream stays at its upstream, as this one did not take it over."""
-        if upstream not in self.ran_on:
+        if not self.ran_at(upstream):
             self.declined.add(upstream)
 
     def ask_again(self) -> None:
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from jackdawsail.error_handling import ending_on_error
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
@@ -21,12 +22,11 @@
     record_sent,
     start_attempt,
 )
-from jackdawsail.proxy.errors import ending_on_error
 from jackdawsail.proxy.handover import (
     Handover,
     complete_handover,
     give_up_handover,
-    may_retry,
+    take_retry,
 )
 from jackdawsail.proxy.outgoing import Deadline
 from jackdawsail.proxy.relaying import (
@@ -160,7 +160,7 @@
             self._not_run(attempt, status)
         elif cannot_continue(self.relay, head):
             self.attempt_failed(attempt, AttemptEnd.broken, f'status {status}')
-        elif failed and may_retry(self):
+        elif failed and take_retry(self):
             self._retry(attempt, status)
         else:
             self._finish(attempt, status)
