Placement counts the size of a call and the pace of an engine

Cause: the expected first event left out the part that an engine's own pace adds to reading the prompt and to the first pass, so that an engine 2.5 times as slow but with a shorter queue was chosen; token counts, memory share and the longest pause were read by no decision.

Change: routing/sizes.py predicts first event, pause and memory from the call's token counts, the engine class and the last report; placement uses it while an engine reports a pace over 1.25, and the memory bound always. The emulator gains engines with slow spells.

--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -128,8 +128,23 @@
             engine.cold_until_seconds = self.simulation.seconds() + cold_seconds
         self.engines.append(engine)
         self._hosts[name] = engine
+        if self.deployment.engine.slow_share:
+            self._end_slow_spell(engine, random.Random(f'{self.seed}/{name}'))
         return engine
 
+    def _end_slow_spell(self, engine: EmulatedEngine, rng: random.Random) -> None:
+        """Returns an engine to its usual pace until its next slow spell."""
+        model = self.deployment.engine
+        engine.pace = 1.0
+        mean_seconds = model.slow_seconds * (1 - model.slow_share) / model.slow_share
+        usual_seconds = rng.expovariate(1 / mean_seconds)
+        self.simulation.call_later(usual_seconds, self._start_slow_spell, engine, rng)
+
+    def _start_slow_spell(self, engine: EmulatedEngine, rng: random.Random) -> None:
+        engine.pace = self.deployment.engine.slow_factor
+        slow_seconds = self.deployment.engine.slow_seconds
+        self.simulation.call_later(slow_seconds, self._end_slow_spell, engine, rng)
+
     def _add_service(self, zone: Zone) -> None:
         model = self.deployment.service
         name = f's-{len(self._hosts)}'
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -31,7 +31,8 @@
     tokens of context lengthen a step by ``context_per_thousand_ms``, and each million token
     pairs a prefill by ``pairs_per_million_ms``. ``first_ms`` delays every event of a stream.
     A changeover starts ``stage_seconds`` after its version is announced, or later, and
-    takes ``load_seconds``.
+    takes ``load_seconds``. For ``slow_share`` of its time, ``slow_seconds`` at a time, an engine
+    is ``slow_factor`` times as slow.
     """
 
     places: int
@@ -48,6 +49,9 @@
     cold_per_second: float = 0
     load_seconds: float = 0.3
     stage_seconds: float = 5.4
+    slow_share: float = Field(0, ge=0, lt=1)
+    slow_factor: float = 1.0
+    slow_seconds: float = 0.6
 
 
 class ServiceModel(_Section):
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -11,7 +11,13 @@
 from bench.emulator.simulation import Simulation
 from jackdawsail.proxy.calls import CallerCall, UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
-from jackdawsail.proxy.selection import Selection, likely_events, place_call, select_upstream
+from jackdawsail.proxy.selection import (
+    Selection,
+    call_size,
+    likely_events,
+    place_call,
+    select_upstream,
+)
 from jackdawsail.proxy.send_history import SendHistory
 from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.proxy.watch import FIRST_EVENT_TIMEOUT_SECONDS, NEXT_EVENT_TIMEOUT_SECONDS
@@ -167,6 +173,9 @@
         now_seconds = self.simulation.seconds()
         history.tried.append(upstream.name)
         upstream.call_sent(now_seconds)
+        size = call_size(self.context, history.service, selection.call)
+        if size is not None:
+            upstream.sent_sizes.record(size, now_seconds)
         history.record_send(upstream.name)
         host = self.hosts.get(upstream.name)
         delay_seconds = self.deployment.delay_seconds(self.zone.region, upstream.region)
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -4,12 +4,13 @@
 times a second, and five times to entries of other regions, instead of at each change
 of their state. With ``no-memory``, a caller that retries after a refusal is treated
 like a new one. With ``no-moves``, streams stay on engines that change over.
-``first`` combines all three.
+``first`` combines all three. With ``queues-only``, sizes and paces beyond the queue of an
+engine do not count.
 """
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from jackdawsail.proxy import selection
@@ -45,6 +46,11 @@
             selection.choose_engine = original
 
 
+def choose_by_queues(call: placement.PlacedCall, *arguments: Any) -> Any:
+    """Chooses an engine as if the size of the call were not known."""
+    return placement.choose_engine(replace(call, size=None), *arguments)
+
+
 _REPEATED = {'report_seconds': REPEATED_REPORT_SECONDS, 'far_every': REPEATED_FAR_EVERY}
 
 POLICIES = {
@@ -54,6 +60,7 @@
         Policy('repeated-reports', **_REPEATED),  # type: ignore[arg-type]
         Policy('no-memory', remembers_refusals=False),
         Policy('no-moves', moves_streams=False),
+        Policy('queues-only', choose=choose_by_queues),
         Policy('first', remembers_refusals=False, moves_streams=False, **_REPEATED),  # type: ignore[arg-type]
     )
 }
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -120,6 +120,8 @@
             entries=self._context.entries,
             running=load.running if load else None,
             waiting=load.waiting if load else None,
+            pace=load.pace if load else None,
+            memory_share=load.memory_share if load else None,
             report_age_seconds=report_age_seconds,
             heartbeat_age_seconds=round(now_seconds - upstream.received_seconds, 2),
             prompt=self._call.prompt,
--- a/jackdawsail/proxy/dispatching.py
+++ b/jackdawsail/proxy/dispatching.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import Protocol
 
+from jackdawsail.proxy import metrics
 from jackdawsail.proxy.attempt import Attempt, AttemptOwner
 from jackdawsail.proxy.call_log import CallLog
 from jackdawsail.proxy.outgoing import (
@@ -14,8 +15,9 @@
     withdrawn_call,
 )
 from jackdawsail.proxy.relaying import has_begun, may_continue
-from jackdawsail.proxy.selection import Selection, place_call, select_upstream
+from jackdawsail.proxy.selection import Selection, call_size, place_call, select_upstream
 from jackdawsail.routing.placement import Choice, Refusal
+from jackdawsail.routing.sizes import SLOW_PACE
 
 
 class DispatchedCall(OutgoingCall, Protocol):
@@ -56,6 +58,9 @@
     call.sends.tried.append(upstream.name)
     details = dispatch_details(call, selection, upstream)
     call.log.dispatched(choice, details, call.sends.count + 1)
+    load = upstream.load_at(call.context.clock.seconds())
+    if load is not None and load.pace > SLOW_PACE:
+        metrics.SLOW_DISPATCHES.inc()
     attempt = Attempt(call.context, owner, upstream, call.call.attempt)
     attempt.set_paused(call.exchange.is_full)
     return attempt
@@ -73,3 +78,6 @@
     call.sends.record_send(attempt.upstream.name)
     now_seconds = call.context.clock.seconds()
     attempt.weight_version = attempt.upstream.version_of(call.call.model, now_seconds)
+    size = call_size(call.context, call.sends.service, call.call)
+    if size is not None:
+        attempt.upstream.sent_sizes.record(size, now_seconds)
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -35,6 +35,11 @@
     ['limit'],
     registry=REGISTRY,
 )
+SLOW_DISPATCHES = Counter(
+    'jackdawsail_proxy_slow_dispatches',
+    'Calls dispatched to engines that report a slow pace.',
+    registry=REGISTRY,
+)
 SUSPECT_CALLS = Counter(
     'jackdawsail_proxy_suspect_calls',
     'Calls at engines that ended while their answers were waited for or had just begun.',
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -17,6 +17,7 @@
     make_rest_refusal,
 )
 from jackdawsail.routing.shared_limits import keeps_named_limit
+from jackdawsail.routing.sizes import CallSize, size_of
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.routing.weight_rules import (
     RECALL_MARGIN_SECONDS,
@@ -131,6 +132,8 @@
         target_seconds=selection.route.target_seconds,
         region=context.settings.region,
         is_begun=selection.is_begun,
+        size=call_size(context, selection.service, selection.call),
+        longest_pause_seconds=selection.route.longest_pause_seconds,
     )
     if service.engine is None:
         return choose_service(placed, candidates, context.rng)
@@ -153,6 +156,15 @@
     return not has_ample_room(candidates, engine.slots, now_seconds, context.entries)
 
 
+def call_size(context: ProxyContext, service: str, call: CallerCall) -> CallSize | None:
+    """Returns the size of a call at the engines of a service; None for calls without a model."""
+    configured = _service_of(context, service)
+    if configured is None or configured.engine is None or not call.model:
+        return None
+    stated = (call.prompt_tokens, call.answer_tokens, call.likely_answer_tokens)
+    return size_of(*stated, configured.engine)
+
+
 def likely_events(context: ProxyContext, service: str, answer_tokens: int) -> float:
     """Returns the number of events of an answer that its caller expects, or the usual one."""
     configured = _service_of(context, service)
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -11,10 +11,12 @@
 expected time is chosen.
 """
 
+import math
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from jackdawsail.routing import sizes
 from jackdawsail.routing.upstreams import Upstream
 from jackdawsail.site.document import EngineClass
 
@@ -36,12 +38,15 @@
 class PlacedCall:
     """The properties of a call that placement uses.
 
-    ``is_begun`` is true for the rest of a stream whose first engine was lost.
+    ``is_begun`` is true for the rest of a stream whose first engine was lost. ``size`` is None
+    for calls without a model, ``longest_pause_seconds`` 0 without a target for pauses.
     """
 
     target_seconds: float
     region: str
     is_begun: bool = False
+    size: sizes.CallSize | None = None
+    longest_pause_seconds: float = 0
 
     @property
     def max_wait_seconds(self) -> float:
@@ -83,9 +88,78 @@
     in_time = [choice for choice in choices if choice.wait_seconds <= call.max_wait_seconds]
     if not in_time:
         return make_refusal('queues are too long', rng)
-    return min(
-        in_time, key=lambda choice: _expected_first_event_seconds(choice, call, now_seconds, rng)
+    predictions = _predict_sizes(call, engine, in_time, now_seconds, entries)
+    suited = keep_suited(call, in_time, predictions)
+    if not suited:
+        return make_refusal('too large to be in time, and no engine has room to spare', rng)
+
+    def expected_seconds(choice: Choice) -> float:
+        by_pace_seconds = predictions[choice.upstream.name].delay_by_pace_seconds
+        return by_pace_seconds + _expected_first_event_seconds(choice, call, now_seconds, rng)
+
+    return min(suited, key=expected_seconds)
+
+
+def keep_suited(
+    call: PlacedCall, choices: Sequence[Choice], predictions: Mapping[str, sizes.SizePrediction]
+) -> list[Choice]:
+    """Returns the choices that suit the size of a call.
+
+    What would exceed an engine's memory never does. While an engine is slow, a call goes where it
+    is in time and makes no others pause too long, else where there is room to spare: it is
+    late then, and takes no slot from a call that can be in time.
+    """
+    fitting = [choice for choice in choices if predictions[choice.upstream.name].fits_memory]
+    is_uneven = any(prediction.is_slow for prediction in predictions.values())
+    if call.is_begun or not is_uneven:
+        return fitting
+    in_time = [
+        choice
+        for choice in fitting
+        if choice.wait_seconds + predictions[choice.upstream.name].own_seconds
+        <= call.target_seconds
+    ]
+    without_pause = [
+        choice
+        for choice in in_time
+        if predictions[choice.upstream.name].pause_seconds
+        <= (call.longest_pause_seconds or math.inf)
+    ]
+    spare = [choice for choice in fitting if predictions[choice.upstream.name].has_room_to_spare]
+    return without_pause or in_time or spare
+
+
+def _predict_sizes(
+    call: PlacedCall,
+    engine: EngineClass,
+    choices: Sequence[Choice],
+    now_seconds: float,
+    entries: int,
+) -> dict[str, sizes.SizePrediction]:
+    """Returns what the size of a call means at each engine, by the engine's name."""
+    return {
+        choice.upstream.name: _predict_size(call, engine, choice.upstream, now_seconds, entries)
+        for choice in choices
+    }
+
+
+def _predict_size(
+    call: PlacedCall, engine: EngineClass, upstream: Upstream, now_seconds: float, entries: int
+) -> sizes.SizePrediction:
+    load = upstream.load_at(now_seconds)
+    if call.size is None or load is None or upstream.last_report is None:
+        return sizes.UNKNOWN
+    slots = max(1, upstream.registration.places or engine.slots)
+    state = sizes.EngineState(
+        pace=load.pace,
+        running=load.running,
+        slots=slots,
+        memory_share=load.memory_share,
+        unreported=tuple(upstream.sent_sizes.since(upstream.last_report.received_seconds)),
+        entries=entries,
     )
+    running = min(upstream.active_calls(now_seconds, entries), slots)
+    return sizes.predict(call.size, engine, state, pass_length_seconds(engine, running))
 
 
 def choose_service(
--- a/jackdawsail/routing/upstreams.py
+++ b/jackdawsail/routing/upstreams.py
@@ -17,6 +17,7 @@
 from jackdawsail.routing.named_limits import LimitRecord
 from jackdawsail.routing.rest import RestRecord
 from jackdawsail.routing.sends import SendRecord
+from jackdawsail.routing.sizes import SentSizes
 from jackdawsail.wire.site_messages import EngineLoad
 
 MEAN_WEIGHT = 0.2  # of the newest answer in the running mean
@@ -42,8 +43,8 @@
     """One incarnation of an upstream as this entry sees it.
 
     ``calls`` is the number of this entry's calls that were sent there and have not ended,
-    ``sends`` records its last sends, and ``first_event_mean_seconds`` is the recent mean
-    time to a first event. ``limit`` is the limit on its calls that it names, ``rest`` the time for
+    ``sends`` records its last sends, ``sent_sizes`` the sizes of those for models, and
+    ``first_event_mean_seconds`` is the recent mean time to a first event. ``limit`` is the limit on its calls that it names, ``rest`` the time for
     which it wants none from this entry.
     """
 
@@ -59,6 +60,7 @@
     failure_share: float = 0
     suspensions: int = 0
     sends: SendRecord = field(default_factory=SendRecord)
+    sent_sizes: SentSizes = field(default_factory=SentSizes)
     first_event_mean_seconds: float = 0
     first_event_recorded_seconds: float = 0
     limit: LimitRecord = field(default_factory=LimitRecord)
