Channels of all entries to an upstream stay under max_channels of its service

Cause: nothing read max_channels. Calls that may not be repeated open a new channel each, and their channels are kept for calls that may be repeated, so idle channels pile up. Connections over the cap are reset, and calls that may not be repeated are lost with them.

Connecting, used and idle channels are counted; idle ones are closed to make way, and a call that would need one more goes to another upstream, or is refused as not run if there is none. Services without max_channels are served as before.

--- a/jackdawsail/http1/channel_pool.py
+++ b/jackdawsail/http1/channel_pool.py
@@ -8,6 +8,7 @@
 from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
 
 from jackdawsail.clocks import Clock
+from jackdawsail.http1.channel_ledger import ChannelLedger
 from jackdawsail.http1.client import ClientChannel
 
 DEFAULT_KEEP_ALIVE_SECONDS = 2.0  # for upstreams that send no Keep-Alive timeout
@@ -23,13 +24,16 @@
 
     noisy = False
 
-    def __init__(self, peer: str, on_opened: OnOpened) -> None:
+    def __init__(self, peer: str, on_opened: OnOpened, ledger: ChannelLedger) -> None:
         self._peer = peer
         self._on_opened: OnOpened | None = on_opened
+        self._ledger = ledger
+        ledger.connect_started(peer)
 
     def buildProtocol(self, addr: Any) -> ClientChannel:  # noqa: N802 - Twisted's name
         channel = _NotifyingChannel(self._peer)
         channel.on_connected = self._finish
+        channel.on_lost = self._ledger.channel_ended
         return channel
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
@@ -39,18 +43,24 @@
         on_opened = self._on_opened
         self._on_opened = None
         if on_opened is not None:
+            self._ledger.connect_ended(self._peer, channel)
             on_opened(channel)
 
 
 class _NotifyingChannel(ClientChannel):
-    """A channel that calls ``on_connected`` when its connection is made."""
+    """A channel that calls ``on_connected`` once it is connected, and ``on_lost`` at its end."""
 
     on_connected: OnOpened = staticmethod(lambda channel: None)
+    on_lost: Callable[[ClientChannel], None] = staticmethod(lambda channel: None)
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         super().connectionMade()
         self.on_connected(self)
 
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        self.on_lost(self)
+        super().connectionLost(reason)
+
 
 class RefusalCheck(protocol.ClientFactory):
     """One attempt to connect that only shows whether anything listens at the address."""
@@ -102,6 +112,7 @@
     opened_count: int = 0
     uses_tls: bool = False
     _idle: dict[str, list[_IdleChannel]] = field(default_factory=dict)
+    _ledger: ChannelLedger = field(default_factory=ChannelLedger)
 
     def acquire_idle(self, address: str) -> ClientChannel | None:
         """Returns an idle channel that the upstream should still hold open, or None."""
@@ -129,7 +140,7 @@
         host, _, port = address.rpartition(':')
         bind = (self.bind_address, 0) if self.bind_address else None
         self.opened_count += 1
-        attempt = _ConnectAttempt(address, on_opened)
+        attempt = _ConnectAttempt(address, on_opened, self._ledger)
         if self.uses_tls:
             return self._connect_tls(host, int(port), attempt, bind)
         return self.reactor.connectTCP(host, int(port), attempt, self.connect_seconds, bind)
@@ -150,6 +161,47 @@
             idle_channel = _IdleChannel(channel, self.clock.seconds())
             self._idle.setdefault(channel.peer, []).append(idle_channel)
 
+    def open_count(self, address: str) -> int:
+        """Returns the number of connecting, used and idle channels to an address."""
+        return self._ledger.count(address)
+
+    def idle_count(self, address: str) -> int:
+        """Returns the number of idle channels to an address that are still open."""
+        return sum(not idle.channel.is_closed for idle in self._idle.get(address, ()))
+
+    def has_idle(self, address: str) -> bool:
+        """Returns whether ``acquire_idle`` would return a channel."""
+        return any(
+            not idle.channel.is_closed and self._is_usable(idle)
+            for idle in reversed(self._idle.get(address, ()))
+        )
+
+    def counts(self) -> dict[str, int]:
+        """Returns the number of channels to all addresses by state."""
+        idle_total = sum(map(self.idle_count, self._idle))
+        used_total = self._ledger.open_total - idle_total
+        return {
+            'connecting': self._ledger.connecting_total,
+            'used': used_total,
+            'idle': idle_total,
+        }
+
+    def close_oldest(self, address: str, count: int) -> int:
+        """Closes up to ``count`` of the idle channels unused for longest; returns how many.
+
+        They are aborted, as a normal close is sent only after a new connection is begun, and the
+        upstream would count both.
+        """
+        idle = self._idle.get(address, [])
+        closed = 0
+        while idle and closed < count:
+            channel = idle.pop(0).channel
+            if not channel.is_closed:
+                closed += 1
+                self._ledger.channel_ended(channel)
+                channel.cancel()
+        return closed
+
     def drop(self, address: str) -> None:
         """Closes all idle channels to an address."""
         for idle in self._idle.pop(address, []):
--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -125,8 +125,7 @@
         address = self.upstream.registration.address
         channel = None if fresh_channel else self._context.pool.acquire_idle(address)
         if channel is None:
-            opened = partial(self._on_connected, make_request)
-            self._connector = self._context.pool.connect(address, opened)
+            self._connect(make_request)
         else:
             self._reused_channel = True
             self._send(make_request, channel)
@@ -189,6 +188,8 @@
             return False
         self.record_progress()
         self.head = ReceivedHead(head, decoded)
+        if not self._reused_channel:
+            self._context.channels.channel_answered(self.upstream)
         if not decoded.not_run:
             self.head_seconds = self.last_progress_seconds
             self.begun_seconds = self.head_seconds if head.status in SUCCESS else None
@@ -238,10 +239,21 @@
         with ending_on_error(self._owner.end_after_error):
             if self.head is not None:
                 metrics.ANSWERS.labels(self.framing, str(reason)).inc()
+            if reason is BreakReason.reset:
+                self._record_reset()
             if not (self._reused_channel and self.head is None):
                 self.upstream.call_failed(self._context.clock.seconds())
             self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
+    def _connect(self, make_request: MakeRequest) -> None:
+        if self._context.channels.make_room(self.upstream):
+            address = self.upstream.registration.address
+            opened = partial(self._on_connected, make_request)
+            self._connector = self._context.pool.connect(address, opened)
+        else:
+            self._finish()
+            self._owner.attempt_failed(self, AttemptEnd.unreached, 'channels are in use')
+
     def _on_connected(self, make_request: MakeRequest, channel: ClientChannel | None) -> None:
         with ending_on_error(self._owner.end_after_error):
             self._handle_connected(make_request, channel)
@@ -275,6 +287,12 @@
         if self.is_paused:
             channel.pause()
 
+    def _record_reset(self) -> None:
+        """Reports the reset of a new channel, on which nothing was received."""
+        if not self._reused_channel and self.head is None:
+            open_seconds = self._context.clock.seconds() - self.sent_seconds
+            self._context.channels.channel_reset(self.upstream, open_seconds)
+
     def _end_refusal(self) -> None:
         """Abandons a refusal whose body does not end."""
         self.cancel()
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -35,6 +35,22 @@
     ['limit'],
     registry=REGISTRY,
 )
+CHANNELS = Gauge(
+    'jackdawsail_proxy_channels',
+    'Channels to all upstreams, by state: connecting, used, idle.',
+    ['state'],
+    registry=REGISTRY,
+)
+CHANNELS_RESET = Counter(
+    'jackdawsail_proxy_channels_reset',
+    'Channels that an upstream of a service with a limit has reset right after they were opened.',
+    registry=REGISTRY,
+)
+CHANNELS_REPLACED = Counter(
+    'jackdawsail_proxy_channels_replaced',
+    'Idle channels closed to make way for new ones within the part of this entry.',
+    registry=REGISTRY,
+)
 SUSPECT_CALLS = Counter(
     'jackdawsail_proxy_suspect_calls',
     'Calls at engines that ended while their answers were waited for or had just begun.',
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -142,6 +142,7 @@
 
     def _clean_up(self) -> None:
         self.context.pool.close_expired()
+        self.context.channels.close_excess(self.context.upstreams.all())
         self.context.view.registrations.forget_old(self.process.reactor.seconds())
 
     def _on_drained(self, _outcome: None) -> None:
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -177,6 +177,7 @@
         upstream
         for upstream in context.upstreams.usable(service.name, control_seconds)
         if _is_allowed(context, constraints, service, upstream)
+        and _has_channel(context, selection, upstream)
     ]
     available = [candidate for candidate in allowed if not candidate.is_suspended(now_seconds)]
     untried = [candidate for candidate in available if candidate.name not in selection.tried]
@@ -191,17 +192,31 @@
 ) -> Refusal:
     """Returns the refusal of a call; if all upstreams rest, with the time until the first ends."""
     regions = selection.allowed_regions()
-    rest_ends_seconds = [
-        upstream.rest.until_seconds
+    within = [
+        upstream
         for upstream in context.upstreams.usable(
             service.name, context.view.control_received_seconds
         )
         if _is_within(context, regions, upstream)
     ]
+    rest_ends_seconds = [upstream.rest.until_seconds for upstream in within]
     rest_seconds = min(rest_ends_seconds, default=now_seconds) - now_seconds
     if rest_seconds > 0:
         return make_rest_refusal(rest_seconds, context.rng)
-    return make_refusal('no engine' if service.engine else 'no upstream', context.rng)
+    untried = [upstream for upstream in within if upstream.name not in selection.tried]
+    fresh_channel = not selection.route.may_repeat
+    without_channel = context.channels.refuse(untried, context.rng, fresh_channel=fresh_channel)
+    reason = 'no engine' if service.engine else 'no upstream'
+    return without_channel or make_refusal(reason, context.rng)
+
+
+def _has_channel(context: ProxyContext, selection: Selection, upstream: Upstream) -> bool:
+    """Returns whether the call needs no channel over this entry's part of the limit."""
+    fresh_channel = not selection.route.may_repeat
+    if context.channels.allows(upstream, fresh_channel=fresh_channel):
+        return True
+    metrics.WITHHELD.labels('channels').inc()
+    return False
 
 
 def _is_within(context: ProxyContext, regions: set[str] | None, upstream: Upstream) -> bool:
