Answers with status 600 to 999 are broken, not forwarded

Cause: the HTTP library accepts any three digits from 200 on as a final status, and nothing checked it. Change: the client channel, which all readers of HTTP/1.1 in the programs use (proxy, fetches, reads of weights, agents), ends such an answer as garbled and aborts the connection.

--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -13,7 +13,7 @@
 from twisted.internet import protocol
 from twisted.internet.error import ConnectionDone
 
-from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, framing_of
+from jackdawsail.http1.messages import FINAL_STATUSES, HttpAnswerHead, HttpRequest, framing_of
 
 MAX_HEAD_BYTES = 65_536  # four times the largest head that the callers' limits allow
 MAX_FOREIGN_ANSWERS = 4  # answers to earlier requests that may precede the awaited one
@@ -182,6 +182,9 @@
             self._complete(owner)
 
     def _handle_head(self, event: h11.Response, owner: AnswerOwner) -> None:
+        if event.status_code not in FINAL_STATUSES:
+            # The library refuses what is under 100 and skips interim answers.
+            raise h11.RemoteProtocolError('status of no final answer')
         headers = tuple(event.headers.raw_items())
         method = b'' if self._request is None else self._request.method
         framing = framing_of(method, event.status_code, headers)
