An entry takes no status from an agent that is no final one

Cause: the head of an answer that an agent reports was forwarded whatever its status. Change: such a head cancels the work and counts as a broken attempt that may have run, also for an answer that is resumed.

--- a/jackdawsail/routing/request_dispatch.py
+++ b/jackdawsail/routing/request_dispatch.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from functools import singledispatch
 
+from jackdawsail.http1.messages import FINAL_STATUSES
 from jackdawsail.routing.answers import AnswerVerifier
 from jackdawsail.routing.dispatch_effects import (
     BeginAnswer,
@@ -134,9 +135,19 @@
             return self._after_refusal('agent-lost', 0, now_seconds)
         return []
 
-    def handle_head(self, head: AnswerHead) -> Effects:
-        """Forwards the head of the first attempt; that of a resumed answer is dropped."""
-        if self._bound_attempt(head.attempt_id) is None or self._answer_begun:
+    def handle_head(self, head: AnswerHead, now_seconds: float) -> Effects:
+        """Forwards the head of the first attempt; that of a resumed answer is dropped.
+
+        A status that is no final one breaks the attempt, also for a resumed answer.
+        """
+        bound = self._bound_attempt(head.attempt_id)
+        if bound is None:
+            return []
+        if head.status not in FINAL_STATUSES:
+            cancel = SendTo(bound.candidate, CancelWork(bound.attempt_id))
+            broken = self.attempt_broken(bound.attempt_id, 'status-not-final', now_seconds)
+            return [cancel, *broken]
+        if self._answer_begun:
             return []
         self._answer_begun = True
         return [BeginAnswer(head)]
@@ -269,7 +280,7 @@
 
 @deliver.register
 def _head(received: AnswerHead, dispatch: RequestDispatch, now_seconds: float) -> Effects:
-    return dispatch.handle_head(received)
+    return dispatch.handle_head(received, now_seconds)
 
 
 @deliver.register
