The command line takes no status for an answer that is no final one

Cause: http.client accepts 101 to 999 as the status of an answer and skips only 100; an answer with 600 or 999 ended the command with an unexpected error, as did each failure with a status that the standard library has no name for (420, 499, 599), and one with 102 or 103 counted as a success. Change: such an answer is none, and the next control host is asked, as commands keep their request id.

--- a/jackdawsail/ui/client.py
+++ b/jackdawsail/ui/client.py
@@ -11,10 +11,11 @@
 from contextlib import closing
 from dataclasses import dataclass
 from http import HTTPStatus
-from http.client import HTTPConnection, HTTPException
+from http.client import BadStatusLine, HTTPConnection, HTTPException
 from typing import Any
 
 from jackdawsail.errors import UserError
+from jackdawsail.http1.messages import FINAL_STATUSES
 from jackdawsail.ui.exit_codes import ExitCode
 
 ATTEMPT_TIMEOUT_SECONDS = 5.0
@@ -23,7 +24,7 @@
 MAX_ANSWER_BYTES = 67_108_864  # a longer answer is cut here and no longer valid JSON
 
 _RETRIED_STATUSES = frozenset((HTTPStatus.MISDIRECTED_REQUEST, HTTPStatus.SERVICE_UNAVAILABLE))
-_EXIT_CODES = {
+_EXIT_CODES: dict[int, ExitCode] = {
     HTTPStatus.UNAUTHORIZED: ExitCode.forbidden,
     HTTPStatus.FORBIDDEN: ExitCode.forbidden,
     HTTPStatus.NOT_FOUND: ExitCode.not_found,
@@ -46,7 +47,7 @@
         problem = response.document
         super().__init__(
             f'{problem.get("code", "error")}: {problem.get("detail", response.status)}',
-            int(_EXIT_CODES.get(HTTPStatus(response.status), ExitCode.invalid)),
+            int(_EXIT_CODES.get(response.status, ExitCode.invalid)),
         )
         self.problem = problem
 
@@ -133,6 +134,8 @@
         with closing(HTTPConnection(host, timeout=ATTEMPT_TIMEOUT_SECONDS)) as connection:
             connection.request(method, path, raw, headers)
             http_response = connection.getresponse()
+            if http_response.status not in FINAL_STATUSES:
+                raise BadStatusLine(f'status {http_response.status} is no final answer')
             document = json.loads(http_response.read(MAX_ANSWER_BYTES))
             return AdminResponse(http_response.status, document)
 
--- a/test/ui/test_client.py
+++ b/test/ui/test_client.py
@@ -65,3 +65,10 @@
     with pytest.raises(UserError):
         read_status(HEAD + b'\r\n', blocks=1000)
     assert read_status.sent_bytes < 32_000_000
+
+
+@pytest.mark.parametrize('status', [420, 499, 599])
+def test_failure_with_a_status_without_a_name_is_reported(status):
+    answer = f'HTTP/1.1 {status} X\r\n\r\n{{"code": "odd", "detail": "why"}}'.encode()
+    with pytest.raises(UserError, match='odd: why'):
+        read_status(answer)
