A failure does not continue a stream of the own interface

Cause: the head of a resumed answer was dropped whatever its status, so the body of a failure (400, 500, 504) was sent to the caller as the rest of the stream, which then ended as complete. Change: such a head breaks the attempt, which is resumed at another agent.

--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -9,6 +9,7 @@
 JSON_BODY = (b'Content-Type', b'application/json')
 BODILESS_METHODS = frozenset((b'GET', b'HEAD', b'DELETE'))
 BODILESS_STATUSES = frozenset((204, 304))
+SUCCESS_STATUSES = range(200, 300)
 FINAL_STATUSES = range(200, 600)  # RFC 9110, section 15; an answer with another one is broken
 
 HOP_BY_HOP = frozenset(
--- a/jackdawsail/routing/request_dispatch.py
+++ b/jackdawsail/routing/request_dispatch.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from functools import singledispatch
 
-from jackdawsail.http1.messages import FINAL_STATUSES
+from jackdawsail.http1.messages import FINAL_STATUSES, SUCCESS_STATUSES
 from jackdawsail.routing.answers import AnswerVerifier
 from jackdawsail.routing.dispatch_effects import (
     BeginAnswer,
@@ -138,15 +138,17 @@
     def handle_head(self, head: AnswerHead, now_seconds: float) -> Effects:
         """Forwards the head of the first attempt; that of a resumed answer is dropped.
 
-        A status that is no final one breaks the attempt, also for a resumed answer.
+        A status that is no final one breaks the attempt, as does a failure in place of the rest
+        of an answer that has begun: its body would be taken for that rest.
         """
         bound = self._bound_attempt(head.attempt_id)
         if bound is None:
             return []
-        if head.status not in FINAL_STATUSES:
+        allowed = SUCCESS_STATUSES if self._answer_begun else FINAL_STATUSES
+        if head.status not in allowed:
             cancel = SendTo(bound.candidate, CancelWork(bound.attempt_id))
-            broken = self.attempt_broken(bound.attempt_id, 'status-not-final', now_seconds)
-            return [cancel, *broken]
+            reason = f'unexpected-status-{head.status}'
+            return [cancel, *self.attempt_broken(bound.attempt_id, reason, now_seconds)]
         if self._answer_begun:
             return []
         self._answer_begun = True
--- a/test/test_final_statuses.py
+++ b/test/test_final_statuses.py
@@ -8,7 +8,8 @@
 from jackdawsail.agent.upstream import EngineBody
 from jackdawsail.errors import UserError
 from jackdawsail.http1.client import MAX_HEAD_BYTES, BreakReason
-from jackdawsail.routing.dispatch_effects import BeginAnswer, FinishRequest
+from jackdawsail.routing.answers import AnswerBuilder
+from jackdawsail.routing.dispatch_effects import BeginAnswer, FinishRequest, ForwardPart
 from jackdawsail.routing.request_dispatch import deliver
 from jackdawsail.wire.work_messages import AnswerHead, Granted, Outcome
 from test.agent.test_upstream import Job
@@ -182,3 +183,19 @@
     third.dataReceived(event(2) + b'0\r\n\r\n')
     assert caller.value().endswith(b'0\r\n\r\n')
     assert b'x2' in caller.value()
+
+
+@pytest.mark.parametrize('status', [400, 500, 504])
+def test_failure_does_not_continue_a_stream_that_has_begun(status):
+    dispatch, attempt_id = make_dispatch('')
+    deliver(Granted(attempt_id, 1, 1, 'r1', 1.0), dispatch, 0)
+    deliver(AnswerHead(attempt_id, 200, 'text/event-stream', 'r1'), dispatch, 0)
+    dispatch.attempt_broken(attempt_id, 'stream-cut-off', 0)
+    effects = dispatch.offer_candidates(['a2'], 0)
+    (second,) = [effect.message.attempt_id for effect in effects]
+    deliver(Granted(second, 1, 1, 'r1', 1.0), dispatch, 0)
+    builder = AnswerBuilder(second)
+    failed = [AnswerHead(second, status, 'text/plain', 'r1'), builder.part(b'error', 0)]
+    effects = [one for message in failed for one in deliver(message, dispatch, 0)]
+    assert not any(isinstance(effect, ForwardPart) for effect in effects)
+    assert not dispatch.finished
