--- a/jackdawsail/routing/request_dispatch.py
+++ b/jackdawsail/routing/request_dispatch.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from functools import singledispatch
 
+from jackdawsail.http1.messages import FINAL_STATUSES, SUCCESS_STATUSES
 from jackdawsail.routing.answers import AnswerVerifier
 from jackdawsail.routing.dispatch_effects import (
     BeginAnswer,
@@ -134,9 +135,21 @@
             return self._after_refusal('agent-lost', 0, now_seconds)
         return []
 
-    def handle_head(self, head: AnswerHead) -> Effects:
-        """Forwards the head of the first attempt; that of a resumed answer is dropped."""
-        if self._bound_attempt(head.attempt_id) is None or self._answer_begun:
+    def handle_head(self, head: AnswerHead, now_seconds: float) -> Effects:
+        """Forwards the head of the first attempt; that of a resumed answer is dropped.
+
+        A status that is no final one breaks the attempt, as does a failure in place of the rest
+        of an answer that has begun: its body would be taken for that rest.
+        """
+        bound = self._bound_attempt(head.attempt_id)
+        if bound is None:
+            return []
+        allowed = SUCCESS_STATUSES if self._answer_begun else FINAL_STATUSES
+        if head.status not in allowed:
+            cancel = SendTo(bound.candidate, CancelWork(bound.attempt_id))
+            reason = f'unexpected-status-{head.status}'
+            return [cancel, *self.attempt_broken(bound.attempt_id, reason, now_seconds)]
+        if self._answer_begun:
             return []
         self._answer_begun = True
         return [BeginAnswer(head)]
@@ -269,7 +282,7 @@
 
 @deliver.register
 def _head(received: AnswerHead, dispatch: RequestDispatch, now_seconds: float) -> Effects:
-    return dispatch.handle_head(received)
+    return dispatch.handle_head(received, now_seconds)
 
 
 @deliver.register
