--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     'start',
     'startup',
     'emulate',
+    'ranks',
     'blame',
     'limits',
     'rest',
--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -11,7 +11,6 @@
 from jackdawsail.site.document import Route
 
 PATIENCE_DIVISOR = 3  # callers wait at most a third of their remaining time before a retry
-TOKENS_PER_EVENT = 6
 HINT_SPREAD = 0.5  # std deviation of the logarithm of a caller's estimate of the answer length
 
 
@@ -97,7 +96,7 @@
             return CallerRequest(kind, self.zone.name, now_seconds, 1.0, work_seconds=work_seconds)
         prompt = self._sample(kind.prompt_tokens, kind.prompt_spread, kind.prompt_most)
         events = self._sample(kind.events, kind.events_spread, kind.events_most)
-        answer = max(1, round(events)) * TOKENS_PER_EVENT
+        answer = max(1, round(events)) * self.deployment.engine.steps_per_pass
         size = prompt / kind.prompt_tokens
         # The estimate is right at the median, but often far off.
         estimated = max(1, round(answer * math.exp(self.rng.gauss(0, HINT_SPREAD))))
--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -194,16 +194,21 @@
         self.simulation.call_later(self.policy.report_seconds, self._send_reports)
 
     def _share_reports(self) -> None:
-        """Sends the new refusals and the named limits of every entry to all entries."""
+        """Sends what entries tell each other: refusals, named limits and demand by urgency."""
         now_seconds = self.simulation.seconds()
         for entry in self.entries:
             limits = entry.context.limits.take_pending()
             fingerprints = entry.context.refused_calls.take_unsent()
+            demands = entry.context.ranks.take_reports()
             others = [] if entry.is_cut_off else self.entries
             for other in others:
                 for fingerprint in fingerprints:
                     other.context.refused_calls.record(fingerprint, now_seconds)
-                if limits and not other.is_cut_off:
+                if other.is_cut_off:
+                    continue
+                for demand in demands:
+                    other.context.ranks.receive(demand)
+                if limits:
                     other.context.limits.receive(NamedLimitsReported(limits))
         self.simulation.call_later(SEND_INTERVAL_SECONDS, self._share_reports)
 
@@ -321,7 +326,7 @@
         kind=CallKind.stream if kind.prompt_tokens else CallKind.idempotent,
         time_limit_seconds=kind.patience_ms / 1000,
         target_seconds=kind.target_ms / 1000,
-        urgency_rank=1,
+        urgency_rank=kind.rank,
         shares=(Share(ENGINES if kind.prompt_tokens else SERVICES, 1),),
         max_upstreams=2,
         resumable=bool(kind.prompt_tokens),
--- a/bench/emulator/deployment.py
+++ b/bench/emulator/deployment.py
@@ -61,6 +61,7 @@
 class RequestKind(_Section):
     """A kind of request; without ``prompt_tokens`` it goes to the plain service.
 
+    ``rank`` is that of its route, 0 the most urgent.
     A ``_spread`` is a standard deviation relative to the mean, a ``_most`` an upper limit.
     """
 
@@ -70,6 +71,7 @@
     patience_ms: float
     worth: float
     late_worth: float
+    rank: int = 1
     prompt_tokens: float = 0
     prompt_spread: float = 1.0
     prompt_most: float = 0
--- a/bench/emulator/entry.py
+++ b/bench/emulator/entry.py
@@ -53,6 +53,7 @@
     fingerprint: bytes
     estimated_tokens: int = 0
     late: bool = False
+    urgency: int | None = None
     events: int = 0
     weight_version: int = 0
 
@@ -80,6 +81,9 @@
             call.fingerprint, now_seconds
         )
         call.late = is_late(elapsed_seconds, call.route.target_seconds)
+        if call.prompt_tokens and self.policy.uses_ranks:
+            service = call.route.shares[0].service
+            call.urgency = self.context.ranks.urgency_of(service, call.route, None)
         history = SendHistory(self.context, call.route, call.route.shares[0].service)
         self._dispatch(call, history)
 
@@ -142,6 +146,7 @@
             tried=tuple(history.tried),
             pinned_version=call.weight_version,
             is_late=call.late,
+            urgency=call.urgency,
         )
 
     def _dispatch(self, call: EmulatedCall, history: SendHistory) -> None:
@@ -319,6 +324,7 @@
         model=MODEL if call.prompt_tokens else '',
         prompt_tokens=int(call.prompt_tokens),
         answer_tokens=call.answer_tokens,
+        likely_answer_tokens=call.estimated_tokens,
     )
 
 
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -3,8 +3,9 @@
 ``product`` is what the programs do. With ``repeated-reports``, engines report ten
 times a second, and five times to entries of other regions, instead of at each change
 of their state. With ``no-memory``, a caller that retries after a refusal is treated
-like a new one. With ``no-moves``, streams stay on engines that change over.
-``first`` combines all three.
+like a new one. With ``no-moves``, streams stay on engines that change over. With
+``one-rank``, all calls are treated as equally urgent.
+``first`` combines ``repeated-reports``, ``no-memory`` and ``no-moves``.
 """
 
 from collections.abc import Callable, Iterator
@@ -31,6 +32,7 @@
     choose: Callable[..., Any] = placement.choose_engine
     remembers_refusals: bool = True
     moves_streams: bool = True
+    uses_ranks: bool = True
     report_seconds: float = ENGINE_POLL_SECONDS
     far_every: int = 1
 
@@ -54,6 +56,7 @@
         Policy('repeated-reports', **_REPEATED),  # type: ignore[arg-type]
         Policy('no-memory', remembers_refusals=False),
         Policy('no-moves', moves_streams=False),
+        Policy('one-rank', uses_ranks=False),
         Policy('first', remembers_refusals=False, moves_streams=False, **_REPEATED),  # type: ignore[arg-type]
     )
 }
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -10,6 +10,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.codecs import TrafficCodec
 from jackdawsail.proxy.limit_reports import LimitReports
+from jackdawsail.proxy.rank_control import RankControl
 from jackdawsail.proxy.recent_events import RecentEvents
 from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls, is_late
@@ -31,7 +32,7 @@
     their tasks. ``refusing`` is true once the entry stops and accepts no more calls.
     ``started_seconds`` is when the process started, and ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
     known about traits of calls that crash engines, ``limits`` records the limits that
-    upstreams name. ``recent`` has the events that aborted answers are compared with.
+    upstreams name, ``ranks`` divides scarce engines by urgency. ``recent`` has the events that aborted answers are compared with.
     """
 
     clock: Any
@@ -52,12 +53,14 @@
     shares: EntryShares = field(init=False)
     traits: TraitReports = field(init=False)
     limits: LimitReports = field(init=False)
+    ranks: RankControl = field(init=False)
 
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site, and its reports."""
         self.traits = TraitReports(self.clock, self.pool)
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.limits = LimitReports(self.clock, self.upstreams, self.shares)
+        self.ranks = RankControl(self.clock, self.view, self.settings.address)
         self.view.on_change.append(self._site_changed)
         self._site_changed()
 
@@ -113,6 +116,7 @@
 
     def _site_changed(self) -> None:
         self.recent.document_applied(self.view.document_version, self.clock.seconds())
+        self.ranks.site_changed()
         self.shares.update(self.view.sharing_entries, self.clock.seconds())
         metrics.ENTRIES.set(self.entries)
 
--- a/jackdawsail/proxy/datagrams.py
+++ b/jackdawsail/proxy/datagrams.py
@@ -1,7 +1,7 @@
-"""Datagrams to an entry: load reports of agents, refusals and named limits of other entries.
+"""Datagrams to an entry: load reports of agents; refusals, limits and demand of other entries.
 
 Loss is tolerated. The next report replaces a lost one. After a lost refusal the caller's
-retry counts as a first attempt. Named limits are repeated.
+retry counts as a first attempt. Named limits and the demand by urgency are repeated.
 """
 
 from collections.abc import Callable
@@ -13,13 +13,19 @@
 
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.wire.codec import decode, encode
-from jackdawsail.wire.site_messages import EngineLoad, NamedLimitsReported, RefusedCallsReported
+from jackdawsail.wire.site_messages import (
+    EngineLoad,
+    NamedLimitsReported,
+    RankDemandReported,
+    RefusedCallsReported,
+)
 
 SEND_INTERVAL_SECONDS = 0.05  # a tenth of the shortest retry time given to callers
 MAX_FINGERPRINTS = 100  # per datagram, so that it fits into one packet
 MAX_LIMITS = 12  # per datagram, so that it fits into one packet
 
 Handler = Callable[[Any], None]
+EntryMessage = RefusedCallsReported | NamedLimitsReported | RankDemandReported
 
 
 class DatagramListener(protocol.DatagramProtocol):
@@ -55,6 +61,7 @@
                 EngineLoad: self._on_load,
                 RefusedCallsReported: self._on_refused,
                 NamedLimitsReported: self.context.limits.receive,
+                RankDemandReported: self.context.ranks.receive,
             }
         )
         self._port = reactor.listenUDP(settings.link_port, listener, settings.address)
@@ -62,15 +69,18 @@
     def send_pending(self) -> None:
         """Tells the other entries what this entry has learned since the last sending.
 
-        That is the fingerprints of calls refused here, and limits that upstreams named.
+        That is the fingerprints of calls refused here, limits that upstreams named, and the
+        demand by urgency while calls are refused.
         """
         fingerprints = self.context.refused_calls.take_unsent()
         for refused in _batches(fingerprints, MAX_FINGERPRINTS):
             self._send_to_entries(RefusedCallsReported(refused))
         for limits in _batches(self.context.limits.take_pending(), MAX_LIMITS):
             self._send_to_entries(NamedLimitsReported(limits))
+        for demand in self.context.ranks.take_reports():
+            self._send_to_entries(demand)
 
-    def _send_to_entries(self, message: RefusedCallsReported | NamedLimitsReported) -> None:
+    def _send_to_entries(self, message: EntryMessage) -> None:
         datagram = encode(message)
         settings = self.context.settings
         for entry in self.context.view.entries():
--- a/jackdawsail/proxy/metrics.py
+++ b/jackdawsail/proxy/metrics.py
@@ -73,3 +73,15 @@
     'Answers that began on weights whose time limit had passed.',
     registry=REGISTRY,
 )
+RANKED_CALLS = Counter(
+    'jackdawsail_proxy_ranked_calls',
+    'New calls of services whose calls differ in rank, by urgency class and outcome.',
+    ['urgency', 'outcome'],
+    registry=REGISTRY,
+)
+RANK_SHARE = Gauge(
+    'jackdawsail_proxy_rank_share',
+    'Share of the demand of an urgency class that this entry admits now, 1 without scarcity.',
+    ['service', 'urgency'],
+    registry=REGISTRY,
+)
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -58,6 +58,7 @@
     deadline: Deadline
     relay: AnswerRelay | None
     is_late: bool
+    urgency: int | None
 
 
 def make_selection(task: OutgoingCall) -> Selection:
@@ -70,6 +71,7 @@
         tried=tuple(task.sends.tried),
         pinned_version=task.relay.weight_version if has_begun(task.relay) else 0,
         is_late=task.is_late,
+        urgency=task.urgency,
     )
 
 
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -6,10 +6,15 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.rank_placement import (
+    ask_for_share,
+    is_over_share,
+    make_placed_call,
+    record_placed,
+)
 from jackdawsail.routing.late_calls import has_ample_room
 from jackdawsail.routing.placement import (
     Choice,
-    PlacedCall,
     Refusal,
     choose_engine,
     choose_service,
@@ -27,6 +32,7 @@
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
 
 IN_TIME_RANK = 3  # before the engines' default of 5, so that other calls do not delay ours
+FIRST_URGENT_RANK = 1  # of the most urgent calls in time where ranks differ, up to 4 for others
 LATE_RANK = 8  # behind calls that can still be in time
 
 
@@ -35,7 +41,8 @@
     """A call that needs an upstream, and the upstreams that it has tried.
 
     ``is_late`` is true for a retried call that can no longer be served in time, ``is_begun``
-    for the rest of a stream that has no engine any more.
+    for the rest of a stream that has no engine any more. ``urgency`` is the class of the call's
+    rank when it arrived, None where all calls are of one rank.
     """
 
     service: str
@@ -46,13 +53,23 @@
     pinned_version: int = 0
     is_late: bool = False
     is_begun: bool = False
+    urgency: int | None = None
+
+    @property
+    def is_new(self) -> bool:
+        """Returns whether this is the first choice for a call that can be in time."""
+        return not (self.is_late or self.is_begun or self.tried)
 
     @property
     def engine_rank(self) -> int | None:
         """Returns the rank in the engine's own queue, 0 first; None for calls without a model."""
         if not self.call.model:
             return None
-        return LATE_RANK if self.is_late else IN_TIME_RANK
+        if self.is_late:
+            return LATE_RANK
+        if self.urgency is None:
+            return IN_TIME_RANK
+        return FIRST_URGENT_RANK + (0 if self.pinned_version else self.urgency)
 
     def expected_version(self, context: ProxyContext, upstream: Upstream) -> int:
         """Returns the weight version that an engine must verify; 0 allows any.
@@ -112,10 +129,13 @@
     The refusal of a call for a model that could be in time is recorded, so that late calls
     yield their slots.
     """
+    service = _service_of(context, selection.service)
+    engine = None if service is None else service.engine
+    ask_for_share(context, selection, engine)
     decision = select_upstream(context, selection)
     if isinstance(decision, Refusal) and selection.call.model and not selection.is_late:
         context.pressure(selection.service).record_refusal(context.clock.seconds())
-    return decision
+    return record_placed(context, selection, engine, decision)
 
 
 def select_upstream(context: ProxyContext, selection: Selection) -> Choice | Refusal:
@@ -127,15 +147,15 @@
     now_seconds = context.clock.seconds()
     if not candidates:
         return _refuse_without_candidates(context, selection, service, now_seconds)
-    placed = PlacedCall(
-        target_seconds=selection.route.target_seconds,
-        region=context.settings.region,
-        is_begun=selection.is_begun,
-    )
+    placed = make_placed_call(context, selection)
     if service.engine is None:
         return choose_service(placed, candidates, context.rng)
     if _yields_to_calls_in_time(context, selection, service.engine, candidates):
         return make_refusal('late, and calls in time are being refused', context.rng)
+    if is_over_share(context, selection) and not has_ample_room(
+        candidates, service.engine.slots, now_seconds, context.entries
+    ):
+        return make_refusal('capacity goes to more urgent calls', context.rng)
     return choose_engine(
         placed, service.engine, candidates, now_seconds, context.rng, context.entries
     )
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -68,7 +68,8 @@
     ``first_seconds`` is the time until the first part of the answer was forwarded, 0 for an
     answer that was forwarded only once it was complete. ``left`` is why the last engine was left
     that had not failed, empty if none was. ``handover`` is a try to continue at another upstream,
-    ``failure`` the answer that the caller gets if a retry brings none.
+    ``failure`` the answer that the caller gets if a retry brings none. ``urgency`` is the class of
+    its rank, which a later document does not change.
     """
 
     context: ProxyContext
@@ -82,6 +83,7 @@
     deadline: Deadline
     fingerprint: bytes = b''
     is_late: bool = False
+    urgency: int | None = None
     attempt: Attempt | None = None
     relay: AnswerRelay | None = None
     handover: Handover | None = None
@@ -375,6 +377,7 @@
     if call.model:
         task.fingerprint = fingerprint_of(call, exchange.request)
         task.is_late = context.is_late(task.fingerprint, route.target_seconds)
+        task.urgency = context.ranks.urgency_of(service, route, customer)
     return task
 
 
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -36,17 +36,20 @@
 class PlacedCall:
     """The properties of a call that placement uses.
 
-    ``is_begun`` is true for the rest of a stream whose first engine was lost.
+    ``is_begun`` is true for the rest of a stream whose first engine was lost. The call overtakes
+    ``overtaken_share`` of the calls that wait at an engine.
     """
 
     target_seconds: float
     region: str
     is_begun: bool = False
+    max_wait_share: float = MAX_WAIT_SHARE
+    overtaken_share: float = 0
 
     @property
     def max_wait_seconds(self) -> float:
         """Returns the longest wait at an engine that is worth more than a refusal."""
-        return CONTINUE_WAIT_SECONDS if self.is_begun else self.target_seconds * MAX_WAIT_SHARE
+        return CONTINUE_WAIT_SECONDS if self.is_begun else self.target_seconds * self.max_wait_share
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +80,10 @@
     if not candidates:
         return make_refusal('no engine', rng)
     choices = [
-        Choice(candidate, expected_wait_seconds(candidate, engine, now_seconds, entries))
+        Choice(
+            candidate,
+            expected_wait_seconds(candidate, engine, now_seconds, entries, call.overtaken_share),
+        )
         for candidate in candidates
     ]
     in_time = [choice for choice in choices if choice.wait_seconds <= call.max_wait_seconds]
@@ -105,6 +111,21 @@
     return Refusal(reason, rng.uniform(RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_MAX_SECONDS))
 
 
+def make_spread_refusal(
+    refusal: Refusal, urgency: int, classes: int, longest_seconds: float, rng: random.Random
+) -> Refusal:
+    """Returns a refusal after which calls of less urgent classes return later than others.
+
+    Each class has its part of the range of retry times. A caller that waits ``longest_seconds``
+    at most, if that is known, is not told to return after that.
+    """
+    part_seconds = (RETRY_AFTER_MAX_SECONDS - RETRY_AFTER_MIN_SECONDS) / classes
+    retry_after_seconds = RETRY_AFTER_MIN_SECONDS + part_seconds * (urgency + rng.random())
+    if longest_seconds > 0:
+        retry_after_seconds = min(retry_after_seconds, longest_seconds)
+    return Refusal(refusal.reason, retry_after_seconds)
+
+
 def make_rest_refusal(rest_seconds: float, rng: random.Random) -> Refusal:
     """Returns the refusal while all upstreams rest; callers return spread over a second after it."""
     spread_seconds = rng.uniform(0, RETRY_AFTER_MAX_SECONDS - RETRY_AFTER_MIN_SECONDS)
@@ -112,7 +133,11 @@
 
 
 def expected_wait_seconds(
-    upstream: Upstream, engine: EngineClass, now_seconds: float, entries: int = 1
+    upstream: Upstream,
+    engine: EngineClass,
+    now_seconds: float,
+    entries: int = 1,
+    overtaken_share: float = 0,
 ) -> float:
     """Predicts how long a call waits at an engine before its prompt is processed.
 
@@ -121,6 +146,7 @@
     """
     active = upstream.active_calls(now_seconds, entries)
     slots = max(1, upstream.registration.places or engine.slots)
+    active -= overtaken_share * max(0, active - slots)
     running = min(active, slots)
     pass_seconds = pass_length_seconds(engine, running)
     ends_before_start = max(0, active + 1 - slots)
--- a/jackdawsail/wire/site_messages.py
+++ b/jackdawsail/wire/site_messages.py
@@ -150,3 +150,21 @@
     """Entry to entries, as one datagram: the fingerprints of calls that the sender refused."""
 
     fingerprints: list[bytes]
+
+
+@message('site-rank-demand')
+class RankDemandReported:
+    """Entry to entries, as one datagram, while calls of differing ranks are refused.
+
+    It has the demand for a service in the last second at ``entry``, by urgency class. The classes
+    are those of a version of the site document. ``refuses`` is whether the sender itself has
+    refused calls that could be in time. An older entry ignores the message.
+    """
+
+    entry: str
+    service: str
+    document_version: int
+    refuses: bool
+    asked_calls: int
+    asked_seconds: list[float]
+    admitted_seconds: list[float]
