--- a/bench/ranks.py
+++ b/bench/ranks.py
@@ -7,6 +7,7 @@
 
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from itertools import product
 from pathlib import Path
 from statistics import fmean
 
@@ -49,12 +50,8 @@
 ) -> int:
     """Prints a table of what each kind gets, for the product's policy and each of ``compare``."""
     names = ['product', *compare]
-    tasks = [
-        (site, name, load, seed)
-        for load in loads
-        for name in names
-        for seed in range(1, seeds + 1)
-    ]
+    days_played = product(loads, names, range(1, seeds + 1))
+    tasks = [(site, name, load, seed) for load, name, seed in days_played]
     with ProcessPoolExecutor(WORKER_PROCESSES) as workers:
         days = list(workers.map(play, tasks))
     for start in range(0, len(tasks), seeds):
--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -1,6 +1,5 @@
 """Shared state of all calls of an entry: site view, upstreams, channels and limits."""
 
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -42,7 +41,7 @@
     upstreams: UpstreamTable
     pool: ChannelPool
     rng: random.Random
-    started_seconds: float = -math.inf
+    started_seconds: float = float('-inf')
     refusing: bool = False
     calls: dict[int, Callable[[str], None]] = field(default_factory=dict)
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
--- a/jackdawsail/proxy/rank_control.py
+++ b/jackdawsail/proxy/rank_control.py
@@ -4,18 +4,30 @@
 """
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from jackdawsail.routing.rank_shares import MAX_CLASSES, Demand, RankShares, UrgencyClasses
-from jackdawsail.site.document import CallKind, Customer, Route, SiteDocument
+from jackdawsail import events
+from jackdawsail.proxy import metrics
+from jackdawsail.routing.rank_shares import (
+    MAX_CLASSES,
+    Demand,
+    Fractions,
+    RankShares,
+    UrgencyClasses,
+)
+from jackdawsail.site.document import CallKind, Customer, Route, Service, SiteDocument
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.site_messages import RankDemandReported
 
 REPORT_SECONDS = 0.25
 MAX_REPORT_SECONDS = 0.8  # two of three reports may be lost before the last one is too old
-REPORTS_PER_SECOND = 200  # that an entry gets at most, until the interval is the longest
+REPORTS_PER_SECOND = 200  # to one entry, above which the interval grows to the longest one
+
+SHARES_APPLY = events.define(
+    440, 'warning', 'calls are refused; the engines of a service are divided by urgency'
+)
+SHARES_END = events.define(441, 'info', 'engines of a service are no longer divided by urgency')
 
 
 @dataclass(slots=True)
@@ -28,6 +40,7 @@
     _document: SiteDocument | None = None
     _by_service: dict[str, RankShares] = field(default_factory=dict)
     _others: frozenset[str] = frozenset()
+    _scarce: set[str] = field(default_factory=set)
     _reported_seconds: float = 0
 
     def of(self, service: str) -> RankShares | None:
@@ -47,31 +60,28 @@
         if table is None or table.document is self._document:
             return
         self._document = table.document
-        kept, self._by_service = self._by_service, {}
+        kept = self._by_service
+        self._by_service = {}
         for service in self._document.services:
-            ranks = ranks_of(self._document, service.name)
-            if service.engine is None or len(ranks) < 2:
-                continue
-            shares = kept.get(service.name)
-            if shares is None or shares.classes.ranks != ranks:
-                shares = RankShares(UrgencyClasses(ranks))
-            self._by_service[service.name] = shares
+            ranks = ranks_of(self._document, service)
+            if len(ranks) > 1:
+                self._by_service[service.name] = _keep_or_make(kept.get(service.name), ranks)
 
     def take_reports(self) -> list[RankDemandReported]:
         """Returns what to report to the other entries now: nothing while no call is refused."""
         now_seconds = self.clock.seconds()
+        scarce = [
+            service
+            for service, shares in self._by_service.items()
+            if shares.is_scarce(now_seconds)
+        ]
+        self._log_changes(set(scarce))
         interval_seconds = max(REPORT_SECONDS, len(self._others) / REPORTS_PER_SECOND)
         interval_seconds = min(MAX_REPORT_SECONDS, interval_seconds)
         if now_seconds - self._reported_seconds < interval_seconds:
             return []
-        scarce = {
-            service: shares
-            for service, shares in self._by_service.items()
-            if shares.is_scarce(now_seconds)
-        }
-        if scarce:
-            self._reported_seconds = now_seconds
-        return [self._report(service, shares) for service, shares in scarce.items()]
+        self._reported_seconds = now_seconds
+        return [self._report(service, self._by_service[service]) for service in scarce]
 
     def receive(self, message: RankDemandReported) -> None:
         """Records the demand at another listed entry that has the same document."""
@@ -93,8 +103,17 @@
             return False
         return all(0 <= amount < math.inf for each in amounts for amount in each)
 
+    def _log_changes(self, scarce: set[str]) -> None:
+        for service in scarce - self._scarce:
+            events.log(SHARES_APPLY, service=service)
+        for service in self._scarce - scarce:
+            events.log(SHARES_END, service=service)
+            _show_shares(service, Fractions())
+        self._scarce = scarce
+
     def _report(self, service: str, shares: RankShares) -> RankDemandReported:
         now_seconds = self.clock.seconds()
+        _show_shares(service, shares.fractions)
         demand = shares.own.total(now_seconds)
         return RankDemandReported(
             self.address,
@@ -107,6 +126,11 @@
         )
 
 
+def _show_shares(service: str, fractions: Fractions) -> None:
+    for urgency, share in enumerate(fractions.shares):
+        metrics.RANK_SHARE.labels(service, str(urgency)).set(share)
+
+
 def rank_of(route: Route, customer: Customer | None) -> int:
     """Returns the rank of a call; the customer's overrides that of the route."""
     if customer is None or customer.urgency_rank is None:
@@ -114,17 +138,32 @@
     return customer.urgency_rank
 
 
-def ranks_of(document: SiteDocument, service: str) -> tuple[int, ...]:
-    """Returns the ranks that streams of a service may have, ascending and without repeats."""
-    return tuple(sorted(set(_possible_ranks(document, service))))
+def ranks_of(document: SiteDocument, service: Service) -> tuple[int, ...]:
+    """Returns the ranks that streams of engines may have, ascending; none for other services."""
+    if service.engine is None:
+        return ()
+    ranks = {
+        rank
+        for route in document.routes
+        if route.kind is CallKind.stream and _leads_to(route, service)
+        for rank in _ranks_of_route(document, route)
+    }
+    return tuple(sorted(ranks))
+
+
+def _ranks_of_route(document: SiteDocument, route: Route) -> set[int]:
+    ranks = {rank_of(route, customer) for customer in document.customers}
+    # Calls without a customer's key are admitted in these cases only.
+    if route.is_public or not document.customers:
+        ranks.add(route.urgency_rank)
+    return ranks
+
+
+def _leads_to(route: Route, service: Service) -> bool:
+    return any(share.service == service.name and share.weight > 0 for share in route.shares)
 
 
-def _possible_ranks(document: SiteDocument, service: str) -> Iterable[int]:
-    for route in document.routes:
-        services = {share.service for share in route.shares if share.weight > 0}
-        if route.kind is not CallKind.stream or service not in services:
-            continue
-        if route.is_public or not document.customers:
-            yield rank_of(route, None)
-        for customer in document.customers:
-            yield rank_of(route, customer)
+def _keep_or_make(kept: RankShares | None, ranks: tuple[int, ...]) -> RankShares:
+    if kept is not None and kept.classes.ranks == ranks:
+        return kept
+    return RankShares(UrgencyClasses(ranks))
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -7,14 +7,16 @@
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.rank_placement import (
+    RankedCall,
     ask_for_share,
+    extend_wait,
     is_over_share,
-    make_placed_call,
     record_placed,
 )
 from jackdawsail.routing.late_calls import has_ample_room
 from jackdawsail.routing.placement import (
     Choice,
+    PlacedCall,
     Refusal,
     choose_engine,
     choose_service,
@@ -56,9 +58,12 @@
     urgency: int | None = None
 
     @property
-    def is_new(self) -> bool:
-        """Returns whether this is the first choice for a call that can be in time."""
-        return not (self.is_late or self.is_begun or self.tried)
+    def ranked_call(self) -> RankedCall | None:
+        """Returns the call as its urgency decides on it; None where that decides nothing."""
+        if self.urgency is None or self.is_late:
+            return None
+        is_new = not self.is_begun and not self.tried
+        return RankedCall(self.service, self.urgency, is_new, self.call)
 
     @property
     def engine_rank(self) -> int | None:
@@ -69,7 +74,9 @@
             return LATE_RANK
         if self.urgency is None:
             return IN_TIME_RANK
-        return FIRST_URGENT_RANK + (0 if self.pinned_version else self.urgency)
+        if self.pinned_version:
+            return FIRST_URGENT_RANK
+        return FIRST_URGENT_RANK + self.urgency
 
     def expected_version(self, context: ProxyContext, upstream: Upstream) -> int:
         """Returns the weight version that an engine must verify; 0 allows any.
@@ -131,11 +138,11 @@
     """
     service = _service_of(context, selection.service)
     engine = None if service is None else service.engine
-    ask_for_share(context, selection, engine)
+    ask_for_share(context, selection.ranked_call, engine)
     decision = select_upstream(context, selection)
     if isinstance(decision, Refusal) and selection.call.model and not selection.is_late:
         context.pressure(selection.service).record_refusal(context.clock.seconds())
-    return record_placed(context, selection, engine, decision)
+    return record_placed(context, selection.ranked_call, engine, decision)
 
 
 def select_upstream(context: ProxyContext, selection: Selection) -> Choice | Refusal:
@@ -147,15 +154,20 @@
     now_seconds = context.clock.seconds()
     if not candidates:
         return _refuse_without_candidates(context, selection, service, now_seconds)
-    placed = make_placed_call(context, selection)
+    placed = PlacedCall(
+        target_seconds=selection.route.target_seconds,
+        region=context.settings.region,
+        is_begun=selection.is_begun,
+    )
     if service.engine is None:
         return choose_service(placed, candidates, context.rng)
     if _yields_to_calls_in_time(context, selection, service.engine, candidates):
         return make_refusal('late, and calls in time are being refused', context.rng)
-    if is_over_share(context, selection) and not has_ample_room(
+    if is_over_share(context, selection.ranked_call) and not has_ample_room(
         candidates, service.engine.slots, now_seconds, context.entries
     ):
         return make_refusal('capacity goes to more urgent calls', context.rng)
+    placed = extend_wait(context, selection.ranked_call, placed)
     return choose_engine(
         placed, service.engine, candidates, now_seconds, context.rng, context.entries
     )
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -49,7 +49,9 @@
     @property
     def max_wait_seconds(self) -> float:
         """Returns the longest wait at an engine that is worth more than a refusal."""
-        return CONTINUE_WAIT_SECONDS if self.is_begun else self.target_seconds * self.max_wait_share
+        if self.is_begun:
+            return CONTINUE_WAIT_SECONDS
+        return self.target_seconds * self.max_wait_share
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,18 +114,20 @@
 
 
 def make_spread_refusal(
-    refusal: Refusal, urgency: int, classes: int, longest_seconds: float, rng: random.Random
+    reason: str, position: tuple[int, int], longest_seconds: float, rng: random.Random
 ) -> Refusal:
     """Returns a refusal after which calls of less urgent classes return later than others.
 
-    Each class has its part of the range of retry times. A caller that waits ``longest_seconds``
+    ``position`` is the urgency class and the number of classes. Each class has its part of the
+    range of retry times. A caller that waits ``longest_seconds``
     at most, if that is known, is not told to return after that.
     """
+    urgency, classes = position
     part_seconds = (RETRY_AFTER_MAX_SECONDS - RETRY_AFTER_MIN_SECONDS) / classes
     retry_after_seconds = RETRY_AFTER_MIN_SECONDS + part_seconds * (urgency + rng.random())
     if longest_seconds > 0:
         retry_after_seconds = min(retry_after_seconds, longest_seconds)
-    return Refusal(refusal.reason, retry_after_seconds)
+    return Refusal(reason, retry_after_seconds)
 
 
 def make_rest_refusal(rest_seconds: float, rng: random.Random) -> Refusal:
--- a/jackdawsail/routing/rank_shares.py
+++ b/jackdawsail/routing/rank_shares.py
@@ -22,7 +22,7 @@
 MAX_CLASSES = 4  # as many positions in the engines' own queue are used for calls in time
 FLOOR_SHARE = 0.6  # of what all classes get; each kind must get well above half of it
 # Over the admitted work, so that a capacity that grows is found; the wait bounds the excess.
-CAPACITY_HEADROOM = 1.1
+CAPACITY_HEADROOM = 1.05
 BUCKET_SECONDS = 0.25
 WINDOW_BUCKETS = 4  # a second, in which a class of some calls a second at each entry is counted
 REPORT_VALID_SECONDS = 2.0  # eight intervals between the reports of a site of usual size
@@ -31,7 +31,9 @@
 MAX_CREDIT_CALLS = 2.0  # bounds what a class may catch up at once after a pause
 # Of the objective, the longest wait of the most and of the least urgent class.
 MOST_URGENT_WAIT_SHARE = 0.5
-LEAST_URGENT_WAIT_SHARE = 0.25
+LEAST_URGENT_WAIT_SHARE = 0.15
+NOTHING: tuple[float, ...] = (0,) * MAX_CLASSES
+EVERYTHING: tuple[float, ...] = (1,) * MAX_CLASSES
 MAX_SIZE = 4.0  # times the usual size; a stated size beyond it is not believed
 
 
@@ -64,8 +66,8 @@
 class Demand:
     """What was asked for and admitted in a window, by class, in seconds of an engine."""
 
-    asked_seconds: tuple[float, ...] = (0.0,) * MAX_CLASSES
-    admitted_seconds: tuple[float, ...] = (0.0,) * MAX_CLASSES
+    asked_seconds: tuple[float, ...] = NOTHING
+    admitted_seconds: tuple[float, ...] = NOTHING
     asked_calls: int = 0
 
     def __add__(self, other: 'Demand') -> 'Demand':
@@ -81,10 +83,10 @@
 class Fractions:
     """The fractions of each class's demand: to admit, and to admit in any case."""
 
-    shares: tuple[float, ...] = (1.0,) * MAX_CLASSES
+    shares: tuple[float, ...] = EVERYTHING
     floor: float = 1.0
     # Of the admitted work, the part of classes that are less urgent.
-    less_urgent: tuple[float, ...] = (0.0,) * MAX_CLASSES
+    less_urgent: tuple[float, ...] = NOTHING
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +122,8 @@
         wanted = demand * (1 - floor)
         taken = min(wanted, rest)
         rest -= taken
-        fractions.append(floor + (1 - floor) * (taken / wanted if wanted else float(rest > 0)))
+        taken_share = taken / wanted if wanted else float(rest > 0)
+        fractions.append(floor + (1 - floor) * taken_share)
     return tuple(fractions)
 
 
@@ -129,7 +132,8 @@
 
     It is not under the usual one while engines are not scarce.
     """
-    position = urgency / max(1, classes.count - 1)
+    # Squared, so that of three classes the middle one waits nearly as long as the most urgent.
+    position = (urgency / max(1, classes.count - 1)) ** 2
     share = MOST_URGENT_WAIT_SHARE
     share -= (MOST_URGENT_WAIT_SHARE - LEAST_URGENT_WAIT_SHARE) * position
     return share if standing.is_scarce else max(share, MAX_WAIT_SHARE)
@@ -178,8 +182,8 @@
     _reports: dict[str, tuple[float, Demand]] = field(default_factory=dict)
     _refused_elsewhere: Pressure = field(default_factory=Pressure)
     _computed_seconds: float = float('-inf')
-    _share_credits: list[float] = field(default_factory=lambda: [1.0] * MAX_CLASSES)
-    _floor_credits: list[float] = field(default_factory=lambda: [1.0] * MAX_CLASSES)
+    _share_credits: list[float] = field(default_factory=lambda: list(EVERYTHING))
+    _floor_credits: list[float] = field(default_factory=lambda: list(EVERYTHING))
 
     def is_scarce(self, now_seconds: float) -> bool:
         """Returns whether a call that could be in time was refused at any entry recently."""
@@ -189,7 +193,9 @@
 
     def ask(self, urgency: int, work_seconds: float, now_seconds: float) -> None:
         """Counts a new call, and credits its class with the part of a call that it may admit."""
-        self.own.record(Demand(asked_seconds=_only(urgency, work_seconds), asked_calls=1), now_seconds)
+        self.own.record(
+            Demand(asked_seconds=_only(urgency, work_seconds), asked_calls=1), now_seconds
+        )
         self._refresh(now_seconds)
         _credit(self._share_credits, urgency, self.fractions.shares[urgency])
         _credit(self._floor_credits, urgency, self.fractions.floor)
@@ -241,19 +247,37 @@
         return Fractions()
     capacity = admitted * CAPACITY_HEADROOM
     more_urgent = accumulate(demand.admitted_seconds)
+    floor = min(1.0, FLOOR_SHARE * capacity / asked)
     return Fractions(
-        shares=admitted_fractions(demand.asked_seconds, capacity),
-        floor=min(1.0, FLOOR_SHARE * capacity / asked),
-        less_urgent=tuple(max(0.0, 1 - upto / admitted) for upto in more_urgent),
+        shares=_in_order(demand, capacity, floor),
+        floor=floor,
+        less_urgent=tuple(max(0, 1 - upto / admitted) for upto in more_urgent),
     )
 
 
+def _in_order(demand: Demand, capacity: float, floor: float) -> tuple[float, ...]:
+    """Returns the fractions, none over what each more urgent class was admitted of its demand.
+
+    Waits may refuse calls of a class within its share, and less urgent calls are not to get what
+    those left.
+    """
+    most = 1.0
+    shares = []
+    fractions = admitted_fractions(demand.asked_seconds, capacity)
+    amounts = zip(fractions, demand.asked_seconds, demand.admitted_seconds, strict=True)
+    for fraction, asked, admitted in amounts:
+        shares.append(max(floor, min(fraction, most)))
+        if asked:
+            most = min(most, admitted / asked)
+    return tuple(shares)
+
+
 def _believed(tokens: int, usual: float) -> float:
     return min(float(tokens), MAX_SIZE * usual) if tokens > 0 else usual
 
 
 def _only(urgency: int, work_seconds: float) -> tuple[float, ...]:
-    return tuple(work_seconds if each == urgency else 0.0 for each in range(MAX_CLASSES))
+    return tuple(work_seconds * (each == urgency) for each in range(MAX_CLASSES))
 
 
 def _sums(first: Iterable[float], second: Iterable[float]) -> tuple[float, ...]:
--- a/jackdawsail/site/document.py
+++ b/jackdawsail/site/document.py
@@ -149,6 +149,7 @@
         *_route_faults(document),
         *_duplicate_routes(document.routes),
         *_shared_keys(document.customers),
+        *_rank_faults(document),
     ]
 
 
@@ -187,3 +188,17 @@
             if owners.setdefault(key, customer.name) != customer.name:
                 faults.append(f'customers {owners[key]} and {customer.name} share a key')
     return faults
+
+
+def _rank_faults(document: SiteDocument) -> list[str]:
+    faults = [
+        f'route {route.name} has a negative rank'
+        for route in document.routes
+        if route.urgency_rank < 0
+    ]
+    faults.extend(
+        f'customer {customer.name} has a negative rank'
+        for customer in document.customers
+        if customer.urgency_rank is not None and customer.urgency_rank < 0
+    )
+    return faults
