--- a/jackdawsail/proxy/context.py
+++ b/jackdawsail/proxy/context.py
@@ -1,6 +1,5 @@
 """Shared state of all calls of an entry: site view, upstreams, channels and limits."""
 
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,6 +9,7 @@
 from jackdawsail.proxy import channel_limits, metrics
 from jackdawsail.proxy.codecs import TrafficCodec
 from jackdawsail.proxy.limit_reports import LimitReports
+from jackdawsail.proxy.rank_control import RankControl
 from jackdawsail.proxy.recent_events import RecentEvents
 from jackdawsail.proxy.trait_reports import TraitReports
 from jackdawsail.routing.late_calls import Pressure, RefusedCalls, is_late
@@ -29,9 +29,11 @@
 
     ``calls`` are the functions that end the calls being served, for a reason, by the ids of
     their tasks. ``refusing`` is true once the entry stops and accepts no more calls.
-    ``started_seconds`` is when the process started, and ``shares`` are its parts of the limits on sums over all entries. ``traits`` holds what is
-    known about traits of calls that crash engines, ``limits`` records the limits that
-    upstreams name, ``channels`` keeps the channels within theirs. ``recent`` has the events that aborted answers are compared with.
+    ``started_seconds`` is when the process started, and ``shares`` are its parts of the limits on
+    sums over all entries. ``traits`` holds what is known about traits of calls that crash engines,
+    ``limits`` records the limits that upstreams name, ``channels`` keeps the channels within theirs,
+    and ``ranks`` divides scarce engines by urgency. ``recent`` has the events that aborted answers
+    are compared with.
     """
 
     clock: Any
@@ -41,7 +43,7 @@
     upstreams: UpstreamTable
     pool: ChannelPool
     rng: random.Random
-    started_seconds: float = -math.inf
+    started_seconds: float = float('-inf')
     refusing: bool = False
     calls: dict[int, Callable[[str], None]] = field(default_factory=dict)
     refused_calls: RefusedCalls = field(default_factory=RefusedCalls)
@@ -53,6 +55,7 @@
     traits: TraitReports = field(init=False)
     limits: LimitReports = field(init=False)
     channels: channel_limits.ChannelLimits = field(init=False)
+    ranks: RankControl = field(init=False)
 
     def __post_init__(self) -> None:
         """Creates the shares of this entry, which follow the view of the site, and its reports."""
@@ -60,6 +63,7 @@
         self.shares = EntryShares(self.settings.address, self.started_seconds)
         self.limits = LimitReports(self.clock, self.upstreams, self.shares)
         self.channels = channel_limits.ChannelLimits(self.clock, self.pool, self.shares)
+        self.ranks = RankControl(self.clock, self.view, self.settings.address)
         self.view.on_change.append(self._site_changed)
         self._site_changed()
 
@@ -115,6 +119,7 @@
 
     def _site_changed(self) -> None:
         self.recent.document_applied(self.view.document_version, self.clock.seconds())
+        self.ranks.site_changed()
         self.shares.update(self.view.sharing_entries, self.clock.seconds())
         if self.view.table is not None:
             self.channels.document_applied(self.view.table.document)
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -6,6 +6,13 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.rank_placement import (
+    RankedCall,
+    ask_for_share,
+    extend_wait,
+    is_over_share,
+    record_placed,
+)
 from jackdawsail.routing.late_calls import has_ample_room
 from jackdawsail.routing.placement import (
     Choice,
@@ -28,6 +35,7 @@
 from jackdawsail.site.document import Customer, EngineClass, Route, Service
 
 IN_TIME_RANK = 3  # before the engines' default of 5, so that other calls do not delay ours
+FIRST_URGENT_RANK = 1  # of the most urgent calls in time where ranks differ, up to 4 for others
 LATE_RANK = 8  # behind calls that can still be in time
 
 
@@ -36,7 +44,8 @@
     """A call that needs an upstream, and the upstreams that it has tried.
 
     ``is_late`` is true for a retried call that can no longer be served in time, ``is_begun``
-    for the rest of a stream that has no engine any more.
+    for the rest of a stream that has no engine any more. ``urgency`` is the class of the call's
+    rank when it arrived, None where all calls are of one rank.
     """
 
     service: str
@@ -47,13 +56,28 @@
     pinned_version: int = 0
     is_late: bool = False
     is_begun: bool = False
+    urgency: int | None = None
+
+    @property
+    def ranked_call(self) -> RankedCall | None:
+        """Returns the call as its urgency decides on it; None where that decides nothing."""
+        if self.urgency is None or self.is_late:
+            return None
+        is_new = not self.is_begun and not self.tried
+        return RankedCall(self.service, self.urgency, is_new, self.call)
 
     @property
     def engine_rank(self) -> int | None:
         """Returns the rank in the engine's own queue, 0 first; None for calls without a model."""
         if not self.call.model:
             return None
-        return LATE_RANK if self.is_late else IN_TIME_RANK
+        if self.is_late:
+            return LATE_RANK
+        if self.urgency is None:
+            return IN_TIME_RANK
+        if self.pinned_version:
+            return FIRST_URGENT_RANK
+        return FIRST_URGENT_RANK + self.urgency
 
     def expected_version(self, context: ProxyContext, upstream: Upstream) -> int:
         """Returns the weight version that an engine must verify; 0 allows any.
@@ -113,10 +137,13 @@
     The refusal of a call for a model that could be in time is recorded, so that late calls
     yield their slots.
     """
+    service = _service_of(context, selection.service)
+    engine = None if service is None else service.engine
+    ask_for_share(context, selection.ranked_call, engine)
     decision = select_upstream(context, selection)
     if isinstance(decision, Refusal) and selection.call.model and not selection.is_late:
         context.pressure(selection.service).record_refusal(context.clock.seconds())
-    return decision
+    return record_placed(context, selection.ranked_call, engine, decision)
 
 
 def select_upstream(context: ProxyContext, selection: Selection) -> Choice | Refusal:
@@ -139,6 +166,11 @@
         return choose_service(placed, candidates, context.rng)
     if _yields_to_calls_in_time(context, selection, service.engine, candidates):
         return make_refusal('late, and calls in time are being refused', context.rng)
+    if is_over_share(context, selection.ranked_call) and not has_ample_room(
+        candidates, service.engine.slots, now_seconds, context.entries
+    ):
+        return make_refusal('capacity goes to more urgent calls', context.rng)
+    placed = extend_wait(context, selection.ranked_call, placed)
     return choose_engine(
         placed, service.engine, candidates, now_seconds, context.rng, context.entries
     )
