--- a/jackdawsail/routing/rank_shares.py
+++ b/jackdawsail/routing/rank_shares.py
@@ -20,12 +20,14 @@
 from jackdawsail.site.document import EngineClass
 
 MAX_CLASSES = 4  # as many positions in the engines' own queue are used for calls in time
-FLOOR_SHARE = 0.6  # of what all classes get; each kind must get well above half of it
+# Of what all classes get, by class; each kind must get well above half of it. The steps make up for
+# calls that are overtaken in the engines' queues and end late, most of them of middle classes.
+FLOOR_SHARES = (0.64, 0.6, 0.56, 0.52)
 # Over the admitted work, so that a capacity that grows is found; the wait bounds the excess.
 CAPACITY_HEADROOM = 1.05
 BUCKET_SECONDS = 0.25
 WINDOW_BUCKETS = 4  # a second, in which a class of some calls a second at each entry is counted
-REPORT_VALID_SECONDS = 2.0  # eight intervals between the reports of a site of usual size
+REPORT_VALID_SECONDS = 2.0  # five intervals between the reports of a site of usual size
 RECOMPUTE_SECONDS = 0.1
 MIN_ASKED_CALLS = 10  # in a window, at all entries; fewer say nothing of the demand
 MAX_CREDIT_CALLS = 2.0  # bounds what a class may catch up at once after a pause
@@ -70,21 +72,13 @@
     admitted_seconds: tuple[float, ...] = NOTHING
     asked_calls: int = 0
 
-    def __add__(self, other: 'Demand') -> 'Demand':
-        """Returns the sum of the demand at several entries."""
-        return Demand(
-            _sums(self.asked_seconds, other.asked_seconds),
-            _sums(self.admitted_seconds, other.admitted_seconds),
-            self.asked_calls + other.asked_calls,
-        )
-
 
 @dataclass(frozen=True, slots=True)
 class Fractions:
     """The fractions of each class's demand: to admit, and to admit in any case."""
 
     shares: tuple[float, ...] = EVERYTHING
-    floor: float = 1.0
+    floors: tuple[float, ...] = EVERYTHING
     # Of the admitted work, the part of classes that are less urgent.
     less_urgent: tuple[float, ...] = NOTHING
 
@@ -106,19 +100,19 @@
     """Returns the fraction of each class's demand that a capacity allows, most urgent first.
 
     What is admitted never exceeds the capacity, no class gets a smaller fraction than a less
-    urgent one, and each gets at least FLOOR_SHARE of what all get together.
+    urgent one, and each gets at least its part in FLOOR_SHARES of what all get together.
 
     Example::
 
-        admitted_fractions((1, 1), 1) == (0.7, 0.3)
+        admitted_fractions((1, 1), 1) == (0.7, 0.3)  # 0.32 + 0.38, 0.3
     """
     total = sum(asked)
     if capacity >= total:
         return tuple(1.0 for _ in asked)
-    floor = FLOOR_SHARE * capacity / total
-    rest = capacity - floor * total
+    floors = _floors(capacity / total)
+    rest = capacity - sum(floor * demand for floor, demand in zip(floors, asked, strict=False))
     fractions = []
-    for demand in asked:
+    for floor, demand in zip(floors, asked, strict=False):
         wanted = demand * (1 - floor)
         taken = min(wanted, rest)
         rest -= taken
@@ -149,26 +143,54 @@
     return max(0.001, read_seconds + answer * step_seconds / slots)
 
 
+@dataclass(slots=True)
+class _Bucket:
+    """What was asked for and admitted in an interval, counted in place as it happens."""
+
+    number: int
+    asked_seconds: list[float] = field(default_factory=lambda: list(NOTHING))
+    admitted_seconds: list[float] = field(default_factory=lambda: list(NOTHING))
+    asked_calls: int = 0
+
+
 @dataclass(slots=True)
 class DemandRecord:
     """Counts the work that was asked for and admitted at this entry in the last window."""
 
-    _buckets: deque[tuple[int, Demand]] = field(
-        default_factory=lambda: deque(maxlen=WINDOW_BUCKETS)
-    )
+    _buckets: deque[_Bucket] = field(default_factory=lambda: deque(maxlen=WINDOW_BUCKETS))
 
-    def record(self, demand: Demand, now_seconds: float) -> None:
-        """Adds what was asked for or admitted now."""
-        number = int(now_seconds / BUCKET_SECONDS)
-        if self._buckets and self._buckets[-1][0] == number:
-            demand = self._buckets.pop()[1] + demand
-        self._buckets.append((number, demand))
+    def record_asked(self, urgency: int, work_seconds: float, now_seconds: float) -> None:
+        """Counts a call that asks for an engine now."""
+        bucket = self._bucket_at(now_seconds)
+        bucket.asked_seconds[urgency] += work_seconds
+        bucket.asked_calls += 1
+
+    def record_admitted(self, urgency: int, work_seconds: float, now_seconds: float) -> None:
+        """Counts a call that is admitted now."""
+        self._bucket_at(now_seconds).admitted_seconds[urgency] += work_seconds
 
     def total(self, now_seconds: float) -> Demand:
         """Returns the demand of the last window."""
         first = int(now_seconds / BUCKET_SECONDS) - WINDOW_BUCKETS
-        recent = (demand for number, demand in self._buckets if number > first)
-        return sum(recent, Demand())
+        return sum_demands(bucket for bucket in self._buckets if bucket.number > first)
+
+    def _bucket_at(self, now_seconds: float) -> _Bucket:
+        number = int(now_seconds / BUCKET_SECONDS)
+        if not self._buckets or self._buckets[-1].number != number:
+            self._buckets.append(_Bucket(number))
+        return self._buckets[-1]
+
+
+def sum_demands(demands: Iterable[Demand | _Bucket]) -> Demand:
+    """Returns the sum of the demand of several entries or intervals."""
+    listed = list(demands)
+    if not listed:
+        return Demand()
+    return Demand(
+        tuple(map(sum, zip(*(each.asked_seconds for each in listed), strict=True))),
+        tuple(map(sum, zip(*(each.admitted_seconds for each in listed), strict=True))),
+        sum(each.asked_calls for each in listed),
+    )
 
 
 @dataclass(slots=True)
@@ -193,16 +215,14 @@
 
     def ask(self, urgency: int, work_seconds: float, now_seconds: float) -> None:
         """Counts a new call, and credits its class with the part of a call that it may admit."""
-        self.own.record(
-            Demand(asked_seconds=_only(urgency, work_seconds), asked_calls=1), now_seconds
-        )
+        self.own.record_asked(urgency, work_seconds, now_seconds)
         self._refresh(now_seconds)
         _credit(self._share_credits, urgency, self.fractions.shares[urgency])
-        _credit(self._floor_credits, urgency, self.fractions.floor)
+        _credit(self._floor_credits, urgency, self.fractions.floors[urgency])
 
     def record_admitted(self, urgency: int, work_seconds: float, now_seconds: float) -> None:
         """Counts a new call that is sent to an engine."""
-        self.own.record(Demand(admitted_seconds=_only(urgency, work_seconds)), now_seconds)
+        self.own.record_admitted(urgency, work_seconds, now_seconds)
         _credit(self._share_credits, urgency, -1)
         _credit(self._floor_credits, urgency, -1)
 
@@ -236,7 +256,8 @@
             self.fractions = Fractions()
             return
         demands = [demand for _, demand in self._reports.values()]
-        self.fractions = make_fractions(sum(demands, self.own.total(now_seconds)))
+        demands.append(self.own.total(now_seconds))
+        self.fractions = make_fractions(sum_demands(demands))
 
 
 def make_fractions(demand: Demand) -> Fractions:
@@ -247,15 +268,20 @@
         return Fractions()
     capacity = admitted * CAPACITY_HEADROOM
     more_urgent = accumulate(demand.admitted_seconds)
-    floor = min(1.0, FLOOR_SHARE * capacity / asked)
+    floors = _floors(capacity / asked)
     return Fractions(
-        shares=_in_order(demand, capacity, floor),
-        floor=floor,
+        shares=_in_order(demand, capacity, floors),
+        floors=floors,
         less_urgent=tuple(max(0, 1 - upto / admitted) for upto in more_urgent),
     )
 
 
-def _in_order(demand: Demand, capacity: float, floor: float) -> tuple[float, ...]:
+def _floors(admitted_share: float) -> tuple[float, ...]:
+    """Returns the floor of each class, if all get a share of their demand together."""
+    return tuple(min(1, part * admitted_share) for part in FLOOR_SHARES)
+
+
+def _in_order(demand: Demand, capacity: float, floors: tuple[float, ...]) -> tuple[float, ...]:
     """Returns the fractions, none over what each more urgent class was admitted of its demand.
 
     Waits may refuse calls of a class within its share, and less urgent calls are not to get what
@@ -264,8 +290,8 @@
     most = 1.0
     shares = []
     fractions = admitted_fractions(demand.asked_seconds, capacity)
-    amounts = zip(fractions, demand.asked_seconds, demand.admitted_seconds, strict=True)
-    for fraction, asked, admitted in amounts:
+    amounts = zip(demand.asked_seconds, demand.admitted_seconds, strict=True)
+    for fraction, floor, (asked, admitted) in zip(fractions, floors, amounts, strict=True):
         shares.append(max(floor, min(fraction, most)))
         if asked:
             most = min(most, admitted / asked)
@@ -276,14 +302,6 @@
     return min(float(tokens), MAX_SIZE * usual) if tokens > 0 else usual
 
 
-def _only(urgency: int, work_seconds: float) -> tuple[float, ...]:
-    return tuple(work_seconds * (each == urgency) for each in range(MAX_CLASSES))
-
-
-def _sums(first: Iterable[float], second: Iterable[float]) -> tuple[float, ...]:
-    return tuple(one + other for one, other in zip(first, second, strict=True))
-
-
 def _credit(credits: list[float], urgency: int, calls: float) -> None:
     """Adds to the credit of a class, within MAX_CREDIT_CALLS on both sides."""
     credits[urgency] = max(-MAX_CREDIT_CALLS, min(MAX_CREDIT_CALLS, credits[urgency] + calls))
