Registrations that are known already do not rebuild the table of upstreams

Cause: each control host sends each heartbeat of an upstream to each entry, and the entry rebuilt its table for every copy, on a site with six control hosts in use some 50 times a second.

Change: the view's listeners are called only if a message held a newer registration.

--- a/jackdawsail/site/client.py
+++ b/jackdawsail/site/client.py
@@ -142,10 +142,15 @@
             self._apply_summary(sender, received)
 
     def _on_registrations(self, _link: Link, message: Registrations) -> None:
+        """Records registrations; most are known already, as each control host sends all of them."""
         now_seconds = self.process.reactor.seconds()
-        for aged in message.heard:
-            self.view.registrations.update(aged.registration, now_seconds - aged.age_seconds)
-        self.view.registrations_changed()
+        table = self.view.registrations
+        newer = [
+            table.update(aged.registration, now_seconds - aged.age_seconds)
+            for aged in message.heard
+        ]
+        if any(newer):
+            self.view.registrations_changed()
 
     def _on_upstream_left(self, _link: Link, message: UpstreamLeft) -> None:
         self.view.registrations.mark_gone(message.upstream, self.process.reactor.seconds())
--- a/test/site/test_client.py
+++ b/test/site/test_client.py
@@ -1,6 +1,7 @@
 """Messages of control hosts: broken documents change nothing, announcements keep their time."""
 
 import zlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -8,13 +9,16 @@
 from twisted.internet.task import Clock
 
 from jackdawsail import events
+from jackdawsail.registry.registration import Registration
 from jackdawsail.site import client as client_module
 from jackdawsail.site.announcements import WEIGHTS_ANNOUNCED, WEIGHTS_ANNOUNCED_EARLIER
 from jackdawsail.site.client import REVISION_IN_FORCE, SiteClient
 from jackdawsail.site.view import SiteView
 from jackdawsail.wire.site_messages import (
+    AgedRegistration,
     AnnouncedWeights,
     DocumentPushed,
+    Registrations,
     SiteSummary,
 )
 from test.site.documents import make_document
@@ -157,3 +161,18 @@
     world.receive_document()
     assert (world.view.revision, world.announced_seconds) == (1, {2: 9.0})
     assert world.view.control_received_seconds == 10
+
+
+def test_registration_that_each_control_host_sends_changes_the_view_once():
+    # Guards against rebuilding the table of upstreams for each copy of a heartbeat.
+    site_client, changes = SiteClient(SimpleNamespace(reactor=Clock()), SiteView(), None), []
+    site_client.view.on_registrations.append(lambda: changes.append(1))
+    heartbeat = Registration('u', 's', '1.2.3.4:5', 'z', 1, False, 0, 1, 7)
+    older = replace(heartbeat, sequence=6)
+    for registration in (heartbeat, heartbeat, older):
+        site_client._on_registrations(None, Registrations([AgedRegistration(registration, 0)]))
+    assert len(changes) == 1
+    newer = replace(heartbeat, sequence=8)
+    heard = [AgedRegistration(newer, 0), AgedRegistration(older, 0)]
+    site_client._on_registrations(None, Registrations(heard))
+    assert len(changes) == 2
