An agent's polls do not parse an answer's head again

Cause: an agent polls its engine 33 times a second, and the answers' heads hardly differ. Encoding and parsing with h11 took about a quarter of an agent's processor time.

Change: a channel that sends the same request object again (`is_repeated`) sends its known bytes, and takes an answer that arrives whole under a head of the same bytes as one that h11 has accepted before. All else is parsed as before. Interval and content of the polls are the same.

Also tried: sending written bytes at the end of a read instead of in the reactor's next turn; 7.7 to 9.1 ms a call without, 8.1 to 8.4 ms with, no gain beyond the noise.

--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -14,6 +14,7 @@
 from twisted.internet.error import ConnectionDone
 
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, framing_of
+from jackdawsail.http1.repeated import RepeatedAnswers
 
 MAX_HEAD_BYTES = 65_536  # four times the largest head that the callers' limits allow
 MAX_FOREIGN_ANSWERS = 4  # answers to earlier requests that may precede the awaited one
@@ -70,6 +71,8 @@
         self._skips_answer = False
         self._foreign_answers = 0
         self._head_bytes = 0
+        self._head = HttpAnswerHead(0, b'', ())
+        self._repeated = RepeatedAnswers()
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Disables Nagle's algorithm, so that small requests are sent without delay."""
@@ -83,12 +86,19 @@
         self.request_count += 1
         self._foreign_answers = 0
         self._head_bytes = 0
+        repeated = self._repeated.encoded(request)
+        if repeated:
+            self._repeated.is_awaited = True
+            self.transport.write(repeated)
+            return
         try:
             encoded = self._encode_request(request)
         except h11.LocalProtocolError:
             self._fail(BreakReason.unsendable)
             self._abort()
         else:
+            if request.is_repeated:
+                self._repeated.begin(request, encoded)
             self.transport.write(encoded)
 
     def cancel(self) -> None:
@@ -115,6 +125,10 @@
         if self._owner is None:
             self._abort()
             return
+        if self._repeated.is_awaited and _take_repeated(self, received, self._owner):
+            return
+        if self._request is not None and self._request.is_repeated:
+            self._repeated.record_piece(received)
         try:
             self._core.receive_data(received)
             self._process_events()
@@ -132,6 +146,7 @@
         if not reason.check(ConnectionDone):
             self._fail(BreakReason.reset)
             return
+        _expect_answer(self)
         try:
             self._core.receive_data(b'')
             self._process_events()
@@ -187,6 +202,7 @@
         framing = framing_of(method, event.status_code, headers)
         head = HttpAnswerHead(event.status_code, bytes(event.reason), headers, framing)
         self.keep_alive.seconds = _keep_alive_seconds(head) or self.keep_alive.seconds
+        self._head = head
         self._skips_answer = not owner.answer_head(head)
 
     def _complete(self, owner: AnswerOwner) -> None:
@@ -196,6 +212,8 @@
         self._owner = None
         is_reusable = self._prepare_reuse()
         self.reusable = is_reusable
+        if is_reusable and self._request is not None and self._request.is_repeated:
+            self._repeated.learn(self._head)
         # The owner may send the next request on this channel before it returns.
         owner.answer_complete()
         if not is_reusable:
@@ -238,6 +256,36 @@
             self.transport.abortConnection()
 
 
+def _take_repeated(channel: ClientChannel, received: bytes, owner: AnswerOwner) -> bool:
+    """Handles a whole answer with a known head; returns False if it must be parsed."""
+    found = channel._repeated.split(received)
+    if found is None:
+        _expect_answer(channel)
+        return False
+    channel._repeated.is_awaited = False
+    head, body = found
+    is_own = owner.answer_head(head)
+    if not is_own:
+        channel._end_garbled()
+        return True
+    if body:
+        owner.answer_body(body)
+    # The owner may have cancelled the request meanwhile.
+    if channel._owner is owner:
+        channel._owner = None
+        channel.reusable = not channel.is_closed
+        owner.answer_complete()
+    return True
+
+
+def _expect_answer(channel: ClientChannel) -> None:
+    """Brings the core into the state after a repeated request, which is already sent."""
+    request = channel._request
+    if channel._repeated.is_awaited and request is not None:
+        channel._repeated.is_awaited = False
+        channel._repeated.begin(request, channel._encode_request(request))
+
+
 def _keep_alive_seconds(head: HttpAnswerHead) -> float:
     """Returns the timeout of the ``Keep-Alive`` header, or 0 if it states none."""
     for part in head.header(b'keep-alive').split(b','):
--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -39,12 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A complete request; ``headers`` keep their order and the case of their names."""
+    """A complete request; ``headers`` keep their order and the case of their names.
+
+    ``is_repeated`` is true for one that is sent again and again, whose answers are alike.
+    """
 
     method: bytes
     target: bytes
     headers: Headers = ()
     body: bytes = b''
+    is_repeated: bool = False
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of the header ``name`` (lower case), or empty bytes."""
--- a/jackdawsail/staging/engine_calls.py
+++ b/jackdawsail/staging/engine_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import lru_cache
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -9,7 +10,7 @@
 
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.fetch import NOT_SENT, FetchedAnswer, FetchLimits, fetch
-from jackdawsail.http1.messages import JSON_BODY, make_request
+from jackdawsail.http1.messages import JSON_BODY, HttpRequest, make_request
 from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder
 
 # The engine is on the same host; even a busy one answers within a second.
@@ -87,7 +88,8 @@
         )
 
     async def _read_report(self) -> Result[EngineReport, str]:
-        outcome = _body_of(await self._call(b'GET', self.codec.report_target))
+        request = _repeated_request(self.address, self.codec.report_target)
+        outcome = _body_of(await fetch(self.pool, self.address, request, CALL_LIMITS))
         if isinstance(outcome, Failure):
             return outcome
         return self.codec.decode_report(outcome.unwrap())
@@ -100,6 +102,12 @@
         return await fetch(self.pool, self.address, request, limits)
 
 
+@lru_cache(maxsize=1)
+def _repeated_request(address: str, target: bytes) -> HttpRequest:
+    """Returns the same object each time, by which channels recognise a repeated request."""
+    return replace(make_request(b'GET', address, target), is_repeated=True)
+
+
 def _body_of(outcome: Result[FetchedAnswer, str]) -> Result[bytes, str]:
     if isinstance(outcome, Failure):
         return outcome
