--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -32,6 +32,7 @@
     'silence',
     'staging',
     'catch_up',
+    'processor',
 )
 
 
