An upstream that garbles an answer on a kept channel is suspended

Cause: a kept channel that breaks before the head may have been closed while it was idle, so its upstream was not counted as failed. That also held for answers that are no HTTP or have no final status, which cannot come from a close: an engine in trouble kept its calls. Change: only a close or a reset is excused.

--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -28,6 +28,7 @@
 # The head of a refusal says all; its body is read only so that the channel can be reused.
 REFUSAL_BODY_SECONDS = 0.1
 REFUSAL_BODY_BYTES = 65_536
+CONNECTION_ENDS = frozenset((BreakReason.closed, BreakReason.reset))
 PROGRESS_BYTES = 512  # of an event; an engine that sends less within the time-out has stalled
 
 
@@ -230,8 +231,8 @@
     def answer_failed(self, reason: BreakReason) -> None:
         """Handles the end of an incomplete answer.
 
-        A reused channel that breaks before the head may have been closed while idle, so
-        the upstream is not blamed for it.
+        A reused channel that ends before the head may have been closed while idle, so the
+        upstream is not blamed for it. It is for an answer that is garbled.
         """
         if self.ended:
             return
@@ -241,7 +242,8 @@
                 metrics.ANSWERS.labels(self.framing, str(reason)).inc()
             if reason is BreakReason.reset:
                 self._record_reset()
-            if not (self._reused_channel and self.head is None):
+            may_have_been_closed = reason in CONNECTION_ENDS and self.head is None
+            if not (self._reused_channel and may_have_been_closed):
                 self.upstream.call_failed(self._context.clock.seconds())
             self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
--- a/test/test_final_statuses.py
+++ b/test/test_final_statuses.py
@@ -199,3 +199,12 @@
     effects = [one for message in failed for one in deliver(message, dispatch, 0)]
     assert not any(isinstance(effect, ForwardPart) for effect in effects)
     assert not dispatch.finished
+
+
+def test_upstream_that_garbles_an_answer_on_a_kept_channel_is_suspended():
+    world = World(1)
+    world.call()
+    answer_at(world.accept())
+    world.call()
+    world.channels[0].dataReceived(make_answer('600', 'ok'))
+    assert world.context.upstreams.get('i-1').is_suspended(world.reactor.seconds())
