--- a/jackdawsail/proxy/attempt.py
+++ b/jackdawsail/proxy/attempt.py
@@ -20,6 +20,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import UpstreamHead
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.prefix_placement import PrefixTrial
 from jackdawsail.proxy.upstream_signals import record_signals
 from jackdawsail.routing.upstreams import Upstream
 
@@ -28,6 +29,7 @@
 # The head of a refusal says all; its body is read only so that the channel can be reused.
 REFUSAL_BODY_SECONDS = 0.1
 REFUSAL_BODY_BYTES = 65_536
+CONNECTION_ENDS = frozenset((BreakReason.closed, BreakReason.reset))
 PROGRESS_BYTES = 512  # of an event; an engine that sends less within the time-out has stalled
 
 
@@ -86,9 +88,11 @@
     arrived that says that the request ran, ``begun_seconds`` the same of a success; both are None
     before that. ``received_events`` is the number of complete events since then.
     ``last_progress_seconds`` is when the answer last advanced, by its head, a complete event or
-    PROGRESS_BYTES of one.
+    PROGRESS_BYTES of one. ``prefix_trial`` is what its first event shows of kept prefixes.
     """
 
+    prefix_trial: PrefixTrial | None = None
+
     def __init__(
         self, context: ProxyContext, owner: AttemptOwner, upstream: Upstream, attempt_id: str
     ) -> None:
@@ -230,8 +234,8 @@
     def answer_failed(self, reason: BreakReason) -> None:
         """Handles the end of an incomplete answer.
 
-        A reused channel that breaks before the head may have been closed while idle, so
-        the upstream is not blamed for it.
+        A reused channel that ends before the head may have been closed while idle, so the
+        upstream is not blamed for it. It is for an answer that is garbled.
         """
         if self.ended:
             return
@@ -241,7 +245,8 @@
                 metrics.ANSWERS.labels(self.framing, str(reason)).inc()
             if reason is BreakReason.reset:
                 self._record_reset()
-            if not (self._reused_channel and self.head is None):
+            may_have_been_closed = reason in CONNECTION_ENDS and self.head is None
+            if not (self._reused_channel and may_have_been_closed):
                 self.upstream.call_failed(self._context.clock.seconds())
             self._owner.attempt_failed(self, AttemptEnd.broken, str(reason))
 
--- a/jackdawsail/proxy/dispatching.py
+++ b/jackdawsail/proxy/dispatching.py
@@ -81,3 +81,7 @@
     size = call_size(call.context, call.sends.service, call.call)
     if size is not None:
         attempt.upstream.sent_sizes.record(size, now_seconds)
+    prefixes = call.context.prefixes
+    attempt.prefix_trial = prefixes.call_sent(
+        call.sends.service, call.call, attempt.upstream, now_seconds
+    )
--- a/jackdawsail/proxy/selection.py
+++ b/jackdawsail/proxy/selection.py
@@ -6,6 +6,7 @@
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.calls import CallerCall
 from jackdawsail.proxy.context import ProxyContext
+from jackdawsail.proxy.prefix_placement import record_choice
 from jackdawsail.proxy.rank_placement import (
     RankedCall,
     ask_for_share,
@@ -161,6 +162,7 @@
         is_begun=selection.is_begun,
         size=call_size(context, selection.service, selection.call),
         longest_pause_seconds=selection.route.longest_pause_seconds,
+        savings=context.prefixes.savings(service.name, selection.call, candidates, now_seconds),
     )
     if service.engine is None:
         return choose_service(placed, candidates, context.rng)
@@ -171,9 +173,12 @@
     ):
         return make_refusal('capacity goes to more urgent calls', context.rng)
     placed = extend_wait(context, selection.ranked_call, placed)
-    return choose_engine(
+    choice = choose_engine(
         placed, service.engine, candidates, now_seconds, context.rng, context.entries
     )
+    if isinstance(choice, Choice):
+        record_choice(placed.savings, choice.upstream.name)
+    return choice
 
 
 def _yields_to_calls_in_time(
--- a/jackdawsail/routing/placement.py
+++ b/jackdawsail/routing/placement.py
@@ -40,7 +40,8 @@
 
     ``is_begun`` is true for the rest of a stream whose first engine was lost. ``size`` is None
     for calls without a model, ``longest_pause_seconds`` 0 without a target for pauses. The call
-    overtakes ``overtaken_share`` of the calls that wait at an engine.
+    overtakes ``overtaken_share`` of the calls that wait at an engine. ``savings`` is the time that
+    engines save which hold the beginning of its prompt, by their ids.
     """
 
     target_seconds: float
@@ -50,6 +51,7 @@
     longest_pause_seconds: float = 0
     max_wait_share: float = MAX_WAIT_SHARE
     overtaken_share: float = 0
+    savings: Mapping[str, float] | None = None
 
     @property
     def max_wait_seconds(self) -> float:
@@ -258,6 +260,8 @@
     lag_seconds = max(0, upstream.first_event_mean_at(now_seconds) - USUAL_FIRST_EVENT_SECONDS)
     expected_seconds = choice.wait_seconds + lag_seconds + rng.uniform(0, JITTER_SECONDS)
     expected_seconds += _region_seconds(upstream, call.region)
+    if call.savings:
+        expected_seconds = max(0, expected_seconds - call.savings.get(upstream.name, 0))
     return expected_seconds * (1 + FAILURE_PENALTY * upstream.failure_share / 2)
 
 
