--- a/jackdawsail/agent/chunk_server.py
+++ b/jackdawsail/agent/chunk_server.py
@@ -138,7 +138,7 @@
     root: Any = Resource()
     root.putChild(b'chunks', ChunkResource(store, context.secret, context.reactor))
     root.putChild(b'metrics', MetricsResource())
-    site = BoundedSite(root, context.reactor, MAX_CONNECTIONS, MAX_BODY_BYTES)
+    site = BoundedSite(root, context.reactor, MAX_CONNECTIONS, MAX_BODY_BYTES, context.budget)
     listener = context.reactor.listenTCP(port, site, interface=context.host.address)
     events.log(CHUNK_SERVER_LISTENS, chunk_port=listener.getHost().port)
     return listener
--- /dev/null
+++ b/jackdawsail/budget/__init__.py
@@ -0,0 +1,1 @@
+"""The memory and the descriptors that a process may use for its callers."""
--- /dev/null
+++ b/jackdawsail/budget/reporting.py
@@ -0,0 +1,95 @@
+"""Metrics and log events of a process's budget."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from prometheus_client import Counter, Gauge
+
+from jackdawsail import events
+from jackdawsail.budget.process_budget import (
+    CloseReason,
+    HoldReason,
+    ProcessBudget,
+    make_process_budget,
+)
+from jackdawsail.metrics_registry import REGISTRY
+
+LOG_INTERVAL_SECONDS = 1.0
+
+BUDGET_MADE = events.define(120, 'info', 'limits on what is held for callers are set')
+CALLERS_CLOSED = events.define(
+    121, 'warning', 'connections closed, as callers took too much memory or too many descriptors'
+)
+CALLERS_REFUSED = events.define(
+    122, 'warning', 'callers refused, as others take all memory or descriptors for them'
+)
+
+HELD_BYTES = Gauge(
+    'jackdawsail_budget_held_bytes',
+    'Bytes that are held for callers and upstreams, by reason.',
+    ['reason'],
+    registry=REGISTRY,
+)
+LIMIT_BYTES = Gauge('jackdawsail_budget_limit_bytes', 'Bytes that may be held.', registry=REGISTRY)
+CONNECTIONS = Gauge(
+    'jackdawsail_budget_connections', 'Connections that callers have open.', registry=REGISTRY
+)
+CLOSED = Counter(
+    'jackdawsail_budget_closed',
+    'Connections that were closed to make room for others, by what was short.',
+    ['short'],
+    registry=REGISTRY,
+)
+REFUSED = Counter(
+    'jackdawsail_budget_refused',
+    'Requests and connections that were refused, by what was short.',
+    ['short'],
+    registry=REGISTRY,
+)
+
+
+@dataclass(slots=True)
+class PressureLog:
+    """Counts closed and refused callers; logs the first of each kind in a second."""
+
+    budget: ProcessBudget
+    _logged_seconds: dict[tuple[CloseReason, bool], float] = field(default_factory=dict)
+
+    def record(self, reason: CloseReason, is_refused: bool) -> None:
+        """Records one connection or request that was closed or refused."""
+        (REFUSED if is_refused else CLOSED).labels(reason.value).inc()
+        now_seconds = self.budget.seconds()
+        last_seconds = self._logged_seconds.get((reason, is_refused))
+        if last_seconds is not None and now_seconds - last_seconds < LOG_INTERVAL_SECONDS:
+            return
+        self._logged_seconds[reason, is_refused] = now_seconds
+        events.log(
+            CALLERS_REFUSED if is_refused else CALLERS_CLOSED,
+            short=reason.value,
+            held_bytes=self.budget.held_bytes,
+            limit_bytes=self.budget.limits.held_bytes,
+            connections=self.budget.connections,
+        )
+
+
+def make_reporting_budget(
+    memory_megabytes: float, max_descriptors: int, seconds: Callable[[], float]
+) -> ProcessBudget:
+    """Makes the budget of a process, with its metrics and its log events."""
+    budget = make_process_budget(memory_megabytes, max_descriptors, seconds)
+    budget.on_pressure = PressureLog(budget).record
+    for reason in HoldReason:
+        HELD_BYTES.labels(reason.value).set_function(partial(_held, budget, reason))
+    LIMIT_BYTES.set_function(lambda: budget.limits.held_bytes)
+    CONNECTIONS.set_function(lambda: budget.connections)
+    events.log(
+        BUDGET_MADE,
+        held_bytes=budget.limits.held_bytes,
+        connections=budget.limits.connections,
+    )
+    return budget
+
+
+def _held(budget: ProcessBudget, reason: HoldReason) -> int:
+    return budget.held_by_reason[reason]
--- a/jackdawsail/control/admin_http.py
+++ b/jackdawsail/control/admin_http.py
@@ -8,6 +8,7 @@
 from twisted.web.http import Request as HttpRequest
 
 from jackdawsail.bounded_http import BoundedSite
+from jackdawsail.budget.process_budget import ProcessBudget
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 1000
@@ -30,9 +31,9 @@
     return Problem(status, code, detail, extra)
 
 
-def make_site(resource: Any, clock: Any) -> BoundedSite:
+def make_site(resource: Any, clock: Any, budget: ProcessBudget | None = None) -> BoundedSite:
     """Creates the HTTP server of a resource tree, with time and size limits."""
-    return BoundedSite(resource, clock, MAX_CONNECTIONS, MAX_BODY_BYTES)
+    return BoundedSite(resource, clock, MAX_CONNECTIONS, MAX_BODY_BYTES, budget)
 
 
 def write_json(request: HttpRequest, document: Any, status: int = HTTPStatus.OK) -> None:
--- a/jackdawsail/control/main.py
+++ b/jackdawsail/control/main.py
@@ -43,7 +43,7 @@
     root.putChild(b'metrics', MetricsResource())
     address = context.host.address
     link_port = listen(context.reactor, settings.link_port, address, links, context.tls)
-    site = make_site(root, context.reactor)
+    site = make_site(root, context.reactor, context.budget)
     admin_port = context.reactor.listenTCP(settings.admin_port, site, interface=address)
     control_context.replicator.start()
     events.log(
--- a/jackdawsail/entry/program.py
+++ b/jackdawsail/entry/program.py
@@ -129,6 +129,7 @@
             self._reactor,
             self._settings.max_connections,
             self._settings.max_body_bytes,
+            self._context.budget,
         )
         port = self._reactor.listenTCP(self._settings.caller_port, site, interface=address)
         self._ports.append(port)
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -14,7 +14,8 @@
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.group.replicated_lists import ReplicatedLists, make_replicated_lists
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.http1.exchange import Exchange
+from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.site.machine import SiteMachine
@@ -51,7 +52,12 @@
         self.consensus.replicator.start()
         self.fanout.start()
         self.fanout.router.watch_links(self._link_opened, lambda link: None)
-        options = ServerOptions(self._handle, self.process.reactor, calls.CONTROL_LIMITS)
+        options = ServerOptions(
+            self._handle,
+            self.process.reactor,
+            calls.CONTROL_LIMITS,
+            budget=self.process.budget,
+        )
         self.callers = ServerFactory(options)
         addresses = (settings.listening.control, settings.listening.directory)
         self.ports = [listen_http(self.process, each, self.callers) for each in addresses if each]
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -13,8 +13,16 @@
 import h11
 from twisted.internet import protocol
 
+from jackdawsail.budget.process_budget import (
+    CloseReason,
+    Holding,
+    ProcessBudget,
+    head_bytes_held,
+    make_process_budget,
+)
 from jackdawsail.clocks import Clock, Timeout
 from jackdawsail.error_handling import ending_on_error
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
 from jackdawsail.site.document import CallerLimits
 from jackdawsail.wire.backlog import Backlog
@@ -26,8 +34,15 @@
 MAX_REQUEST_SECONDS = 60.0
 # Of requests that a caller has sent ahead of its answers; beyond it reading stops.
 MAX_UNREAD_BYTES = 65_536
-INTERNAL_ERROR = HttpAnswer(500, b'internal error')
-READ_LIMIT_REASONS = {408: b'request came too slowly', 413: b'body is too large'}
+# Until a connection that was closed is aborted, if its caller does not read the last answer.
+CLOSE_SECONDS = 5.0
+REFUSAL_REASONS = {
+    408: b'request came too slowly',
+    413: b'body is too large',
+    503: b'too much is held for other callers',
+}
+CLOSE_HEADER = (b'Connection', b'close')
+RETRY_HEADER = (b'Retry-After', b'1')  # room is made for a request within one
 
 
 @dataclass(slots=True)
@@ -36,85 +51,19 @@
 
     While ``closing`` is true, each answer closes its connection. ``limits`` may be
     replaced while connections are open; an open connection keeps its limit for
-    incomplete heads.
+    incomplete heads. ``budget`` is that of the process; without one the port has its own.
     """
 
-    handler: Callable[['Exchange'], None]
+    handler: Callable[[Exchange], None]
     clock: Clock
     limits: CallerLimits = field(default_factory=CallerLimits)
     closing: bool = False
+    budget: ProcessBudget = None  # type: ignore[assignment]
 
-
-class Exchange:
-    """One request and its answer; it belongs to the task that handles the request.
-
-    ``on_disconnect`` is called once if the caller disconnects before the answer is complete,
-    ``on_full`` with True when the caller does not read as fast as it is sent to, and with
-    False once it has caught up.
-    """
-
-    def __init__(self, connection: 'ServerConnection', request: HttpRequest) -> None:
-        self.request = request
-        self.received_seconds = connection.options.clock.seconds()
-        self.on_disconnect: Callable[[], None] = lambda: None
-        self.on_full: Callable[[bool], None] = lambda is_full: None
-        self.started = False
-        self.ended = False
-        self._connection: ServerConnection | None = connection
-
-    def answer(self, answer: HttpAnswer) -> None:
-        """Sends a complete answer."""
-        length = (b'Content-Length', str(len(answer.body)).encode())
-        self.start(answer.status, b'', (*answer.headers, length))
-        if self.request.method != b'HEAD':
-            self.write(answer.body)
-        self.finish()
-
-    def start(self, status: int, reason: bytes, headers: Headers) -> None:
-        """Sends the head; without ``Content-Length`` the body is sent chunked."""
-        self.started = True
-        if self._connection is not None:
-            self._connection.send_head(status, reason, headers)
-
-    def write(self, body: bytes) -> None:
-        """Sends a piece of the body."""
-        if self._connection is not None and body:
-            self._connection.send_body(body)
-
-    def finish(self) -> None:
-        """Completes the answer."""
-        connection = self._release_connection()
-        if connection is not None:
-            connection.end_answer()
-
-    def abort(self) -> None:
-        """Aborts the connection, so that the caller cannot take the answer for complete."""
-        connection = self._release_connection()
-        if connection is not None:
-            connection.transport.abortConnection()
-
-    def fail(self) -> None:
-        """Ends the exchange after an error of its handler; does nothing if it has ended."""
-        if self.started:
-            self.abort()
-        elif not self.ended:
-            self.answer(INTERNAL_ERROR)
-
-    def report_disconnect(self) -> None:
-        """Reports to the handling task that the caller has disconnected."""
-        if self._release_connection() is not None:
-            self.on_disconnect()
-
-    @property
-    def is_full(self) -> bool:
-        """Returns whether the caller does not read as fast as it is sent to."""
-        return self._connection is not None and self._connection.backlog.is_full
-
-    def _release_connection(self) -> 'ServerConnection | None':
-        connection = self._connection
-        self._connection = None
-        self.ended = True
-        return connection
+    def __post_init__(self) -> None:
+        """Makes a budget with the default limits if the process has none."""
+        if self.budget is None:
+            self.budget = make_process_budget(0, 0, self.clock.seconds)
 
 
 class ServerConnection(protocol.Protocol):
@@ -124,12 +73,15 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self.backlog = Backlog(partial(_report_full, self))
+        self.backlog = Backlog(self._backlog_changed)
+        self.holding = Holding(self._give_way)
         self._core = h11.Connection(h11.SERVER, options.limits.head_bytes or MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
+        self._head_held_bytes = 0
         self._body = bytearray()
         self._unread_bytes = 0
+        self._is_ended = False
         self._refused = False
         self._is_processing = False
         self._is_closing = False
@@ -152,7 +104,7 @@
         self._is_closing = False
         if self._exchange is None and not self._is_reading():
             self._timeout.start(self.options.limits.head_seconds or MAX_REQUEST_SECONDS)
-        was_answering = self._exchange is not None
+        was_answering = self._exchange is not None or self.backlog.is_full
         self._core.receive_data(received)
         self._process_events()
         if was_answering:
@@ -161,10 +113,12 @@
             self._unread_bytes = len(self._core.trailing_data[0])
         if self._unread_bytes > MAX_UNREAD_BYTES:
             self.transport.pauseProducing()
+        self._count_unfinished()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Reports the disconnect to the task of a running exchange."""
         self._timeout.stop()
+        self.options.budget.closed(self.holding)
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
@@ -176,7 +130,8 @@
 
     def close(self) -> None:
         """Closes the connection after the written bytes are sent."""
-        self._timeout.stop()
+        self._is_ended = True
+        self._timeout.start(CLOSE_SECONDS)
         # A transport that waits to resume its producer never closes.
         self.transport.unregisterProducer()
         self.transport.loseConnection()
@@ -206,6 +161,7 @@
     def end_answer(self) -> None:
         """Completes the answer and reads the next request."""
         self._exchange = None
+        self.options.budget.end_request(self.holding)
         try:
             self._send(h11.EndOfMessage())
         except h11.LocalProtocolError:
@@ -219,6 +175,7 @@
         self._timeout.start(self.options.limits.idle_seconds)
         self._process_events()
         self._read_on()
+        self._count_unfinished()
 
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
@@ -233,7 +190,7 @@
             return
         self._is_processing = True
         has_event = True
-        while has_event and self._exchange is None and not self._refused:
+        while has_event and self._may_begin():
             has_event = self._process_event()
         self._is_processing = False
 
@@ -260,22 +217,25 @@
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > _body_limit(self.options.limits):
-                self._refuse(413, READ_LIMIT_REASONS[413])
+                self._refuse(413, REFUSAL_REASONS[413])
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
 
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
+        size_bytes = _head_bytes(head)
+        self._head_held_bytes = head_bytes_held(size_bytes, len(head.headers))
         self._body = bytearray()
+        body_limit = _body_limit(self.options.limits)
         names = {name for name, _value in head.headers}
         if b'transfer-encoding' in names and b'content-length' in names:
             self._refuse(400, b'both a length and chunks')
-        elif _head_bytes(head) > (self.options.limits.head_bytes or MAX_HEAD_BYTES):
+        elif size_bytes > (self.options.limits.head_bytes or MAX_HEAD_BYTES):
             self._refuse(431, b'head is too large')
-        elif int(dict(head.headers).get(b'content-length', b'0')) > _body_limit(
-            self.options.limits
-        ):
-            self._refuse(413, READ_LIMIT_REASONS[413])
+        elif (body_bytes := int(dict(head.headers).get(b'content-length', b'0'))) > body_limit:
+            self._refuse(413, REFUSAL_REASONS[413])
+        elif not self.options.budget.admits(body_bytes):
+            self._refuse(503, REFUSAL_REASONS[503])
 
     def _handle_request(self) -> None:
         head = self._head
@@ -284,9 +244,13 @@
         self._timeout.stop()
         headers = tuple(head.headers.raw_items())
         request = HttpRequest(head.method, head.target, headers, bytes(self._body))
-        self._head = None
+        held_bytes = self._head_held_bytes + len(self._body)
         self._body = bytearray()
-        self._exchange = Exchange(self, request)
+        if not self.options.budget.begin_request(self.holding, held_bytes):
+            self._refuse(503, REFUSAL_REASONS[503])
+            return
+        self._head = None
+        self._exchange = Exchange(self, request, self.options.clock)
         _pass_on(self._exchange, self.options)
 
     def _refuse(self, status: int, reason: bytes) -> None:
@@ -294,24 +258,66 @@
         self._timeout.stop()
         self._refused = True
         method = b'' if self._head is None else self._head.method
-        self._exchange = Exchange(self, HttpRequest(method, b''))
+        self._body = bytearray()
+        self._exchange = Exchange(self, HttpRequest(method, b''), self.options.clock)
         if self._core.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             self._exchange.abort()
             return
-        close_header = (b'Connection', b'close')
-        self._exchange.answer(HttpAnswer(status, reason, (close_header,)))
+        headers = (CLOSE_HEADER, RETRY_HEADER) if status == 503 else (CLOSE_HEADER,)
+        self._exchange.answer(HttpAnswer(status, reason, headers))
 
     def _send(self, event: Any) -> None:
         sent = self._core.send(event)
         if sent:
             self.transport.write(sent)
+            if self.backlog.is_full:
+                held_bytes = self.holding.answer_bytes + len(sent)
+                self.options.budget.set_answer(self.holding, held_bytes)
+
+    def _backlog_changed(self, is_full: bool) -> None:
+        if self._exchange is not None:
+            self._exchange.on_full(is_full)
+        if is_full:
+            return
+        self.options.budget.set_answer(self.holding, 0)
+        if self._exchange is None and not self._is_ended:
+            self._process_events()
+            self._read_on()
+            self._count_unfinished()
+
+    def _count_unfinished(self) -> None:
+        """Tells the budget what is kept of requests that are incomplete or have to wait."""
+        held_bytes = 0
+        if self._exchange is not None or self.backlog.is_full:
+            held_bytes = self._unread_bytes
+        elif self._head is not None:
+            held_bytes = self._head_held_bytes + len(self._body)
+        elif not self._refused:
+            held_bytes = len(self._core.trailing_data[0])
+        if held_bytes != self.holding.unfinished_bytes and not self._refused:
+            self.options.budget.set_unfinished(self.holding, held_bytes)
+
+    def _give_way(self, reason: CloseReason) -> None:
+        """Closes the connection for others; nothing of an incomplete request has run."""
+        if self._exchange is not None or self.backlog.is_full:
+            self.transport.abortConnection()
+        elif self._is_reading():
+            self._refuse(503, REFUSAL_REASONS[503])
+        elif reason is CloseReason.descriptors:
+            self.close_idle()
+
+    def _may_begin(self) -> bool:
+        """Returns whether another request may be read; a caller has to read its answers first."""
+        return self._exchange is None and not self._refused and not self.backlog.is_full
 
     def _is_reading(self) -> bool:
         return self._head is not None or bool(self._core.trailing_data[0])
 
     def _handle_timeout(self) -> None:
-        if self._is_reading():
-            self._refuse(408, READ_LIMIT_REASONS[408])
+        if self._is_ended:
+            self.transport.abortConnection()
+        elif self._is_reading():
+            self._refuse(408, REFUSAL_REASONS[408])
         else:
             self.close_idle()
 
@@ -325,10 +331,10 @@
         self.options = options
         self._open_connections: dict[ServerConnection, None] = {}
 
-    def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802 - Twisted's name
-        """Makes the protocol of a new connection."""
+    def buildProtocol(self, addr: Any) -> ServerConnection | None:  # noqa: N802
+        """Makes the protocol of a new connection, or none if the process has too many."""
         connection = _TrackedConnection(self.options, self._open_connections)
-        return connection
+        return connection if self.options.budget.open(connection.holding) else None
 
     def idle(self) -> Iterable[ServerConnection]:
         """Returns the connections without a request in progress."""
@@ -374,11 +380,6 @@
         connection.close()
 
 
-def _report_full(connection: ServerConnection, is_full: bool) -> None:
-    if connection._exchange is not None:
-        connection._exchange.on_full(is_full)
-
-
 def _body_limit(limits: CallerLimits) -> int:
     return limits.body_bytes or MAX_BODY_BYTES
 
--- a/jackdawsail/platform/settings.py
+++ b/jackdawsail/platform/settings.py
@@ -21,7 +21,7 @@
     # The share of one core; ``cores`` states how many times as fast it runs.
     cpu_share: NonNegativeFloat = 1
     link_mbps: NonNegativeFloat = 0
-    max_fds: NonNegativeInt = 1024
+    max_fds: NonNegativeInt = 0
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -150,4 +150,6 @@
         weights_seconds=bounds.version_ms * MILLISECOND,
         addresses_max_seconds=bounds.ttl_max_s,
         link_megabits_per_second=decoded.limits.link_mbps,
+        memory_megabytes=decoded.limits.memory_mb,
+        max_descriptors=decoded.limits.max_fds,
     )
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -15,6 +15,8 @@
 from twisted.internet.error import CannotListenError
 
 from jackdawsail import events
+from jackdawsail.budget.process_budget import ProcessBudget
+from jackdawsail.budget.reporting import make_reporting_budget
 from jackdawsail.errors import UserError
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.settings.loader import load_settings
@@ -41,6 +43,7 @@
     identity: Identity
     secret: bytes
     tls: Any = None
+    budget: ProcessBudget | None = None
 
     @property
     def host(self) -> HostSettings:
@@ -122,7 +125,10 @@
     events.configure_logging(f'jackdawsail-{role}', settings.host.name, settings.log_level)
     identity = make_identity(role, settings.host, randbits(52))
     secret = read_site_secret(settings)
-    context = ProcessContext(reactor, settings, identity, secret, make_tls_context(settings))
+    limits = settings.limits
+    budget = make_reporting_budget(limits.memory_mb, limits.max_fds, reactor.seconds)
+    tls = make_tls_context(settings)
+    context = ProcessContext(reactor, settings, identity, secret, tls, budget)
     signal_handler = _StopSignalHandler(reactor)
     reactor.callWhenRunning(_start, context, build, signal_handler)
     reactor.run(installSignalHandlers=False)
--- a/jackdawsail/proxy/admission.py
+++ b/jackdawsail/proxy/admission.py
@@ -6,8 +6,8 @@
 from returns.result import Failure
 
 from jackdawsail import events
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.calls import CallerCall, fingerprint_of
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.task import make_call_task
--- a/jackdawsail/proxy/answer_records.py
+++ b/jackdawsail/proxy/answer_records.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from jackdawsail.http1.server import Exchange
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.proxy import metrics
 from jackdawsail.proxy.attempt import Attempt
 from jackdawsail.proxy.calls import CallIdentity
--- a/jackdawsail/proxy/call_log.py
+++ b/jackdawsail/proxy/call_log.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from jackdawsail import events
-from jackdawsail.http1.server import Exchange
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.proxy.attempt import Attempt
 from jackdawsail.proxy.calls import CallIdentity, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
--- a/jackdawsail/proxy/outgoing.py
+++ b/jackdawsail/proxy/outgoing.py
@@ -9,8 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpRequest
-from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.calls import CallerCall, CallIdentity, DispatchDetails
 from jackdawsail.proxy.context import ProxyContext
 from jackdawsail.proxy.relaying import AnswerRelay, has_begun
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -6,7 +6,8 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail.group import calls
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.http1.exchange import Exchange
+from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import EntryCodecs
@@ -53,7 +54,9 @@
         settings = self.process.settings
         callers = settings.listening.callers
         self.drain.port = listen_http(self.process, callers, self.drain.callers)
-        options = ServerOptions(self._answer_readiness, self.process.reactor)
+        options = ServerOptions(
+            self._answer_readiness, self.process.reactor, budget=self.process.budget
+        )
         listen_http(self.process, settings.listening.readiness, ServerFactory(options))
         self.datagrams.listen(self.process.reactor)
         self.relay.start()
@@ -157,7 +160,8 @@
     context = make_proxy_context(process, codecs.traffic)
     client = SiteClient(process, context.view, codecs.decode_document)
     relay = make_piece_relay(process, context.view, codecs.origin)
-    callers = ServerFactory(ServerOptions(CallAdmission(context).handle, process.reactor))
+    options = ServerOptions(CallAdmission(context).handle, process.reactor, budget=process.budget)
+    callers = ServerFactory(options)
     drain, datagrams = CallerDrain(context, callers), EntryDatagrams(context)
     traits = TraitExchange(context.traits, client)
     return EntryProgram(process, codecs, client, context, relay, drain, datagrams, traits)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -11,8 +11,8 @@
 from typing import Protocol, TypeGuard
 
 from jackdawsail.http1.event_frames import EventFrames
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import Framing, Headers, end_to_end_headers
-from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.attempt import SUCCESS, ReceivedHead
 from jackdawsail.site.document import CallKind, Route
 
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from jackdawsail.error_handling import ending_on_error
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy import call_log, metrics
 from jackdawsail.proxy.answer_records import record_complete, record_first_event
 from jackdawsail.proxy.attempt import SUCCESS, Attempt, AttemptEnd, ReceivedHead
--- a/jackdawsail/settings/models.py
+++ b/jackdawsail/settings/models.py
@@ -147,6 +147,13 @@
     backends: list[Name]
 
 
+class LimitSettings(Section):
+    """What a process may use: memory in megabytes (of 1,000,000 bytes) and descriptors."""
+
+    memory_mb: int = Field(default=512, ge=64)
+    max_fds: int = Field(default=4096, ge=64)
+
+
 class WeightSettings(Section):
     """Bandwidths and chunk size for the distribution of weights."""
 
@@ -165,6 +172,7 @@
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     host: HostSettings | None = None
     security: SecuritySettings = SecuritySettings()
+    limits: LimitSettings = LimitSettings()
     control: ControlSettings | None = None
     entry: EntrySettings | None = None
     relay: RelaySettings | None = None
--- a/jackdawsail/site/node.py
+++ b/jackdawsail/site/node.py
@@ -18,7 +18,8 @@
     """Limits that the operators of the site set for every process.
 
     ``tolerated_host_losses`` is how many voters may be lost at once. ``weights_seconds``
-    is the time within which every engine must serve newly announced weights.
+    is the time within which every engine must serve newly announced weights. Zero megabytes of
+    memory or descriptors leave it to the defaults of the process's budget.
     """
 
     tolerated_host_losses: int = 0
@@ -31,6 +32,8 @@
     weights_seconds: float = 8.0
     addresses_max_seconds: float = 5.0
     link_megabits_per_second: float = 0
+    memory_megabytes: float = 0
+    max_descriptors: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -7,8 +7,11 @@
 
 from twisted.internet.defer import Deferred
 
+from jackdawsail.budget.process_budget import ProcessBudget
+from jackdawsail.budget.reporting import make_reporting_budget
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.metrics_registry import render_metrics
 from jackdawsail.site.clock import PROCESS_STARTED_SECONDS
@@ -34,7 +37,7 @@
     """The settings and the identity of a running program, and the means to end it.
 
     ``incarnation`` is a random number that distinguishes restarts of a process.
-    ``started_seconds`` is when the process started.
+    ``started_seconds`` is when the process started, ``budget`` what it holds for its callers.
     """
 
     reactor: Any
@@ -43,6 +46,14 @@
     incarnation: int = field(default_factory=lambda: randbits(INCARNATION_BITS))
     exit_code: int = 0
     started_seconds: float = PROCESS_STARTED_SECONDS
+    budget: ProcessBudget = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Makes the budget of the process from its settings."""
+        bounds = self.settings.bounds
+        self.budget = make_reporting_budget(
+            bounds.memory_megabytes, bounds.max_descriptors, self.reactor.seconds
+        )
 
     @property
     def link_settings(self) -> LinkSettings:
@@ -116,7 +127,7 @@
     def handle(exchange: Exchange) -> None:
         exchange.answer(_metrics_answer(exchange.request))
 
-    options = ServerOptions(handle, process.reactor)
+    options = ServerOptions(handle, process.reactor, budget=process.budget)
     port = process.settings.link_port + _metrics_offset(process.role)
     return listen_http(process, f'{process.settings.address}:{port}', ServerFactory(options))
 
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -17,8 +17,9 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
@@ -70,7 +71,9 @@
         """Listens for agents and other relays, and starts to prefetch."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
-        options = ServerOptions(self.handle_request, self._process.reactor)
+        options = ServerOptions(
+            self.handle_request, self._process.reactor, budget=self._process.budget
+        )
         listen_http(self._process, address, ServerFactory(options))
         self._check_loop = start_loop(self._process.reactor, self.site_changed, RETRY_SECONDS)
 
