Budget: answers are admitted before they are written, freed bodies return to the system

Cause: connections that were closed kept their heads in reference cycles and their answers until the next turn, and the heap of glibc kept holes of the size of a body. Change: both are dropped or counted; blocks over 128 KiB are mappings of their own.

--- a/jackdawsail/budget/process_budget.py
+++ b/jackdawsail/budget/process_budget.py
@@ -19,6 +19,8 @@
 # Small requests may use this part of the limit in addition, so that large ones do not end them.
 SMALL_REQUEST_BYTES = 16_384
 SMALL_SHARE = 1 / 8
+# An answer that a transport takes without stopping its producer.
+SMALL_ANSWER_BYTES = 65_536
 # Room is made for several reads at once, so that it is not needed again at the next one.
 TARGET_SHARE = 7 / 8
 # From this part of the connections on, an idle one is closed for each that is accepted.
@@ -54,6 +56,7 @@
     request_bytes: int = 0
     answer_bytes: int = 0
     since_seconds: float = 0
+    closing_bytes: int = 0
     is_open: bool = False
 
 
@@ -74,6 +77,7 @@
     held_by_reason: dict[HoldReason, int] = field(
         default_factory=lambda: dict.fromkeys(HoldReason, 0)
     )
+    _closing_bytes: int = 0
     _idle: dict[Holding, None] = field(default_factory=dict)
     _yielding: dict[Holding, None] = field(default_factory=dict)
 
@@ -98,6 +102,8 @@
         self.set_answer(holding, 0)
         self.end_request(holding)
         self._idle.pop(holding, None)
+        self._closing_bytes -= holding.closing_bytes
+        holding.closing_bytes = 0
         holding.is_open = False
         self.connections -= 1
         self._count(HoldReason.connection, -CONNECTION_BYTES)
@@ -163,6 +169,19 @@
         """Records the size of the pieces of weights that the process holds."""
         self._count(HoldReason.piece, size_bytes - self.held_by_reason[HoldReason.piece])
 
+    def admits_answer(self, size_bytes: int) -> bool:
+        """Returns whether an answer fits now; if not, makes room for those that come later.
+
+        Connections that are closed keep their answers until their transports end them.
+        """
+        if size_bytes <= SMALL_ANSWER_BYTES:
+            return True
+        if self.held_bytes + self._closing_bytes + size_bytes <= self.limits.held_bytes:
+            return True
+        self._make_room(size_bytes)
+        self.on_pressure(CloseReason.memory, True)
+        return False
+
     def _grown(self, holding: Holding, grown_bytes: int) -> None:
         if not holding.unfinished_bytes and not holding.answer_bytes:
             self._yielding.pop(holding, None)
@@ -194,6 +213,8 @@
         self._idle.pop(holding, None)
         self.on_pressure(reason, False)
         # Released at once, as the transport reports the end only in a later turn.
+        holding.closing_bytes += holding.answer_bytes
+        self._closing_bytes += holding.answer_bytes
         self.set_unfinished(holding, 0)
         self.set_answer(holding, 0)
         holding.close(reason)
--- a/jackdawsail/budget/reporting.py
+++ b/jackdawsail/budget/reporting.py
@@ -7,6 +7,7 @@
 from prometheus_client import Counter, Gauge
 
 from jackdawsail import events
+from jackdawsail.budget.allocator import map_large_blocks
 from jackdawsail.budget.process_budget import (
     CloseReason,
     HoldReason,
@@ -77,6 +78,7 @@
     memory_megabytes: float, max_descriptors: int, seconds: Callable[[], float]
 ) -> ProcessBudget:
     """Makes the budget of a process, with its metrics and its log events."""
+    map_large_blocks()
     budget = make_process_budget(memory_megabytes, max_descriptors, seconds)
     budget.on_pressure = PressureLog(budget).record
     for reason in HoldReason:
--- a/jackdawsail/http1/exchange.py
+++ b/jackdawsail/http1/exchange.py
@@ -8,6 +8,7 @@
 from jackdawsail.wire.backlog import Backlog
 
 INTERNAL_ERROR = HttpAnswer(500, b'internal error')
+NO_ROOM = HttpAnswer(503, b'too much is held for other callers', ((b'Retry-After', b'1'),))
 
 
 class AnswerConnection(Protocol):
@@ -16,6 +17,9 @@
     transport: Any
     backlog: Backlog
 
+    def admits_answer(self, size_bytes: int) -> bool:
+        """Returns whether an answer of this size may wait to be read by its caller."""
+
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
 
@@ -44,7 +48,9 @@
         self._connection: AnswerConnection | None = connection
 
     def answer(self, answer: HttpAnswer) -> None:
-        """Sends a complete answer."""
+        """Sends a complete answer that this process makes, or refuses if it is too large now."""
+        if self._connection is not None and not self._connection.admits_answer(len(answer.body)):
+            answer = NO_ROOM
         length = (b'Content-Length', str(len(answer.body)).encode())
         self.start(answer.status, b'', (*answer.headers, length))
         if self.request.method != b'HEAD':
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -119,6 +119,8 @@
         """Reports the disconnect to the task of a running exchange."""
         self._timeout.stop()
         self.options.budget.closed(self.holding)
+        self._head = None
+        self._body = bytearray()
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
@@ -144,6 +146,10 @@
         self._is_closing = True
         self.options.clock.callLater(0, _close_if_still_idle, self)
 
+    def admits_answer(self, size_bytes: int) -> bool:
+        """Returns whether an answer of this size may wait to be read by its caller."""
+        return self.options.budget.admits_answer(size_bytes)
+
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
         extra_headers: list[tuple[bytes, bytes]] = []
@@ -258,6 +264,8 @@
         self._timeout.stop()
         self._refused = True
         method = b'' if self._head is None else self._head.method
+        # Not left to the garbage collection, which comes later than the next requests.
+        self._head = None
         self._body = bytearray()
         self._exchange = Exchange(self, HttpRequest(method, b''), self.options.clock)
         if self._core.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
