Budget: large bodies are written to upstreams piece by piece; modules split

Cause: a body of 4 MiB was copied twice more for the transport to its upstream. Change: over 64 KiB it is written by a producer, which the transport asks as it sends. Also counted: pieces of weights, and plain answers that are buffered.

--- a/jackdawsail/budget/process_budget.py
+++ b/jackdawsail/budget/process_budget.py
@@ -145,6 +145,11 @@
         self._count(HoldReason.request, size_bytes)
         return True
 
+    def grow_request(self, holding: Holding, grown_bytes: int) -> None:
+        """Records what is kept for a request that is being served, until it is answered."""
+        holding.request_bytes += grown_bytes
+        self._count(HoldReason.request, grown_bytes)
+
     def end_request(self, holding: Holding) -> None:
         """Releases a request that has been answered; its connection is idle from now on."""
         if holding.request_bytes:
--- a/jackdawsail/group/program.py
+++ b/jackdawsail/group/program.py
@@ -5,22 +5,27 @@
 
 from twisted.internet.defer import Deferred
 
-from jackdawsail import events
 from jackdawsail.group import calls
 from jackdawsail.group.call_handler import CallHandler
+from jackdawsail.group.call_server import CallServer
 from jackdawsail.group.calls import CallCodec
 from jackdawsail.group.consensus_replica import ConsensusReplica, make_consensus_replica
 from jackdawsail.group.disk_probe import accepts_writes
 from jackdawsail.group.fanout import SiteFanout
 from jackdawsail.group.linked import LinkedProcesses
 from jackdawsail.group.replicated_lists import ReplicatedLists, make_replicated_lists
-from jackdawsail.http1.exchange import Exchange
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
 from jackdawsail.loops import start_loop
 from jackdawsail.message_router import MessageRouter
 from jackdawsail.site.machine import SiteMachine
 from jackdawsail.site.node import NodeSettings
-from jackdawsail.site.process import NodeProcess, drain_http, listen_http, listen_links
+from jackdawsail.site.process import (
+    NodeProcess,
+    drain_http,
+    listen_http,
+    listen_links,
+    make_server,
+)
 from jackdawsail.wire.identity import Role
 from jackdawsail.wire.link import Link
 
@@ -52,13 +57,8 @@
         self.consensus.replicator.start()
         self.fanout.start()
         self.fanout.router.watch_links(self._link_opened, lambda link: None)
-        options = ServerOptions(
-            self._handle,
-            self.process.reactor,
-            calls.CONTROL_LIMITS,
-            budget=self.process.budget,
-        )
-        self.callers = ServerFactory(options)
+        handle = CallServer(self.codec, self.call_handler).handle
+        self.callers = make_server(self.process, handle, calls.CONTROL_LIMITS)
         addresses = (settings.listening.control, settings.listening.directory)
         self.ports = [listen_http(self.process, each, self.callers) for each in addresses if each]
         listen_links(self.process, self.fanout.router)
@@ -82,20 +82,6 @@
         for host in settings.seed_hosts:
             self._add_control(host)
 
-    def _handle(self, exchange: Exchange) -> None:
-        call = self.codec.decode(exchange.request)
-        answer: Any = self.call_handler.handle(call)
-        answer.addCallback(self._send_answer, exchange)
-        answer.addErrback(self._fail_exchange, exchange)
-
-    def _send_answer(self, answer: calls.Answer, exchange: Exchange) -> None:
-        if not exchange.ended:
-            exchange.answer(self.codec.encode(answer, exchange.request.target))
-
-    def _fail_exchange(self, failure: Any, exchange: Exchange) -> None:
-        events.log_failure(failure)
-        exchange.fail()
-
     def _drain_callers(self, _stopped: None) -> Deferred[None]:
         return drain_http(self.process.reactor, self.ports, self.callers)
 
--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -16,6 +16,7 @@
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, framing_of
 
 MAX_HEAD_BYTES = 65_536  # four times the largest head that the callers' limits allow
+WRITE_BYTES = 65_536  # a longer body is not copied into the transport at once
 MAX_FOREIGN_ANSWERS = 4  # answers to earlier requests that may precede the awaited one
 
 
@@ -53,6 +54,30 @@
     seconds: float = 0
 
 
+class _BodyWriter:
+    """A pull producer that writes a large body piece by piece, as the upstream reads it."""
+
+    def __init__(self, transport: Any, body: bytes) -> None:
+        self.is_complete = False
+        self._transport = transport
+        self._body = body
+        self._written_bytes = 0
+
+    def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Writes the next piece, when the transport has sent the one before."""
+        start = self._written_bytes
+        self._written_bytes += WRITE_BYTES
+        self._transport.write(self._body[start : self._written_bytes])
+        if self._written_bytes >= len(self._body):
+            self.is_complete = True
+            self._body = b''
+            self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drops the body, as the connection has ended."""
+        self._body = b''
+
+
 class ClientChannel(protocol.Protocol):
     """One connection to an upstream; ``peer`` is its address."""
 
@@ -70,6 +95,7 @@
         self._skips_answer = False
         self._foreign_answers = 0
         self._head_bytes = 0
+        self._writer: _BodyWriter | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Disables Nagle's algorithm, so that small requests are sent without delay."""
@@ -84,12 +110,17 @@
         self._foreign_answers = 0
         self._head_bytes = 0
         try:
-            encoded = self._encode_request(request)
+            head, body = self._encode_request(request)
         except h11.LocalProtocolError:
             self._fail(BreakReason.unsendable)
             self._abort()
-        else:
-            self.transport.write(encoded)
+            return
+        if len(body) <= WRITE_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        self._writer = _BodyWriter(self.transport, body)
+        self.transport.registerProducer(self._writer, False)
 
     def cancel(self) -> None:
         """Cancels the request by aborting the connection; the owner gets no further calls."""
@@ -150,15 +181,17 @@
         self._fail(BreakReason.garbled)
         self._abort()
 
-    def _encode_request(self, request: HttpRequest) -> bytes:
+    def _encode_request(self, request: HttpRequest) -> tuple[bytes, bytes]:
+        """Returns the head and the body as they are sent, without a copy of the body."""
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
-        encoded = [self._core.send(head)]
+        encoded = self._core.send(head) or b''
         if request.body:
-            encoded.append(self._core.send(h11.Data(request.body)))
-        encoded.append(self._core.send(h11.EndOfMessage()))
-        return b''.join(piece for piece in encoded if piece)
+            # Only checks the length that the head states.
+            self._core.send_with_data_passthrough(h11.Data(request.body))
+        self._core.send(h11.EndOfMessage())
+        return encoded, request.body
 
     def _process_events(self) -> None:
         while self._owner is not None:
@@ -219,6 +252,8 @@
 
     def _prepare_reuse(self, trailing_bytes: int = 0) -> bool:
         core = self._core
+        if self._writer is not None and not self._writer.is_complete:
+            return False
         if core.our_state is not h11.DONE or core.their_state is not h11.DONE:
             return False
         if len(core.trailing_data[0]) != trailing_bytes:
--- a/jackdawsail/http1/exchange.py
+++ b/jackdawsail/http1/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from jackdawsail.budget.process_budget import Holding, ProcessBudget
 from jackdawsail.clocks import Clock
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
 from jackdawsail.wire.backlog import Backlog
@@ -16,9 +17,8 @@
 
     transport: Any
     backlog: Backlog
-
-    def admits_answer(self, size_bytes: int) -> bool:
-        """Returns whether an answer of this size may wait to be read by its caller."""
+    budget: ProcessBudget
+    holding: Holding
 
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
@@ -49,7 +49,8 @@
 
     def answer(self, answer: HttpAnswer) -> None:
         """Sends a complete answer that this process makes, or refuses if it is too large now."""
-        if self._connection is not None and not self._connection.admits_answer(len(answer.body)):
+        connection = self._connection
+        if connection is not None and not connection.budget.admits_answer(len(answer.body)):
             answer = NO_ROOM
         length = (b'Content-Length', str(len(answer.body)).encode())
         self.start(answer.status, b'', (*answer.headers, length))
@@ -68,6 +69,11 @@
         if self._connection is not None and body:
             self._connection.send_body(body)
 
+    def count_buffered(self, size_bytes: int) -> None:
+        """Counts a part of the answer that is kept until more of it has arrived."""
+        if self._connection is not None:
+            self._connection.budget.grow_request(self._connection.holding, size_bytes)
+
     def finish(self) -> None:
         """Completes the answer."""
         connection = self._release_connection()
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -5,8 +5,7 @@
 with ambiguous framing are refused, and so are heads and bodies over the limits.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
@@ -16,56 +15,31 @@
 from jackdawsail.budget.process_budget import (
     CloseReason,
     Holding,
-    ProcessBudget,
     head_bytes_held,
-    make_process_budget,
 )
-from jackdawsail.clocks import Clock, Timeout
+from jackdawsail.clocks import Timeout
 from jackdawsail.error_handling import ending_on_error
 from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
-from jackdawsail.site.document import CallerLimits
+from jackdawsail.http1.server_options import (
+    MAX_HEAD_BYTES,
+    REFUSAL_REASONS,
+    ServerOptions,
+    body_limit,
+    head_bytes,
+    refusal_of,
+)
 from jackdawsail.wire.backlog import Backlog
 
-LINE_OVERHEAD_BYTES = 4  # separator and line end
-# Limits of the server itself, where the site sets none.
-MAX_HEAD_BYTES = 65_536
-MAX_BODY_BYTES = 16_777_216
 MAX_REQUEST_SECONDS = 60.0
 # Of requests that a caller has sent ahead of its answers; beyond it reading stops.
 MAX_UNREAD_BYTES = 65_536
 # Until a connection that was closed is aborted, if its caller does not read the last answer.
 CLOSE_SECONDS = 5.0
-REFUSAL_REASONS = {
-    408: b'request came too slowly',
-    413: b'body is too large',
-    503: b'too much is held for other callers',
-}
 CLOSE_HEADER = (b'Connection', b'close')
 RETRY_HEADER = (b'Retry-After', b'1')  # room is made for a request within one
 
 
-@dataclass(slots=True)
-class ServerOptions:
-    """Options that all connections of a listening port share.
-
-    While ``closing`` is true, each answer closes its connection. ``limits`` may be
-    replaced while connections are open; an open connection keeps its limit for
-    incomplete heads. ``budget`` is that of the process; without one the port has its own.
-    """
-
-    handler: Callable[[Exchange], None]
-    clock: Clock
-    limits: CallerLimits = field(default_factory=CallerLimits)
-    closing: bool = False
-    budget: ProcessBudget = None  # type: ignore[assignment]
-
-    def __post_init__(self) -> None:
-        """Makes a budget with the default limits if the process has none."""
-        if self.budget is None:
-            self.budget = make_process_budget(0, 0, self.clock.seconds)
-
-
 class ServerConnection(protocol.Protocol):
     """The server end of one connection."""
 
@@ -73,8 +47,9 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self.backlog = Backlog(self._backlog_changed)
-        self.holding = Holding(self._give_way)
+        self.backlog = Backlog(partial(_backlog_changed, self))
+        self.budget = options.budget
+        self.holding = Holding(partial(_give_way, self))
         self._core = h11.Connection(h11.SERVER, options.limits.head_bytes or MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
@@ -85,7 +60,7 @@
         self._refused = False
         self._is_processing = False
         self._is_closing = False
-        self._timeout = Timeout(options.clock, self._handle_timeout)
+        self._timeout = Timeout(options.clock, partial(_handle_timeout, self))
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Starts the idle timeout for the first request."""
@@ -113,12 +88,12 @@
             self._unread_bytes = len(self._core.trailing_data[0])
         if self._unread_bytes > MAX_UNREAD_BYTES:
             self.transport.pauseProducing()
-        self._count_unfinished()
+        _count_unfinished(self)
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Reports the disconnect to the task of a running exchange."""
         self._timeout.stop()
-        self.options.budget.closed(self.holding)
+        self.budget.closed(self.holding)
         self._head = None
         self._body = bytearray()
         exchange = self._exchange
@@ -146,10 +121,6 @@
         self._is_closing = True
         self.options.clock.callLater(0, _close_if_still_idle, self)
 
-    def admits_answer(self, size_bytes: int) -> bool:
-        """Returns whether an answer of this size may wait to be read by its caller."""
-        return self.options.budget.admits_answer(size_bytes)
-
     def send_head(self, status: int, reason: bytes, headers: Headers) -> None:
         """Writes the head of the answer."""
         extra_headers: list[tuple[bytes, bytes]] = []
@@ -167,7 +138,7 @@
     def end_answer(self) -> None:
         """Completes the answer and reads the next request."""
         self._exchange = None
-        self.options.budget.end_request(self.holding)
+        self.budget.end_request(self.holding)
         try:
             self._send(h11.EndOfMessage())
         except h11.LocalProtocolError:
@@ -181,7 +152,7 @@
         self._timeout.start(self.options.limits.idle_seconds)
         self._process_events()
         self._read_on()
-        self._count_unfinished()
+        _count_unfinished(self)
 
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
@@ -222,26 +193,19 @@
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._body += event.data
-            if len(self._body) > _body_limit(self.options.limits):
+            if len(self._body) > body_limit(self.options.limits):
                 self._refuse(413, REFUSAL_REASONS[413])
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
 
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
-        size_bytes = _head_bytes(head)
+        size_bytes = head_bytes(head)
         self._head_held_bytes = head_bytes_held(size_bytes, len(head.headers))
         self._body = bytearray()
-        body_limit = _body_limit(self.options.limits)
-        names = {name for name, _value in head.headers}
-        if b'transfer-encoding' in names and b'content-length' in names:
-            self._refuse(400, b'both a length and chunks')
-        elif size_bytes > (self.options.limits.head_bytes or MAX_HEAD_BYTES):
-            self._refuse(431, b'head is too large')
-        elif (body_bytes := int(dict(head.headers).get(b'content-length', b'0'))) > body_limit:
-            self._refuse(413, REFUSAL_REASONS[413])
-        elif not self.options.budget.admits(body_bytes):
-            self._refuse(503, REFUSAL_REASONS[503])
+        refusal = refusal_of(head, size_bytes, self.options)
+        if refusal is not None:
+            self._refuse(*refusal)
 
     def _handle_request(self) -> None:
         head = self._head
@@ -252,7 +216,7 @@
         request = HttpRequest(head.method, head.target, headers, bytes(self._body))
         held_bytes = self._head_held_bytes + len(self._body)
         self._body = bytearray()
-        if not self.options.budget.begin_request(self.holding, held_bytes):
+        if not self.budget.begin_request(self.holding, held_bytes):
             self._refuse(503, REFUSAL_REASONS[503])
             return
         self._head = None
@@ -280,39 +244,7 @@
             self.transport.write(sent)
             if self.backlog.is_full:
                 held_bytes = self.holding.answer_bytes + len(sent)
-                self.options.budget.set_answer(self.holding, held_bytes)
-
-    def _backlog_changed(self, is_full: bool) -> None:
-        if self._exchange is not None:
-            self._exchange.on_full(is_full)
-        if is_full:
-            return
-        self.options.budget.set_answer(self.holding, 0)
-        if self._exchange is None and not self._is_ended:
-            self._process_events()
-            self._read_on()
-            self._count_unfinished()
-
-    def _count_unfinished(self) -> None:
-        """Tells the budget what is kept of requests that are incomplete or have to wait."""
-        held_bytes = 0
-        if self._exchange is not None or self.backlog.is_full:
-            held_bytes = self._unread_bytes
-        elif self._head is not None:
-            held_bytes = self._head_held_bytes + len(self._body)
-        elif not self._refused:
-            held_bytes = len(self._core.trailing_data[0])
-        if held_bytes != self.holding.unfinished_bytes and not self._refused:
-            self.options.budget.set_unfinished(self.holding, held_bytes)
-
-    def _give_way(self, reason: CloseReason) -> None:
-        """Closes the connection for others; nothing of an incomplete request has run."""
-        if self._exchange is not None or self.backlog.is_full:
-            self.transport.abortConnection()
-        elif self._is_reading():
-            self._refuse(503, REFUSAL_REASONS[503])
-        elif reason is CloseReason.descriptors:
-            self.close_idle()
+                self.budget.set_answer(self.holding, held_bytes)
 
     def _may_begin(self) -> bool:
         """Returns whether another request may be read; a caller has to read its answers first."""
@@ -321,14 +253,6 @@
     def _is_reading(self) -> bool:
         return self._head is not None or bool(self._core.trailing_data[0])
 
-    def _handle_timeout(self) -> None:
-        if self._is_ended:
-            self.transport.abortConnection()
-        elif self._is_reading():
-            self._refuse(408, REFUSAL_REASONS[408])
-        else:
-            self.close_idle()
-
 
 class ServerFactory(protocol.Factory):
     """Accepts connections and keeps the set of open ones."""
@@ -342,7 +266,7 @@
     def buildProtocol(self, addr: Any) -> ServerConnection | None:  # noqa: N802
         """Makes the protocol of a new connection, or none if the process has too many."""
         connection = _TrackedConnection(self.options, self._open_connections)
-        return connection if self.options.budget.open(connection.holding) else None
+        return connection if connection.budget.open(connection.holding) else None
 
     def idle(self) -> Iterable[ServerConnection]:
         """Returns the connections without a request in progress."""
@@ -388,11 +312,45 @@
         connection.close()
 
 
-def _body_limit(limits: CallerLimits) -> int:
-    return limits.body_bytes or MAX_BODY_BYTES
-
-
-def _head_bytes(head: h11.Request) -> int:
-    """Returns the size of a head as sent; h11 limits only heads that are still incomplete."""
-    lines = [head.method + head.target, *(name + value for name, value in head.headers)]
-    return sum(len(line) + LINE_OVERHEAD_BYTES for line in lines)
+def _backlog_changed(connection: ServerConnection, is_full: bool) -> None:
+    if connection._exchange is not None:
+        connection._exchange.on_full(is_full)
+    if is_full:
+        return
+    connection.budget.set_answer(connection.holding, 0)
+    if connection._exchange is None and not connection._is_ended:
+        connection._process_events()
+        connection._read_on()
+        _count_unfinished(connection)
+
+
+def _count_unfinished(connection: ServerConnection) -> None:
+    """Tells the budget what is kept of requests that are incomplete or have to wait."""
+    held_bytes = 0
+    if connection._exchange is not None or connection.backlog.is_full:
+        held_bytes = connection._unread_bytes
+    elif connection._head is not None:
+        held_bytes = connection._head_held_bytes + len(connection._body)
+    elif not connection._refused:
+        held_bytes = len(connection._core.trailing_data[0])
+    if held_bytes != connection.holding.unfinished_bytes and not connection._refused:
+        connection.budget.set_unfinished(connection.holding, held_bytes)
+
+
+def _give_way(connection: ServerConnection, reason: CloseReason) -> None:
+    """Closes the connection for others; nothing of an incomplete request has run."""
+    if connection._exchange is not None or connection.backlog.is_full:
+        connection.transport.abortConnection()
+    elif connection._is_reading():
+        connection._refuse(503, REFUSAL_REASONS[503])
+    elif reason is CloseReason.descriptors:
+        connection.close_idle()
+
+
+def _handle_timeout(connection: ServerConnection) -> None:
+    if connection._is_ended:
+        connection.transport.abortConnection()
+    elif connection._is_reading():
+        connection._refuse(408, REFUSAL_REASONS[408])
+    else:
+        connection.close_idle()
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -17,13 +17,13 @@
 from jackdawsail import events
 from jackdawsail.budget.process_budget import ProcessBudget
 from jackdawsail.budget.reporting import make_reporting_budget
+from jackdawsail.credentials import make_tls_context, read_site_secret
 from jackdawsail.errors import UserError
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.settings.loader import load_settings
 from jackdawsail.settings.models import HostSettings, Settings
 from jackdawsail.wire.identity import Identity, Role
 from jackdawsail.wire.link import LinkSettings
-from jackdawsail.wire.tls import TlsFiles, make_context
 
 HTTP_CONNECT_TIMEOUT_SECONDS = 2.0
 START_FAILED_EXIT_CODE = 2
@@ -78,35 +78,6 @@
     return Identity(role, host.name, host.zone, host.region, incarnation)
 
 
-def read_site_secret(settings: Settings) -> bytes:
-    """Returns the site secret, which may be empty only if the host's address is loopback.
-
-    The content of ``site_secret_file`` takes precedence. Raises UserError.
-    """
-    security = settings.security
-    secret = security.site_secret
-    if security.site_secret_file:
-        secret = Path(security.site_secret_file).read_text('utf8').strip()
-    host = settings.host
-    if not secret and host is not None and not host.address.startswith('127.'):
-        raise UserError('security.site_secret is required on all addresses except loopback')
-    return secret.encode()
-
-
-def make_tls_context(settings: Settings) -> Any:
-    """Makes the TLS context of the links; returns None if no certificate is configured."""
-    security = settings.security
-    if not security.certificate_file:
-        return None
-    files = TlsFiles(
-        Path(security.certificate_file), Path(security.key_file), Path(security.authority_file)
-    )
-    try:
-        return make_context(files)
-    except Exception as error:  # noqa: BLE001 - the library raises its own exception types
-        raise UserError(f'security certificates cannot be used: {error}') from None
-
-
 def run_process(role: Role, paths: list[Path], build: BuildFunction) -> int:
     """Runs a program until it is stopped; returns its exit code.
 
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -7,7 +7,6 @@
 
 from jackdawsail.group import calls
 from jackdawsail.http1.exchange import Exchange
-from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import EntryCodecs
@@ -18,7 +17,7 @@
 from jackdawsail.site.announcements import announced_weights
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.node import NodeSettings
-from jackdawsail.site.process import NodeProcess, listen_http
+from jackdawsail.site.process import NodeProcess, listen_http, make_server
 from jackdawsail.staging.relay import PieceRelay, make_piece_relay
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import AgedRegistration, EntryStatus, Registrations
@@ -54,10 +53,8 @@
         settings = self.process.settings
         callers = settings.listening.callers
         self.drain.port = listen_http(self.process, callers, self.drain.callers)
-        options = ServerOptions(
-            self._answer_readiness, self.process.reactor, budget=self.process.budget
-        )
-        listen_http(self.process, settings.listening.readiness, ServerFactory(options))
+        readiness = make_server(self.process, self._answer_readiness)
+        listen_http(self.process, settings.listening.readiness, readiness)
         self.datagrams.listen(self.process.reactor)
         self.relay.start()
         self._loops = [
@@ -160,8 +157,7 @@
     context = make_proxy_context(process, codecs.traffic)
     client = SiteClient(process, context.view, codecs.decode_document)
     relay = make_piece_relay(process, context.view, codecs.origin)
-    options = ServerOptions(CallAdmission(context).handle, process.reactor, budget=process.budget)
-    callers = ServerFactory(options)
+    callers = make_server(process, CallAdmission(context).handle)
     drain, datagrams = CallerDrain(context, callers), EntryDatagrams(context)
     traits = TraitExchange(context.traits, client)
     return EntryProgram(process, codecs, client, context, relay, drain, datagrams, traits)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -122,6 +122,7 @@
             self._exchange.write(body)
             return True
         self._buffered.append(body)
+        self._exchange.count_buffered(len(body))
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self._start()
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -1,20 +1,23 @@
 """The common base of a site's programs: settings, link settings and listening ports."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from secrets import randbits
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
+from jackdawsail.budget.limits import make_limits
 from jackdawsail.budget.process_budget import ProcessBudget
 from jackdawsail.budget.reporting import make_reporting_budget
 from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server_options import ServerOptions
 from jackdawsail.loops import start_loop
 from jackdawsail.metrics_registry import render_metrics
 from jackdawsail.site.clock import PROCESS_STARTED_SECONDS
+from jackdawsail.site.document import CallerLimits
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.wire.identity import Identity, Role
 from jackdawsail.wire.link import LinkOwner, LinkServerFactory, LinkSettings
@@ -73,6 +76,12 @@
             redial_max_seconds=REDIAL_MAX_SECONDS,
         )
 
+    def change_settings(self, settings: NodeSettings) -> None:
+        """Applies changed settings to the budget; the program applies them to the rest."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.budget.limits = make_limits(bounds.memory_megabytes, bounds.max_descriptors)
+
     def end(self, exit_code: int = 0) -> None:
         """Stops the reactor, so that the process ends with this exit code."""
         self.exit_code = exit_code
@@ -80,6 +89,18 @@
             self.reactor.stop()
 
 
+def make_server(
+    process: NodeProcess,
+    handler: Callable[[Exchange], None],
+    limits: CallerLimits | None = None,
+) -> ServerFactory:
+    """Makes a server whose connections count in the budget of the process."""
+    options = ServerOptions(
+        handler, process.reactor, limits or CallerLimits(), budget=process.budget
+    )
+    return ServerFactory(options)
+
+
 def listen_http(process: NodeProcess, address: str, factory: ServerFactory) -> Any:
     """Listens for HTTP at ``host:port``; returns None for an empty address."""
     if not address:
@@ -127,9 +148,9 @@
     def handle(exchange: Exchange) -> None:
         exchange.answer(_metrics_answer(exchange.request))
 
-    options = ServerOptions(handle, process.reactor, budget=process.budget)
     port = process.settings.link_port + _metrics_offset(process.role)
-    return listen_http(process, f'{process.settings.address}:{port}', ServerFactory(options))
+    address = f'{process.settings.address}:{port}'
+    return listen_http(process, address, make_server(process, handle))
 
 
 def _metrics_answer(request: HttpRequest) -> HttpAnswer:
--- a/jackdawsail/site/running.py
+++ b/jackdawsail/site/running.py
@@ -135,7 +135,7 @@
         if settings == self._process.settings or self._program is None:
             return
         events.log(SETTINGS_RELOADED, seeds=list(settings.seeds))
-        self._process.settings = settings
+        self._process.change_settings(settings)
         self._program.reload(settings)
 
     def _catch_signals(self) -> None:
--- a/jackdawsail/staging/held_pieces.py
+++ b/jackdawsail/staging/held_pieces.py
@@ -30,6 +30,11 @@
     is_filled: bool = False
     is_incomplete_logged: bool = False
 
+    @property
+    def size_bytes(self) -> int:
+        """Returns the size of the pieces."""
+        return sum(len(body) for body in self.bodies.values())
+
     def replace_list(self, pieces: PieceList) -> None:
         """Replaces the list; keeps the pieces whose digests are the same in both."""
         if self.pieces is not None:
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -19,9 +19,8 @@
 from jackdawsail.http1.channel_pool import ChannelPool
 from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
-from jackdawsail.site.process import NodeProcess, listen_http
+from jackdawsail.site.process import NodeProcess, listen_http, make_server
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.held_pieces import LIST, LIST_REVIEW, HeldVersion
@@ -71,10 +70,7 @@
         """Listens for agents and other relays, and starts to prefetch."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
-        options = ServerOptions(
-            self.handle_request, self._process.reactor, budget=self._process.budget
-        )
-        listen_http(self._process, address, ServerFactory(options))
+        listen_http(self._process, address, make_server(self._process, self.handle_request))
         self._check_loop = start_loop(self._process.reactor, self.site_changed, RETRY_SECONDS)
 
     def stop(self) -> None:
@@ -87,6 +83,7 @@
         Called at each change of the site and every ``RETRY_SECONDS``, so that a
         failed fill is restarted.
         """
+        self._process.budget.set_pieces(sum(held.size_bytes for held in self._held.values()))
         own_address = self._process.settings.address
         for model, version in self._prefetches():
             if (model, version) not in self._fill_started and own_address in {
