--- a/jackdawsail/budget/reporting.py
+++ b/jackdawsail/budget/reporting.py
@@ -18,12 +18,11 @@
 
 LOG_INTERVAL_SECONDS = 1.0
 
-BUDGET_MADE = events.define(120, 'info', 'limits on what is held for callers are set')
 CALLERS_CLOSED = events.define(
-    121, 'warning', 'connections closed, as callers took too much memory or too many descriptors'
+    120, 'warning', 'connections closed, as callers took too much memory or too many descriptors'
 )
 CALLERS_REFUSED = events.define(
-    122, 'warning', 'callers refused, as others take all memory or descriptors for them'
+    121, 'warning', 'callers refused, as others take all memory or descriptors for them'
 )
 
 HELD_BYTES = Gauge(
@@ -85,11 +84,6 @@
         HELD_BYTES.labels(reason.value).set_function(partial(_held, budget, reason))
     LIMIT_BYTES.set_function(lambda: budget.limits.held_bytes)
     CONNECTIONS.set_function(lambda: budget.connections)
-    events.log(
-        BUDGET_MADE,
-        held_bytes=budget.limits.held_bytes,
-        connections=budget.limits.connections,
-    )
     return budget
 
 
--- a/jackdawsail/process.py
+++ b/jackdawsail/process.py
@@ -15,7 +15,6 @@
 from twisted.internet.error import CannotListenError
 
 from jackdawsail import events
-from jackdawsail.budget.process_budget import ProcessBudget
 from jackdawsail.budget.reporting import make_reporting_budget
 from jackdawsail.credentials import make_tls_context, read_site_secret
 from jackdawsail.errors import UserError
@@ -43,7 +42,7 @@
     identity: Identity
     secret: bytes
     tls: Any = None
-    budget: ProcessBudget | None = None
+    budget: Any = None
 
     @property
     def host(self) -> HostSettings:
--- a/test/http1/test_closing.py
+++ b/test/http1/test_closing.py
@@ -8,7 +8,8 @@
 import pytest
 
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server_options import ServerOptions
 from jackdawsail.proxy.draining import CLOSE_IDLE_AFTER_SECONDS, CallerDrain
 from jackdawsail.site.document import CallerLimits
 from test.proxy.test_endless_bytes import GIVE_UP_SECONDS, Caller, LiveReactor, live_world
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -4,14 +4,8 @@
 from twisted.internet.task import Clock
 
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import (
-    MAX_BODY_BYTES,
-    MAX_HEAD_BYTES,
-    MAX_REQUEST_SECONDS,
-    MAX_UNREAD_BYTES,
-    ServerFactory,
-    ServerOptions,
-)
+from jackdawsail.http1.server import MAX_REQUEST_SECONDS, MAX_UNREAD_BYTES, ServerFactory
+from jackdawsail.http1.server_options import MAX_BODY_BYTES, MAX_HEAD_BYTES, ServerOptions
 from jackdawsail.site.document import CallerLimits
 from test.http1.ends import Transport
 
--- a/test/proxy/crash_site.py
+++ b/test/proxy/crash_site.py
@@ -9,7 +9,8 @@
 
 from jackdawsail.group.replicated_lists import make_replicated_lists
 from jackdawsail.http1.channel_pool import CONNECT_SECONDS
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server_options import ServerOptions
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.program import make_entry_program
 from jackdawsail.registry.registration import ModelVersion, Registration
--- a/test/proxy/test_endless_bytes.py
+++ b/test/proxy/test_endless_bytes.py
@@ -11,7 +11,8 @@
 from jackdawsail import events
 from jackdawsail.http1.fetch import FetchLimits, fetch
 from jackdawsail.http1.messages import make_request
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server_options import ServerOptions
 from jackdawsail.site.document import CallerLimits
 from test.proxy.world import MODEL_SERVICE, PLAIN, STREAM, STREAM_HEADERS, World
 from test.site.documents import make_route
--- a/test/proxy/world.py
+++ b/test/proxy/world.py
@@ -4,7 +4,8 @@
 import random
 
 from jackdawsail.http1.channel_pool import ChannelPool
-from jackdawsail.http1.server import ServerFactory, ServerOptions
+from jackdawsail.http1.server import ServerFactory
+from jackdawsail.http1.server_options import ServerOptions
 from jackdawsail.platform import traffic
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import TrafficCodec
