--- a/jackdawsail/bounded_http.py
+++ b/jackdawsail/bounded_http.py
@@ -12,11 +12,11 @@
 from twisted.web.server import Site
 
 from jackdawsail.bounded_request import NO_ROOM, BoundedRequest
+from jackdawsail.budget.limits import make_limits
 from jackdawsail.budget.process_budget import (
     CloseReason,
     Holding,
     ProcessBudget,
-    make_process_budget,
 )
 
 REQUEST_TIMEOUT_SECONDS = 30.0
@@ -137,7 +137,7 @@
         self.clock = clock
         self.connections = 0
         self.max_body_bytes = max_body_bytes
-        self.budget = budget or make_process_budget(0, 0, clock.seconds)
+        self.budget = budget or ProcessBudget(make_limits(0, 0), clock.seconds)
         self._max_connections = max_connections
         self.noisy = False
 
--- a/jackdawsail/budget/limits.py
+++ b/jackdawsail/budget/limits.py
@@ -18,6 +18,10 @@
 # Every caller may need a channel to an upstream, so half of the descriptors are left for these.
 CALLERS_SHARE = 0.5
 MIN_CONNECTIONS = 8
+# The connection, its parser and its timeouts, without anything received.
+CONNECTION_BYTES = 16_384
+# Of what may be held, so that connections alone leave room for a body.
+CONNECTIONS_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,10 @@
         memory_megabytes = DEFAULT_MEMORY_MEGABYTES
     if max_descriptors <= 0:
         max_descriptors = DEFAULT_MAX_DESCRIPTORS
-    held_bytes = int((memory_megabytes - OWN_MEGABYTES) * HELD_SHARE * MEGABYTE)
-    connections = int((max_descriptors - OWN_DESCRIPTORS) * CALLERS_SHARE)
-    return BudgetLimits(max(held_bytes, MIN_HELD_BYTES), max(connections, MIN_CONNECTIONS))
+    share_bytes = int((memory_megabytes - OWN_MEGABYTES) * HELD_SHARE * MEGABYTE)
+    held_bytes = max(share_bytes, MIN_HELD_BYTES)
+    connections = min(
+        int((max_descriptors - OWN_DESCRIPTORS) * CALLERS_SHARE),
+        int(held_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES),
+    )
+    return BudgetLimits(held_bytes, max(connections, MIN_CONNECTIONS))
--- a/jackdawsail/budget/process_budget.py
+++ b/jackdawsail/budget/process_budget.py
@@ -10,10 +10,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from jackdawsail.budget.limits import BudgetLimits, make_limits
+from jackdawsail.budget.limits import CONNECTION_BYTES, BudgetLimits
 
-# The connection, its parser and its timeouts, without anything received.
-CONNECTION_BYTES = 16_384
 # Per header of a parsed head: its name, its value and the tuple of both.
 HEADER_BYTES = 256
 # Small requests may use this part of the limit in addition, so that large ones do not end them.
@@ -199,10 +197,16 @@
             self._make_room(0)
 
     def _make_room(self, size_bytes: int) -> None:
-        """Closes connections until as many more bytes fit, or none can be closed any more."""
+        """Closes connections until as many more bytes fit, or none can be closed any more.
+
+        Those that hold little are closed only once the part for small requests is used up too.
+        """
         target_bytes = self.limits.held_bytes * TARGET_SHARE - size_bytes
         now_seconds = self.seconds()
-        costliest = sorted(self._yielding, key=lambda each: _cost(each, now_seconds), reverse=True)
+        is_short = self.held_bytes > self.limits.held_bytes * (1 + SMALL_SHARE)
+        spared_bytes = 0 if is_short else SMALL_REQUEST_BYTES
+        givers = [each for each in self._yielding if _given_bytes(each) > spared_bytes]
+        costliest = sorted(givers, key=lambda each: _cost(each, now_seconds), reverse=True)
         for holding in costliest:
             if self.held_bytes <= target_bytes:
                 return
@@ -232,14 +236,11 @@
 def _cost(holding: Holding, now_seconds: float) -> float:
     """Returns bytes times seconds, by which both the largest and the slowest give way first."""
     age_seconds = max(MIN_AGE_SECONDS, now_seconds - holding.since_seconds)
-    return (holding.unfinished_bytes + holding.answer_bytes) * age_seconds
+    return _given_bytes(holding) * age_seconds
 
 
-def make_process_budget(
-    memory_megabytes: float, max_descriptors: int, seconds: Callable[[], float]
-) -> ProcessBudget:
-    """Makes the budget of a process with this much memory and this many descriptors."""
-    return ProcessBudget(make_limits(memory_megabytes, max_descriptors), seconds)
+def _given_bytes(holding: Holding) -> int:
+    return holding.unfinished_bytes + holding.answer_bytes
 
 
 def head_bytes_held(size_bytes: int, header_count: int) -> int:
--- a/jackdawsail/budget/reporting.py
+++ b/jackdawsail/budget/reporting.py
@@ -1,5 +1,6 @@
 """Metrics and log events of a process's budget."""
 
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -8,11 +9,11 @@
 
 from jackdawsail import events
 from jackdawsail.budget.allocator import map_large_blocks
+from jackdawsail.budget.limits import DEFAULT_MAX_DESCRIPTORS, BudgetLimits, make_limits
 from jackdawsail.budget.process_budget import (
     CloseReason,
     HoldReason,
     ProcessBudget,
-    make_process_budget,
 )
 from jackdawsail.metrics_registry import REGISTRY
 
@@ -73,12 +74,20 @@
         )
 
 
+def process_limits(memory_megabytes: float, max_descriptors: int) -> BudgetLimits:
+    """Returns the limits by the settings and the descriptors that the system allows."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if allowed != resource.RLIM_INFINITY:
+        max_descriptors = min(max_descriptors or DEFAULT_MAX_DESCRIPTORS, allowed)
+    return make_limits(memory_megabytes, max_descriptors)
+
+
 def make_reporting_budget(
     memory_megabytes: float, max_descriptors: int, seconds: Callable[[], float]
 ) -> ProcessBudget:
     """Makes the budget of a process, with its metrics and its log events."""
     map_large_blocks()
-    budget = make_process_budget(memory_megabytes, max_descriptors, seconds)
+    budget = ProcessBudget(process_limits(memory_megabytes, max_descriptors), seconds)
     budget.on_pressure = PressureLog(budget).record
     for reason in HoldReason:
         HELD_BYTES.labels(reason.value).set_function(partial(_held, budget, reason))
--- a/jackdawsail/http1/client.py
+++ b/jackdawsail/http1/client.py
@@ -125,6 +125,7 @@
     def cancel(self) -> None:
         """Cancels the request by aborting the connection; the owner gets no further calls."""
         self._owner = None
+        self._request = None
         self.transport.abortConnection()
 
     def pause(self) -> None:
@@ -227,6 +228,8 @@
             self._read_next_answer()
             return
         self._owner = None
+        # An idle channel would keep the body until its next request.
+        self._request = None
         is_reusable = self._prepare_reuse()
         self.reusable = is_reusable
         # The owner may send the next request on this channel before it returns.
@@ -265,6 +268,7 @@
     def _fail(self, reason: BreakReason) -> None:
         owner = self._owner
         self._owner = None
+        self._request = None
         if owner is not None:
             owner.answer_failed(reason)
 
--- a/jackdawsail/http1/messages.py
+++ b/jackdawsail/http1/messages.py
@@ -7,6 +7,7 @@
 
 CLOSE = (b'Connection', b'close')
 JSON_BODY = (b'Content-Type', b'application/json')
+LARGE_BODY_BYTES = 16_384
 BODILESS_METHODS = frozenset((b'GET', b'HEAD', b'DELETE'))
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -50,6 +51,15 @@
         """Returns the first value of the header ``name`` (lower case), or empty bytes."""
         return first_value(self.headers, name)
 
+    def without_large_body(self) -> 'HttpRequest':
+        """Returns the request without its body if that is large, else the request itself.
+
+        The owners of an ended request refer to each other, and their garbage is collected late.
+        """
+        if len(self.body) <= LARGE_BODY_BYTES:
+            return self
+        return HttpRequest(self.method, self.target, self.headers)
+
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
--- a/jackdawsail/http1/server_options.py
+++ b/jackdawsail/http1/server_options.py
@@ -5,7 +5,8 @@
 
 import h11
 
-from jackdawsail.budget.process_budget import ProcessBudget, make_process_budget
+from jackdawsail.budget.limits import make_limits
+from jackdawsail.budget.process_budget import ProcessBudget
 from jackdawsail.clocks import Clock
 from jackdawsail.http1.exchange import Exchange
 from jackdawsail.site.document import CallerLimits
@@ -39,7 +40,7 @@
     def __post_init__(self) -> None:
         """Makes a budget with the default limits if the process has none."""
         if self.budget is None:
-            self.budget = make_process_budget(0, 0, self.clock.seconds)
+            self.budget = ProcessBudget(make_limits(0, 0), self.clock.seconds)
 
 
 def refusal_of(
--- a/jackdawsail/proxy/calls.py
+++ b/jackdawsail/proxy/calls.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from jackdawsail.http1.messages import HttpRequest
+from jackdawsail.http1.messages import LARGE_BODY_BYTES, HttpRequest
 from jackdawsail.routing.late_calls import call_fingerprint
 from jackdawsail.routing.named_limits import NamedLimit
 from jackdawsail.routing.request_suspicion import request_trait
@@ -99,6 +99,11 @@
         """Returns what may be blamed for the end of an engine: parts of the prompt, the request."""
         return (*self.call.shared_parts, request_trait(self.digest))
 
+    def drop_large_body(self) -> None:
+        """Drops the body of an ended call, once its digest is known."""
+        if len(self.request.body) > LARGE_BODY_BYTES and self.digest:
+            self.request = self.request.without_large_body()
+
     @property
     def digest(self) -> str:
         """Returns a digest of the identity, which is computed when it is first needed."""
--- a/jackdawsail/proxy/task.py
+++ b/jackdawsail/proxy/task.py
@@ -339,6 +339,8 @@
         if self._time_limit is not None and self._time_limit.active():
             self._time_limit.cancel()
         self.context.calls.pop(id(self), None)
+        self.identity.drop_large_body()
+        self.exchange.request = self.exchange.request.without_large_body()
         metrics.RUNNING.dec()
         metrics.CALLS.labels(outcome).inc()
 
--- a/jackdawsail/site/process.py
+++ b/jackdawsail/site/process.py
@@ -7,9 +7,8 @@
 
 from twisted.internet.defer import Deferred
 
-from jackdawsail.budget.limits import make_limits
 from jackdawsail.budget.process_budget import ProcessBudget
-from jackdawsail.budget.reporting import make_reporting_budget
+from jackdawsail.budget.reporting import make_reporting_budget, process_limits
 from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer, HttpRequest
 from jackdawsail.http1.server import ServerFactory
@@ -80,7 +79,7 @@
         """Applies changed settings to the budget; the program applies them to the rest."""
         self.settings = settings
         bounds = settings.bounds
-        self.budget.limits = make_limits(bounds.memory_megabytes, bounds.max_descriptors)
+        self.budget.limits = process_limits(bounds.memory_megabytes, bounds.max_descriptors)
 
     def end(self, exit_code: int = 0) -> None:
         """Stops the reactor, so that the process ends with this exit code."""
--- a/test/crowds/test_crowds.py
+++ b/test/crowds/test_crowds.py
@@ -141,6 +141,13 @@
     entry.check()
 
 
+def test_large_bodies_one_after_the_other_leave_nothing(make_entry):
+    entry = make_entry()
+    for _ in range(60):
+        assert entry.call('POST', '/now', bytes(4_194_304), DESK) == 200
+    entry.check()
+
+
 @pytest.fixture
 def control(tmp_path):
     with running_node(tmp_path / 'control', 'control', CONTROL_MB) as host:
