--- a/jackdawsail/bounded_http.py
+++ b/jackdawsail/bounded_http.py
@@ -107,11 +107,12 @@
 
     def _give_way(self, reason: CloseReason) -> None:
         """Closes the connection for others; nothing of an incomplete request has run."""
-        unfinished = self.requests[-1] if self.requests and not self._is_answering else None
-        if unfinished is None or self._is_full:
+        if self._is_answering or self._is_full:
             self.forceAbortClient()
+        elif self.requests:
+            self.requests[-1].refuse(NO_ROOM)
         else:
-            unfinished.refuse(NO_ROOM)
+            self.loseConnection()
 
     def _start_request_timeout(self) -> None:
         self._request_timeout = self.site.clock.callLater(
--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -34,8 +34,6 @@
 MAX_REQUEST_SECONDS = 60.0
 # Of requests that a caller has sent ahead of its answers; beyond it reading stops.
 MAX_UNREAD_BYTES = 65_536
-# Until a connection that was closed is aborted, if its caller does not read the last answer.
-CLOSE_SECONDS = 5.0
 CLOSE_HEADER = (b'Connection', b'close')
 RETRY_HEADER = (b'Retry-After', b'1')  # room is made for a request within one
 
@@ -108,7 +106,7 @@
     def close(self) -> None:
         """Closes the connection after the written bytes are sent."""
         self._is_ended = True
-        self._timeout.start(CLOSE_SECONDS)
+        self._timeout.stop()
         # A transport that waits to resume its producer never closes.
         self.transport.unregisterProducer()
         self.transport.loseConnection()
@@ -339,7 +337,8 @@
 
 def _give_way(connection: ServerConnection, reason: CloseReason) -> None:
     """Closes the connection for others; nothing of an incomplete request has run."""
-    if connection._exchange is not None or connection.backlog.is_full:
+    has_answer = connection._exchange is not None or connection.backlog.is_full
+    if has_answer or connection._is_ended:
         connection.transport.abortConnection()
     elif connection._is_reading():
         connection._refuse(503, REFUSAL_REASONS[503])
@@ -348,9 +347,7 @@
 
 
 def _handle_timeout(connection: ServerConnection) -> None:
-    if connection._is_ended:
-        connection.transport.abortConnection()
-    elif connection._is_reading():
+    if connection._is_reading():
         connection._refuse(408, REFUSAL_REASONS[408])
     else:
         connection.close_idle()
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -18,7 +18,7 @@
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.process import NodeProcess, listen_http, make_server
-from jackdawsail.staging.relay import PieceRelay, make_piece_relay
+from jackdawsail.staging.relay import PieceRelay, held_bytes, make_piece_relay
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import AgedRegistration, EntryStatus, Registrations
 
@@ -142,6 +142,7 @@
 
     def _clean_up(self) -> None:
         self.context.pool.close_expired()
+        self.process.budget.set_pieces(held_bytes(self.relay))
         self.context.view.registrations.forget_old(self.process.reactor.seconds())
 
     def _on_drained(self, _outcome: None) -> None:
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -83,7 +83,6 @@
         Called at each change of the site and every ``RETRY_SECONDS``, so that a
         failed fill is restarted.
         """
-        self._process.budget.set_pieces(sum(held.size_bytes for held in self._held.values()))
         own_address = self._process.settings.address
         for model, version in self._prefetches():
             if (model, version) not in self._fill_started and own_address in {
@@ -273,6 +272,11 @@
         Deferred.fromCoroutine(work).addErrback(events.log_failure)
 
 
+def held_bytes(relay: PieceRelay) -> int:
+    """Returns the size of the pieces that a relay holds."""
+    return sum(held.size_bytes for held in relay._held.values())
+
+
 def _decode_evidence(query: str) -> PieceEvidence | None:
     fields = dict(parse_qsl(query))
     index, digest = fields.get('piece', ''), fields.get('digest', '')
