Budget: requests behind an unread answer stay counted after the answer has ended

Cause: the end of an answer set their count to zero while the caller still read nothing. Change: they count until the caller has read; a settings file without limits is tested. Measured: test/http1 and test/platform/test_decoders.py pass.

--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -155,7 +155,8 @@
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
         was_paused = self._unread_bytes > MAX_UNREAD_BYTES
-        self._unread_bytes = 0 if self._exchange is None else len(self._core.trailing_data[0])
+        waits = self._exchange is not None or self.backlog.is_full
+        self._unread_bytes = len(self._core.trailing_data[0]) if waits else 0
         if was_paused and self._unread_bytes <= MAX_UNREAD_BYTES:
             self.transport.resumeProducing()
 
--- a/test/http1/test_budget.py
+++ b/test/http1/test_budget.py
@@ -76,6 +76,17 @@
     assert len(server.exchanges) == 3
 
 
+def test_what_waits_behind_an_unread_answer_is_counted_and_reading_stops():
+    server = Server()
+    connection = server.connect()
+    connection.dataReceived(GET)
+    connection.backlog.pauseProducing()
+    connection.dataReceived(GET * 3000)
+    server.exchanges[0].answer(OK)
+    assert connection.holding.unfinished_bytes == len(GET) * 3000
+    assert connection.transport.producerState == 'paused'
+
+
 def test_caller_that_reads_nothing_is_aborted_for_others():
     server = Server()
     unread = server.connect()
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from jackdawsail.budget.limits import make_limits
 from jackdawsail.group import calls
 from jackdawsail.http1.messages import HttpAnswerHead, HttpRequest, first_value
 from jackdawsail.platform import engines, traffic
@@ -336,6 +337,13 @@
     assert settings.bounds.cold_ratio == pytest.approx(1.5)
 
 
+@pytest.mark.parametrize('limits', ['', 'limits.memory_mb=0\nlimits.max_fds=0\n'])
+def test_missing_and_zero_limits_mean_the_defaults(limits):
+    bounds = decode_settings(SETTINGS + limits).unwrap().bounds
+    assert make_limits(bounds.memory_megabytes, bounds.max_descriptors) == make_limits(256, 1024)
+    assert decode_settings(SETTINGS + 'limits.memory_mb=200\n').unwrap().bounds.memory_megabytes
+
+
 @pytest.mark.parametrize(
     'text', ['', 'node_name=a', SETTINGS.replace('bootstrap=true', 'bootstrap=perhaps')]
 )
