--- a/jackdawsail/http1/server.py
+++ b/jackdawsail/http1/server.py
@@ -5,116 +5,37 @@
 with ambiguous framing are refused, and so are heads and bodies over the limits.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
 import h11
 from twisted.internet import protocol
 
-from jackdawsail.clocks import Clock, Timeout
+from jackdawsail.budget.process_budget import (
+    CloseReason,
+    Holding,
+    head_bytes_held,
+)
+from jackdawsail.clocks import Timeout
 from jackdawsail.error_handling import ending_on_error
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import Headers, HttpAnswer, HttpRequest
-from jackdawsail.site.document import CallerLimits
+from jackdawsail.http1.server_options import (
+    MAX_HEAD_BYTES,
+    REFUSAL_REASONS,
+    ServerOptions,
+    body_limit,
+    head_bytes,
+    refusal_of,
+)
 from jackdawsail.wire.backlog import Backlog
 
-LINE_OVERHEAD_BYTES = 4  # separator and line end
-# Limits of the server itself, where the site sets none.
-MAX_HEAD_BYTES = 65_536
-MAX_BODY_BYTES = 16_777_216
 MAX_REQUEST_SECONDS = 60.0
 # Of requests that a caller has sent ahead of its answers; beyond it reading stops.
 MAX_UNREAD_BYTES = 65_536
-INTERNAL_ERROR = HttpAnswer(500, b'internal error')
-READ_LIMIT_REASONS = {408: b'request came too slowly', 413: b'body is too large'}
-
-
-@dataclass(slots=True)
-class ServerOptions:
-    """Options that all connections of a listening port share.
-
-    While ``closing`` is true, each answer closes its connection. ``limits`` may be
-    replaced while connections are open; an open connection keeps its limit for
-    incomplete heads.
-    """
-
-    handler: Callable[['Exchange'], None]
-    clock: Clock
-    limits: CallerLimits = field(default_factory=CallerLimits)
-    closing: bool = False
-
-
-class Exchange:
-    """One request and its answer; it belongs to the task that handles the request.
-
-    ``on_disconnect`` is called once if the caller disconnects before the answer is complete,
-    ``on_full`` with True when the caller does not read as fast as it is sent to, and with
-    False once it has caught up.
-    """
-
-    def __init__(self, connection: 'ServerConnection', request: HttpRequest) -> None:
-        self.request = request
-        self.received_seconds = connection.options.clock.seconds()
-        self.on_disconnect: Callable[[], None] = lambda: None
-        self.on_full: Callable[[bool], None] = lambda is_full: None
-        self.started = False
-        self.ended = False
-        self._connection: ServerConnection | None = connection
-
-    def answer(self, answer: HttpAnswer) -> None:
-        """Sends a complete answer."""
-        length = (b'Content-Length', str(len(answer.body)).encode())
-        self.start(answer.status, b'', (*answer.headers, length))
-        if self.request.method != b'HEAD':
-            self.write(answer.body)
-        self.finish()
-
-    def start(self, status: int, reason: bytes, headers: Headers) -> None:
-        """Sends the head; without ``Content-Length`` the body is sent chunked."""
-        self.started = True
-        if self._connection is not None:
-            self._connection.send_head(status, reason, headers)
-
-    def write(self, body: bytes) -> None:
-        """Sends a piece of the body."""
-        if self._connection is not None and body:
-            self._connection.send_body(body)
-
-    def finish(self) -> None:
-        """Completes the answer."""
-        connection = self._release_connection()
-        if connection is not None:
-            connection.end_answer()
-
-    def abort(self) -> None:
-        """Aborts the connection, so that the caller cannot take the answer for complete."""
-        connection = self._release_connection()
-        if connection is not None:
-            connection.transport.abortConnection()
-
-    def fail(self) -> None:
-        """Ends the exchange after an error of its handler; does nothing if it has ended."""
-        if self.started:
-            self.abort()
-        elif not self.ended:
-            self.answer(INTERNAL_ERROR)
-
-    def report_disconnect(self) -> None:
-        """Reports to the handling task that the caller has disconnected."""
-        if self._release_connection() is not None:
-            self.on_disconnect()
-
-    @property
-    def is_full(self) -> bool:
-        """Returns whether the caller does not read as fast as it is sent to."""
-        return self._connection is not None and self._connection.backlog.is_full
-
-    def _release_connection(self) -> 'ServerConnection | None':
-        connection = self._connection
-        self._connection = None
-        self.ended = True
-        return connection
+CLOSE_HEADER = (b'Connection', b'close')
+RETRY_HEADER = (b'Retry-After', b'1')  # room is made for a request within one
 
 
 class ServerConnection(protocol.Protocol):
@@ -124,16 +45,20 @@
 
     def __init__(self, options: ServerOptions) -> None:
         self.options = options
-        self.backlog = Backlog(partial(_report_full, self))
+        self.backlog = Backlog(partial(_backlog_changed, self))
+        self.budget = options.budget
+        self.holding = Holding(partial(_give_way, self))
         self._core = h11.Connection(h11.SERVER, options.limits.head_bytes or MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
+        self._head_held_bytes = 0
         self._body = bytearray()
         self._unread_bytes = 0
+        self._is_ended = False
         self._refused = False
         self._is_processing = False
         self._is_closing = False
-        self._timeout = Timeout(options.clock, self._handle_timeout)
+        self._timeout = Timeout(options.clock, partial(_handle_timeout, self))
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Starts the idle timeout for the first request."""
@@ -152,7 +77,7 @@
         self._is_closing = False
         if self._exchange is None and not self._is_reading():
             self._timeout.start(self.options.limits.head_seconds or MAX_REQUEST_SECONDS)
-        was_answering = self._exchange is not None
+        was_answering = self._exchange is not None or self.backlog.is_full
         self._core.receive_data(received)
         self._process_events()
         if was_answering:
@@ -161,10 +86,14 @@
             self._unread_bytes = len(self._core.trailing_data[0])
         if self._unread_bytes > MAX_UNREAD_BYTES:
             self.transport.pauseProducing()
+        _count_unfinished(self)
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Reports the disconnect to the task of a running exchange."""
         self._timeout.stop()
+        self.budget.closed(self.holding)
+        self._head = None
+        self._body = bytearray()
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
@@ -176,6 +105,7 @@
 
     def close(self) -> None:
         """Closes the connection after the written bytes are sent."""
+        self._is_ended = True
         self._timeout.stop()
         # A transport that waits to resume its producer never closes.
         self.transport.unregisterProducer()
@@ -206,6 +136,7 @@
     def end_answer(self) -> None:
         """Completes the answer and reads the next request."""
         self._exchange = None
+        self.budget.end_request(self.holding)
         try:
             self._send(h11.EndOfMessage())
         except h11.LocalProtocolError:
@@ -219,11 +150,13 @@
         self._timeout.start(self.options.limits.idle_seconds)
         self._process_events()
         self._read_on()
+        _count_unfinished(self)
 
     def _read_on(self) -> None:
         """Continues reading, unless the caller is still too far ahead of its answers."""
         was_paused = self._unread_bytes > MAX_UNREAD_BYTES
-        self._unread_bytes = 0 if self._exchange is None else len(self._core.trailing_data[0])
+        waits = self._exchange is not None or self.backlog.is_full
+        self._unread_bytes = len(self._core.trailing_data[0]) if waits else 0
         if was_paused and self._unread_bytes <= MAX_UNREAD_BYTES:
             self.transport.resumeProducing()
 
@@ -233,7 +166,7 @@
             return
         self._is_processing = True
         has_event = True
-        while has_event and self._exchange is None and not self._refused:
+        while has_event and self._may_begin():
             has_event = self._process_event()
         self._is_processing = False
 
@@ -259,23 +192,19 @@
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._body += event.data
-            if len(self._body) > _body_limit(self.options.limits):
-                self._refuse(413, READ_LIMIT_REASONS[413])
+            if len(self._body) > body_limit(self.options.limits):
+                self._refuse(413, REFUSAL_REASONS[413])
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
 
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
+        size_bytes = head_bytes(head)
+        self._head_held_bytes = head_bytes_held(size_bytes, len(head.headers))
         self._body = bytearray()
-        names = {name for name, _value in head.headers}
-        if b'transfer-encoding' in names and b'content-length' in names:
-            self._refuse(400, b'both a length and chunks')
-        elif _head_bytes(head) > (self.options.limits.head_bytes or MAX_HEAD_BYTES):
-            self._refuse(431, b'head is too large')
-        elif int(dict(head.headers).get(b'content-length', b'0')) > _body_limit(
-            self.options.limits
-        ):
-            self._refuse(413, READ_LIMIT_REASONS[413])
+        refusal = refusal_of(head, size_bytes, self.options)
+        if refusal is not None:
+            self._refuse(*refusal)
 
     def _handle_request(self) -> None:
         head = self._head
@@ -284,9 +213,13 @@
         self._timeout.stop()
         headers = tuple(head.headers.raw_items())
         request = HttpRequest(head.method, head.target, headers, bytes(self._body))
-        self._head = None
+        held_bytes = self._head_held_bytes + len(self._body)
         self._body = bytearray()
-        self._exchange = Exchange(self, request)
+        if not self.budget.begin_request(self.holding, held_bytes):
+            self._refuse(503, REFUSAL_REASONS[503])
+            return
+        self._head = None
+        self._exchange = Exchange(self, request, self.options.clock)
         _pass_on(self._exchange, self.options)
 
     def _refuse(self, status: int, reason: bytes) -> None:
@@ -294,27 +227,31 @@
         self._timeout.stop()
         self._refused = True
         method = b'' if self._head is None else self._head.method
-        self._exchange = Exchange(self, HttpRequest(method, b''))
+        # Not left to the garbage collection, which comes later than the next requests.
+        self._head = None
+        self._body = bytearray()
+        self._exchange = Exchange(self, HttpRequest(method, b''), self.options.clock)
         if self._core.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             self._exchange.abort()
             return
-        close_header = (b'Connection', b'close')
-        self._exchange.answer(HttpAnswer(status, reason, (close_header,)))
+        headers = (CLOSE_HEADER, RETRY_HEADER) if status == 503 else (CLOSE_HEADER,)
+        self._exchange.answer(HttpAnswer(status, reason, headers))
 
     def _send(self, event: Any) -> None:
         sent = self._core.send(event)
         if sent:
             self.transport.write(sent)
+            if self.backlog.is_full:
+                held_bytes = self.holding.answer_bytes + len(sent)
+                self.budget.set_answer(self.holding, held_bytes)
+
+    def _may_begin(self) -> bool:
+        """Returns whether another request may be read; a caller has to read its answers first."""
+        return self._exchange is None and not self._refused and not self.backlog.is_full
 
     def _is_reading(self) -> bool:
         return self._head is not None or bool(self._core.trailing_data[0])
 
-    def _handle_timeout(self) -> None:
-        if self._is_reading():
-            self._refuse(408, READ_LIMIT_REASONS[408])
-        else:
-            self.close_idle()
-
 
 class ServerFactory(protocol.Factory):
     """Accepts connections and keeps the set of open ones."""
@@ -325,10 +262,10 @@
         self.options = options
         self._open_connections: dict[ServerConnection, None] = {}
 
-    def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802 - Twisted's name
-        """Makes the protocol of a new connection."""
+    def buildProtocol(self, addr: Any) -> ServerConnection | None:  # noqa: N802
+        """Makes the protocol of a new connection, or none if the process has too many."""
         connection = _TrackedConnection(self.options, self._open_connections)
-        return connection
+        return connection if connection.budget.open(connection.holding) else None
 
     def idle(self) -> Iterable[ServerConnection]:
         """Returns the connections without a request in progress."""
@@ -374,16 +311,44 @@
         connection.close()
 
 
-def _report_full(connection: ServerConnection, is_full: bool) -> None:
+def _backlog_changed(connection: ServerConnection, is_full: bool) -> None:
     if connection._exchange is not None:
         connection._exchange.on_full(is_full)
-
-
-def _body_limit(limits: CallerLimits) -> int:
-    return limits.body_bytes or MAX_BODY_BYTES
-
-
-def _head_bytes(head: h11.Request) -> int:
-    """Returns the size of a head as sent; h11 limits only heads that are still incomplete."""
-    lines = [head.method + head.target, *(name + value for name, value in head.headers)]
-    return sum(len(line) + LINE_OVERHEAD_BYTES for line in lines)
+    if is_full:
+        return
+    connection.budget.set_answer(connection.holding, 0)
+    if connection._exchange is None and not connection._is_ended:
+        connection._process_events()
+        connection._read_on()
+        _count_unfinished(connection)
+
+
+def _count_unfinished(connection: ServerConnection) -> None:
+    """Tells the budget what is kept of requests that are incomplete or have to wait."""
+    held_bytes = 0
+    if connection._exchange is not None or connection.backlog.is_full:
+        held_bytes = connection._unread_bytes
+    elif connection._head is not None:
+        held_bytes = connection._head_held_bytes + len(connection._body)
+    elif not connection._refused:
+        held_bytes = len(connection._core.trailing_data[0])
+    if held_bytes != connection.holding.unfinished_bytes and not connection._refused:
+        connection.budget.set_unfinished(connection.holding, held_bytes)
+
+
+def _give_way(connection: ServerConnection, reason: CloseReason) -> None:
+    """Closes the connection for others; nothing of an incomplete request has run."""
+    has_answer = connection._exchange is not None or connection.backlog.is_full
+    if has_answer or connection._is_ended:
+        connection.transport.abortConnection()
+    elif connection._is_reading():
+        connection._refuse(503, REFUSAL_REASONS[503])
+    elif reason is CloseReason.descriptors:
+        connection.close_idle()
+
+
+def _handle_timeout(connection: ServerConnection) -> None:
+    if connection._is_reading():
+        connection._refuse(408, REFUSAL_REASONS[408])
+    else:
+        connection.close_idle()
--- a/jackdawsail/proxy/program.py
+++ b/jackdawsail/proxy/program.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawsail.group import calls
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.loops import start_loop
 from jackdawsail.proxy.admission import CallAdmission
 from jackdawsail.proxy.codecs import EntryCodecs
@@ -17,8 +17,8 @@
 from jackdawsail.site.announcements import announced_weights
 from jackdawsail.site.client import SiteClient
 from jackdawsail.site.node import NodeSettings
-from jackdawsail.site.process import NodeProcess, listen_http
-from jackdawsail.staging.relay import PieceRelay, make_piece_relay
+from jackdawsail.site.process import NodeProcess, listen_http, make_server
+from jackdawsail.staging.relay import PieceRelay, held_bytes, make_piece_relay
 from jackdawsail.wire.link import Link
 from jackdawsail.wire.site_messages import AgedRegistration, EntryStatus, Registrations
 
@@ -53,8 +53,8 @@
         settings = self.process.settings
         callers = settings.listening.callers
         self.drain.port = listen_http(self.process, callers, self.drain.callers)
-        options = ServerOptions(self._answer_readiness, self.process.reactor)
-        listen_http(self.process, settings.listening.readiness, ServerFactory(options))
+        readiness = make_server(self.process, self._answer_readiness)
+        listen_http(self.process, settings.listening.readiness, readiness)
         self.datagrams.listen(self.process.reactor)
         self.relay.start()
         self._loops = [
@@ -143,6 +143,7 @@
     def _clean_up(self) -> None:
         self.context.pool.close_expired()
         self.context.channels.close_excess(self.context.upstreams.all())
+        self.process.budget.set_pieces(held_bytes(self.relay))
         self.context.view.registrations.forget_old(self.process.reactor.seconds())
 
     def _on_drained(self, _outcome: None) -> None:
@@ -158,7 +159,7 @@
     context = make_proxy_context(process, codecs.traffic)
     client = SiteClient(process, context.view, codecs.decode_document)
     relay = make_piece_relay(process, context.view, codecs.origin)
-    callers = ServerFactory(ServerOptions(CallAdmission(context).handle, process.reactor))
+    callers = make_server(process, CallAdmission(context).handle)
     drain, datagrams = CallerDrain(context, callers), EntryDatagrams(context)
     traits = TraitExchange(context.traits, client)
     return EntryProgram(process, codecs, client, context, relay, drain, datagrams, traits)
--- a/jackdawsail/proxy/relaying.py
+++ b/jackdawsail/proxy/relaying.py
@@ -11,8 +11,8 @@
 from typing import Protocol, TypeGuard
 
 from jackdawsail.http1.event_frames import EventFrames
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import Framing, Headers, end_to_end_headers
-from jackdawsail.http1.server import Exchange
 from jackdawsail.proxy.attempt import SUCCESS, ReceivedHead
 from jackdawsail.site.document import CallKind, Route
 
@@ -122,6 +122,7 @@
             self._exchange.write(body)
             return True
         self._buffered.append(body)
+        self._exchange.count_buffered(len(body))
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self._start()
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -17,10 +17,10 @@
 
 from jackdawsail import events
 from jackdawsail.http1.channel_pool import ChannelPool
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import Exchange, ServerFactory, ServerOptions
 from jackdawsail.loops import start_loop
-from jackdawsail.site.process import NodeProcess, listen_http
+from jackdawsail.site.process import NodeProcess, listen_http, make_server
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.held_pieces import LIST, LIST_REVIEW, HeldVersion
@@ -70,8 +70,7 @@
         """Listens for agents and other relays, and starts to prefetch."""
         settings = self._process.settings
         address = f'{settings.address}:{settings.link_port + RELAY_PORT_OFFSET}'
-        options = ServerOptions(self.handle_request, self._process.reactor)
-        listen_http(self._process, address, ServerFactory(options))
+        listen_http(self._process, address, make_server(self._process, self.handle_request))
         self._check_loop = start_loop(self._process.reactor, self.site_changed, RETRY_SECONDS)
 
     def stop(self) -> None:
@@ -273,6 +272,11 @@
         Deferred.fromCoroutine(work).addErrback(events.log_failure)
 
 
+def held_bytes(relay: PieceRelay) -> int:
+    """Returns the size of the pieces that a relay holds."""
+    return sum(held.size_bytes for held in relay._held.values())
+
+
 def _decode_evidence(query: str) -> PieceEvidence | None:
     fields = dict(parse_qsl(query))
     index, digest = fields.get('piece', ''), fields.get('digest', '')
