Weights: probe an origin that does not answer, keep older versions, play outages

Cause: while the origin of weights is unreachable, fetches hang for 0.6 to 1.5 s, agents stop at the first piece that no relay has, agents ask the origin beside the relays after 10 s, and an older version is dropped for a newer one that cannot be obtained.

Change: a process holds back fetches from an origin that fell silent and probes it with connections only; relays answer waiting requests at once; agents go on with pieces that relays hold, keep those of older versions in memory and choose by a pure policy (version_choice); relays complete an older version that is nearly whole before the newest (fill_plan). The plays of weights know outages, two versions and engines without weights, and count the bytes of cut-off transfers as far as they were sent.

--- a/bench/emulator/links.py
+++ b/bench/emulator/links.py
@@ -18,7 +18,7 @@
     """One direction of a link; ``carried_bytes`` counts what has been sent over it."""
 
     megabits_per_second: float
-    carried_bytes: int = 0
+    carried_bytes: float = 0
     transfers: set['Transfer'] = field(default_factory=set)
 
     @property
@@ -65,7 +65,11 @@
         return transfer
 
     def abort(self, transfer: Transfer) -> None:
-        """Ends a transfer before its last byte."""
+        """Ends a transfer before its last byte; what was not sent yet does not count."""
+        passed_seconds = self.clock.seconds() - transfer.updated_seconds
+        left_bytes = max(0, transfer.left_bytes - passed_seconds * transfer.bytes_per_second)
+        for link in transfer.links:
+            link.carried_bytes -= left_bytes
         transfer.end()
         self._update_rates(transfer.links)
 
--- a/bench/emulator/staging_hosts.py
+++ b/bench/emulator/staging_hosts.py
@@ -20,14 +20,25 @@
 MODEL = 'm'
 ORIGIN = '172.20.0.3:1'
 PORT = 7700
-PIECES = 96
-PIECE_BYTES = 24_576
 LAYERS = 16
 CONNECT_SECONDS = 0.6  # until a connection to a host without power fails
 DELAY_SECONDS = 0.001
 LOAD_SECONDS = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class PieceShape:
+    """How many pieces a version has, and how large each is."""
+
+    count: int = 96
+    size_bytes: int = 24_576
+
+    @property
+    def copy_bytes(self) -> int:
+        """Returns the size of a version."""
+        return self.count * self.size_bytes
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     """A machine with its link; ``serve`` answers what arrives at it."""
@@ -57,6 +68,7 @@
     """An engine that keeps staged pieces and loads them on order."""
 
     clock: Any
+    pieces: int
     staged: dict[int, bytes] = field(default_factory=dict)
     loaded: int = 1
     staged_seconds: dict[int, float] = field(default_factory=dict)
@@ -67,7 +79,7 @@
         self.staged[index] = body
         version = version_of(body)
         self._versions[index] = version
-        if sum(each == version for each in self._versions.values()) == PIECES:
+        if sum(each == version for each in self._versions.values()) == self.pieces:
             self.staged_seconds.setdefault(version, self.clock.seconds())
         return Success(None)
 
@@ -85,8 +97,9 @@
         return Success(None)
 
     def report(self) -> EngineReport:
-        models = (ModelVersion(MODEL, self.loaded),)
-        return EngineReport(models, LAYERS, False, self.orders, 0, 0, 0, 1.0, 1)
+        models = (ModelVersion(MODEL, self.loaded),) if self.loaded else ()
+        layers = LAYERS if self.loaded else 0
+        return EngineReport(models, layers, False, self.orders, 0, 0, 0, 1.0, 1)
 
 
 class HostNetwork:
@@ -132,6 +145,14 @@
 
         return fetch_from
 
+    def probe(self, address: str, on_probed: Callable[[bool], None]) -> None:
+        """Opens a connection to an address only to show whether that is possible."""
+        host = self.host_at(address)
+        if host.lost:
+            self.clock.callLater(CONNECT_SECONDS, on_probed, False)
+        else:
+            self.clock.callLater(2 * DELAY_SECONDS, on_probed, True)
+
     def lose(self, host: Host) -> None:
         """Takes the power from a host; what it was sending stops where it is."""
         host.lost = True
@@ -139,6 +160,10 @@
         for fetch in from_host:
             fetch.fall_silent()
 
+    def restore(self, host: Host) -> None:
+        """Makes a host reachable again; answers that stopped stay cut off."""
+        host.lost = False
+
 
 @dataclass(slots=True, eq=False)
 class Fetch:
@@ -200,15 +225,15 @@
             self.done.callback(outcome)
 
 
-def make_piece_list(version: int) -> PieceList:
+def make_piece_list(version: int, shape: PieceShape) -> PieceList:
     """Returns the digests of a version's pieces."""
-    bodies = (piece_body(version, index) for index in range(PIECES))
+    bodies = (piece_body(version, index, shape) for index in range(shape.count))
     return PieceList(MODEL, version, tuple(hashlib.sha256(body).hexdigest() for body in bodies))
 
 
-def piece_body(version: int, index: int) -> bytes:
+def piece_body(version: int, index: int, shape: PieceShape) -> bytes:
     """Returns the bytes of a piece, which begin with its version."""
-    return f'{version}/{index}/'.encode().ljust(PIECE_BYTES, b'.')
+    return f'{version}/{index}/'.encode().ljust(shape.size_bytes, b'.')
 
 
 def version_of(body: bytes) -> int:
--- a/bench/emulator/staging_play.py
+++ b/bench/emulator/staging_play.py
@@ -13,17 +13,16 @@
 from returns.result import Result, Success
 from twisted.internet.task import Clock
 
-from bench.emulator.links import Link
+from bench.emulator.links import BITS_PER_BYTE, BITS_PER_MEGABIT, Link
 from bench.emulator.staging_hosts import (
     LAYERS,
     MODEL,
     ORIGIN,
-    PIECE_BYTES,
-    PIECES,
     PORT,
     Exchange,
     Host,
     HostNetwork,
+    PieceShape,
     StagingEngine,
     list_target,
     make_piece_list,
@@ -32,11 +31,13 @@
 )
 from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.loops import start_loop
+from jackdawsail.routing.weight_rules import weight_rule
 from jackdawsail.site.document import EngineClass, Service, SiteDocument
 from jackdawsail.site.node import NodeBounds, NodeSettings
 from jackdawsail.site.view import SiteView, WeightTarget
 from jackdawsail.staging.changeover import Changeover, make_changeover
 from jackdawsail.staging.engine import PieceList
+from jackdawsail.staging.origin_watch import OriginWatch
 from jackdawsail.staging.piece_fetcher import PieceFetcher
 from jackdawsail.staging.relay import RETRY_SECONDS, PieceRelay
 from jackdawsail.staging.sources import (
@@ -62,8 +63,8 @@
     layers=LAYERS,
     layer_megabytes=4540,
     memory_megabytes=282_000,
-    chunks=PIECES,
-    chunk_bytes=PIECE_BYTES,
+    chunks=PieceShape().count,
+    chunk_bytes=PieceShape().size_bytes,
     models=(MODEL,),
 )
 
@@ -73,7 +74,9 @@
     """A site and what happens to it; rates of links hold for each direction.
 
     ``lost_relay_seconds`` is when the relay that has sent most loses power, counted from the
-    announcement; ``next_version_seconds`` is when a further version is announced.
+    announcement; ``next_version_seconds`` is when a further version is announced. The origin is
+    unreachable for ``outage_seconds`` from ``outage_from_seconds`` on. ``cold_engines`` start
+    without weights.
     """
 
     name: str
@@ -87,6 +90,10 @@
     within_seconds: float = 10
     lost_relay_seconds: float = math.inf
     next_version_seconds: float = math.inf
+    outage_from_seconds: float = math.inf
+    outage_seconds: float = 0
+    cold_engines: int = 0
+    shape: PieceShape = PieceShape()
 
 
 @dataclass(slots=True)
@@ -96,7 +103,8 @@
     Times are seconds from the announcement of the last version until an engine had all its
     pieces. ``border_copies`` is the largest number of copies that crossed a border between
     two regions, ``origin_copies`` what the origin sent, ``busiest_copies`` what the busiest
-    entry sent.
+    entry sent. ``unserved_seconds`` is for how long a mean engine had no version that calls may
+    use, until it had loaded the last one.
     """
 
     staged_seconds: list[float] = field(default_factory=list)
@@ -104,6 +112,7 @@
     border_copies: float = 0
     origin_copies: float = 0
     busiest_copies: float = 0
+    unserved_seconds: float = 0
 
 
 class StagingPlay:
@@ -119,7 +128,8 @@
         self.relays: dict[str, PieceRelay] = {}
         self.entries: list[MemberHost] = []
         self.agents: list[MemberHost] = []
-        self._pieces = {version: make_piece_list(version) for version in (2, 3)}
+        self._pieces = {version: make_piece_list(version, scenario.shape) for version in (2, 3)}
+        self._unserved_seconds: float = 0
         self._add_hosts()
 
     def run(self) -> StagingFigures:
@@ -133,11 +143,18 @@
         if math.isfinite(scenario.lost_relay_seconds):
             lost_seconds = ANNOUNCED_SECONDS + scenario.lost_relay_seconds
             self.clock.callLater(lost_seconds, self._lose_busiest_relay)
+        if scenario.outage_seconds:
+            outage_from_seconds = ANNOUNCED_SECONDS + scenario.outage_from_seconds
+            origin = self.net.hosts[ORIGIN]
+            self.clock.callLater(outage_from_seconds, self.net.lose, origin)
+            outage_end_seconds = outage_from_seconds + scenario.outage_seconds
+            self.clock.callLater(outage_end_seconds, self.net.restore, origin)
         start_loop(self.clock, self._check_relays, RETRY_SECONDS)
         start_loop(self.clock, self._report_engines, REPORT_SECONDS)
         last_version, last_seconds = versions[-1]
-        end_seconds = last_seconds + 2 * scenario.within_seconds
-        while self.clock.seconds() < end_seconds and not self._is_staged(last_version):
+        end_seconds = last_seconds + 2 * scenario.within_seconds + scenario.outage_seconds
+        is_ended = self._is_loaded if scenario.outage_seconds else self._is_staged
+        while self.clock.seconds() < end_seconds and not is_ended(last_version):
             self._step()
         return self._figures(last_version, last_seconds)
 
@@ -167,6 +184,8 @@
             self._add_relay(entry)
         for agent in self.agents:
             self._add_agent(agent)
+        for engine in self.engines[: scenario.cold_engines]:
+            engine.loaded = 0
 
     def _add_host(self, prefix: str, number: int, rate: float) -> MemberHost:
         region = number % self.scenario.regions
@@ -200,7 +219,7 @@
 
     def _add_agent(self, member: MemberHost) -> None:
         settings = self._settings(member)
-        engine = StagingEngine(self.clock)
+        engine = StagingEngine(self.clock, self.scenario.shape.count)
         self.engines.append(engine)
         calls: Any = engine
         self.changeovers.append(
@@ -219,14 +238,15 @@
             codec,
             lambda key: list_sources(settings, self.view, key),
             transport=self.net.transport_of(own),
+            watch=OriginWatch(self.clock, self.net.probe),
         )
 
     def _serve_origin(self, target: bytes, done: Callable[[HttpAnswer], None]) -> None:
         _, version, item = target.decode().split('/')
         if item == 'list':
-            done(HttpAnswer(200, version.encode().ljust(64 * PIECES)))
+            done(HttpAnswer(200, version.encode().ljust(64 * self.scenario.shape.count)))
         else:
-            done(HttpAnswer(200, piece_body(int(version), int(item))))
+            done(HttpAnswer(200, piece_body(int(version), int(item), self.scenario.shape)))
 
     def _decode_list(self, body: bytes) -> Result[PieceList, str]:
         text = body.decode()
@@ -263,14 +283,25 @@
                 relay.site_changed()
 
     def _report_engines(self) -> None:
+        targets = self.view.weights.get(MODEL)
+        if not targets:
+            return  # an engine without weights would ask for those of before
+        within_seconds = self.scenario.within_seconds
+        rule = weight_rule(MODEL, targets, within_seconds, self.clock.seconds())
+        least_version = max(1, rule.least_version)
         for engine, changeover in zip(self.engines, self.changeovers, strict=True):
+            if engine.loaded < least_version:
+                self._unserved_seconds += REPORT_SECONDS
             changeover.handle_report(engine.report(), ENGINE)
 
     def _is_staged(self, version: int) -> bool:
         return all(version in engine.staged_seconds for engine in self.engines)
 
+    def _is_loaded(self, version: int) -> bool:
+        return all(engine.loaded >= version for engine in self.engines)
+
     def _figures(self, version: int, announced_seconds: float) -> StagingFigures:
-        copy_bytes = PIECES * PIECE_BYTES * (version - 1)
+        copy_bytes = self.scenario.shape.copy_bytes * (version - 1)
         staged = [
             engine.staged_seconds.get(version, math.inf) - announced_seconds
             for engine in self.engines
@@ -284,15 +315,32 @@
             ),
             self.net.hosts[ORIGIN].up.carried_bytes / copy_bytes,
             max(entry.up.carried_bytes for entry in entries) / copy_bytes,
+            self._unserved_seconds / len(self.engines),
         )
 
 
 def bound_seconds(scenario: StagingScenario) -> float:
-    """Returns the time of one copy over the narrowest link that each engine's copy crosses."""
+    """Returns the time of one copy over the narrowest link that each engine's copy crosses.
+
+    While the origin is unreachable, what it has not sent of the last version is missing.
+    """
     rates = [scenario.engine_megabits_per_second, scenario.origin_megabits_per_second]
     if scenario.regions > 1:
         rates.append(scenario.region_megabits_per_second)
-    return PIECES * PIECE_BYTES * 8 / (min(rates) * 1e6)
+    copy_bits = scenario.shape.copy_bytes * BITS_PER_BYTE
+    narrowest_seconds = copy_bits / (min(rates) * BITS_PER_MEGABIT)
+    if not scenario.outage_seconds:
+        return narrowest_seconds
+    origin_seconds = copy_bits / (scenario.origin_megabits_per_second * BITS_PER_MEGABIT)
+    last_seconds = scenario.next_version_seconds
+    announced_seconds = last_seconds if math.isfinite(last_seconds) else 0
+    outage_start_seconds = max(0, scenario.outage_from_seconds - announced_seconds)
+    outage_end_seconds = scenario.outage_from_seconds + scenario.outage_seconds - announced_seconds
+    sent_share = min(1, outage_start_seconds / origin_seconds)
+    if sent_share == 1 or outage_end_seconds <= 0:
+        return narrowest_seconds
+    after_seconds = outage_end_seconds + (1 - sent_share) * narrowest_seconds
+    return max(narrowest_seconds, after_seconds)
 
 
 SCENARIOS = (
--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -12,29 +12,31 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from returns.result import Failure
-from twisted.internet.defer import Deferred, gatherResults
+from prometheus_client import Counter
+from returns.result import Failure, Result
+from twisted.internet.defer import Deferred
 
-from jackdawsail import events
+from jackdawsail import events, metrics_registry
 from jackdawsail.clocks import Clock
-from jackdawsail.routing.weight_rules import LAST_SEND_MARGIN_SECONDS, expiry_seconds
 from jackdawsail.site.document import EngineClass
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.drain import DrainAhead, StagingPace
-from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder, PieceList
+from jackdawsail.staging.engine import EngineReport, LoadWeightsOrder
 from jackdawsail.staging.engine_calls import EngineCalls
+from jackdawsail.staging.fetch_workers import (
+    CONCURRENT_AFTER_STALL,
+    CONCURRENT_FETCHES,
+    FetchWorkers,
+)
 from jackdawsail.staging.load_check import LoadCheck
 from jackdawsail.staging.piece_fetcher import PieceFetcher
 from jackdawsail.staging.piece_order import agent_order
+from jackdawsail.staging.staged_versions import StagedPieces, StagedVersions
 from jackdawsail.staging.waves import may_change_over
 
-CONCURRENT_FETCHES = 1  # more would queue on this host's link ahead of the prompts of live calls
 RETRY_SECONDS = 0.25  # after a temporary failure: a source or the engine is unreachable
 ORDER_SETTLE_SECONDS = 1.0  # after an order, until reports show whether the engine loads
-LIST_RETRY_SECONDS = 1.0  # until the list of a newer version is requested again after a failure
-NEARLY_STAGED_SHARE = 0.1  # of the pieces; if no more are missing, they are fetched first
-WORTH_LOADING_SECONDS = 2.0  # of remaining use; loading for less delays the newer version more
 
 STAGING_STARTED = events.define(565, 'info', 'staging of weights started')
 STAGING_COMPLETE = events.define(566, 'info', 'all pieces of a weight version are staged')
@@ -51,23 +53,14 @@
     575, 'error', 'engine may have loaded corrupt pieces; it serves nothing until newer weights'
 )
 VERSION_GIVEN_UP = events.define(574, 'info', 'weight version is given up for a newer one')
-
-
-@dataclass(slots=True)
-class StagedPieces:
-    """The pieces of a version that are known to be staged at the engine, by index."""
-
-    pieces: PieceList
-    present: set[int] = field(default_factory=set)
-
-    def missing(self) -> list[int]:
-        """Returns the pieces that are not known to be staged."""
-        return [index for index in range(len(self.pieces.digests)) if index not in self.present]
-
-    def replace_list(self, pieces: PieceList) -> None:
-        """Replaces the list; staged pieces whose digest is another one now are missing."""
-        self.present &= self.pieces.unchanged_in(pieces)
-        self.pieces = pieces
+VERSION_RESUMED = events.define(
+    579, 'info', 'older weight version is staged, as the newest cannot be obtained now'
+)
+VERSIONS_GIVEN_UP = Counter(
+    'jackdawsail_weights_versions_given_up',
+    'Weight versions whose staging was given up for a newer one',
+    registry=metrics_registry.REGISTRY,
+)
 
 
 @dataclass(slots=True)
@@ -80,6 +73,7 @@
     fetcher: PieceFetcher
     settings: NodeSettings
     check: LoadCheck
+    _versions: StagedVersions
     model: str = ''
     _is_loading: bool = False
     _ordered_version: int = 0
@@ -91,8 +85,6 @@
     _report: EngineReport | None = None
     _confirmed_version: int = 0
     _unconfirmed_version: int = 0
-    _unlisted_version: int = 0
-    _list_retry_at_seconds: float = 0
     _failing: bool = False
 
     def handle_report(self, report: EngineReport, engine: EngineClass) -> None:
@@ -101,6 +93,7 @@
         if not engine.models:
             return
         self.model = engine.models[0]
+        self._versions.model = self.model
         self.check.engine_reported(report.born_milliseconds, report.orders)
         loaded = report.version_of(self.model)
         is_current = loaded and report.layers >= engine.layers and loaded >= self.wanted_version
@@ -116,7 +109,9 @@
         if fits_memory and is_due and not self._working and not report.busy:
             self._working = True
             work: Any = Deferred.fromCoroutine(self._change_over())
-            work.addErrback(events.log_failure).addBoth(self._work_ended)
+            work.addErrback(events.log_failure).addBoth(
+                lambda _outcome: setattr(self, '_working', False)
+            )
 
     def engine_lost(self) -> None:
         """Forgets the loaded version, as the engine may restart with another one."""
@@ -134,21 +129,12 @@
         target = self.view.newest_weights(self.model)
         return target.version if target else 0
 
-    def _remaining_use_seconds(self, version: int) -> float:
-        """Returns for how long entries still send calls to a version; infinite for the newest."""
-        targets = self.view.weights.get(self.model, ())
-        limit_seconds = expiry_seconds(version, targets, self.settings.bounds.weights_seconds)
-        return limit_seconds - LAST_SEND_MARGIN_SECONDS - self.clock.seconds()
-
     def _record_loaded(self, loaded: int) -> None:
         self._is_loading = False
         if self._confirmed_version != loaded:
             self._confirmed_version = loaded
             events.log(WEIGHTS_LOADED, model=self.model, version=loaded)
 
-    def _work_ended(self, _outcome: Any) -> None:
-        self._working = False
-
     async def _change_over(self) -> None:
         """Stages the missing pieces, verifies all of them and orders the engine to load them."""
         if self._loaded_version() in self.check.unconfirmed and not await self._replaces_loaded():
@@ -157,11 +143,10 @@
         complete = staged is not None and await self._stage_missing(staged)
         self._drain.end()
         if staged is None or not complete:
-            # A newer version is chosen at the next report, which is no failure.
-            if staged is None or not self._is_outdated(staged):
-                self._retry_later('a source or the engine does not answer')
+            await self._handle_incomplete(staged)
             return
         if not self._may_stop_serving(staged.pieces.version):
+            await self._versions.fetch_others(self.fetcher, staged, self._loaded_version())
             return
         self._is_loading = True
         if not await self._verify_staged(staged):
@@ -169,28 +154,53 @@
             return
         await self._order_load(staged)
 
+    async def _handle_incomplete(self, staged: StagedPieces | None) -> None:
+        """Fetches pieces of other versions if this one is stalled, or waits for a retry."""
+        if staged is not None:
+            if self._is_outdated(staged):
+                # A newer version is chosen at the next report, which is no failure.
+                return
+            fetch_others = self._versions.fetch_others
+            loaded = self._loaded_version()
+            if staged.is_stalled and await fetch_others(self.fetcher, staged, loaded):
+                return
+        self._retry_later('a source or the engine does not answer')
+
     async def _choose_version(self) -> StagedPieces | None:
         wanted = self.wanted_version
         staged = self._staged
+        loaded = self._loaded_version()
+        self._versions.drop_except(self._versions.useful(loaded))
         if staged is not None and not self._is_outdated(staged):
-            return staged
-        outcome = await self.fetcher.fetch_list(self.model, wanted)
-        if isinstance(outcome, Failure):
+            older = self._versions.whole_older(staged, loaded)
+            if older is None:
+                return staged
+            events.log(VERSION_RESUMED, newer=wanted, **_progress(self.model, older))
+            return self._start_staging(older)
+        fresh = await self._versions.list_version(self.fetcher, wanted)
+        if fresh is None:
             # The version that is being staged may be usable long before the newer one.
-            self._unlisted_version = wanted
-            self._list_retry_at_seconds = self.clock.seconds() + LIST_RETRY_SECONDS
-            return None if staged is None or self._has_loaded(staged) else staged
-        pieces = outcome.unwrap()
-        fresh = StagedPieces(pieces)
+            return None if staged is None or staged.is_within(loaded) else staged
         if staged is None:
             # After a restart of this process the engine may still hold staged pieces.
-            fresh.present = await self.check.valid_pieces(pieces)
-        elif not self._has_loaded(staged):
-            events.log(VERSION_GIVEN_UP, newer=pieces.version, **_progress(self.model, staged))
-        self._staged = fresh
-        missing = len(fresh.missing())
-        events.log(STAGING_STARTED, model=self.model, version=pieces.version, missing=missing)
-        return fresh
+            fresh.present = await self.check.valid_pieces(fresh.pieces)
+        elif not staged.is_within(loaded):
+            VERSIONS_GIVEN_UP.inc()
+            progress = _progress(self.model, staged)
+            events.log(VERSION_GIVEN_UP, newer=fresh.pieces.version, **progress)
+        return self._start_staging(fresh)
+
+    def _start_staging(self, chosen: StagedPieces) -> StagedPieces:
+        """Makes a version the one that the engine stages, and keeps the other one for later."""
+        staged = self._staged
+        if staged is not None and not staged.is_within(self._loaded_version()):
+            self._versions.set_aside(staged)
+        self._versions.kept.pop(chosen.pieces.version, None)
+        self._staged = chosen
+        missing = len(chosen.missing())
+        version = chosen.pieces.version
+        events.log(STAGING_STARTED, model=self.model, version=version, missing=missing)
+        return chosen
 
     async def _stage_missing(self, staged: StagedPieces) -> bool:
         missing = staged.missing()
@@ -200,27 +210,29 @@
         digests = staged.pieces.digests
         pending = deque(agent_order(self.settings, self.view, digests, missing))
         self._pace = StagingPace(self.clock.seconds())
-        workers = [
-            Deferred.fromCoroutine(self._stage_pending(staged, pending))
-            for _ in range(CONCURRENT_FETCHES)
-        ]
-        await gatherResults(workers)
+        workers = FetchWorkers(
+            self.clock,
+            lambda: self._stage_pending(staged, pending, workers),
+            lambda: self._versions.record_hang(staged),
+        )
+        await workers.run(CONCURRENT_AFTER_STALL if staged.has_stalled else CONCURRENT_FETCHES)
+        self._versions.pass_ended(staged)
         complete = not staged.missing()
         self._failing = self._failing and not complete
         if complete:
             events.log(STAGING_COMPLETE, model=self.model, version=staged.pieces.version)
         return complete
 
-    async def _stage_pending(self, staged: StagedPieces, pending: deque[int]) -> None:
+    async def _stage_pending(
+        self, staged: StagedPieces, pending: deque[int], workers: FetchWorkers
+    ) -> None:
         while pending and staged is self._staged and not self._is_outdated(staged):
             index = pending.popleft()
-            fetched = await self.fetcher.fetch_piece(staged.pieces, index)
+            with workers.guard():
+                fetched = await self._versions.fetch_piece(self.fetcher, staged, index)
             if isinstance(fetched, Failure):
-                reviewed = await self.fetcher.review_list(staged.pieces)
-                if isinstance(reviewed, Failure):
+                if not await self._goes_on(staged, pending, index, fetched):
                     return
-                staged.replace_list(reviewed.unwrap())
-                pending.append(index)
                 continue
             self.check.piece_staged()
             outcome = await self.calls.write_piece(self.model, index, fetched.unwrap())
@@ -230,6 +242,20 @@
             self._pace.arrived += 1
             self._drain_ahead(staged)
 
+    async def _goes_on(
+        self, staged: StagedPieces, pending: deque[int], index: int, failed: Result[bytes, str]
+    ) -> bool:
+        """Returns whether other pieces are worth a try after a fetch that failed.
+
+        The piece is tried again if its list was wrong and is replaced.
+        """
+        reviewed = await self.fetcher.review_list(staged.pieces)
+        if isinstance(reviewed, Failure):
+            return self._versions.may_go_on(staged, failed)
+        staged.replace_list(reviewed.unwrap())
+        pending.append(index)
+        return True
+
     def _drain_ahead(self, staged: StagedPieces) -> None:
         """Lets running streams end while the last pieces arrive."""
         version = staged.pieces.version
@@ -241,28 +267,20 @@
     def _is_outdated(self, staged: StagedPieces) -> bool:
         """Returns whether a newer version should be staged instead.
 
-        A version that the engine has already loaded is outdated. Otherwise a nearly
-        staged version is finished first if it can still be used for more than
-        ``WORTH_LOADING_SECONDS``, and any version is staged further while the list of
-        the newer one cannot be fetched.
+        A version that the engine has already loaded is outdated. Otherwise ``version_choice``
+        decides, and any version is staged further while the list of the newer one cannot
+        be fetched.
         """
         wanted = self.wanted_version
         version = staged.pieces.version
         if version >= wanted:
             return False
-        if self._has_loaded(staged):
+        loaded = self._loaded_version()
+        if staged.is_within(loaded):
             return True
-        nearly_staged = len(staged.missing()) <= NEARLY_STAGED_SHARE * len(staged.pieces.digests)
-        if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:
+        if self._versions.is_finished_first(staged, wanted, self._staged, loaded):
             return False
-        waits_for_list = (
-            self._unlisted_version == wanted and self.clock.seconds() < self._list_retry_at_seconds
-        )
-        return not waits_for_list
-
-    def _has_loaded(self, staged: StagedPieces) -> bool:
-        """Returns whether the engine serves this version or a newer one."""
-        return self._loaded_version() >= staged.pieces.version
+        return not self._versions.waits_for_list(wanted)
 
     def _loaded_version(self) -> int:
         return self._report.version_of(self.model) if self._report else 0
@@ -325,7 +343,8 @@
     clock: Clock, view: SiteView, calls: EngineCalls, fetcher: PieceFetcher, settings: NodeSettings
 ) -> Changeover:
     """Creates the changeover of the engine that ``calls`` reach."""
-    return Changeover(clock, view, calls, fetcher, settings, LoadCheck(clock, calls))
+    versions = StagedVersions(clock, view, settings)
+    return Changeover(clock, view, calls, fetcher, settings, LoadCheck(clock, calls), versions)
 
 
 def _progress(model: str, staged: StagedPieces | None) -> dict[str, Any]:
--- a/jackdawsail/staging/held_pieces.py
+++ b/jackdawsail/staging/held_pieces.py
@@ -1,6 +1,6 @@
 """The pieces of a weight version that a relay holds, and the fetches that requests share."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,7 +21,7 @@
     ``bodies`` is keyed by the index of a piece, ``waiters`` by index and digest or by ``LIST``
     and ``LIST_REVIEW``: fetches of lists that differ must not wait for each other, as the
     relays rank differently for them. ``is_filled``
-    is set once all pieces that the relay prefetches are held.
+    is set once all pieces that the relay prefetches, ``relayed``, are held.
     """
 
     pieces: PieceList | None = None
@@ -29,6 +29,11 @@
     waiters: dict[ItemKey, list[Deferred[Any]]] = field(default_factory=dict)
     is_filled: bool = False
     is_incomplete_logged: bool = False
+    relayed: list[int] = field(default_factory=list)
+
+    def missing_relayed(self) -> int:
+        """Returns how many of the pieces that the relay prefetches it lacks."""
+        return sum(index not in self.bodies for index in self.relayed)
 
     def replace_list(self, pieces: PieceList) -> None:
         """Replaces the list; keeps the pieces whose digests are the same in both."""
@@ -46,6 +51,13 @@
         if held.digests[index : index + 1] == pieces.digests[index : index + 1]:
             self.bodies[index] = body
 
+    def release_waiters(self) -> None:
+        """Answers with None to all who joined a fetch; the fetches go on."""
+        for item, joined in list(self.waiters.items()):
+            self.waiters[item] = []
+            for waiter in joined:
+                waiter.callback(None)
+
     async def share(self, item: ItemKey, fetch: Callable[[], Awaitable[Result[Any, str]]]) -> Any:
         """Returns what a fetch gives, or None if it fails; joins one that is in progress."""
         if item in self.waiters:
@@ -61,3 +73,9 @@
             for waiter in self.waiters.pop(item):
                 waiter.callback(found)
         return found
+
+
+def release_waiters(held: Iterable[HeldVersion]) -> None:
+    """Answers all requests that joined a fetch of these versions, as it may hang for a while."""
+    for version in list(held):
+        version.release_waiters()
--- a/jackdawsail/staging/piece_fetcher.py
+++ b/jackdawsail/staging/piece_fetcher.py
@@ -4,7 +4,8 @@
 list that such pieces contradict is fetched again, too, with the contradiction in the request,
 so that a relay that copied the list from elsewhere reviews its own.
 The origin's link is narrow: a process fetches from it only if no relay answers, or if
-the relays have answered for ``BYPASS_SECONDS`` that they do not have what is wanted.
+the relays have answered for ``BYPASS_SECONDS`` that they do not have what is wanted though
+the origin answers. An origin that does not answer is probed and not asked (``origin_watch``).
 """
 
 import hashlib
@@ -22,6 +23,7 @@
 from jackdawsail.http1.messages import HttpRequest, make_request
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.list_doubts import ListDoubts, PieceEvidence, find_list_fault
+from jackdawsail.staging.origin_watch import OriginWatch, make_origin_watch
 from jackdawsail.staging.sources import OriginCodec, Source
 
 # Three pieces that share a narrow link still get bytes within the silence, and each of them
@@ -32,7 +34,9 @@
 NOT_HELD = 'not held'  # reason for a 404, which a relay sends when its own sources are unreachable
 DIGEST_DIFFERS = 'digest differs'
 IN_DOUBT = 'the list is in doubt'  # reason for a 409 of a relay
+ORIGIN_UNREACHABLE = 'the origin does not answer'
 RELAY_ANSWERS = (NOT_HELD, DIGEST_DIFFERS, IN_DOUBT)  # the origin has nothing better
+UNOBTAINABLE = (NOT_HELD, ORIGIN_UNREACHABLE)  # until a source has it; others may be obtainable
 RELAY_REFUSALS = {404: NOT_HELD, 409: IN_DOUBT}
 SOURCE_REST_SECONDS = 2.0  # by then a relay that was lost is out of the list of members
 BYPASS_SECONDS = 10.0  # several times what a relay needs once a source is reachable again
@@ -89,6 +93,7 @@
     transport: Transport = fetch
     piece_count: Callable[[str], int] = _unknown_count
     doubts: ListDoubts = field(default_factory=ListDoubts)
+    watch: OriginWatch | None = None
     _failed_seconds: dict[str, float] = field(default_factory=dict)
     _relay_misses: _RelayMisses = field(default_factory=_RelayMisses)
     _list_faults: dict[str, _ListFault] = field(default_factory=dict)
@@ -155,9 +160,9 @@
         reason = 'no source is known'
         relays_answer = False
         for source in self._order_sources(key):
-            if source.is_origin and relays_answer and not self._may_bypass(may_bypass):
+            if source.is_origin and relays_answer and not self._may_bypass(may_bypass, source):
                 break
-            outcome = await fetch_from(source)
+            outcome = await self._ask(source, fetch_from)
             if isinstance(outcome, Success):
                 self._record_success(source)
                 self._relay_misses.since_seconds = None
@@ -179,9 +184,22 @@
 
         return sorted(self.sources(key), key=rank)
 
-    def _may_bypass(self, is_permitted: bool) -> bool:
+    def _may_bypass(self, is_permitted: bool, origin: Source) -> bool:
+        """Returns whether the origin may be asked though relays answer that they hold nothing.
+
+        After an outage of the origin the relays come first: it must have answered for a while.
+        """
         missed_seconds = self._relay_misses.duration_seconds(self.pool.clock.seconds())
-        return is_permitted and missed_seconds > BYPASS_SECONDS
+        if not is_permitted or missed_seconds <= BYPASS_SECONDS:
+            return False
+        return self.watch is None or self.watch.has_settled(origin.address)
+
+    async def _ask(self, source: Source, fetch_from: FetchFrom[FetchedT]) -> Result[FetchedT, str]:
+        """Fetches from a source, unless it is an origin that does not answer."""
+        watch = self.watch if source.is_origin else None
+        if watch is not None and watch.holds_back(source.address):
+            return Failure(ORIGIN_UNREACHABLE)
+        return await fetch_from(source)
 
     async def _fetch_list_from(
         self, source: Source, model: str, version: int, evidence: PieceEvidence | None
@@ -240,6 +258,10 @@
         """
         if reason in RELAY_ANSWERS and not source.is_origin:
             return
+        if reason == ORIGIN_UNREACHABLE:
+            return
+        if source.is_origin and self.watch is not None:
+            self.watch.record_failure(source.address, reason)
         if source.address not in self._failed_seconds:
             events.log(FETCH_FAILED, source=source.address, what=what, reason=reason)
         self._failed_seconds[source.address] = self.pool.clock.seconds()
@@ -257,10 +279,23 @@
             events.log(LIST_NOT_FETCHED, relays=relays, **details)
 
     def _record_success(self, source: Source) -> None:
+        if source.is_origin and self.watch is not None:
+            self.watch.record_success(source.address)
         if self._failed_seconds.pop(source.address, None) is not None:
             events.log(SOURCE_RECOVERED, source=source.address)
 
 
+def make_piece_fetcher(
+    pool: ChannelPool,
+    codec: OriginCodec,
+    sources: Callable[[str], list[Source]],
+    piece_count: Callable[[str], int],
+) -> PieceFetcher:
+    """Creates the fetcher of a process, which probes an origin that does not answer."""
+    watch = make_origin_watch(pool)
+    return PieceFetcher(pool, codec, sources, piece_count=piece_count, watch=watch)
+
+
 def matches_digest(pieces: PieceList, index: int, body: bytes) -> bool:
     """Returns whether the body of a piece has the listed digest."""
     return digest_of(body) == pieces.digests[index]
--- a/jackdawsail/staging/program.py
+++ b/jackdawsail/staging/program.py
@@ -18,7 +18,7 @@
 from jackdawsail.staging.changeover import Changeover, make_changeover
 from jackdawsail.staging.engine import EngineReport
 from jackdawsail.staging.engine_calls import EngineCalls, EngineCodec
-from jackdawsail.staging.piece_fetcher import PieceFetcher
+from jackdawsail.staging.piece_fetcher import make_piece_fetcher
 from jackdawsail.staging.sources import OriginCodec, sources_for
 from jackdawsail.wire.codec import encode
 from jackdawsail.wire.site_messages import EngineLoad
@@ -166,11 +166,11 @@
     settings = process.settings
     view = SiteView()
     pool = ChannelPool(reactor, reactor, settings.address, SOURCE_CONNECT_SECONDS)
-    fetcher = PieceFetcher(
+    fetcher = make_piece_fetcher(
         pool,
         codecs.origin,
         lambda key: sources_for(process.settings, view, key),
-        piece_count=view.piece_count,
+        view.piece_count,
     )
     calls = EngineCalls(pool, codecs.engine, settings.engine_address)
     changeover = make_changeover(reactor, view, calls, fetcher, settings)
--- a/jackdawsail/staging/relay.py
+++ b/jackdawsail/staging/relay.py
@@ -7,11 +7,10 @@
 since a piece fetched only on request crosses the links on its way one after the other.
 """
 
-import json
 import math
 from collections import deque
 from typing import Any
-from urllib.parse import parse_qsl, unquote
+from urllib.parse import unquote
 
 from twisted.internet.defer import Deferred, gatherResults
 
@@ -23,30 +22,33 @@
 from jackdawsail.site.process import NodeProcess, listen_http
 from jackdawsail.site.view import SiteView
 from jackdawsail.staging.engine import PieceList
-from jackdawsail.staging.held_pieces import LIST, LIST_REVIEW, HeldVersion
+from jackdawsail.staging.fill_plan import NEWEST, FillPlan, VersionKey
+from jackdawsail.staging.held_pieces import LIST, LIST_REVIEW, HeldVersion, release_waiters
 from jackdawsail.staging.list_doubts import PieceEvidence
-from jackdawsail.staging.piece_fetcher import PieceFetcher
+from jackdawsail.staging.piece_fetcher import PieceFetcher, make_piece_fetcher
 from jackdawsail.staging.piece_order import relayed_pieces
+from jackdawsail.staging.relay_answers import (
+    CONFLICT,
+    NOT_FOUND,
+    Reply,
+    decode_evidence,
+    encode_list,
+    make_answer,
+    time_limit,
+)
 from jackdawsail.staging.sources import (
     RELAY_PORT_OFFSET,
     OriginCodec,
     relays_of,
     sources_for_relay,
 )
-from jackdawsail.wire.site_messages import MemberHost
 
 # Fetches of a region's relays together that keep the origin's link busy; those in progress are
 # lost if it fails.
 CONCURRENT_FETCHES = 3
-REQUEST_RECENT_SECONDS = 0.6  # agents that still want a version request its next piece within it
-PREFETCH_SECONDS = 60.0  # after a version was announced; later it is fetched only on request
 RETRY_SECONDS = 0.15  # between checks of whether the sources are reachable; one fetch a check
-VERSIONS_KEPT = 2  # the one in force and the next one
+VERSIONS_KEPT = 3  # the one in force, the next one, and one that is announced meanwhile
 SOURCE_CONNECT_SECONDS = 0.6  # twice that of calls: a fetch waits for a congested link
-NOT_FOUND = 404
-CONFLICT = 409  # what is requested is held back, as the list is in doubt
-NEWEST = 0  # requests the version that the origin holds, whatever its number
-VersionKey = tuple[str, int]
 
 RELAY_FILLED = events.define(561, 'info', 'relay holds its pieces of a weight version')
 RELAY_INCOMPLETE = events.define(
@@ -63,8 +65,13 @@
         self._fetcher = fetcher
         self._held: dict[VersionKey, HeldVersion] = {}
         self._fill_started: set[VersionKey] = set()
-        self._last_request_seconds: dict[VersionKey, float] = {}
+        self._plan = FillPlan(process, view)
+        self._last_request_seconds = self._plan.last_request_seconds
         self._check_loop: Any = None
+        watch = getattr(fetcher, 'watch', None)
+        if watch is not None:
+            watch.on_silent.append(lambda: release_waiters(self._held.values()))
+            watch.on_return.append(self.site_changed)
 
     def start(self) -> None:
         """Listens for agents and other relays, and starts to prefetch."""
@@ -85,53 +92,22 @@
         failed fill is restarted.
         """
         own_address = self._process.settings.address
-        for model, version in self._prefetches():
+        own_region = self._process.settings.region
+        for model, version in self._plan.prefetches():
             if (model, version) not in self._fill_started and own_address in {
-                relay.address for relay in self._relays()
+                relay.address for relay in relays_of(self._view, own_region)
             }:
-                self._start_fill(model, version)
+                for due in self._plan.due_fills(model, version, self._held, self._fill_started):
+                    self._start_fill(model, due)
         for model, version in list(self._last_request_seconds):
-            if self._is_wanted(model, version):
+            if self._plan.is_wanted(model, version):
                 self._start_fill(model, version)
 
-    def _prefetches(self) -> list[VersionKey]:
-        """Returns the versions that the relays of a region fetch before any request."""
-        targets_by_model = self._view.weights
-        now_seconds = self._process.reactor.seconds()
-        due = [
-            (model, targets[-1].version)
-            for model, targets in targets_by_model.items()
-            if now_seconds - targets[-1].announced_seconds < PREFETCH_SECONDS
-        ]
-        if self._process.settings.may_bootstrap:
-            due.extend(
-                (model, NEWEST) for model in self._view.models() if model not in targets_by_model
-            )
-        return due
-
-    def _is_wanted(self, model: str, version: int) -> bool:
-        """Returns whether a version is the newest or was recently requested.
-
-        While no version of the model is announced, every version is wanted.
-        """
-        newest = self._view.newest_weights(model)
-        if newest is None or version >= newest.version:
-            return True
-        requested_seconds = self._last_request_seconds.get((model, version))
-        now_seconds = self._process.reactor.seconds()
-        return (
-            requested_seconds is not None
-            and now_seconds - requested_seconds < REQUEST_RECENT_SECONDS
-        )
-
     def _start_fill(self, model: str, version: int) -> None:
         if (model, version) not in self._fill_started:
             self._fill_started.add((model, version))
             self._run(self._fill(model, version))
 
-    def _relays(self) -> list[MemberHost]:
-        return relays_of(self._view, self._process.settings.region)
-
     async def _fill(self, model: str, version: int) -> None:
         pieces = await self._get_list(model, version)
         if pieces is None:
@@ -139,10 +115,13 @@
             return
         held = self._held_version(pieces.model, pieces.version)
         relayed = relayed_pieces(self._process.settings, self._view, pieces.digests)
+        held.relayed = relayed
+        self._plan.fill_started((pieces.model, pieces.version))
         pending = deque(index for index in relayed if index not in held.bodies)
         # A single fetch shows whether the sources are reachable.
         if pending and await self._get_piece(pieces, pending.popleft()) is not None:
-            fetches = math.ceil(CONCURRENT_FETCHES / max(1, len(self._relays())))
+            relays = relays_of(self._view, self._process.settings.region)
+            fetches = math.ceil(CONCURRENT_FETCHES / max(1, len(relays)))
             workers = [
                 Deferred.fromCoroutine(self._fill_pending(pieces, pending)) for _ in range(fetches)
             ]
@@ -164,12 +143,15 @@
             events.log(RELAY_INCOMPLETE, **details)
 
     async def _fill_pending(self, pieces: PieceList, pending: deque[int]) -> None:
+        key = (pieces.model, pieces.version)
         while pending:
-            wanted = self._is_wanted(pieces.model, pieces.version)
-            if not wanted or await self._get_piece(pieces, pending.popleft()) is None:
+            is_wanted = self._plan.is_filled_further(*key, self._held)
+            if not is_wanted or await self._get_piece(pieces, pending.popleft()) is None:
                 # The sources are unreachable or the version is no longer wanted; the
                 # next check starts the rest if it is wanted.
                 pending.clear()
+            else:
+                self._plan.piece_arrived(key)
 
     async def _get_list(self, model: str, version: int) -> PieceList | None:
         held = self._held_version(model, version)
@@ -225,12 +207,19 @@
             exchange.answer(HttpAnswer(404))
             return
         model, version = unquote(segments[1]), int(segments[2])
-        evidence = _decode_evidence(query)
+        evidence = decode_evidence(query)
         self._run(self._answer_request(exchange, (model, version), segments[3], evidence))
 
     async def _answer_request(
         self, exchange: Exchange, key: VersionKey, item: str, evidence: PieceEvidence | None
     ) -> None:
+        reply = Reply(exchange)
+        with time_limit(self._process.reactor, reply):
+            reply.send(await self._find_answer(key, item, evidence))
+
+    async def _find_answer(
+        self, key: VersionKey, item: str, evidence: PieceEvidence | None
+    ) -> HttpAnswer:
         pieces = await self._get_list(*key)
         if pieces is not None and evidence is not None and evidence.contradicts(pieces):
             pieces = await self._review_list(pieces, evidence)
@@ -238,8 +227,7 @@
         if pieces is not None:
             self._record_request(pieces.model, pieces.version)
             answer = await self._answer_item(pieces, item, evidence)
-        if not exchange.ended:
-            exchange.answer(answer)
+        return answer
 
     async def _answer_item(
         self, pieces: PieceList, item: str, evidence: PieceEvidence | None
@@ -247,7 +235,7 @@
         """Returns the list or a piece; ``evidence`` is what the sender of the request has."""
         differs = evidence is not None and evidence.contradicts(pieces)
         if item == 'list':
-            return _answer(None if differs else _encode_list(pieces))
+            return make_answer(None if differs else encode_list(pieces))
         if not item.isdigit() or int(item) >= len(pieces.digests):
             return HttpAnswer(NOT_FOUND)
         index = int(item)
@@ -261,7 +249,7 @@
         now_seconds = self._process.reactor.seconds()
         if body is None and self._fetcher.doubts.holds_back(pieces, index, now_seconds):
             return HttpAnswer(CONFLICT)
-        return _answer(body)
+        return make_answer(body)
 
     def _record_request(self, model: str, version: int) -> None:
         """Records a request and fetches the rest of the pieces that this relay prefetches."""
@@ -273,29 +261,14 @@
         Deferred.fromCoroutine(work).addErrback(events.log_failure)
 
 
-def _decode_evidence(query: str) -> PieceEvidence | None:
-    fields = dict(parse_qsl(query))
-    index, digest = fields.get('piece', ''), fields.get('digest', '')
-    return PieceEvidence(int(index), digest) if index.isdecimal() and digest else None
-
-
-def _answer(body: bytes | None) -> HttpAnswer:
-    return HttpAnswer(NOT_FOUND) if body is None else HttpAnswer(200, body)
-
-
-def _encode_list(pieces: PieceList) -> bytes:
-    content = {'model': pieces.model, 'version': pieces.version, 'digests': list(pieces.digests)}
-    return json.dumps(content).encode()
-
-
 def make_piece_relay(process: NodeProcess, view: SiteView, codec: OriginCodec) -> PieceRelay:
     """Builds the piece relay of an entry."""
     reactor = process.reactor
     pool = ChannelPool(reactor, reactor, process.settings.address, SOURCE_CONNECT_SECONDS)
-    fetcher = PieceFetcher(
+    fetcher = make_piece_fetcher(
         pool,
         codec,
         lambda key: sources_for_relay(process.settings, view, key),
-        piece_count=view.piece_count,
+        view.piece_count,
     )
     return PieceRelay(process, view, fetcher)
--- a/test/mutants.py
+++ b/test/mutants.py
@@ -211,9 +211,9 @@
     ),
     Mutant('staging/changeover.py', 'fits_memory and is_due and', 'is_due and', 'test/staging'),
     Mutant(
-        'staging/changeover.py',
-        'if nearly_staged and self._remaining_use_seconds(version) > WORTH_LOADING_SECONDS:',
-        'if nearly_staged:',
+        'staging/version_choice.py',
+        'return left_seconds > WORTH_LOADING_SECONDS',
+        'return True',
         'test/staging',
     ),
     Mutant('staging/drain.py', 'version != self.version and ', '', 'test/staging'),
