Weights: agents take up again at once after an outage, relays answer hanging requests

Cause: after an outage an agent went on with one fetch at a time and left the pieces that were missed for a next pass after 0.25 s; one that had waited for a hanging fetch came over a second after the others.

Change: a pass that met missing pieces is followed by the next one at once, a stalled version by one probe of another piece each time; a relay also answers the requests that started a hanging fetch; the division of pieces among relays is cached, as fills are tried often while a source fails.

--- a/jackdawsail/staging/changeover.py
+++ b/jackdawsail/staging/changeover.py
@@ -31,7 +31,6 @@
 )
 from jackdawsail.staging.load_check import LoadCheck
 from jackdawsail.staging.piece_fetcher import PieceFetcher
-from jackdawsail.staging.piece_order import agent_order
 from jackdawsail.staging.staged_versions import StagedPieces, StagedVersions
 from jackdawsail.staging.waves import may_change_over
 
@@ -81,6 +80,7 @@
     _pace: StagingPace = field(default_factory=StagingPace)
     _staged: StagedPieces | None = None
     _working: bool = False
+    _goes_on_at_once: bool = False
     _retry_at_seconds: float = 0
     _report: EngineReport | None = None
     _confirmed_version: int = 0
@@ -157,7 +157,7 @@
     async def _handle_incomplete(self, staged: StagedPieces | None) -> None:
         """Fetches pieces of other versions if this one is stalled, or waits for a retry."""
         if staged is not None:
-            if self._is_outdated(staged):
+            if self._goes_on_at_once or self._is_outdated(staged):
                 # A newer version is chosen at the next report, which is no failure.
                 return
             fetch_others = self._versions.fetch_others
@@ -203,12 +203,10 @@
         return chosen
 
     async def _stage_missing(self, staged: StagedPieces) -> bool:
-        missing = staged.missing()
-        if not missing:
+        if not staged.missing():
             self._failing = False
             return True
-        digests = staged.pieces.digests
-        pending = deque(agent_order(self.settings, self.view, digests, missing))
+        pending = deque(self._versions.plan_pass(staged))
         self._pace = StagingPace(self.clock.seconds())
         workers = FetchWorkers(
             self.clock,
@@ -216,7 +214,7 @@
             lambda: self._versions.record_hang(staged),
         )
         await workers.run(CONCURRENT_AFTER_STALL if staged.has_stalled else CONCURRENT_FETCHES)
-        self._versions.pass_ended(staged)
+        self._goes_on_at_once = self._versions.pass_ended(staged)
         complete = not staged.missing()
         self._failing = self._failing and not complete
         if complete:
@@ -251,7 +249,11 @@
         """
         reviewed = await self.fetcher.review_list(staged.pieces)
         if isinstance(reviewed, Failure):
-            return self._versions.may_go_on(staged, failed)
+            goes_on = self._versions.may_go_on(staged, failed)
+            if staged.is_stalled:
+                # The other workers end, too; the next pass begins once a piece arrives.
+                pending.clear()
+            return goes_on
         staged.replace_list(reviewed.unwrap())
         pending.append(index)
         return True
--- a/jackdawsail/staging/held_pieces.py
+++ b/jackdawsail/staging/held_pieces.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 from twisted.internet.defer import Deferred
 
+from jackdawsail import events
 from jackdawsail.staging.engine import PieceList
 
 LIST = (-1, '')  # in place of the index and the digest of a piece
@@ -52,7 +53,7 @@
             self.bodies[index] = body
 
     def release_waiters(self) -> None:
-        """Answers with None to all who joined a fetch; the fetches go on."""
+        """Answers with None to all who wait for a fetch; the fetches go on."""
         for item, joined in list(self.waiters.items()):
             self.waiters[item] = []
             for waiter in joined:
@@ -60,11 +61,17 @@
 
     async def share(self, item: ItemKey, fetch: Callable[[], Awaitable[Result[Any, str]]]) -> Any:
         """Returns what a fetch gives, or None if it fails; joins one that is in progress."""
+        joined: Deferred[Any] = Deferred()
         if item in self.waiters:
-            joined: Deferred[Any] = Deferred()
             self.waiters[item].append(joined)
-            return await joined
-        self.waiters[item] = []
+        else:
+            self.waiters[item] = [joined]
+            Deferred.fromCoroutine(self._fetch_shared(item, fetch)).addErrback(events.log_failure)
+        return await joined
+
+    async def _fetch_shared(
+        self, item: ItemKey, fetch: Callable[[], Awaitable[Result[Any, str]]]
+    ) -> None:
         found = None
         try:
             outcome = await fetch()
@@ -72,7 +79,6 @@
         finally:
             for waiter in self.waiters.pop(item):
                 waiter.callback(found)
-        return found
 
 
 def release_waiters(held: Iterable[HeldVersion]) -> None:
--- a/jackdawsail/staging/piece_order.py
+++ b/jackdawsail/staging/piece_order.py
@@ -8,6 +8,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
+from functools import lru_cache
 
 from jackdawsail.site.node import NodeSettings
 from jackdawsail.site.view import SiteView
@@ -16,6 +17,8 @@
 
 PIECES_PER_RUN = 8  # about as many as the relays of a region fetch at the same time
 
+DIVISIONS_KEPT = 16  # of some versions in two regions; while a source fails they are needed often
+
 
 def relayed_pieces(settings: NodeSettings, view: SiteView, digests: Sequence[str]) -> list[int]:
     """Returns the indexes of the pieces that a relay fetches ahead of requests, in order.
@@ -71,7 +74,14 @@
     view: SiteView, region: str, digests: Sequence[str], order: Iterable[int]
 ) -> Mapping[str, list[int]]:
     """Returns the pieces of each relay of a region, by its address, in the given order."""
-    addresses = [relay.address for relay in relays_of(view, region)]
+    addresses = tuple(relay.address for relay in relays_of(view, region))
+    return _divide_among(addresses, tuple(digests), tuple(order))
+
+
+@lru_cache(maxsize=DIVISIONS_KEPT)
+def _divide_among(
+    addresses: tuple[str, ...], digests: tuple[str, ...], order: tuple[int, ...]
+) -> Mapping[str, list[int]]:
     shares: dict[str, list[int]] = defaultdict(list)
     if addresses:
         for index in order:
--- a/jackdawsail/staging/staged_versions.py
+++ b/jackdawsail/staging/staged_versions.py
@@ -41,16 +41,21 @@
     """The pieces of a version that are known to be staged at the engine, by index.
 
     ``bodies`` are those kept in memory. ``misses`` counts the pieces in a row that no source
-    had; ``is_stalled`` is whether so many were missed that the version cannot go on now, and
-    ``has_stalled`` whether that was so at any time.
+    had, ``missed`` and ``fetched`` those that were missed or arrived in the present pass over
+    the missing ones. ``is_stalled`` is whether so many were missed that the version cannot go
+    on now, ``has_stalled`` whether that was so at any time. ``probes`` counts the passes while
+    it was stalled.
     """
 
     pieces: PieceList
     present: set[int] = field(default_factory=set)
     bodies: dict[int, bytes] = field(default_factory=dict)
     misses: int = 0
+    missed: int = 0
+    fetched: int = 0
     is_stalled: bool = False
     has_stalled: bool = False
+    probes: int = 0
 
     def missing(self) -> list[int]:
         """Returns the pieces that are not known to be staged."""
@@ -156,6 +161,7 @@
                 self._keep_body(staged, index, outcome.unwrap())
         elif outcome.failure() in UNOBTAINABLE:
             staged.misses += 1
+            staged.missed += 1
         return outcome
 
     def may_go_on(self, staged: StagedPieces, outcome: Result[bytes, str]) -> bool:
@@ -167,10 +173,28 @@
         staged.has_stalled = staged.has_stalled or staged.is_stalled
         return not staged.is_stalled
 
-    def pass_ended(self, staged: StagedPieces) -> None:
-        """Records that all missing pieces were tried, or as many as there was reason to."""
-        staged.is_stalled = staged.is_stalled or (staged.misses > 0 and bool(staged.lacking()))
+    def plan_pass(self, staged: StagedPieces) -> list[int]:
+        """Returns the missing pieces in the order of a pass; another one each time if stalled."""
+        digests = staged.pieces.digests
+        order = agent_order(self.settings, self.view, digests, staged.missing())
+        if not staged.is_stalled:
+            return order
+        staged.probes += 1
+        in_memory = [index for index in order if index in staged.bodies]
+        lacking = staged.lacking()
+        return [*in_memory, lacking[staged.probes % len(lacking)]] if lacking else in_memory
+
+    def pass_ended(self, staged: StagedPieces) -> bool:
+        """Records that all missing pieces were tried, or as many as there was reason to.
+
+        Returns whether the rest is worth another pass at once.
+        """
+        goes_on = staged.fetched > 0 and staged.missed > 0
+        staged.is_stalled = staged.is_stalled or (staged.missed > 0 and not goes_on)
+        staged.fetched = 0
+        staged.missed = 0
         staged.has_stalled = staged.has_stalled or staged.is_stalled
+        return goes_on and not staged.is_stalled
 
     def record_hang(self, staged: StagedPieces) -> None:
         """Records that a fetch hangs, though pieces have arrived before."""
@@ -240,6 +264,7 @@
 
     def _record_success(self, staged: StagedPieces) -> None:
         staged.misses = 0
+        staged.fetched += 1
         if staged.is_stalled:
             # What has ended, most often an outage of the origin, has ended for all versions.
             for each in (staged, *self.kept.values()):
