--- a/jackdawsail/staging/version_choice.py
+++ b/jackdawsail/staging/version_choice.py
@@ -17,7 +17,7 @@
 WORTH_LOADING_SECONDS = 2.0  # of remaining use; loading for less delays the newer version more
 NEARLY_STAGED_SHARE = 0.1  # of the pieces; if no more are missing, they are fetched first
 CHANGEOVER_SECONDS = 1.0  # without new calls: running streams end, and the engine loads
-MIN_GAIN_SECONDS = 0.25  # predictions are not more exact than that
+MIN_GAIN_SECONDS = 1.0  # engines that fetch different versions slow each other at the relays
 MAX_DELAY_SECONDS = 1.0  # by which relays let an older version delay the newest
 
 
