--- a/jackdawsail/staging/relay_answers.py
+++ b/jackdawsail/staging/relay_answers.py
@@ -9,7 +9,7 @@
 
 from jackdawsail.clocks import Clock
 from jackdawsail.http1.messages import HttpAnswer
-from jackdawsail.http1.server import Exchange
+from jackdawsail.http1.exchange import Exchange
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.list_doubts import PieceEvidence
 
