--- a/jackdawsail/staging/relay_answers.py
+++ b/jackdawsail/staging/relay_answers.py
@@ -8,8 +8,8 @@
 from urllib.parse import parse_qsl
 
 from jackdawsail.clocks import Clock
-from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.http1.exchange import Exchange
+from jackdawsail.http1.messages import HttpAnswer
 from jackdawsail.staging.engine import PieceList
 from jackdawsail.staging.list_doubts import PieceEvidence
 
