Settings and services keep no field that nothing reads

Cause: the width of the own link, the share of a core and the cold time of a service were decoded and read by no decision; fetches measure their links, and upstreams register how long they stay cold. Change: the fields are gone; the document's cold time is still validated.

--- a/bench/emulator/day_simulation.py
+++ b/bench/emulator/day_simulation.py
@@ -374,7 +374,6 @@
     services = (
         Service(
             ENGINES,
-            cold_seconds=model.cold_seconds,
             cold_requests_per_second=model.cold_per_second,
             engine=engine,
         ),
--- a/jackdawsail/platform/documents.py
+++ b/jackdawsail/platform/documents.py
@@ -82,6 +82,7 @@
 class _Service(msgspec.Struct):
     name: str
     max_connections: NonNegativeInt = 0
+    # Only validated; an upstream registers for how long it stays cold.
     cold_start_s: NonNegativeFloat = 0
     cold_per_s: NonNegativeFloat = 0
     engine: _Engine | None = None
@@ -181,7 +182,6 @@
     return Service(
         name=decoded.name,
         max_channels=decoded.max_connections,
-        cold_seconds=decoded.cold_start_s,
         cold_requests_per_second=decoded.cold_per_s,
         engine=None if decoded.engine is None else _as_engine(decoded.engine),
         origin_address=decoded.origin,
--- a/jackdawsail/platform/settings.py
+++ b/jackdawsail/platform/settings.py
@@ -18,9 +18,6 @@
 
 class _Limits(msgspec.Struct):
     memory_mb: NonNegativeFloat = 0
-    # The share of one core; ``cores`` states how many times as fast it runs.
-    cpu_share: NonNegativeFloat = 1
-    link_mbps: NonNegativeFloat = 0
     max_fds: NonNegativeInt = 0
 
 
@@ -149,7 +146,6 @@
         cold_slack=bounds.cold_slack,
         weights_seconds=bounds.version_ms * MILLISECOND,
         addresses_max_seconds=bounds.ttl_max_s,
-        link_megabits_per_second=decoded.limits.link_mbps,
         memory_megabytes=decoded.limits.memory_mb,
         max_descriptors=decoded.limits.max_fds,
     )
--- a/jackdawsail/site/document.py
+++ b/jackdawsail/site/document.py
@@ -91,7 +91,6 @@
 
     name: str
     max_channels: int = 0
-    cold_seconds: float = 0
     cold_requests_per_second: float = 0
     engine: EngineClass | None = None
     origin_address: str = ''
--- a/jackdawsail/site/node.py
+++ b/jackdawsail/site/node.py
@@ -31,7 +31,6 @@
     cold_slack: float = 0
     weights_seconds: float = 8.0
     addresses_max_seconds: float = 5.0
-    link_megabits_per_second: float = 0
     memory_megabytes: float = 0
     max_descriptors: int = 0
 
