The ranks of routes count where customers have the same rank

Cause: a customer's rank replaced the route's. Change: calls are ordered by the customer's rank, then by the route's.

--- a/jackdawsail/proxy/rank_control.py
+++ b/jackdawsail/proxy/rank_control.py
@@ -13,6 +13,7 @@
     MAX_CLASSES,
     Demand,
     Fractions,
+    Rank,
     RankShares,
     UrgencyClasses,
 )
@@ -146,14 +147,18 @@
         metrics.RANK_SHARE.labels(service, str(urgency)).set(share)
 
 
-def rank_of(route: Route, customer: Customer | None) -> int:
-    """Returns the rank of a call; the customer's overrides that of the route."""
+def rank_of(route: Route, customer: Customer | None) -> Rank:
+    """Returns the rank of a call: the customer's goes before that of the route.
+
+    Among the calls of customers of one rank the route's decides. Without a rank of the customer
+    the route's stands for both.
+    """
     if customer is None or customer.urgency_rank is None:
-        return route.urgency_rank
-    return customer.urgency_rank
+        return route.urgency_rank, route.urgency_rank
+    return customer.urgency_rank, route.urgency_rank
 
 
-def ranks_of(document: SiteDocument, service: Service) -> tuple[int, ...]:
+def ranks_of(document: SiteDocument, service: Service) -> tuple[Rank, ...]:
     """Returns the ranks that streams of engines may have, ascending; none for other services."""
     if service.engine is None:
         return ()
@@ -166,11 +171,11 @@
     return tuple(sorted(ranks))
 
 
-def _ranks_of_route(document: SiteDocument, route: Route) -> set[int]:
+def _ranks_of_route(document: SiteDocument, route: Route) -> set[Rank]:
     ranks = {rank_of(route, customer) for customer in document.customers}
     # Calls without a customer's key are admitted in these cases only.
     if route.is_public or not document.customers:
-        ranks.add(route.urgency_rank)
+        ranks.add(rank_of(route, None))
     return ranks
 
 
@@ -178,7 +183,7 @@
     return any(share.service == service.name and share.weight > 0 for share in route.shares)
 
 
-def _keep_or_make(kept: RankShares | None, ranks: tuple[int, ...]) -> RankShares:
+def _keep_or_make(kept: RankShares | None, ranks: tuple[Rank, ...]) -> RankShares:
     if kept is not None and kept.classes.ranks == ranks:
         return kept
     return RankShares(UrgencyClasses(ranks))
--- a/jackdawsail/routing/rank_shares.py
+++ b/jackdawsail/routing/rank_shares.py
@@ -39,6 +39,9 @@
 MAX_SIZE = 4.0  # times the usual size; a stated size beyond it is not believed
 
 
+Rank = tuple[int, int]  # that of the customer, and among equal ones that of the route
+
+
 @dataclass(frozen=True, slots=True)
 class UrgencyClasses:
     """The ranks of a service's calls, ascending and without repeats.
@@ -47,17 +50,17 @@
 
     Example::
 
-        UrgencyClasses((0, 1, 7)).class_of(7) == 2
+        UrgencyClasses(((0, 0), (1, 0), (1, 7))).class_of((1, 7)) == 2
     """
 
-    ranks: tuple[int, ...]
+    ranks: tuple[Rank, ...]
 
     @property
     def count(self) -> int:
         """Returns the number of classes."""
         return min(len(self.ranks), MAX_CLASSES)
 
-    def class_of(self, rank: int) -> int:
+    def class_of(self, rank: Rank) -> int:
         """Returns the class of a rank, 0 the most urgent; one not listed joins the next one."""
         position = sum(listed < rank for listed in self.ranks)
         position = min(position, len(self.ranks) - 1)
--- a/test/proxy/test_ranks.py
+++ b/test/proxy/test_ranks.py
@@ -129,18 +129,25 @@
 
 @given(st.lists(st.one_of(st.none(), st.integers(0, 3)), max_size=4), st.booleans())
 def test_ranks_are_those_that_calls_can_have(customer_ranks, is_public):
-    """A customer's rank overrides the route's, which applies to calls without a key too."""
+    """A customer's rank goes before the route's, which applies to calls without a key too."""
     customers = [
         replace(make_customer(f'c{number}', f'k{number}'), urgency_rank=rank)
         for number, rank in enumerate(customer_ranks)
     ]
     route = replace(STREAM, urgency_rank=2, is_public=is_public)
     document = make_document(1, [route], [MODEL_SERVICE], customers)
-    expected = {2 if rank is None else rank for rank in customer_ranks}
-    expected |= {2} if is_public or not customers else set()
+    expected = {(2 if rank is None else rank, 2) for rank in customer_ranks}
+    expected |= {(2, 2)} if is_public or not customers else set()
     assert ranks_of(document, MODEL_SERVICE) == tuple(sorted(expected))
 
 
+def test_customers_of_one_rank_do_not_hide_the_ranks_of_routes():
+    customers = [replace(make_customer(name, name), urgency_rank=1) for name in ('a', 'b')]
+    routes = [replace(STREAM, urgency_rank=2), replace(URGENT, urgency_rank=0)]
+    document = make_document(1, routes, [MODEL_SERVICE], customers)
+    assert ranks_of(document, MODEL_SERVICE) == ((1, 0), (1, 2))
+
+
 def test_negative_ranks_are_faults_of_a_document():
     customer = replace(make_customer('c', 'k'), urgency_rank=-2)
     document = make_document(1, [replace(STREAM, urgency_rank=-1)], None, [customer])
--- a/test/routing/test_rank_shares.py
+++ b/test/routing/test_rank_shares.py
@@ -22,7 +22,8 @@
 from test.site.documents import ENGINE
 
 AMOUNTS = st.lists(st.floats(0, 1000), min_size=MAX_CLASSES, max_size=MAX_CLASSES)
-CLASSES = UrgencyClasses((0, 1, 2))
+RANKS = st.integers(0, 10**30)
+CLASSES = UrgencyClasses(((0, 0), (0, 1), (0, 2)))
 
 
 def admit(shares, calls, now_seconds):
@@ -65,13 +66,13 @@
     assert all(0 <= part <= 1 for part in fractions.less_urgent)
 
 
-@given(st.sets(st.integers(0, 10**30), min_size=2, max_size=20))
+@given(st.sets(st.tuples(RANKS, RANKS), min_size=2, max_size=20))
 def test_classes_follow_the_ranks_however_many_there_are(ranks):
     classes = UrgencyClasses(tuple(sorted(ranks)))
     numbers = [classes.class_of(rank) for rank in classes.ranks]
     assert numbers == sorted(numbers)
     assert set(numbers) == set(range(classes.count))
-    assert classes.class_of(max(ranks) + 1) == classes.count - 1
+    assert classes.class_of((max(ranks)[0] + 1, 0)) == classes.count - 1
 
 
 @pytest.mark.parametrize('tokens', [-5, 0, 1, 10**12])
