--- a/review/standin2/flood.py
+++ b/review/standin2/flood.py
@@ -2,9 +2,10 @@
 
 It runs as a process of its own, so that it does not slow down the clients that are measured:
 
-    python3 review/standin2/flood.py ADDRESS PORT MBIT_PER_S PIECE_BYTES
+    python3 review/standin2/flood.py ADDRESS PORT MBIT_PER_S CONTENT
 
-Each answer is in chunks of PIECE_BYTES. All answers together are sent at MBIT_PER_S at most.
+CONTENT is a number, for a body in chunks of so many bytes, or "blank-lines", for a body of line ends
+with neither a length nor chunks. All answers together are sent at MBIT_PER_S at most.
 Health checks are answered well. It ends when its standard input closes.
 """
 
@@ -31,7 +32,16 @@
         time.sleep(max(0, due_s - time.monotonic()))
 
 
-def serve(channel, pace, block):
+def make_body(content):
+    """Returns the header for the framing of a body, and a block that is sent again and again."""
+    if content == 'blank-lines':
+        return '', b'\n' * BLOCK_BYTES
+    size = int(content)
+    chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
+    return 'Transfer-Encoding: chunked\r\n', chunk * max(1, BLOCK_BYTES // len(chunk))
+
+
+def serve(channel, pace, framing, block):
     """Reads one request on a channel, and answers it without an end."""
     try:
         received = b''
@@ -49,7 +59,7 @@
         print(f'run {attempt}', flush=True)
         channel.sendall(
             f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: trouble\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+            f'{framing}\r\n'.encode()
         )
         while True:
             pace.wait(len(block))
@@ -61,17 +71,15 @@
 
 
 def main():
-    address, port, mbit_per_s, piece_bytes = sys.argv[1:]
-    size = int(piece_bytes)
-    chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
-    block = chunk * max(1, BLOCK_BYTES // len(chunk))
+    address, port, mbit_per_s, content = sys.argv[1:]
+    framing, block = make_body(content)
     pace = Pace(float(mbit_per_s) * 1e6 / 8)
     listener = socket.create_server((address, int(port)), backlog=512)
 
     def accept():
         while True:
             channel, _ = listener.accept()
-            threading.Thread(target=serve, args=(channel, pace, block), daemon=True).start()
+            threading.Thread(target=serve, args=(channel, pace, framing, block), daemon=True).start()
 
     threading.Thread(target=accept, daemon=True).start()
     sys.stdin.read()
--- a/review/standin2/site.py
+++ b/review/standin2/site.py
@@ -432,6 +432,45 @@
     }
 
 
+def model_service(name, model, max_connections=294):
+    """Makes a service of model engines as on the sheet of kallergis-queue."""
+    return {
+        **plain_service(name, max_connections),
+        'engine': {
+            'slots': 16, 'kv_capacity_tokens': 1640000, 'kv_bytes': 163840, 'stride': 6,
+            'models': [{'name': model, 'pace': 1.0, 'load_s': 4.0, 'warm_s': 0.3}],
+            'size_mb': 282000.0, 'step_ms': 6.73, 'per_seq_ms': 0.0219, 'context_per_k': 0.0068,
+            'read_per_s': 30600.0, 'chunk': 2048, 'report_lag_ms': 200.0,
+            'usual': {'prompt': 964, 'answer': 119}, 'layers': 16, 'layer_mb': 4540.0,
+            'chunks': 96, 'chunk_bytes': 24576,
+        },
+    }
+
+
+STREAM_EVENTS = 24
+STREAM_GAP_S = 0.045
+
+
+async def stream(server, request, reader, writer):
+    """A sound engine: streams the events after Last-Event-Id, and ends."""
+    await read_body(reader, request.headers)
+    if request.headers.get('expect-instance', server.name) != server.name:
+        writer.write(answer(421, b'', {'Not-Executed': '1'}, request.attempt, reason='Misdirected'))
+        return True
+    stamp = server.run(request)
+    writer.write(
+        f'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
+        f'Attempt-Id: {request.attempt}\r\nServer-Stamp: {stamp}\r\nWeight-Versions: 1\r\n\r\n'.encode()
+    )
+    for number in range(int(request.headers.get('last-event-id', 0)) + 1, STREAM_EVENTS + 1):
+        event = f'id: {number}\ndata: part {number}\n\n'.encode()
+        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(STREAM_GAP_S)
+    writer.write(b'0\r\n\r\n')
+    return True
+
+
 class Outcome:
     """What a client got for one attempt: a status with headers and body, or why there was none."""
 
