--- a/review/standin2/site.py
+++ b/review/standin2/site.py
@@ -162,6 +162,8 @@
         self.agents = []
 
     def record(self, text):
+        if self._record.closed:
+            return
         self._record.write(f'{time.monotonic() - self.started:8.3f} {text}\n')
         self._record.flush()
 
